--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for building, checking and measuring wigeonshift.
+
+GO ?= go
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(shell $(GO) env GOPATH)/bin/golangci-lint
+
+.PHONY: all
+all: fmt lint test build
+
+.PHONY: build
+build:
+	$(GO) build -o bin/wigeonshift ./cmd/wigeonshift
+
+.PHONY: tools
+tools:
+	@$(GOLANGCI) version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
+		$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+.PHONY: fmt
+fmt: tools
+	$(GOLANGCI) fmt
+
+.PHONY: lint
+lint: tools
+	$(GOLANGCI) fmt --diff
+	$(GOLANGCI) run --timeout 10m
+
+.PHONY: test
+test:
+	$(GO) vet ./...
+	$(GO) test ./...
+
+.PHONY: check
+check: lint test build
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,73 @@
+// Package cmd holds the command line of wigeonshift, one file a command.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK = 0
+	// ExitFailure reports a command that ran and failed.
+	ExitFailure = 1
+	// ExitUsage reports wrong arguments or settings.
+	ExitUsage = 2
+)
+
+// errUsage marks errors in what the user wrote: arguments, files and settings.
+var errUsage = errors.New("usage")
+
+// Streams are the output streams of a command.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// CLI is the grammar of the command line.
+type CLI struct {
+	Version VersionCommand `cmd:"" help:"Print the version."`
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var cli CLI
+	exited, code := false, ExitOK
+	parser, err := kong.New(&cli,
+		kong.Name("wigeonshift"),
+		kong.Description("Request scheduler for unlike engines."),
+		kong.UsageOnError(),
+		kong.Writers(out, errOut),
+		kong.Exit(func(c int) { exited, code = true, c }),
+		kong.Bind(Streams{Out: out, Err: errOut}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "wigeonshift:", err)
+		return ExitFailure
+	}
+	parsed, err := parser.Parse(args)
+	if exited {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "wigeonshift:", err)
+		return ExitUsage
+	}
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(errOut, "wigeonshift:", err)
+		if errors.Is(err, errUsage) {
+			return ExitUsage
+		}
+		return ExitFailure
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/internal/services/wigeonscheduler/reducer.go
@@ -0,0 +1,15 @@
+package wigeonscheduler
+
+// State is everything the reducer knows. A node holds one with Shard for each shard it owns and one with Entry for
+// the requests it accepted.
+type State struct {
+	Shard *Shard
+}
+
+// Shard is the state of one shard at its owner.
+type Shard struct{}
+
+// Reduce applies one event to the state and returns what has to be done.
+func Reduce(st *State, ev Event) []Effect {
+	return nil
+}
