--- /dev/null
+++ b/internal/measure/wigeonoverlay/overlay_test.go
@@ -0,0 +1,28 @@
+package wigeonoverlay_test
+
+import (
+	"testing"
+
+	"wigeonshift/internal/measure/wigeonoverlay"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestOverlay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonoverlay")
+}
+
+var _ = Describe("Measure", func() {
+	It("gives equal figures for equal seeds and routes everything on an unbroken shallow tree", func() {
+		rows := wigeonoverlay.Measure(300, 25, 7)
+		Expect(wigeonoverlay.Measure(300, 25, 7)).To(Equal(rows))
+		for _, r := range rows {
+			Expect(r.Unreached).To(HaveLen(len(wigeonoverlay.Failures())))
+			if r.Way == "greedy hyperbolic, balanced join" {
+				Expect(r.Unreached[0]).To(BeZero(), "degree %d", r.Degree)
+			}
+		}
+	})
+})
