--- a/endpoint.go
+++ b/endpoint.go
@@ -50,6 +50,8 @@
 	Path        string
 	ContentType string
 	Body        []byte
+	// NonIdempotent calls never go on a connection that has been idle for long.
+	NonIdempotent bool
 }
 
 // ServiceAnswer is the whole answer of a plain service.
--- a/errors.go
+++ b/errors.go
@@ -22,6 +22,8 @@
 	ErrNotRun = errors.New("request did not run")
 	// ErrEndpointLost reports that the connection broke after the endpoint may have read the request.
 	ErrEndpointLost = errors.New("endpoint lost")
+	// ErrEndpointFailed reports an endpoint's own error answer after it may have begun the request.
+	ErrEndpointFailed = errors.New("endpoint failed")
 	// ErrAnswerMismatch reports an answer that carries another attempt's token.
 	ErrAnswerMismatch = errors.New("answer belongs to another attempt")
 	// ErrStaleFence reports that an endpoint refused an order because of its fencing number.
--- /dev/null
+++ b/internal/modules/wigeonprompt/prompt_test.go
@@ -0,0 +1,50 @@
+package wigeonprompt_test
+
+import (
+	"strings"
+	"testing"
+
+	"wigeonshift/internal/modules/wigeonprompt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var suiteT *testing.T
+
+func TestPrompt(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonprompt")
+}
+
+var _ = Describe("Prompts", func() {
+	It("share exactly the hashes of their common whole blocks", func() {
+		rapid.Check(suiteT, func(t *rapid.T) {
+			common := rapid.StringMatching(`[a-d]{0,900}`).Draw(t, "common")
+			a := common + "x" + rapid.StringMatching(`[a-d]{0,600}`).Draw(t, "a")
+			b := common + "y" + rapid.StringMatching(`[a-d]{0,600}`).Draw(t, "b")
+			first, second := wigeonprompt.PrefixHashes("m", a), wigeonprompt.PrefixHashes("m", b)
+			shared := len(common) / wigeonprompt.BlockBytes
+			for i := range min(len(first), len(second)) {
+				if (first[i] == second[i]) != (i < shared) {
+					t.Fatalf("block %d of %d shared", i, shared)
+				}
+			}
+		})
+	})
+
+	It("differ by model and by the border between parts", func() {
+		prompt := strings.Repeat("net ", 64)
+		Expect(wigeonprompt.PrefixHashes("m", prompt)).To(HaveLen(1))
+		Expect(wigeonprompt.PrefixHashes("m", prompt)).NotTo(Equal(wigeonprompt.PrefixHashes("n", prompt)))
+		Expect(wigeonprompt.Fingerprint("ab", "c")).NotTo(Equal(wigeonprompt.Fingerprint("a", "bc")))
+	})
+
+	It("have a length of at least one token", func() {
+		Expect(wigeonprompt.Tokens("")).To(Equal(1))
+		Expect(wigeonprompt.Tokens("knot")).To(Equal(1))
+		Expect(wigeonprompt.Tokens("knots")).To(Equal(2))
+	})
+})
