--- /dev/null
+++ b/internal/models/wigeonstore/wigeonstore_test.go
@@ -0,0 +1,234 @@
+package wigeonstore_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/models/wigeonstore"
+	"wigeonshift/internal/standin/wigeonplatform"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+var suiteT *testing.T
+
+func TestWigeonstore(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonstore")
+}
+
+// insert returns a transaction that takes effect only once.
+func insert(key, value string) wigeonshift.Transaction {
+	return wigeonshift.Transaction{
+		Conditions: []wigeonshift.Condition{{Key: key}},
+		Writes:     []wigeonshift.Write{{Key: key, Value: []byte(value)}},
+	}
+}
+
+// holds returns a settle function that looks for a value under a key.
+func holds(table wigeonshift.Table, key, value string) func(context.Context) (bool, error) {
+	return func(ctx context.Context) (bool, error) {
+		row, err := table.Get(ctx, key)
+		if errors.Is(err, wigeonshift.ErrNotFound) {
+			return false, nil
+		}
+		return string(row.Value) == value, err
+	}
+}
+
+var _ = Describe("Guard", func() {
+	It("opens the circuit in an outage, refuses with proof and closes it again", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			store := wigeonstore.New(core, wigeonstore.WithBreaker(3, time.Second))
+			core.SetFaults(wigeonplatform.Faults{Outage: true})
+			for range 20 {
+				_, err := store.Commit(t.Context(), insert("k", "v"))
+				g.Expect(err).To(MatchError(wigeonshift.ErrUnavailable))
+				g.Expect(errors.Is(err, wigeonshift.ErrOutcomeUnknown)).To(BeFalse())
+			}
+			g.Expect(core.Counts().Writes).To(BeNumerically("<", 20), "an open circuit spares the platform")
+			core.SetFaults(wigeonplatform.Faults{})
+			time.Sleep(1100 * time.Millisecond)
+			_, err := store.Commit(t.Context(), insert("k", "v"))
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	})
+
+	It("ends silent calls at its deadline and never repeats a write with unknown outcome", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			store := wigeonstore.New(core, wigeonstore.WithCallTimeout(time.Second))
+			core.SetFaults(wigeonplatform.Faults{Silent: true})
+			start := time.Now()
+			_, err := store.Commit(t.Context(), insert("k", "v"))
+			g.Expect(err).To(MatchError(wigeonshift.ErrOutcomeUnknown))
+			g.Expect(time.Since(start)).To(Equal(time.Second))
+			g.Expect(core.Counts().Writes).To(BeEquivalentTo(1))
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			defer cancel()
+			_, err = store.Get(ctx, "k")
+			g.Expect(err).To(MatchError(wigeonshift.ErrUnavailable))
+			g.Expect(time.Since(start)).To(BeNumerically("<=", 2500*time.Millisecond))
+		})
+	})
+
+	It("holds its budgets", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			store := wigeonstore.New(core, wigeonstore.WithBudget(10, 5, 1))
+			start := time.Now()
+			for range 20 {
+				_, err := store.Get(t.Context(), "k")
+				g.Expect(err).To(MatchError(wigeonshift.ErrNotFound))
+			}
+			g.Expect(time.Since(start)).To(BeNumerically(">=", 1900*time.Millisecond))
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			_, err := store.Get(ctx, "k")
+			g.Expect(err).To(MatchError(wigeonshift.ErrThrottled))
+		})
+	})
+})
+
+var _ = Describe("CommitSettled", func() {
+	DescribeTable("settles a lost answer", func(f wigeonplatform.Faults) {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			core.SetFaults(f)
+			_, err := wigeonstore.CommitSettled(t.Context(), core, insert("k", "mine"), holds(core, "k", "mine"))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(10 * time.Second)
+			row, err := core.Get(t.Context(), "k")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(row.Value)).To(Equal("mine"))
+			g.Expect(core.Scan(t.Context(), "", "", 10)).To(HaveLen(1))
+		})
+	},
+		Entry("effect before the error", wigeonplatform.Faults{LoseNext: 1}),
+		Entry("effect long after the error", wigeonplatform.Faults{LoseNext: 1, LateByMS: 5000}),
+		Entry("several lost in a row", wigeonplatform.Faults{LoseNext: 4, LateByMS: 700}),
+	)
+
+	It("tells a lost race from an own effect", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			_, err := core.Commit(t.Context(), insert("k", "theirs"))
+			g.Expect(err).NotTo(HaveOccurred())
+			core.SetFaults(wigeonplatform.Faults{LoseNext: 2})
+			_, err = wigeonstore.CommitSettled(t.Context(), core, insert("k", "mine"), holds(core, "k", "mine"))
+			g.Expect(err).To(MatchError(wigeonshift.ErrConditionFailed))
+		})
+	})
+
+	It("stays unknown through an outage until its context ends", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			core.SetFaults(wigeonplatform.Faults{LoseNext: 1})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			time.AfterFunc(10*time.Millisecond, func() { core.SetFaults(wigeonplatform.Faults{Outage: true}) })
+			_, err := wigeonstore.CommitSettled(ctx, core, insert("k", "mine"), holds(core, "k", "mine"))
+			g.Expect(err).To(MatchError(wigeonshift.ErrOutcomeUnknown))
+		})
+	})
+})
+
+// serve starts a stand-in platform on loopback and returns it with a transport to it.
+func serve(core *wigeonplatform.Core) (*wigeonplatform.Server, *wigeonstore.Transport) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	server := wigeonplatform.NewServer(core, l, wigeonplatform.WithLogger(log))
+	Expect(server.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Expect(server.Stop(ctx)).To(Succeed())
+	})
+	return server, wigeonstore.NewTransport("http://" + server.Address())
+}
+
+var _ = Describe("Transport", func() {
+	ctx := context.Background()
+
+	It("carries every call over HTTP", func() {
+		_, store := serve(wigeonplatform.NewCore(wigeonplatform.WithListLag(0), wigeonplatform.WithWeightSlot(time.Hour)))
+		_, err := store.Get(ctx, "a/1")
+		Expect(err).To(MatchError(wigeonshift.ErrNotFound))
+		revisions, err := store.Commit(ctx, insert("a/1", "x"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Get(ctx, "a/1")).To(Equal(wigeonshift.Row{Key: "a/1", Value: []byte("x"), Revision: revisions[0]}))
+		_, err = store.Commit(ctx, insert("a/1", "y"))
+		Expect(err).To(MatchError(wigeonshift.ErrConditionFailed))
+		_, err = store.Commit(ctx, insert("a/2", "z"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Scan(ctx, "a/", "a/1", 9)).To(ConsistOf(HaveField("Key", "a/2")))
+		Expect(store.PutObject(ctx, "o", []byte{0, 1})).To(Succeed())
+		Expect(store.GetObject(ctx, "o")).To(Equal([]byte{0, 1}))
+		Expect(store.ListObjects(ctx, "", "", 9)).To(Equal([]string{"o"}))
+		Expect(store.DeleteObject(ctx, "o")).To(Succeed())
+		_, err = store.GetObject(ctx, "o")
+		Expect(err).To(MatchError(wigeonshift.ErrNotFound))
+		Expect(store.Reserve(ctx, "m")).To(BeZero())
+		Expect(store.Reserve(ctx, "m")).To(BeNumerically(">", time.Minute))
+	})
+
+	It("tells proof of no effect from an unknown outcome", func() {
+		core := wigeonplatform.NewCore()
+		server, store := serve(core)
+		core.SetFaults(wigeonplatform.Faults{LoseNext: 1})
+		_, err := store.Commit(ctx, insert("k", "v"))
+		Expect(err).To(MatchError(wigeonshift.ErrOutcomeUnknown))
+		Expect(store.Get(ctx, "k")).To(HaveField("Value", []byte("v")))
+		core.SetFaults(wigeonplatform.Faults{Outage: true})
+		_, err = store.Commit(ctx, insert("k2", "v"))
+		Expect(err).To(MatchError(wigeonshift.ErrUnavailable))
+		core.SetFaults(wigeonplatform.Faults{WritesPerSecond: 0.001})
+		_, _ = store.Commit(ctx, insert("k3", "v"))
+		_, err = store.Commit(ctx, insert("k4", "v"))
+		Expect(err).To(MatchError(wigeonshift.ErrThrottled))
+		core.SetFaults(wigeonplatform.Faults{Silent: true})
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err = store.Commit(short, insert("k5", "v"))
+		Expect(err).To(MatchError(wigeonshift.ErrOutcomeUnknown))
+		core.SetFaults(wigeonplatform.Faults{})
+
+		nobody, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		nobody.Close()
+		_, err = wigeonstore.NewTransport("http://"+nobody.Addr().String()).Commit(ctx, insert("k", "v"))
+		Expect(err).To(MatchError(wigeonshift.ErrUnavailable), "nothing listens")
+		Expect(server.Address()).NotTo(BeEmpty())
+	})
+
+	It("shows registered instances after the lag and drops the dead", func() {
+		core := wigeonplatform.NewCore(wigeonplatform.WithListLag(0))
+		server, store := serve(core)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		i := wigeonshift.Instance{ID: "i/1", Address: l.Addr().String(), Zone: "z", Region: "r"}
+		Expect(wigeonplatform.RegisterInstance(ctx, "http://"+server.Address(), i)).To(Succeed())
+		i.State = wigeonshift.InstanceLive
+		Expect(store.Instances(ctx)).To(Equal([]wigeonshift.Instance{i}))
+		l.Close()
+		Eventually(func() ([]wigeonshift.Instance, error) { return store.Instances(ctx) }).
+			WithTimeout(20 * time.Second).Should(BeEmpty())
+	})
+})
--- a/platform.go
+++ b/platform.go
@@ -88,3 +88,11 @@
 	// Reserve asks for a slot to load a model. A positive wait tells when to ask again; zero grants the slot.
 	Reserve(ctx context.Context, model string) (wait time.Duration, err error)
 }
+
+// Platform is every service of the platform under one roof.
+type Platform interface {
+	Table
+	ObjectStore
+	InstanceList
+	WeightStore
+}
