Add the shard owner's reducer

StoreQuarantine gains Crashes and QuarantineLoaded gains Suspects, so that a suspect survives a change of owner.

--- a/internal/services/wigeonscheduler/effect.go
+++ b/internal/services/wigeonscheduler/effect.go
@@ -38,6 +38,8 @@
 	// StoreQuarantine writes a fingerprint behind to the table.
 	StoreQuarantine struct {
 		Fingerprint wigeonshift.Fingerprint
+		// Crashes is 1 for a suspect, which may run alone once more, and 2 for a fingerprint that is refused.
+		Crashes int
 	}
 	// PublishSummary sends the shard's summary to the other shards of the pool.
 	PublishSummary struct {
--- a/internal/services/wigeonscheduler/event.go
+++ b/internal/services/wigeonscheduler/event.go
@@ -86,6 +86,8 @@
 	// QuarantineLoaded brings fingerprints found in the table.
 	QuarantineLoaded struct {
 		Fingerprints []wigeonshift.Fingerprint
+		// Suspects were present at one crash.
+		Suspects []wigeonshift.Fingerprint
 	}
 	// SummaryReceived tells the state of another shard of the pool.
 	SummaryReceived struct {
--- /dev/null
+++ b/internal/services/wigeonscheduler/placement.go
@@ -0,0 +1,258 @@
+package wigeonscheduler
+
+import (
+	"slices"
+
+	"wigeonshift"
+)
+
+// verdict is the result of trying to place a queued job.
+type verdict uint8
+
+const (
+	// placed means that the job was granted, or left the queue with another final answer.
+	placed verdict = iota
+	// held means that this job waits although others of its lane might not.
+	held
+	// full means that no job of the lane can be placed now.
+	full
+)
+
+// Weights and margins of the placement.
+const (
+	// wasteWeight is how many seconds of delay a second of repeated prefill is worth.
+	wasteWeight = 2.0
+	// minWasteTokens is the repeated prefill from which a job waits for the endpoint that holds its prefix.
+	minWasteTokens = 512
+	// holdMarginSeconds is kept between the end of a wait and the time at which a job has to start.
+	holdMarginSeconds = 0.5
+	// deadlineMargin is the share of the time to the deadline that a placement may plan with.
+	deadlineMargin = 0.95
+)
+
+// candidate is one endpoint weighed for a job.
+type candidate struct {
+	endpoint *endpoint
+	// cached and uncached split the prompt as predicted.
+	cached, uncached int
+	// first and finish are the expected seconds from now to the first and the last token.
+	first, finish float64
+	// score orders candidates; the least is best.
+	score float64
+	// inTime tells whether first and finish meet the job's bounds.
+	inTime bool
+}
+
+// place grants a queued job if an endpoint can take it now.
+func (s *Shard) place(j *job) verdict {
+	if j.lane.key.alone {
+		return s.placeAlone(j)
+	}
+	open, waiting := s.weigh(j)
+	switch {
+	case open.endpoint != nil && open.inTime && s.worthWaiting(j, open, waiting):
+		return held
+	case open.endpoint != nil && open.inTime:
+		s.grant(j, open)
+		return placed
+	case s.makeRoom(j):
+		return placed
+	case open.endpoint != nil && !waiting.inTime:
+		return s.placeLate(j, open)
+	case open.endpoint != nil || waiting.endpoint == nil || waiting.endpoint.free() > 0:
+		return held
+	default:
+		return full
+	}
+}
+
+// placeLate deals with a job that no endpoint is expected to finish in time: it is refused when it cannot be on time
+// anywhere, and tried when only its first token is late.
+func (s *Shard) placeLate(j *job, c candidate) verdict {
+	if c.finish <= s.remaining(j) {
+		s.grant(j, c)
+		return placed
+	}
+	s.refuseQueued(j, wigeonshift.ReasonDeadline)
+	return placed
+}
+
+// weigh returns the best endpoint that could take the job now and the best of those that could only later.
+func (s *Shard) weigh(j *job) (open, waiting candidate) {
+	longest := s.lookupPrefix(j)
+	urgent := s.urgent(j)
+	for _, e := range s.ordered {
+		if !s.mayTake(j, e) || e.reserved != nil {
+			continue
+		}
+		c := s.estimate(j, e, longest)
+		if e.free() > 0 && s.admits(j, c, urgent) {
+			open = better(open, c)
+		} else if e.health == healthUp {
+			waiting = better(waiting, c)
+		}
+	}
+	return open, waiting
+}
+
+// mayTake reports whether an endpoint could serve a job at all.
+func (s *Shard) mayTake(j *job, e *endpoint) bool {
+	return e.open() && e.serves(j.request.Model) && !slices.Contains(j.request.Avoid, e.name) &&
+		s.suspects.flights[j.request.Fingerprint].permits(e)
+}
+
+// better returns the candidate to prefer: one in time before one that is not, then the least score.
+func better(a, b candidate) candidate {
+	switch {
+	case a.endpoint == nil:
+		return b
+	case a.inTime != b.inTime:
+		if a.inTime {
+			return a
+		}
+		return b
+	case b.score < a.score:
+		return b
+	default:
+		return a
+	}
+}
+
+// lookupPrefix fills the shard's scratch with the cached prefix lengths for a job.
+func (s *Shard) lookupPrefix(j *job) int {
+	if len(s.lengths) < len(s.ordered) {
+		s.lengths = make([]int, len(s.ordered)+8)
+	}
+	if len(j.request.Prefix) == 0 {
+		clear(s.lengths)
+		return 0
+	}
+	return min(s.prefixes.lookup(j.request.Prefix, s.lengths), j.request.PromptTokens-1)
+}
+
+// estimate predicts how a job would fare on an endpoint.
+func (s *Shard) estimate(j *job, e *endpoint, longest int) candidate {
+	cached := 0
+	if e.index < len(s.lengths) {
+		cached = min(s.lengths[e.index], j.request.PromptTokens-1)
+	}
+	trusted := int(float64(cached) * e.cache.trust)
+	uncached := j.request.PromptTokens - trusted
+	rate := e.speed.rate()
+	c := candidate{endpoint: e, cached: cached, uncached: uncached}
+	c.first = defaultOverhead + float64(e.pendingPrefill+uncached)/rate
+	c.finish = c.first + s.expectedTokens(j)*e.speed.pace()
+	c.score = c.finish + wasteWeight*float64(longest-cached)/rate
+	c.inTime = c.finish <= s.remaining(j)*deadlineMargin && c.first <= s.firstTokenBudget(j)
+	return c
+}
+
+// admits tells whether a job may join an endpoint with a free slot: long prefills keep apart from one another and
+// from short prompts, and a straggler gets only probes.
+func (s *Shard) admits(j *job, c candidate, urgent bool) bool {
+	e := c.endpoint
+	if e.health == healthStraggler {
+		return s.admitsProbe(j, e)
+	}
+	if e.pendingPrefill == 0 && !s.long(c.uncached) {
+		return true
+	}
+	if urgent {
+		return true
+	}
+	if s.long(c.uncached) {
+		return e.pendingLong == 0 && s.keepsShortLane(j, e)
+	}
+	return e.pendingLong == 0
+}
+
+// keepsShortLane tells whether enough endpoints stay without a long prefill when one more starts at e.
+func (s *Shard) keepsShortLane(j *job, e *endpoint) bool {
+	serving, without := 0, 0
+	for _, o := range s.ordered {
+		if !o.open() || o.health != healthUp || !o.serves(j.request.Model) {
+			continue
+		}
+		serving++
+		if o != e && o.pendingLong == 0 {
+			without++
+		}
+	}
+	if serving <= 1 {
+		return true
+	}
+	return without >= max(1, serving/shortLaneDivisor)
+}
+
+// shortLaneDivisor is the inverse share of endpoints kept free of long prefills.
+const shortLaneDivisor = 4
+
+// worthWaiting tells whether the job should wait for an endpoint that holds its prefix and is busy now.
+func (s *Shard) worthWaiting(j *job, open, waiting candidate) bool {
+	if waiting.endpoint == nil || !waiting.inTime || waiting.cached-open.cached < minWasteTokens {
+		return false
+	}
+	slack := min(s.remaining(j)*deadlineMargin-open.finish, s.firstTokenBudget(j)-open.first)
+	wait := s.expectedRelease(waiting.endpoint)
+	return slack > holdMarginSeconds && wait+waiting.finish < s.remaining(j)*deadlineMargin && wait+waiting.first < s.firstTokenBudget(j)
+}
+
+// expectedRelease is the expected time in seconds until an endpoint can take another job.
+func (s *Shard) expectedRelease(e *endpoint) float64 {
+	wait := float64(e.pendingPrefill) / e.speed.rate()
+	if e.free() <= 0 {
+		wait += s.tokensPerAnswer() * e.speed.pace() / float64(e.limit())
+	}
+	return wait
+}
+
+// remaining is the time to a job's deadline in seconds.
+func (s *Shard) remaining(j *job) float64 {
+	return j.deadline.Sub(s.now).Seconds()
+}
+
+// firstTokenBudget is the time left for a job's first token in seconds; it is bounded for interactive jobs only.
+func (s *Shard) firstTokenBudget(j *job) float64 {
+	if !s.interactive(j) {
+		return s.remaining(j)
+	}
+	return s.settings.FirstTokenTarget.Seconds() - s.now.Sub(j.arrived).Seconds()
+}
+
+// urgent tells whether a job has to start now to be on time; it then overrides the separation of long prompts.
+func (s *Shard) urgent(j *job) bool {
+	fast := s.fastest(j)
+	return s.remaining(j)*deadlineMargin-fast < holdMarginSeconds
+}
+
+// grant gives a queued job a permit for an endpoint.
+func (s *Shard) grant(j *job, c candidate) {
+	e := c.endpoint
+	if j.flow != nil {
+		j.flow.deficit -= j.cost()
+		s.dequeue(j)
+	}
+	j.state, j.token, j.granted = jobGranted, s.nextToken(), s.now
+	useBefore := s.now.Add(s.settings.PermitLifetime)
+	if j.deadline.Before(useBefore) {
+		useBefore = j.deadline
+	}
+	j.voidAt = useBefore.Add(s.settings.PermitGrace)
+	j.uncached, j.ahead, j.expectedFirst = c.uncached, e.pendingPrefill, c.first
+	j.crash = e.crash
+	s.attach(j, e)
+	s.suspects.join(j)
+	s.addPrefill(j)
+	e.cache.store(j.request.Prefix)
+	s.markProbe(j, e)
+	s.answer(j, wigeonshift.PermitAnswer{Grant: &wigeonshift.Permit{
+		Request: j.request.ID, Shard: s.id, Epoch: s.epoch, Endpoint: e.name, Address: e.spec.Address,
+		Token: j.token, UseBefore: useBefore, CachedTokens: c.cached,
+	}})
+	s.count("grants", "")
+}
+
+// answer sends an answer to a job's entry.
+func (s *Shard) answer(j *job, a wigeonshift.PermitAnswer) {
+	s.emit(AnswerPermit{Entry: j.entry, Request: j.request.ID, Answer: a})
+}
--- /dev/null
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -0,0 +1,240 @@
+package wigeonscheduler
+
+import (
+	"time"
+
+	"wigeonshift"
+)
+
+// maxPausedShare bounds the paused jobs of an endpoint against its limit; each keeps its state in the engine's memory.
+const maxPausedShare = 2
+
+// makeRoom lets work of lower tiers give way to a job and grants it. Another shard with a free slot goes first.
+func (s *Shard) makeRoom(j *job) bool {
+	if !s.lowerRuns(j.rank()) {
+		return s.spillTo(j, func(o *peerShard) bool { return o.summary.LowestRunning > j.rank() })
+	}
+	if s.spillTo(j, func(o *peerShard) bool { return o.summary.FreeSlots > 0 }) {
+		return true
+	}
+	longest := s.lookupPrefix(j)
+	urgent := s.urgent(j)
+	var best candidate
+	var victim *job
+	for _, e := range s.ordered {
+		if !s.mayTake(j, e) || e.reserved != nil || e.health != healthUp {
+			continue
+		}
+		c := s.estimate(j, e, longest)
+		if !c.inTime && c.finish > s.remaining(j) || !s.admits(j, c, urgent) {
+			continue
+		}
+		v := s.victimOn(e, j.rank())
+		if v != nil && (victim == nil || s.gives(v, victim) || !s.gives(victim, v) && c.score < best.score) {
+			best, victim = c, v
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	s.preempt(victim)
+	s.grant(j, best)
+	return true
+}
+
+// lowerRuns reports whether anything of a lower tier than a rank runs in the shard.
+func (s *Shard) lowerRuns(rank wigeonshift.TierRank) bool {
+	for i := len(s.tiers) - 1; i >= 0 && s.tiers[i].rank > rank; i-- {
+		if s.tiers[i].running > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// victimOn returns the job of an endpoint that gives way first to a rank, nil when none may.
+func (s *Shard) victimOn(e *endpoint, rank wigeonshift.TierRank) *job {
+	var victim *job
+	for _, j := range e.jobs {
+		if j.rank() <= rank || !s.mayGiveWay(j) {
+			continue
+		}
+		if victim == nil || s.gives(j, victim) {
+			victim = j
+		}
+	}
+	return victim
+}
+
+// mayGiveWay reports whether a running job may be paused or cancelled.
+func (s *Shard) mayGiveWay(j *job) bool {
+	return j.slot && j.state != jobPausing && j.state != jobCancelling && !j.request.NonIdempotent
+}
+
+// pausable reports whether a job can stop without losing its prefill.
+func (s *Shard) pausable(j *job) bool {
+	e := j.endpoint
+	return e.spec.CanPause && j.state == jobDecoding && !j.request.NonIdempotent && e.paused < maxPausedShare*e.limit()
+}
+
+// gives reports whether a gives way before b: pausable before not, lower tiers first, then the least work to lose.
+func (s *Shard) gives(a, b *job) bool {
+	pa, pb := s.pausable(a), s.pausable(b)
+	if pa != pb {
+		return pa
+	}
+	if a.rank() != b.rank() {
+		return a.rank() > b.rank()
+	}
+	la, lb := loss(a), loss(b)
+	if la != lb {
+		return la < lb
+	}
+	return a.deadline.After(b.deadline)
+}
+
+// loss is the number of tokens computed for a job that a cancel throws away.
+func loss(j *job) int {
+	if j.state == jobGranted {
+		return 0
+	}
+	return j.uncached + j.tokensDone
+}
+
+// preempt asks a job to give up its slot.
+func (s *Shard) preempt(j *job) {
+	action, reason, state := wigeonshift.RevokeCancel, "cancel", jobCancelling
+	if s.pausable(j) {
+		action, reason, state = wigeonshift.RevokePause, "pause", jobPausing
+	}
+	j.state, j.revoked = state, s.now
+	j.endpoint.yielding++
+	s.sendRevocation(j, action)
+	s.count("preemptions", reason)
+}
+
+// sendRevocation tells a job's entry to change the attempt's fate.
+func (s *Shard) sendRevocation(j *job, action wigeonshift.RevokeAction) {
+	s.answer(j, wigeonshift.PermitAnswer{Revoke: &wigeonshift.Revocation{
+		Request: j.request.ID, Token: j.token, Epoch: s.epoch, Action: action,
+	}})
+}
+
+// resumeTier continues paused jobs of a tier; lower tiers give way to them on their endpoint.
+func (s *Shard) resumeTier(t *tier) {
+	if t.paused == 0 {
+		return
+	}
+	for _, e := range s.ordered {
+		if e.paused == 0 || e.health == healthDown {
+			continue
+		}
+		for _, j := range e.jobs {
+			if j.state != jobPaused || j.rank() != t.rank {
+				continue
+			}
+			if e.free() <= 0 {
+				v := s.victimOn(e, t.rank)
+				if v == nil || !s.pausable(v) {
+					break
+				}
+				s.preempt(v)
+			}
+			s.resume(j)
+		}
+	}
+}
+
+// resume continues a paused job where it stopped.
+func (s *Shard) resume(j *job) {
+	s.unpause(j)
+	s.sendRevocation(j, wigeonshift.RevokeResume)
+	s.count("resumes", "")
+}
+
+// peerShard is what is known of another shard of the pool.
+type peerShard struct {
+	summary wigeonshift.ShardSummary
+	at      time.Time
+}
+
+// Bounds on passing requests to other shards of the pool.
+const (
+	summaryLifetime = 3 * time.Second
+	summaryPeriod   = time.Second
+	maxSpills       = 2
+)
+
+// summaryReceived keeps another shard's state.
+func (s *Shard) summaryReceived(b SummaryReceived) {
+	sum := b.Summary
+	if sum.Shard == s.id {
+		return
+	}
+	for i := range s.peers {
+		if s.peers[i].summary.Shard == sum.Shard {
+			if sum.Epoch >= s.peers[i].summary.Epoch {
+				s.peers[i] = peerShard{summary: sum, at: s.now}
+			}
+			return
+		}
+	}
+	s.peers = append(s.peers, peerShard{summary: sum, at: s.now})
+	s.unblock()
+}
+
+// spill passes a refused request on to a shard that could take it.
+func (s *Shard) spill(j *job) bool {
+	return s.spillTo(j, func(o *peerShard) bool {
+		return o.summary.FreeSlots > 0 || o.summary.LowestRunning > j.rank()
+	})
+}
+
+// spillTo passes a request on to the first fresh shard that fits.
+func (s *Shard) spillTo(j *job, fits func(*peerShard) bool) bool {
+	if j.request.Spills >= maxSpills {
+		return false
+	}
+	for i := range s.peers {
+		o := &s.peers[i]
+		if s.now.Sub(o.at) > summaryLifetime || !fits(o) {
+			continue
+		}
+		if o.summary.FreeSlots > 0 {
+			o.summary.FreeSlots--
+		} else {
+			o.at = time.Time{}
+		}
+		id := o.summary.Shard
+		s.answer(j, wigeonshift.PermitAnswer{Spill: &id})
+		s.count("spills", "")
+		if j.flow != nil {
+			s.closeJob(j)
+		}
+		return true
+	}
+	return false
+}
+
+// summarise tells the other shards what could give way here.
+func (s *Shard) summarise() {
+	if len(s.peers) == 0 && s.epoch == 0 || s.now.Sub(s.summaryAt) < summaryPeriod {
+		return
+	}
+	s.summaryAt = s.now
+	sum := wigeonshift.ShardSummary{Shard: s.id, Epoch: s.epoch, LowestRunning: -1, LowestQueued: -1}
+	for _, t := range s.tiers {
+		if t.running > 0 {
+			sum.LowestRunning = t.rank
+		}
+		if t.queued > 0 {
+			sum.LowestQueued = t.rank
+		}
+	}
+	for _, e := range s.ordered {
+		if e.open() && e.health == healthUp {
+			sum.FreeSlots += max(0, e.free())
+		}
+	}
+	s.emit(PublishSummary{Summary: sum})
+}
--- a/internal/services/wigeonscheduler/reducer.go
+++ b/internal/services/wigeonscheduler/reducer.go
@@ -6,10 +6,7 @@
 	Shard *Shard
 }
 
-// Shard is the state of one shard at its owner.
-type Shard struct{}
-
 // Reduce applies one event to the state and returns what has to be done.
 func Reduce(st *State, ev Event) []Effect {
-	return nil
+	return reduceShard(st.Shard, ev)
 }
--- /dev/null
+++ b/internal/services/wigeonscheduler/shard_test.go
@@ -0,0 +1,95 @@
+package wigeonscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonshift"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var suiteT *testing.T
+
+func TestWigeonscheduler(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonscheduler")
+}
+
+// rig drives one shard by hand.
+type rig struct {
+	st  *State
+	now time.Time
+}
+
+// newRig returns an owner of n endpoints with two slots each, one region and the tiers 0 to 3.
+func newRig(n int, change func(*wigeonshift.EndpointSpec)) *rig {
+	r := &rig{st: &State{Shard: NewShard("p/s/r/0")}, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	specs := map[string]wigeonshift.EndpointSpec{}
+	for i := range n {
+		spec := wigeonshift.EndpointSpec{
+			Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), State: wigeonshift.EndpointActive,
+			Models: []string{"m"}, CanPause: true, MaxConcurrent: 2,
+		}
+		if change != nil {
+			change(&spec)
+		}
+		specs[fmt.Sprintf("e%d", i)] = spec
+	}
+	r.send(LeaseAcquired{Epoch: 1})
+	r.send(ConfigurationChanged{Version: 1, Endpoints: specs, Product: &wigeonshift.Product{}})
+	return r
+}
+
+// send applies an event and returns the answers to entries by request.
+func (r *rig) send(body Body) map[wigeonshift.RequestID][]wigeonshift.PermitAnswer {
+	answers := map[wigeonshift.RequestID][]wigeonshift.PermitAnswer{}
+	for _, ef := range Reduce(r.st, Event{At: r.now, Random: uint64(r.now.UnixNano()), Body: body}) {
+		if a, ok := ef.(AnswerPermit); ok {
+			answers[a.Request] = append(answers[a.Request], a.Answer)
+		}
+	}
+	return answers
+}
+
+// ask sends a request of a rank and returns its answers and those that others get by it.
+func (r *rig) ask(id string, rank int, change func(*wigeonshift.PermitRequest)) map[wigeonshift.RequestID][]wigeonshift.PermitAnswer {
+	q := wigeonshift.PermitRequest{
+		ID: wigeonshift.RequestID(id), Shard: "p/s/r/0", Organisation: "o", Rank: wigeonshift.TierRank(rank), Model: "m",
+		Deadline: r.now.Add(time.Minute), PromptTokens: 100, MaxTokens: 50,
+	}
+	if change != nil {
+		change(&q)
+	}
+	return r.send(PermitRequested{Entry: "entry", Request: q})
+}
+
+// report tells a state of an attempt.
+func (r *rig) report(p *wigeonshift.Permit, state wigeonshift.AttemptState) map[wigeonshift.RequestID][]wigeonshift.PermitAnswer {
+	return r.send(AttemptReported{Entry: "entry", Report: wigeonshift.AttemptReport{
+		Request: p.Request, Shard: p.Shard, Token: p.Token, Endpoint: p.Endpoint, State: state, Elapsed: 50 * time.Millisecond, TokensDone: 1,
+	}})
+}
+
+var _ = Describe("Shard", func() {
+	It("grants up to the capacity, queues the rest and grants again when an attempt ends", func() {
+		r := newRig(1, nil)
+		first := r.ask("a", 1, nil)["a"][0].Grant
+		Expect(first).NotTo(BeNil())
+		Expect(r.ask("b", 1, nil)["b"][0].Grant).NotTo(BeNil())
+		Expect(r.ask("c", 1, nil)).To(BeEmpty())
+		r.report(first, wigeonshift.AttemptStarted)
+		Expect(r.report(first, wigeonshift.AttemptFinished)["c"][0].Grant).NotTo(BeNil())
+	})
+
+	It("answers a repeated question with the same permit and a late one not at all", func() {
+		r := newRig(1, nil)
+		first := r.ask("a", 1, nil)["a"][0].Grant
+		Expect(r.ask("a", 1, nil)["a"][0].Grant.Token).To(Equal(first.Token))
+		r.report(first, wigeonshift.AttemptFinished)
+		Expect(r.ask("a", 1, nil)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/services/wigeonscheduler/status.go
@@ -0,0 +1,31 @@
+package wigeonscheduler
+
+import (
+	"slices"
+
+	"wigeonshift"
+)
+
+// Status returns the owner's view of the shard for operators.
+func (s *Shard) Status() wigeonshift.ShardStatus {
+	st := wigeonshift.ShardStatus{Shard: s.id, Epoch: s.epoch, LeaseHeld: s.leaseHeld}
+	for _, t := range s.tiers {
+		st.Tiers = append(st.Tiers, wigeonshift.TierStatus{Rank: t.rank, Queued: t.queued, Running: t.running, Paused: t.paused})
+	}
+	for _, e := range s.ordered {
+		st.Endpoints = append(st.Endpoints, wigeonshift.EndpointStatus{
+			Name: e.name, Address: e.spec.Address, State: e.spec.State, Health: e.healthName(), Running: e.running,
+			Capacity: e.limit(), PrefillTokensPerSecond: e.speed.rate(), DecodeTokensPerSecond: 1 / e.speed.pace(),
+			Models: slices.Clone(e.models),
+		})
+	}
+	return st
+}
+
+// healthName is the endpoint's health as operators see it.
+func (e *endpoint) healthName() string {
+	if e.probe != nil {
+		return "probing"
+	}
+	return e.health.String()
+}
--- /dev/null
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -0,0 +1,189 @@
+package wigeonscheduler
+
+import (
+	"time"
+
+	"wigeonshift"
+)
+
+// Bounds of the judgement on slow endpoints.
+const (
+	// overdueFactor and overdueSlack tell when a first token is overdue against its expectation, in seconds.
+	overdueFactor = 3.0
+	overdueSlack  = 0.75
+	// slowPace is the pace against the endpoint's typical one that makes it a straggler.
+	slowPace = 4.0
+	// recoveredFactor is the slowness against the typical speed up to which a probed endpoint is taken back.
+	recoveredFactor = 2.0
+	// probePromptTokens bounds the prompt of a request that probes a straggler.
+	probePromptTokens = 1024
+	// probeSlackFactor is how often a probing request's deadline must cover its expected time at a straggler.
+	probeSlackFactor = 2.0
+	// maxProbeInterval bounds the growing time between probes.
+	maxProbeInterval = 16 * time.Second
+)
+
+// judgeFirstToken compares a first token's time with its expectation.
+func (s *Shard) judgeFirstToken(j *job, seconds float64) {
+	e := j.endpoint
+	if e.probe == j {
+		s.judgeProbe(e, seconds <= recoveredFactor*j.expectedFirst+overdueSlack)
+		return
+	}
+	if seconds > overdueFactor*j.expectedFirst+overdueSlack {
+		s.markStraggler(e)
+	}
+}
+
+// judgePace compares a stream's pace with the endpoint's typical one.
+func (s *Shard) judgePace(e *endpoint, pace float64) {
+	if e.health != healthUp || e.speed.paceSamples < 3 {
+		return
+	}
+	if pace > slowPace*e.speed.typicalPace && pace > 2*s.peerPace(e) {
+		s.markStraggler(e)
+	}
+}
+
+// peerPace is the mean pace of the other endpoints.
+func (s *Shard) peerPace(e *endpoint) float64 {
+	sum, n := 0.0, 0
+	for _, o := range s.ordered {
+		if o != e && o.speed.tokenPace > 0 {
+			sum += o.speed.tokenPace
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// markStraggler takes an endpoint out of ordinary placement.
+func (s *Shard) markStraggler(e *endpoint) {
+	if e.health != healthUp {
+		return
+	}
+	e.health = healthStraggler
+	e.probeEvery = s.settings.ProbeInterval
+	e.probeAt = s.now.Add(e.probeEvery)
+	s.count("stragglers", "")
+}
+
+// watchOverdue marks endpoints whose oldest prefill is overdue. It needs no report from them.
+func (s *Shard) watchOverdue(e *endpoint) {
+	if e.health != healthUp {
+		return
+	}
+	for _, j := range e.jobs {
+		if !j.prefill || j.state != jobPrefilling {
+			continue
+		}
+		if s.now.Sub(j.granted).Seconds() > overdueFactor*j.expectedFirst+overdueSlack {
+			s.markStraggler(e)
+			return
+		}
+	}
+}
+
+// admitsProbe tells whether a job may probe a straggler: a short prompt with time enough even if it is still slow.
+func (s *Shard) admitsProbe(j *job, e *endpoint) bool {
+	if e.probe != nil || s.now.Before(e.probeAt) || j.request.NonIdempotent || j.request.PromptTokens > probePromptTokens {
+		return false
+	}
+	slow := float64(e.pendingPrefill+j.request.PromptTokens)/e.speed.rate() + s.expectedTokens(j)*e.speed.pace()
+	return slow*overdueFactor*probeSlackFactor < s.remaining(j)
+}
+
+// markProbe remembers that a granted job probes its endpoint.
+func (s *Shard) markProbe(j *job, e *endpoint) {
+	if e.health == healthStraggler {
+		e.probe = j
+	}
+}
+
+// leaveProbe ends a probe whose job is closed.
+func (s *Shard) leaveProbe(j *job) {
+	e := j.endpoint
+	if e.probe == j {
+		s.judgeProbe(e, false)
+	}
+}
+
+// judgeProbe takes an endpoint back or probes it later again.
+func (s *Shard) judgeProbe(e *endpoint, recovered bool) {
+	e.probe = nil
+	if recovered {
+		e.health = healthUp
+		s.count("recoveries", "")
+		s.unblock()
+		return
+	}
+	e.probeEvery = min(2*e.probeEvery, maxProbeInterval)
+	e.probeAt = s.now.Add(e.probeEvery)
+}
+
+// markDown takes an endpoint out until a probe succeeds.
+func (s *Shard) markDown(e *endpoint) {
+	if e.health == healthDown {
+		return
+	}
+	e.health = healthDown
+	e.probeEvery = s.settings.ProbeInterval
+	e.probeAt = s.now.Add(s.settings.ProbeInterval / 4)
+	s.count("endpointsDown", "")
+}
+
+// probeDown sends probes to endpoints that are down.
+func (s *Shard) probeDown(e *endpoint) {
+	if e.health != healthDown || e.probing && s.now.Before(e.probeAt) || s.now.Before(e.probeAt) {
+		return
+	}
+	e.probing = true
+	e.probeAt = s.now.Add(e.probeEvery)
+	e.probeEvery = min(2*e.probeEvery, maxProbeInterval)
+	s.emit(ProbeEndpoint{Endpoint: e.name, Address: e.spec.Address})
+}
+
+// probeAnswered takes an endpoint back that answers its probe.
+func (s *Shard) probeAnswered(b ProbeAnswered) {
+	e := s.endpoints[b.Endpoint]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	if e.health != healthDown || !b.Healthy {
+		return
+	}
+	e.health = healthUp
+	s.count("recoveries", "")
+	s.unblock()
+}
+
+// probesPending reports whether an endpoint waits for a probe.
+func (s *Shard) probesPending() bool {
+	for _, e := range s.ordered {
+		if e.health == healthDown {
+			return true
+		}
+	}
+	return false
+}
+
+// noteIncarnation clears what was known of an engine that restarted.
+func (s *Shard) noteIncarnation(e *endpoint, r wigeonshift.LoadReport) {
+	if e.incarnation == r.Incarnation {
+		s.suspects.acquit(e, r.TakenAt)
+		return
+	}
+	if e.incarnation != "" {
+		e.cache.clear()
+		e.models = nil
+		e.batchLimit = 0
+	}
+	e.incarnation = r.Incarnation
+	if e.health == healthDown {
+		e.probeAt = s.now
+	}
+}
