--- /dev/null
+++ b/internal/services/wigeonentry/flight.go
@@ -0,0 +1,224 @@
+package wigeonentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonscheduler"
+)
+
+// eventBuffer is the number of events of one request that wait without blocking their sender.
+const eventBuffer = 8
+
+// flight is one accepted request. All fields but the guarded ones belong to the goroutine in loop.
+type flight struct {
+	service *Service
+	request Request
+	ask     wigeonshift.PermitRequest
+	sink    Sink
+	result  Result
+	ended   bool
+	session wigeonshift.PermitSession
+	answers <-chan wigeonshift.PermitAnswer
+	events  chan wigeonscheduler.Body
+	timer   *time.Timer
+	// began is the time of the first byte of the current permit's dispatch.
+	began time.Time
+
+	mu sync.Mutex
+	// current is the run whose chunks count; guarded by mu.
+	current *run
+	// offset is the number of tokens delivered to the sink; guarded by mu.
+	offset int
+	// progress is the time of the last sign of life of the current run; guarded by mu.
+	progress time.Time
+}
+
+func newFlight(s *Service, r Request, ask wigeonshift.PermitRequest, sink Sink) *flight {
+	return &flight{
+		service: s,
+		request: r,
+		ask:     ask,
+		sink:    sink,
+		result:  Result{ID: ask.ID},
+		events:  make(chan wigeonscheduler.Body, eventBuffer),
+	}
+}
+
+// loop carries the request to its end. All events of the request pass through it.
+func (f *flight) loop(ctx context.Context) {
+	f.timer = time.NewTimer(time.Until(f.ask.Deadline))
+	defer f.timer.Stop()
+	f.apply(ctx, wigeonscheduler.CallerArrived{Ask: f.ask, Claim: f.service.newClaim(f.ask, f.request, time.Now())})
+	gone := ctx.Done()
+	for !f.ended {
+		select {
+		case b := <-f.events:
+			f.apply(ctx, b)
+		case a, ok := <-f.answers:
+			f.permitAnswered(ctx, a, ok)
+		case <-gone:
+			gone = nil
+			f.apply(ctx, wigeonscheduler.CallerGone{Request: f.ask.ID})
+		case <-f.timer.C:
+			f.timeout(ctx)
+		}
+	}
+}
+
+func (f *flight) permitAnswered(ctx context.Context, a wigeonshift.PermitAnswer, ok bool) {
+	if !ok {
+		f.answers = nil
+		f.apply(ctx, wigeonscheduler.PermitFailed{Request: f.ask.ID})
+		return
+	}
+	f.apply(ctx, wigeonscheduler.PermitAnswered{Request: f.ask.ID, Answer: a})
+}
+
+// timeout ends the request at its deadline and a run that went silent.
+func (f *flight) timeout(ctx context.Context) {
+	now := time.Now()
+	if !now.Before(f.ask.Deadline) {
+		f.apply(ctx, wigeonscheduler.DeadlineReached{Request: f.ask.ID})
+		return
+	}
+	if r, silent := f.silentRun(now); silent {
+		f.service.counters.add("entryStreamTimeouts", "", 1)
+		f.setCurrent(nil)
+		f.apply(ctx, r.end(wigeonscheduler.OutcomeLost))
+	}
+	f.arm(now)
+}
+
+// silentRun returns the current run if it has shown no sign of life for too long.
+func (f *flight) silentRun(now time.Time) (*run, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.current != nil && now.Sub(f.progress) >= f.silenceBound()
+}
+
+// silenceBound is the longest silence allowed now; mu is held.
+func (f *flight) silenceBound() time.Duration {
+	if f.offset == 0 {
+		return f.service.settings.FirstTokenTimeout
+	}
+	return f.service.settings.StreamTimeout
+}
+
+// arm sets the timer to the deadline, the end of the allowed silence or the next look at it, whichever comes first.
+func (f *flight) arm(now time.Time) {
+	wait := f.ask.Deadline.Sub(now)
+	f.mu.Lock()
+	if f.current != nil {
+		silence := f.progress.Add(f.silenceBound()).Sub(now)
+		wait = min(wait, silence, f.service.settings.StreamTimeout)
+	}
+	f.mu.Unlock()
+	f.timer.Reset(max(wait, time.Millisecond))
+}
+
+// apply passes an event through the reducer and carries out the effects.
+func (f *flight) apply(ctx context.Context, b wigeonscheduler.Body) {
+	for _, e := range f.service.reduce(b) {
+		f.carryOut(ctx, e)
+	}
+}
+
+func (f *flight) carryOut(ctx context.Context, e wigeonscheduler.Effect) {
+	switch e := e.(type) {
+	case wigeonscheduler.WriteClaim:
+		f.writeClaim(ctx, e.Claim)
+	case wigeonscheduler.SettleClaim:
+		f.settleClaim(e.Claim)
+	case wigeonscheduler.AskPermit:
+		f.askPermit(ctx, e.Ask)
+	case wigeonscheduler.ClosePermit:
+		f.closePermit()
+	case wigeonscheduler.Dispatch:
+		f.begin(&run{flight: f, number: e.Run, permit: e.Permit})
+	case wigeonscheduler.ResumeStream:
+		f.begin(&run{flight: f, number: e.Run, permit: e.Permit, resume: true, offset: e.Offset, wait: e.Wait})
+	case wigeonscheduler.PauseStream:
+		f.pause(e)
+	case wigeonscheduler.CancelStream:
+		f.cancelStream(e.Permit)
+	case wigeonscheduler.ReportAttempt:
+		f.report(e.Report)
+	case wigeonscheduler.AnswerCaller:
+		f.answer(e)
+	case wigeonscheduler.Count:
+		f.service.counters.add(e.Name, e.Label, e.Delta)
+	}
+}
+
+// askPermit opens a session with the owner. It is the last effect of its event.
+func (f *flight) askPermit(ctx context.Context, ask wigeonshift.PermitRequest) {
+	f.ask = ask
+	askCtx, cancel := context.WithDeadline(ctx, ask.Deadline)
+	defer cancel()
+	session, err := f.service.broker.Ask(askCtx, ask)
+	if err != nil {
+		f.logger().WithError(err).Warn("no owner to ask for a permit")
+		f.apply(ctx, wigeonscheduler.PermitFailed{Request: f.ask.ID})
+		return
+	}
+	f.session = session
+	f.answers = session.Answers()
+}
+
+func (f *flight) closePermit() {
+	if f.session != nil {
+		f.session.Close()
+	}
+	f.session, f.answers = nil, nil
+}
+
+func (f *flight) report(r wigeonshift.AttemptReport) {
+	if f.session == nil {
+		return
+	}
+	if r.State == wigeonshift.AttemptStarted {
+		f.began = time.Now()
+	}
+	if !f.began.IsZero() {
+		r.Elapsed = time.Since(f.began)
+	}
+	f.session.Report(r)
+}
+
+// answer makes the answer final. Chunks that come later are dropped.
+func (f *flight) answer(a wigeonscheduler.AnswerCaller) {
+	if a.Refusal == nil && a.Replay == nil {
+		f.result.Generated = f.current.generated
+		f.result.Answer = f.current.answer
+	}
+	f.setCurrent(nil)
+	f.ended = true
+	f.result.Refusal = a.Refusal
+	if a.Replay != nil {
+		f.result.Replayed = true
+		f.result.Answer = wigeonshift.ServiceAnswer{
+			Token:       a.Replay.Token,
+			Status:      a.Replay.Status,
+			ContentType: a.Replay.ContentType,
+			Body:        a.Replay.Body,
+		}
+	}
+}
+
+// setCurrent replaces the current run; the one before it is abandoned.
+func (f *flight) setCurrent(r *run) {
+	f.mu.Lock()
+	old := f.current
+	f.mu.Unlock()
+	if old != nil {
+		// The cancellation frees a chunk that waits for a slow caller with mu held.
+		old.cancel()
+	}
+	f.mu.Lock()
+	f.current = r
+	f.progress = time.Now()
+	f.mu.Unlock()
+}
--- /dev/null
+++ b/internal/services/wigeonentry/service.go
@@ -0,0 +1,140 @@
+// Package wigeonentry carries accepted requests from the caller to the endpoint and back: it drives the entry side of
+// the reducer and turns its effects into permits, dispatches, claims and answers.
+package wigeonentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonscheduler"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+)
+
+// Service accepts requests of callers.
+type Service struct {
+	self          wigeonshift.Instance
+	configuration wigeonshift.ConfigurationSource
+	broker        wigeonshift.PermitBroker
+	dialer        wigeonshift.EndpointDialer
+	claims        wigeonshift.ClaimStore
+	analyze       Analyzer
+	settings      Settings
+	log           logrus.FieldLogger
+	counters      *counters
+
+	routes   atomic.Pointer[routes]
+	lastID   atomic.Uint64
+	inFlight atomic.Int64
+	// background counts settlements and cancellations that outlive their request.
+	background atomic.Int64
+	draining   atomic.Bool
+	// ended is signalled when a request or background task ends during a drain.
+	ended chan struct{}
+	tasks conc.WaitGroup
+	stop  context.CancelFunc
+	// running ends when the service is stopped; attempts hang on it.
+	running context.Context //nolint:containedctx // attempts outlive the caller's context but not the service
+
+	mu    sync.Mutex
+	state wigeonscheduler.State
+}
+
+// New returns a service that is ready to accept requests.
+func New(self wigeonshift.Instance, configuration wigeonshift.ConfigurationSource, broker wigeonshift.PermitBroker,
+	dialer wigeonshift.EndpointDialer, claims wigeonshift.ClaimStore, opts ...Option,
+) *Service {
+	s := &Service{
+		self:          self,
+		configuration: configuration,
+		broker:        broker,
+		dialer:        dialer,
+		claims:        claims,
+		analyze:       defaultAnalyzer,
+		settings:      DefaultSettings(),
+		log:           discardLog(),
+		counters:      newCounters(tally.NoopScope),
+		ended:         make(chan struct{}, 1),
+		state:         wigeonscheduler.State{Entry: &wigeonscheduler.Entry{}},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.running, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
+// Do carries one request to its final answer. It returns when the answer is final; ctx ends when the caller is gone.
+func (s *Service) Do(ctx context.Context, r Request, sink Sink) Result {
+	id := s.nextID()
+	if s.inFlight.Add(1) > int64(s.settings.MaxConcurrent) {
+		s.finished(&s.inFlight)
+		return s.refuse(id, wigeonshift.ReasonTooMany, retryAfterBusy)
+	}
+	defer s.finished(&s.inFlight)
+	ask, refusal := s.admit(id, r, time.Now())
+	if refusal != nil {
+		return s.refuse(id, refusal.Reason, refusal.RetryAfter)
+	}
+	f := newFlight(s, r, ask, sink)
+	f.loop(ctx)
+	f.logEnd()
+	return f.result
+}
+
+// ReadyForCallers tells whether new requests are accepted.
+func (s *Service) ReadyForCallers() bool {
+	return !s.draining.Load() && s.configuration.Current() != nil
+}
+
+// InFlight returns the number of requests in flight.
+func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
+
+// Running lists the attempts in flight in a shard.
+func (s *Service) Running(shard wigeonshift.ShardID) []wigeonshift.RunningAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Entry.Running(shard)
+}
+
+// reduce applies an event to the reducer.
+func (s *Service) reduce(b wigeonscheduler.Body) []wigeonscheduler.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wigeonscheduler.Reduce(&s.state, wigeonscheduler.Event{At: time.Now(), Random: rand.Uint64(), Body: b})
+}
+
+// refuse answers a request that was not accepted.
+func (s *Service) refuse(id wigeonshift.RequestID, reason wigeonshift.RefusalReason, retry time.Duration) Result {
+	s.counters.add(wigeonscheduler.CountEntryRefusals, string(reason), 1)
+	return Result{ID: id, Refusal: &wigeonshift.Refusal{Reason: reason, State: wigeonshift.NotRun, RetryAfter: retry}}
+}
+
+func (s *Service) nextID() wigeonshift.RequestID {
+	return wigeonshift.RequestID(s.self.ID + "-" + strconv.FormatUint(s.lastID.Add(1), 36))
+}
+
+// finished lowers a count of running work and wakes a drain.
+func (s *Service) finished(count *atomic.Int64) {
+	count.Add(-1)
+	if !s.draining.Load() {
+		return
+	}
+	select {
+	case s.ended <- struct{}{}:
+	default:
+	}
+}
+
+// inBackground starts a task that may outlive its request.
+func (s *Service) inBackground(task func()) {
+	s.background.Add(1)
+	s.tasks.Go(task)
+}
--- /dev/null
+++ b/internal/services/wigeonscheduler/entry_reduce.go
@@ -0,0 +1,216 @@
+package wigeonscheduler
+
+import (
+	"slices"
+	"time"
+
+	"wigeonshift"
+)
+
+// reduceEntry applies one event to the requests this instance accepted.
+func reduceEntry(e *Entry, ev Event) []Effect {
+	if _, ok := ev.Body.(EntryDrainStarted); ok {
+		e.Draining = true
+		return nil
+	}
+	id, ok := requestOf(ev.Body)
+	if !ok {
+		return nil
+	}
+	if a, ok := ev.Body.(CallerArrived); ok {
+		return e.arrive(a)
+	}
+	r := e.Requests[id]
+	if r == nil {
+		return ignore("late")
+	}
+	switch b := ev.Body.(type) {
+	case ClaimAnswered:
+		return e.claimAnswered(r, b)
+	case PermitAnswered:
+		return e.permitAnswered(r, b.Answer, ev.At)
+	case PermitFailed:
+		return e.permitFailed(r)
+	case AttemptBegan:
+		return r.attemptBegan(b)
+	case AttemptProgressed:
+		return r.attemptProgressed(b)
+	case AttemptEnded:
+		return e.attemptEnded(r, b)
+	case PauseFailed:
+		return r.pauseFailed(b)
+	case CallerGone:
+		return e.callerGone(r)
+	case DeadlineReached:
+		return e.deadlineReached(r)
+	}
+	return nil
+}
+
+// ignore counts an event that no longer matters.
+func ignore(why string) []Effect {
+	return []Effect{Count{Name: CountEntryIgnored, Label: why, Delta: 1}}
+}
+
+// refusal returns the effects that refuse a caller.
+func refusal(reason wigeonshift.RefusalReason, state wigeonshift.RunState, retry time.Duration) []Effect {
+	return []Effect{
+		Count{Name: CountEntryRefusals, Label: string(reason), Delta: 1},
+		AnswerCaller{Refusal: &wigeonshift.Refusal{Reason: reason, State: state, RetryAfter: retry}},
+	}
+}
+
+func (e *Entry) arrive(a CallerArrived) []Effect {
+	if e.Requests[a.Ask.ID] != nil {
+		return ignore("duplicate")
+	}
+	if e.Draining {
+		return refusal(wigeonshift.ReasonShuttingDown, wigeonshift.NotRun, retryAfterElsewhere)
+	}
+	if e.Requests == nil {
+		e.Requests = map[wigeonshift.RequestID]*EntryRequest{}
+	}
+	r := &EntryRequest{Ask: a.Ask, Claim: a.Claim, Phase: PhasePermit}
+	e.Requests[a.Ask.ID] = r
+	if a.Claim != nil {
+		r.Phase = PhaseClaim
+		return []Effect{WriteClaim{Claim: *a.Claim}}
+	}
+	return []Effect{AskPermit{Ask: r.Ask}}
+}
+
+func (e *Entry) claimAnswered(r *EntryRequest, b ClaimAnswered) []Effect {
+	if r.Phase != PhaseClaim {
+		return ignore("claim")
+	}
+	switch b.Outcome {
+	case ClaimWritten:
+		r.Phase = PhasePermit
+		return []Effect{AskPermit{Ask: r.Ask}}
+	case ClaimExists:
+		return e.claimExists(r, b.Existing)
+	case ClaimRefused:
+		r.Claim = nil
+	case ClaimUnknown:
+		// The claim may stand in the table; refuse releases it.
+	}
+	return e.refuse(r, wigeonshift.ReasonStoreUnavailable, retryAfterDefault)
+}
+
+// claimExists answers a request whose key another attempt holds.
+func (e *Entry) claimExists(r *EntryRequest, existing wigeonshift.Claim) []Effect {
+	r.Claim = nil
+	switch {
+	case existing.Fingerprint != r.Ask.Fingerprint:
+		return e.refuse(r, wigeonshift.ReasonKeyReused, 0)
+	case existing.State == wigeonshift.ClaimDone:
+		delete(e.Requests, r.Ask.ID)
+		return []Effect{AnswerCaller{Replay: &existing}}
+	default:
+		effects := refusal(wigeonshift.ReasonAlreadyClaimed, wigeonshift.RunUnknown, 0)
+		delete(e.Requests, r.Ask.ID)
+		return effects
+	}
+}
+
+func (e *Entry) permitAnswered(r *EntryRequest, a wigeonshift.PermitAnswer, at time.Time) []Effect {
+	switch {
+	case a.Revoke != nil:
+		return e.revoked(r, *a.Revoke)
+	case r.Phase != PhasePermit:
+		return ignore("permit")
+	case a.Grant != nil:
+		return e.granted(r, *a.Grant, at)
+	case a.Refuse != nil:
+		return e.refuse(r, a.Refuse.Reason, a.Refuse.RetryAfter)
+	case a.Spill != nil:
+		return e.spilled(r, *a.Spill)
+	}
+	return ignore("permit")
+}
+
+// granted spends a permit.
+func (e *Entry) granted(r *EntryRequest, p wigeonshift.Permit, at time.Time) []Effect {
+	if at.After(p.UseBefore) {
+		return e.askAgain(r, "permitExpired")
+	}
+	r.Phase = PhaseDispatched
+	r.Permit = p
+	r.Run++
+	r.Began, r.Resumed, r.Resumes = false, false, 0
+	r.Pausing, r.ResumeWanted = false, false
+	return []Effect{Dispatch{Permit: p, Run: r.Run}}
+}
+
+// askAgain asks for another permit within the retry budget. The request must be proved not to have run.
+func (e *Entry) askAgain(r *EntryRequest, why string) []Effect {
+	r.Phase = PhasePermit
+	r.Ask.Attempt++
+	if r.Ask.Attempt >= MaxPermits {
+		return e.refuse(r, wigeonshift.ReasonRetryBudget, retryAfterDefault)
+	}
+	return []Effect{
+		Count{Name: CountEntryRetries, Label: why, Delta: 1},
+		ClosePermit{},
+		AskPermit{Ask: r.Ask},
+	}
+}
+
+// spilled asks another shard of the pool.
+func (e *Entry) spilled(r *EntryRequest, shard wigeonshift.ShardID) []Effect {
+	r.Ask.Spills++
+	if r.Ask.Spills > MaxSpills {
+		return e.refuse(r, wigeonshift.ReasonQueueFull, retryAfterDefault)
+	}
+	r.Ask.Shard = shard
+	return []Effect{
+		Count{Name: CountEntryRetries, Label: "spill", Delta: 1},
+		ClosePermit{},
+		AskPermit{Ask: r.Ask},
+	}
+}
+
+func (e *Entry) permitFailed(r *EntryRequest) []Effect {
+	if r.Phase != PhasePermit {
+		return ignore("permit")
+	}
+	return e.refuse(r, wigeonshift.ReasonNoOwner, retryAfterDefault)
+}
+
+func (e *Entry) callerGone(r *EntryRequest) []Effect {
+	if r.Claim != nil && r.Phase == PhaseDispatched {
+		// The outcome is kept for the caller's repeat.
+		return ignore("callerGone")
+	}
+	return e.refuse(r, wigeonshift.ReasonCallerGone, 0)
+}
+
+func (e *Entry) deadlineReached(r *EntryRequest) []Effect {
+	return e.refuse(r, wigeonshift.ReasonDeadlinePassed, retryAfterDefault)
+}
+
+// refuse ends a request without a result, with the truth about whether it ran.
+func (e *Entry) refuse(r *EntryRequest, reason wigeonshift.RefusalReason, retry time.Duration) []Effect {
+	state := r.runState()
+	var effects []Effect
+	if r.Phase == PhaseDispatched || r.Phase == PhasePaused {
+		effects = append(effects, CancelStream{Permit: r.Permit}, r.report(wigeonshift.AttemptCancelled))
+	}
+	return append(effects, e.end(r, reason, state, retry)...)
+}
+
+// end refuses a request whose attempt is over.
+func (e *Entry) end(r *EntryRequest, reason wigeonshift.RefusalReason, state wigeonshift.RunState, retry time.Duration) []Effect {
+	effects := []Effect{ClosePermit{}}
+	if r.Claim != nil {
+		if state == wigeonshift.NotRun {
+			c := *r.Claim
+			c.State = wigeonshift.ClaimReleased
+			effects = append(effects, SettleClaim{Claim: c})
+		} else {
+			retry = 0
+		}
+	}
+	delete(e.Requests, r.Ask.ID)
+	return slices.Concat(effects, refusal(reason, state, retry))
+}
--- a/internal/services/wigeonscheduler/reducer.go
+++ b/internal/services/wigeonscheduler/reducer.go
@@ -4,6 +4,7 @@
 // the requests it accepted.
 type State struct {
 	Shard *Shard
+	Entry *Entry
 }
 
 // Shard is the state of one shard at its owner.
@@ -11,5 +12,8 @@
 
 // Reduce applies one event to the state and returns what has to be done.
 func Reduce(st *State, ev Event) []Effect {
+	if st.Entry != nil {
+		return reduceEntry(st.Entry, ev)
+	}
 	return nil
 }
