--- a/internal/services/wigeonentry/request.go
+++ b/internal/services/wigeonentry/request.go
@@ -9,6 +9,8 @@
 
 // Request is one parsed request of an authenticated caller. Exactly one of Generate and Call is set.
 type Request struct {
+	// ID is from NextID; empty lets Do make one.
+	ID           wigeonshift.RequestID
 	Product      string
 	Organisation string
 	// Tier is empty for the organisation's default.
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -73,7 +73,10 @@
 
 // Do carries one request to its final answer. It returns when the answer is final; ctx ends when the caller is gone.
 func (s *Service) Do(ctx context.Context, r Request, sink Sink) Result {
-	id := s.nextID()
+	id := r.ID
+	if id == "" {
+		id = s.NextID()
+	}
 	if s.inFlight.Add(1) > int64(s.settings.MaxConcurrent) {
 		s.finished(&s.inFlight)
 		return s.refuse(id, wigeonshift.ReasonTooMany, retryAfterBusy)
@@ -94,6 +97,9 @@
 	return !s.draining.Load() && s.configuration.Current() != nil
 }
 
+// Draining tells whether Drain or Stop was called.
+func (s *Service) Draining() bool { return s.draining.Load() }
+
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
 
@@ -111,13 +117,32 @@
 	return wigeonscheduler.Reduce(&s.state, wigeonscheduler.Event{At: time.Now(), Random: rand.Uint64(), Body: b})
 }
 
+// Refuse counts a request that its router does not accept and returns the answer to it.
+func (s *Service) Refuse(reason wigeonshift.RefusalReason) Result {
+	return s.refuse(s.NextID(), reason, 0)
+}
+
+// Models returns the models of a product by name with the service that runs each.
+func (s *Service) Models(product string) map[string]string {
+	models := map[string]string{}
+	if rt := s.currentRoutes(); rt != nil {
+		for key, service := range rt.services {
+			if key.product == product {
+				models[key.model] = service
+			}
+		}
+	}
+	return models
+}
+
 // refuse answers a request that was not accepted.
 func (s *Service) refuse(id wigeonshift.RequestID, reason wigeonshift.RefusalReason, retry time.Duration) Result {
 	s.counters.add(wigeonscheduler.CountEntryRefusals, string(reason), 1)
 	return Result{ID: id, Refusal: &wigeonshift.Refusal{Reason: reason, State: wigeonshift.NotRun, RetryAfter: retry}}
 }
 
-func (s *Service) nextID() wigeonshift.RequestID {
+// NextID returns an id for a request. It is unique across instances because the instance's own id is.
+func (s *Service) NextID() wigeonshift.RequestID {
 	return wigeonshift.RequestID(s.self.ID + "-" + strconv.FormatUint(s.lastID.Add(1), 36))
 }
 
