--- a/internal/services/wigeonentry/admission.go
+++ b/internal/services/wigeonentry/admission.go
@@ -9,20 +9,26 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// refused returns a refusal before acceptance.
+// refused returns a refusal before acceptance, with the advice that fits its reason.
 func refused(reason wigeonshift.RefusalReason) *wigeonshift.Refusal {
-	return &wigeonshift.Refusal{Reason: reason, State: wigeonshift.NotRun}
+	r := &wigeonshift.Refusal{Reason: reason, State: wigeonshift.NotRun}
+	switch reason {
+	case wigeonshift.ReasonShuttingDown:
+		r.RetryAfter = retryAfterElsewhere
+	case wigeonshift.ReasonNotReady, wigeonshift.ReasonTooMany, wigeonshift.ReasonNoEndpoint:
+		r.RetryAfter = retryAfterBusy
+	}
+	return r
 }
 
 // admit checks a request against the configuration in force and makes its question to the owner.
 func (s *Service) admit(id wigeonshift.RequestID, r Request, now time.Time) (ask wigeonshift.PermitRequest, refusal *wigeonshift.Refusal) {
 	if s.draining.Load() {
-		// The caller's next connection reaches another instance.
-		return ask, &wigeonshift.Refusal{Reason: wigeonshift.ReasonShuttingDown, RetryAfter: time.Millisecond}
+		return ask, refused(wigeonshift.ReasonShuttingDown)
 	}
 	rt := s.currentRoutes()
 	if rt == nil {
-		return ask, &wigeonshift.Refusal{Reason: wigeonshift.ReasonNotReady, RetryAfter: retryAfterBusy}
+		return ask, refused(wigeonshift.ReasonNotReady)
 	}
 	product, ok := rt.configuration.Products[r.Product]
 	if !ok {
@@ -105,7 +111,7 @@
 func (s *Service) route(ask *wigeonshift.PermitRequest, rt *routes, service string, a Analysis) *wigeonshift.Refusal {
 	shard, ok := rt.shard(serviceKey{ask.Product, service}, a)
 	if !ok {
-		return &wigeonshift.Refusal{Reason: wigeonshift.ReasonNoEndpoint, RetryAfter: retryAfterBusy}
+		return refused(wigeonshift.ReasonNoEndpoint)
 	}
 	ask.Shard = shard
 	return nil
--- a/internal/services/wigeonentry/option.go
+++ b/internal/services/wigeonentry/option.go
@@ -13,6 +13,8 @@
 
 const (
 	retryAfterBusy = time.Second
+	// retryAfterElsewhere advises an immediate resend, which another instance gets.
+	retryAfterElsewhere = time.Millisecond
 	// bytesPerToken is the default estimate of a prompt's length.
 	bytesPerToken = 4
 )
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -79,12 +79,12 @@
 	}
 	if s.inFlight.Add(1) > int64(s.settings.MaxConcurrent) {
 		s.finished(&s.inFlight)
-		return s.refuse(id, wigeonshift.ReasonTooMany, retryAfterBusy)
+		return s.refuse(id, refused(wigeonshift.ReasonTooMany))
 	}
 	defer s.finished(&s.inFlight)
 	ask, refusal := s.admit(id, r, time.Now())
 	if refusal != nil {
-		return s.refuse(id, refusal.Reason, refusal.RetryAfter)
+		return s.refuse(id, refusal)
 	}
 	f := newFlight(s, r, ask, sink)
 	f.loop(ctx)
@@ -136,9 +136,9 @@
 }
 
 // refuse answers a request that was not accepted.
-func (s *Service) refuse(id wigeonshift.RequestID, reason wigeonshift.RefusalReason, retry time.Duration) Result {
-	s.counters.add(wigeonscheduler.CountEntryRefusals, string(reason), 1)
-	return Result{ID: id, Refusal: &wigeonshift.Refusal{Reason: reason, State: wigeonshift.NotRun, RetryAfter: retry}}
+func (s *Service) refuse(id wigeonshift.RequestID, r *wigeonshift.Refusal) Result {
+	s.counters.add(wigeonscheduler.CountEntryRefusals, string(r.Reason), 1)
+	return Result{ID: id, Refusal: r}
 }
 
 // NextID returns an id for a request. It is unique across instances because the instance's own id is.
--- /dev/null
+++ b/internal/services/wigeonentry/session_test.go
@@ -0,0 +1,143 @@
+package wigeonentry_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonentry"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+)
+
+// fixedSource is a configuration that does not change.
+type fixedSource struct{ c *wigeonshift.Configuration }
+
+func (s fixedSource) Current() *wigeonshift.Configuration { return s.c }
+func (s fixedSource) Changed() <-chan struct{}            { return nil }
+
+func testConfiguration() *wigeonshift.Configuration {
+	endpoints := map[string]wigeonshift.EndpointSpec{"a": {Address: "a", Region: "r"}, "b": {Address: "b", Region: "r"}}
+	return &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
+		Tiers: map[string]wigeonshift.Tier{
+			"high": {Rank: 0, DefaultDeadlineMS: 30_000}, "low": {Rank: 1, DefaultDeadlineMS: 60_000},
+		},
+		Organisations: map[string]wigeonshift.Organisation{"o": {Tiers: []string{"low", "high"}}, "poor": {Tiers: []string{"low"}}},
+		Services: map[string]wigeonshift.Service{
+			"chat":  {Kind: wigeonshift.ServiceModel, Models: []string{"m"}, Endpoints: endpoints},
+			"store": {Kind: wigeonshift.ServicePlain, NonIdempotentMethods: []string{"POST"}, Endpoints: endpoints},
+		},
+	}}}
+}
+
+// textSink collects an answer.
+type textSink struct{ text strings.Builder }
+
+func (s *textSink) Write(_ context.Context, text string) error {
+	s.text.WriteString(text)
+	return nil
+}
+
+// play runs a script on the real service in virtual time and returns what happened.
+func play(sc script) (s session) {
+	synctest.Test(suiteT, func(t *testing.T) { s = playInBubble(NewWithT(t), sc) })
+	return s
+}
+
+func playInBubble(g *WithT, sc script) session {
+	st := &stage{
+		script: sc, start: time.Now(), closed: make(chan struct{}), runs: map[string]int{},
+		rows: map[string]wigeonshift.Claim{}, pauses: map[wigeonshift.AttemptToken]chan struct{}{},
+	}
+	scope := tally.NewTestScope("", nil)
+	service := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()},
+		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope))
+	answers := make([]sessionAnswer, len(sc.Callers))
+	var callers sync.WaitGroup
+	for i, c := range sc.Callers {
+		callers.Go(func() {
+			time.Sleep(time.Duration(c.AtMS) * time.Millisecond)
+			answers[i] = call(service, st, c)
+		})
+	}
+	if sc.DrainMS > 0 {
+		callers.Go(func() {
+			time.Sleep(time.Duration(sc.DrainMS) * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(sc.DrainFor)*time.Millisecond)
+			defer cancel()
+			err := service.Drain(ctx)
+			st.record("operator", "drained", err == nil)
+		})
+	}
+	callers.Wait()
+	close(st.closed)
+	g.Expect(service.Stop(context.Background())).To(Succeed())
+	g.Expect(service.InFlight()).To(BeZero())
+	synctest.Wait()
+	return st.finish(answers, scope)
+}
+
+func call(service *wigeonentry.Service, st *stage, c callerScript) sessionAnswer {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if c.GoneMS > 0 {
+		t := time.AfterFunc(time.Duration(c.GoneMS)*time.Millisecond, cancel)
+		defer t.Stop()
+	}
+	r := wigeonentry.Request{
+		Product: "p", Organisation: "o", Tier: c.Tier, IdempotencyKey: c.Key,
+		Timeout: time.Duration(c.TimeoutMS) * time.Millisecond,
+	}
+	if c.Model != "" {
+		r.Generate = &wigeonentry.Generate{Model: c.Model, Prompt: c.Prompt, MaxTokens: c.MaxTokens}
+	} else {
+		r.Call = &wigeonentry.Call{Service: c.Service, Method: c.Method, Path: c.Path, Body: []byte(c.Body)}
+	}
+	st.record("caller", "request", c)
+	var sink textSink
+	result := service.Do(ctx, r, &sink)
+	a := sessionAnswer{
+		Request: result.ID, AtMS: time.Since(st.start).Milliseconds(), Text: sink.text.String(),
+		Finish: result.Generated.Finish, Status: result.Answer.Status, Body: string(result.Answer.Body), Replayed: result.Replayed,
+	}
+	if f := result.Refusal; f != nil {
+		a.Reason, a.State, a.RetryAfterMS = f.Reason, f.State, f.RetryAfter.Milliseconds()
+	}
+	return a
+}
+
+// finish returns the session with its trace in a stable order.
+func (st *stage) finish(answers []sessionAnswer, scope tally.TestScope) session {
+	slices.SortStableFunc(st.trace, func(a, b traceEntry) int {
+		if a.AtMS != b.AtMS {
+			return int(a.AtMS - b.AtMS)
+		}
+		return strings.Compare(a.Actor, b.Actor)
+	})
+	counters := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		name := c.Name()
+		if reason := c.Tags()["reason"]; reason != "" {
+			name += "/" + reason
+		}
+		counters[name] = c.Value()
+	}
+	return session{Trace: st.trace, Answers: answers, Counters: counters}
+}
+
+// actions lists the actions of one actor in order.
+func (s session) actions(actor string) []string {
+	var actions []string
+	for _, e := range s.Trace {
+		if e.Actor == actor {
+			actions = append(actions, e.Action)
+		}
+	}
+	return actions
+}
