--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -119,7 +119,7 @@
 
 // Refuse counts a request that its router does not accept and returns the answer to it.
 func (s *Service) Refuse(reason wigeonshift.RefusalReason) Result {
-	return s.refuse(s.NextID(), reason, 0)
+	return s.refuse(s.NextID(), refused(reason))
 }
 
 // Models returns the models of a product by name with the service that runs each.
