--- a/internal/routers/wigeoncaller/server_test.go
+++ b/internal/routers/wigeoncaller/server_test.go
@@ -160,7 +160,7 @@
 			s := newSite()
 			c, err := net.Dial("tcp", s.address)
 			Expect(err).NotTo(HaveOccurred())
-			r, err := http.NewRequest("POST", "http://"+s.address+"/v1/completions", strings.NewReader(body))
+			r, err := http.NewRequest(http.MethodPost, "http://"+s.address+"/v1/completions", strings.NewReader(body))
 			Expect(err).NotTo(HaveOccurred())
 			r.Header.Set("Authorization", "Bearer k.secret")
 			Expect(r.Write(c)).To(Succeed())
--- a/internal/services/wigeonentry/fake_test.go
+++ b/internal/services/wigeonentry/fake_test.go
@@ -25,7 +25,6 @@
 	settles int
 	rows    map[string]wigeonshift.Claim
 	pauses  map[wigeonshift.AttemptToken]chan struct{}
-	starts  map[wigeonshift.RequestID]int
 }
 
 func (st *stage) record(actor, action string, detail any) {
@@ -53,7 +52,6 @@
 	ask     wigeonshift.PermitRequest
 	number  int
 	answers chan wigeonshift.PermitAnswer
-	ctx     context.Context
 	cancel  context.CancelFunc
 }
 
@@ -70,15 +68,16 @@
 	if len(steps) > 0 && steps[0].Fail {
 		return nil, wigeonshift.ErrNoOwner
 	}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	go s.play(steps)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go s.play(ctx, steps)
 	return s, nil
 }
 
-func (s *fakeSession) play(steps []ownerStep) {
+func (s *fakeSession) play(ctx context.Context, steps []ownerStep) {
 	token := wigeonshift.AttemptToken(fmt.Sprintf("t%d", s.number+1))
 	for _, step := range steps {
-		if !s.wait(s.ctx, step.AfterMS) {
+		if !s.wait(ctx, step.AfterMS) {
 			return
 		}
 		switch {
@@ -222,17 +221,13 @@
 		token = wigeonshift.AttemptToken(end.Token)
 	}
 	if err == nil {
-		e.record(e.address, string(end.Finish), runDetail{Token: token, Offset: done})
+		e.record(e.address, end.Finish, runDetail{Token: token, Offset: done})
 	}
 	return wigeonshift.GenerateResult{Token: token, Finish: wigeonshift.FinishReason(end.Finish), TokensDone: done}, err
 }
 
-func (e *fakeEndpoint) started(onStart func()) func() {
-	return func() { onStart() }
-}
-
 func (e *fakeEndpoint) Generate(ctx context.Context, r wigeonshift.GenerateRequest, onStart func(), sink func(wigeonshift.Chunk) error) (wigeonshift.GenerateResult, error) {
-	return e.stream(ctx, "generate", r.Token, 0, e.started(onStart), sink)
+	return e.stream(ctx, "generate", r.Token, 0, onStart, sink)
 }
 
 func (e *fakeEndpoint) Resume(ctx context.Context, token wigeonshift.AttemptToken, offset int, sink func(wigeonshift.Chunk) error) (wigeonshift.GenerateResult, error) {
