--- /dev/null
+++ b/internal/load/wigeonload/load_test.go
@@ -0,0 +1,289 @@
+package wigeonload_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/load/wigeonload"
+	"wigeonshift/internal/load/wigeonscenario"
+	"wigeonshift/internal/services/wigeonendpoint"
+	"wigeonshift/internal/standin/wigeonengine"
+	"wigeonshift/internal/standin/wigeonplain"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonload")
+}
+
+// fakeNode is the callers' API with one engine and one plain service behind it, and with faults of its own.
+type fakeNode struct {
+	engine, plain wigeonshift.Endpoint
+	serial        atomic.Int64
+	// crossed answers every request with the answer of another prompt.
+	crossed bool
+	// doubled runs everything twice.
+	doubled bool
+	// lying refuses as not run what ran.
+	lying bool
+	// cutting ends streams without the marker.
+	cutting bool
+	// refusing refuses each first request of a pair with advice to come back.
+	refusing bool
+}
+
+func (f *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/readyz" {
+		return
+	}
+	if f.refusing && f.serial.Add(1)%2 == 1 {
+		f.refuse(w)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	for i := range f.times() {
+		if i > 0 {
+			// Only the first run's answer goes back.
+			w = httptest.NewRecorder()
+		}
+		if path, ok := strings.CutPrefix(r.URL.Path, "/v1/services/records"); ok {
+			f.call(w, r.Method, path, body)
+		} else {
+			f.complete(w, body)
+		}
+	}
+	if f.lying {
+		f.refuse(w)
+	}
+}
+
+func (f *fakeNode) times() int {
+	if f.doubled {
+		return 2
+	}
+	return 1
+}
+
+func (f *fakeNode) token() wigeonshift.AttemptToken {
+	return wigeonshift.AttemptToken(fmt.Sprintf("t%d", f.serial.Add(1)))
+}
+
+func (f *fakeNode) refuse(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	fmt.Fprint(w, `{"error":{"reason":"queueFull","state":"notRun","retryAfterMs":1}}`)
+}
+
+func (f *fakeNode) call(w http.ResponseWriter, method, path string, body []byte) {
+	a, err := f.plain.Call(context.Background(), wigeonshift.ServiceCall{
+		Token: f.token(), Method: method, Path: path, Body: body,
+	}, nil)
+	if err == nil && !f.lying {
+		w.WriteHeader(a.Status)
+		_, _ = w.Write(a.Body)
+	}
+}
+
+func (f *fakeNode) complete(w http.ResponseWriter, body []byte) {
+	var asked struct {
+		Model, Prompt string
+		MaxTokens     int `json:"max_tokens"`
+		Stream        bool
+	}
+	_ = json.Unmarshal(body, &asked)
+	if f.crossed {
+		asked.Prompt = "another caller's"
+	}
+	var text strings.Builder
+	_, err := f.engine.Generate(context.Background(), wigeonshift.GenerateRequest{
+		Token: f.token(), Model: asked.Model, Prompt: asked.Prompt, MaxTokens: asked.MaxTokens,
+	}, nil, func(c wigeonshift.Chunk) error {
+		text.WriteString(c.Text)
+		if asked.Stream && !f.lying {
+			fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", c.Text)
+			w.(http.Flusher).Flush()
+		}
+		return nil
+	})
+	if err != nil || f.lying {
+		return
+	}
+	if !asked.Stream {
+		fmt.Fprintf(w, `{"choices":[{"text":%q}]}`, text.String())
+	} else if !f.cutting {
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+// run runs a short scenario against a fake node.
+func run(f *fakeNode) *wigeonload.Result {
+	runner, _ := prepare(f)
+	res, err := runner.Run(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Checks.Ledgers).To(Equal(2))
+	return res
+}
+
+func prepare(f *fakeNode) (runner *wigeonload.Runner, engineAddress string) {
+	ctx := context.Background()
+	engine := wigeonengine.New("127.0.0.1:0", wigeonengine.WithSpeed(wigeonengine.Speed{
+		DecodeStep: time.Millisecond, MaxBatch: 8, PrefillChunk: 512,
+	}))
+	plain := wigeonplain.New("127.0.0.1:0")
+	Expect(engine.Start(ctx)).To(Succeed())
+	Expect(plain.Start(ctx)).To(Succeed())
+	dialer := wigeonendpoint.New()
+	f.engine, f.plain = dialer.Endpoint(engine.Address()), dialer.Endpoint(plain.Address())
+	node := httptest.NewServer(f)
+	DeferCleanup(func() {
+		node.Close()
+		dialer.CloseIdle()
+		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_ = engine.Stop(ctx)
+		_ = plain.Stop(ctx)
+	})
+	s, err := wigeonscenario.Parse("test.toml", []byte(scenario))
+	Expect(err).NotTo(HaveOccurred())
+	s.Nodes = []string{strings.TrimPrefix(node.URL, "http://")}
+	s.Engines, s.Plains = []string{engine.Address()}, []string{plain.Address()}
+	return wigeonload.New(s), engine.Address()
+}
+
+const scenario = `
+name = "test"
+seed = 5
+duration = "400ms"
+[[classes]]
+name = "whole"
+organisation = "loft"
+apiKey = "k.s"
+tier = "standard"
+kind = "completion"
+model = "heron-small"
+deadline = "5s"
+resends = 5
+arrival = { process = "closed", callers = 2 }
+prompt = { min = 10, max = 400 }
+answer = { min = 2, max = 12 }
+shared = { prefixes = 2, tokens = 128 }
+[[classes]]
+name = "stream"
+organisation = "loft"
+apiKey = "k.s"
+tier = "urgent"
+kind = "completion"
+model = "heron-small"
+stream = true
+deadline = "5s"
+resends = 0
+arrival = { process = "open", rate = 40 }
+prompt = { min = 10, max = 100 }
+answer = { min = 8, max = 20 }
+[[classes]]
+name = "issues"
+organisation = "loft"
+apiKey = "k.s"
+tier = "urgent"
+kind = "call"
+deadline = "5s"
+arrival = { process = "open", rate = 20 }
+call = { service = "records", method = "POST", path = "/issues", nonIdempotent = true }
+[[classes]]
+name = "history"
+organisation = "loft"
+apiKey = "k.s"
+tier = "urgent"
+kind = "call"
+deadline = "5s"
+arrival = { process = "closed", callers = 1 }
+call = { service = "records", method = "GET", path = "/boats/%d/history" }
+`
+
+var _ = Describe("A run", func() {
+	sum := func(res *wigeonload.Result) (c wigeonload.TierCounts) {
+		for _, t := range res.Tiers {
+			c.Requests += t.Requests
+			c.Good += t.Good
+			c.Broken += t.Broken
+			c.Refused += t.Refused
+			c.Resends += t.Resends
+		}
+		return c
+	}
+
+	It("verifies every answer of a sound node", func() {
+		res := run(&fakeNode{})
+		c := sum(res)
+		Expect(c.Good).To(Equal(c.Requests))
+		Expect(c.Good).To(BeNumerically(">", 20))
+		Expect(res.Checks.Verified).To(Equal(c.Good))
+		Expect(res.Checks.Violated()).To(BeFalse())
+		Expect(res.Tiers[1].FirstToken.Count).To(BeNumerically(">", 0))
+		Expect(res.Tiers[1].BetweenTokens.Count).To(BeNumerically(">", res.Tiers[1].FirstToken.Count))
+		Expect(res.Prefill.Cached).To(BeNumerically(">", 0))
+		Expect(res.Prefill.Wasted).To(Equal(res.Prefill.Computed - res.Prefill.Needed))
+	})
+
+	It("sends refused requests again on advice", func() {
+		res := run(&fakeNode{refusing: true})
+		Expect(sum(res).Resends).To(BeNumerically(">", 0))
+		Expect(res.Refusals).NotTo(BeEmpty())
+		Expect(res.Refusals[0].Reason).To(Equal(wigeonshift.ReasonQueueFull))
+		Expect(res.Checks.Violated()).To(BeFalse())
+	})
+
+	It("finds crossed answers", func() {
+		res := run(&fakeNode{crossed: true})
+		Expect(res.Checks.Wrong).To(BeNumerically(">", 0))
+		Expect(res.Checks.Violated()).To(BeTrue())
+	})
+
+	It("finds what ran twice", func() {
+		res := run(&fakeNode{doubled: true})
+		Expect(res.Checks.NonIdempotentTwice).To(BeNumerically(">", 0))
+		Expect(res.Checks.DispatchedTooOften).To(BeNumerically(">", 0))
+	})
+
+	It("finds false claims of not-run", func() {
+		res := run(&fakeNode{lying: true})
+		Expect(res.Checks.FalseNotRun).To(BeNumerically(">", 0))
+	})
+
+	It("counts a stream without its end as broken", func() {
+		res := run(&fakeNode{cutting: true})
+		Expect(sum(res).Broken).To(BeNumerically(">", 0))
+		Expect(res.Checks.Wrong).To(BeZero())
+	})
+
+	It("reports unreachable nodes and needs one", func() {
+		s, err := wigeonscenario.Parse("test.toml", []byte(scenario))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = wigeonload.New(s).Run(context.Background())
+		Expect(err).To(MatchError(wigeonload.ErrNoNodes))
+		s.Nodes = []string{"127.0.0.1:1"}
+		s.Duration.Duration = 50 * time.Millisecond
+		res, err := wigeonload.New(s).Run(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sum(res).Good).To(BeZero())
+		Expect(res.Checks.Verified).To(BeZero())
+	})
+
+	It("measures the overhead by turns", func() {
+		runner, engine := prepare(&fakeNode{})
+		o, err := runner.MeasureOverhead(context.Background(), engine, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Node.Failed + o.Direct.Failed).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/load/wigeonreport/plot.go
@@ -0,0 +1,119 @@
+package wigeonreport
+
+import (
+	"bytes"
+	"html/template"
+	"maps"
+	"slices"
+
+	"wigeonshift/internal/load/wigeonload"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 3.2 * vg.Inch
+	lineWidth  = vg.Length(1.5)
+)
+
+// series is one line of a plot.
+type series struct {
+	name string
+	y    []float64
+}
+
+// timelinePlot shows requests, refusals and good answers by tier for each second.
+func timelinePlot(res *wigeonload.Result) (template.HTML, error) {
+	requests, refusals := series{name: "requests"}, series{name: "refusals"}
+	tiers := map[string]*series{}
+	for _, t := range res.Tiers {
+		tiers[t.Tier] = &series{name: "good, " + t.Tier}
+	}
+	for _, s := range res.Timeline {
+		requests.y = append(requests.y, float64(s.Requests))
+		refusals.y = append(refusals.y, float64(s.Refusals))
+		for tier, line := range tiers {
+			line.y = append(line.y, float64(s.Good[tier]))
+		}
+	}
+	lines := []series{requests, refusals}
+	for _, tier := range slices.Sorted(maps.Keys(tiers)) {
+		lines = append(lines, *tiers[tier])
+	}
+	return linePlot("Requests, refusals and good answers", "second", "a second", lines)
+}
+
+// latencyPlot shows the quantiles of the first token, or of the whole answer where nothing streams.
+func latencyPlot(res *wigeonload.Result) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = "Time to first token, or to the whole answer where nothing streams"
+	p.Y.Label.Text = "ms"
+	var names []string
+	groups := make([]plotter.Values, 3)
+	for _, t := range res.Tiers {
+		q := t.FirstToken
+		if q.Count == 0 {
+			q = t.Total
+		}
+		names = append(names, t.Tier+"\n"+t.Organisation)
+		for i, value := range []float64{q.P50, q.P95, q.P99} {
+			groups[i] = append(groups[i], value)
+		}
+	}
+	width := min(vg.Points(18), plotWidth/vg.Length(max(1, 5*len(names))))
+	for i, label := range []string{"p50", "p95", "p99"} {
+		bars, err := plotter.NewBarChart(groups[i], width)
+		if err != nil {
+			return "", err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = width * vg.Length(i-1)
+		p.Add(bars)
+		p.Legend.Add(label, bars)
+	}
+	p.Legend.Top = true
+	p.NominalX(names...)
+	return svg(p)
+}
+
+func linePlot(title, x, y string, lines []series) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, s := range lines {
+		points := make(plotter.XYs, len(s.y))
+		for j, value := range s.y {
+			points[j] = plotter.XY{X: float64(j), Y: value}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color, line.Width = plotutil.Color(i), lineWidth
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+	}
+	return svg(p)
+}
+
+// svg draws a plot as an element that can stand in a page.
+func svg(p *plot.Plot) (template.HTML, error) {
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var b bytes.Buffer
+	if _, err := writer.WriteTo(&b); err != nil {
+		return "", err
+	}
+	text := b.Bytes()
+	if start := bytes.Index(text, []byte("<svg")); start > 0 {
+		text = text[start:]
+	}
+	return template.HTML(text), nil
+}
--- /dev/null
+++ b/internal/load/wigeonreport/report_test.go
@@ -0,0 +1,62 @@
+package wigeonreport_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"wigeonshift"
+	"wigeonshift/internal/load/wigeonload"
+	"wigeonshift/internal/load/wigeonreport"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestReport(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonreport")
+}
+
+func result() *wigeonload.Result {
+	return &wigeonload.Result{
+		Scenario: "<champerico>", SendMS: 2000, Nodes: []string{"127.0.0.1:1"},
+		Tiers: []wigeonload.TierResult{{
+			Organisation: "rederos", Tier: "tide", TierCounts: wigeonload.TierCounts{Requests: 10, Good: 8, Wrong: 2},
+			FirstToken: wigeonload.Quantiles{Count: 8, P50: 12.5, P95: 30, P99: 40},
+		}},
+		Refusals: []wigeonload.RefusalCount{{Tier: "tide", Reason: wigeonshift.ReasonQueueFull, State: wigeonshift.NotRun, Count: 3}},
+		Prefill:  &wigeonload.Prefill{Computed: 200, Needed: 150, Wasted: 50},
+		Timeline: []wigeonload.Second{{Requests: 6, Good: map[string]int64{"tide": 4}}, {Requests: 4, Good: map[string]int64{"tide": 4}}},
+		Overhead: &wigeonload.Overhead{AddedP50MS: 0.5, Callers: 4},
+	}
+}
+
+var _ = Describe("Reports", func() {
+	It("show goodput, refusals, waste and what wasn't checked as text", func() {
+		var b bytes.Buffer
+		Expect(wigeonreport.WriteText(&b, result())).To(Succeed())
+		for _, part := range []string{"4.0", "80.0 %", "queueFull", "25.0 %", "12.5", "not checked", "added p50 0.500 ms"} {
+			Expect(b.String()).To(ContainSubstring(part))
+		}
+	})
+
+	It("survive a round trip through JSON", func() {
+		var b bytes.Buffer
+		Expect(wigeonreport.WriteJSON(&b, result())).To(Succeed())
+		var read wigeonload.Result
+		Expect(json.Unmarshal(b.Bytes(), &read)).To(Succeed())
+		Expect(&read).To(Equal(result()))
+	})
+
+	It("are one HTML page with plots that needs nothing else", func() {
+		var b bytes.Buffer
+		Expect(wigeonreport.WriteHTML(&b, result())).To(Succeed())
+		page := b.String()
+		Expect(bytes.Count(b.Bytes(), []byte("<svg"))).To(Equal(2))
+		Expect(page).To(ContainSubstring("&lt;champerico&gt;"))
+		Expect(page).NotTo(ContainSubstring("<champerico>"))
+		Expect(page).NotTo(MatchRegexp(`(src|href)="[^#]`))
+		Expect(page).NotTo(ContainSubstring("<?xml"))
+	})
+})
--- /dev/null
+++ b/internal/load/wigeonscenario/scenario_test.go
@@ -0,0 +1,126 @@
+package wigeonscenario_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonshift/internal/load/wigeonscenario"
+	"wigeonshift/internal/modules/wigeonprompt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestScenario(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonscenario")
+}
+
+const valid = `name = "test"
+seed = 5
+[[classes]]
+name = "plans"
+organisation = "loft"
+apiKey = "k.s"
+tier = "standard"
+kind = "completion"
+model = "m"
+deadline = "5s"
+prompt = { min = 80, max = 8000 }
+answer = { min = 2, max = 12 }
+shared = { prefixes = 2, tokens = 128 }
+[classes.arrival]
+process = "open"
+rate = 10
+burstFactor = 5
+burstEvery = "10s"
+burstLength = "2s"
+`
+
+var _ = Describe("Scenarios", func() {
+	DescribeTable("are refused with key and place",
+		func(old, replacement string, parts ...string) {
+			text := strings.Replace(valid, old, replacement, 1)
+			Expect(text).NotTo(Equal(valid))
+			_, err := wigeonscenario.Parse("test.toml", []byte(text))
+			Expect(err).To(MatchError(wigeonscenario.ErrInvalid))
+			for _, part := range parts {
+				Expect(err).To(MatchError(ContainSubstring(part)))
+			}
+		},
+		Entry("unknown key", "tier =", "teir =", "test.toml:7:1", "classes.teir"),
+		Entry("wrong type", "seed = 5", `seed = "five"`, "test.toml:2"),
+		Entry("bad duration", `"5s"`, `"soon"`, "test.toml:10"),
+		Entry("range", "rate = 10", "rate = -1", "test.toml:16", "classes[0].arrival.rate"),
+		Entry("reversed lengths", "max = 8000", "max = 8", "classes[0].prompt.max"),
+		Entry("missing key", `model = "m"`, "", "test.toml:3", "classes[0].model"),
+		Entry("keys that don't fit", `burstLength = "2s"`, `burstLength = "20s"`, "classes[0]", "arrival.burstLength"),
+		Entry("no rate", "rate = 10", "rate = 0", "arrival.rate"),
+	)
+
+	It("draw the same from the same seed and other things from another", func() {
+		first, err := wigeonscenario.Parse("test.toml", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		second := *first
+		second.Seed++
+		a, b, c := first.Source(0, 0), first.Source(0, 0), second.Source(0, 0)
+		for range 20 {
+			draw := a.Next()
+			Expect(b.Next()).To(Equal(draw))
+			Expect(c.Next().Prompt).NotTo(Equal(draw.Prompt))
+		}
+	})
+
+	It("draw lengths over the whole range, behind a shared prefix", func() {
+		s, err := wigeonscenario.Parse("test.toml", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		source := s.Source(0, 0)
+		prefixes := map[string]bool{}
+		short, long := 0, 0
+		for range 1000 {
+			d := source.Next()
+			own := wigeonprompt.Tokens(d.Prompt) - 128
+			Expect(own).To(And(BeNumerically(">=", 80), BeNumerically("<=", 8000)))
+			Expect(d.MaxTokens).To(And(BeNumerically(">=", 2), BeNumerically("<=", 12)))
+			prefixes[d.Prompt[:128*wigeonprompt.BytesPerToken]] = true
+			if own < 800 {
+				short++
+			} else {
+				long++
+			}
+		}
+		// Half of an even distribution over the logarithm lies below the geometric mean of 80 and 8000.
+		Expect(short).To(BeNumerically("~", long, 150))
+		Expect(prefixes).To(HaveLen(2))
+	})
+
+	It("arrive at the rate, and faster in bursts", func() {
+		s, err := wigeonscenario.Parse("test.toml", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		source, arrival := s.Source(0, 0), s.Classes[0].Arrival
+		quiet, burst := 0, 0
+		const periods = 200
+		for at := time.Duration(0); at < periods*10*time.Second; at += arrival.Gap(source.Random(), at) {
+			if at%(10*time.Second) >= 8*time.Second {
+				burst++
+			} else {
+				quiet++
+			}
+		}
+		// 8 s at 10/s and 2 s at 50/s; the bounds are 5 standard deviations of a Poisson count.
+		Expect(quiet).To(BeNumerically("~", periods*80, 640))
+		Expect(burst).To(BeNumerically("~", periods*100, 710))
+	})
+
+	It("ships files that are valid", func() {
+		files, err := filepath.Glob("../../../scenarios/*.toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(files)).To(BeNumerically(">=", 4))
+		for _, file := range files {
+			_, err := wigeonscenario.Load(file)
+			Expect(err).NotTo(HaveOccurred(), file)
+		}
+	})
+})
--- a/internal/services/wigeonendpoint/generate.go
+++ b/internal/services/wigeonendpoint/generate.go
@@ -52,7 +52,10 @@
 	err = f.read(x)
 	if f.sinkErr != nil {
 		x.close(false)
-		c.cancelQuietly(ctx, f.token)
+		if ctx.Err() == nil {
+			// After the end of its context the caller may resume the stream elsewhere, so its state stays.
+			c.cancelQuietly(ctx, f.token)
+		}
 		return wigeonshift.GenerateResult{}, f.sinkErr
 	}
 	if err != nil {
--- a/internal/standin/wigeonplain/service.go
+++ b/internal/standin/wigeonplain/service.go
@@ -180,3 +180,10 @@
 	}
 	return false
 }
+
+// IsReceipt reports whether a text is the answer to a non-idempotent call.
+func IsReceipt(text, path, body string) bool {
+	var receipt Receipt
+	err := json.Unmarshal([]byte(text), &receipt)
+	return err == nil && receipt.Content == wigeonledger.Key(Content(path, body))
+}
