--- a/internal/services/wigeonscheduler/entry_attempt.go
+++ b/internal/services/wigeonscheduler/entry_attempt.go
@@ -41,7 +41,7 @@
 	case OutcomeFinished:
 		return e.attemptFinished(r, b)
 	case OutcomePaused:
-		return r.attemptPaused()
+		return e.attemptPaused(r)
 	case OutcomeNotRun:
 		return e.attemptNotRun(r, b)
 	case OutcomeFailed:
@@ -66,7 +66,11 @@
 	return append(effects, AnswerCaller{})
 }
 
-func (r *EntryRequest) attemptPaused() []Effect {
+func (e *EntryState) attemptPaused(r *EntryRequest) []Effect {
+	if !r.Pausing {
+		// Nobody would resume a stream that paused unasked.
+		return e.attemptLost(r, OutcomeLost)
+	}
 	r.Phase = PhasePaused
 	r.Pausing = false
 	effects := []Effect{r.report(wigeonshift.AttemptPaused)}
