--- a/cmd/root.go
+++ b/cmd/root.go
@@ -32,6 +32,8 @@
 
 // CLI is the grammar of the command line.
 type CLI struct {
+	Standin StandinCommand `cmd:"" help:"Run a stand-in for a system that wigeonshift works with."`
+	Load    LoadCommand    `cmd:"" help:"Send a scenario's requests to running nodes and verify every answer."`
 	Version VersionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/internal/routers/wigeoncaller/server.go
+++ b/internal/routers/wigeoncaller/server.go
@@ -53,6 +53,7 @@
 	entry        *wigeonentry.Service
 	authenticate Authenticator
 	settings     Settings
+	readiness    func() bool
 	log          logrus.FieldLogger
 	app          *fiber.App
 	watcher      *watcher
@@ -68,12 +69,16 @@
 // WithLogger sets the log.
 func WithLogger(l logrus.FieldLogger) Option { return func(s *Server) { s.log = l } }
 
+// WithReadiness adds a condition to readiness: an instance about to stop tells the balancer before it refuses requests.
+func WithReadiness(ready func() bool) Option { return func(s *Server) { s.readiness = ready } }
+
 // New returns a server that is ready to Start.
 func New(entry *wigeonentry.Service, authenticate Authenticator, opts ...Option) *Server {
 	s := &Server{
 		entry:        entry,
 		authenticate: authenticate,
 		settings:     DefaultSettings(),
+		readiness:    func() bool { return true },
 		log:          logrus.StandardLogger(),
 	}
 	for _, opt := range opts {
--- a/internal/routers/wigeoncaller/service.go
+++ b/internal/routers/wigeoncaller/service.go
@@ -30,7 +30,7 @@
 func (s *Server) health(c fiber.Ctx) error { return c.SendString("ok\n") }
 
 func (s *Server) ready(c fiber.Ctx) error {
-	if s.entry.ReadyForCallers() {
+	if s.entry.ReadyForCallers() && s.readiness() {
 		return c.SendString("ready\n")
 	}
 	return c.Status(fiber.StatusServiceUnavailable).SendString(string(wigeonshift.ReasonNotReady) + "\n")
