--- a/internal/load/wigeonscenario/scenario_test.go
+++ b/internal/load/wigeonscenario/scenario_test.go
@@ -1,12 +1,17 @@
 package wigeonscenario_test
 
 import (
+	"encoding/json"
+	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"wigeonshift"
 	"wigeonshift/internal/load/wigeonscenario"
+	"wigeonshift/internal/models/wigeonconfig"
 	"wigeonshift/internal/modules/wigeonprompt"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -123,4 +128,63 @@
 			Expect(err).NotTo(HaveOccurred(), file)
 		}
 	})
+
+	DescribeTable("ships configurations that fit",
+		func(name string, engines, plains int) {
+			s, err := wigeonscenario.Load("../../../scenarios/" + name + ".toml")
+			Expect(err).NotTo(HaveOccurred())
+			text, err := os.ReadFile("../../../scenarios/" + name + ".json")
+			Expect(err).NotTo(HaveOccurred())
+			var c wigeonshift.Configuration
+			Expect(json.Unmarshal(text, &c)).To(Succeed())
+			Expect(wigeonconfig.Check(&c)).To(Succeed())
+			index := wigeonconfig.NewKeyIndex(&c)
+			organisations := map[string]bool{}
+			for _, class := range s.Classes {
+				caller, err := index.Authenticate(class.APIKey, time.Now())
+				Expect(err).NotTo(HaveOccurred())
+				Expect(caller.Organisation).To(Equal(class.Organisation))
+				product := c.Products[caller.Product]
+				Expect(product.Organisations[class.Organisation].Tiers).To(ContainElement(class.Tier))
+				Expect(serves(product, class)).To(BeTrue(), class.Name)
+				organisations[class.Organisation] = true
+			}
+			Expect(organisations).To(HaveLen(5))
+			Expect(addresses(&c, wigeonshift.ServiceModel)).To(ConsistOf(s.Engines))
+			Expect(addresses(&c, wigeonshift.ServicePlain)).To(ConsistOf(s.Plains))
+			Expect(s.Engines).To(HaveLen(engines))
+			Expect(s.Plains).To(HaveLen(plains))
+		},
+		Entry(nil, "instituto", 12, 4), //nolint:misspell // The name is Spanish.
+		Entry(nil, "asociacion", 9, 3),
+	)
 })
+
+// serves reports whether a product has what a class asks for.
+func serves(p wigeonshift.Product, class wigeonscenario.Class) bool {
+	if class.Kind == wigeonscenario.KindCall {
+		methods := p.Services[class.Call.Service].NonIdempotentMethods
+		return slices.Contains(methods, class.Call.Method) == class.Call.NonIdempotent
+	}
+	for _, s := range p.Services {
+		if slices.Contains(s.Models, class.Model) {
+			return true
+		}
+	}
+	return false
+}
+
+// addresses returns the endpoints' addresses of all services of a kind.
+func addresses(c *wigeonshift.Configuration, kind wigeonshift.ServiceKind) []string {
+	var list []string
+	for _, p := range c.Products {
+		for _, s := range p.Services {
+			for _, e := range s.Endpoints {
+				if s.Kind == kind {
+					list = append(list, e.Address)
+				}
+			}
+		}
+	}
+	return list
+}
