--- a/cmd/load.go
+++ b/cmd/load.go
@@ -22,6 +22,9 @@
 // errViolated reports that a run broke an invariant.
 var errViolated = errors.New("a check failed: see the table of checks")
 
+// errNothingVerified reports a run that proves nothing.
+var errNothingVerified = errors.New("no answer was verified")
+
 // LoadCommand sends a scenario's requests to running nodes and verifies every answer.
 type LoadCommand struct {
 	Scenario    string        `arg:"" type:"existingfile" help:"Scenario in TOML."`
@@ -53,8 +56,18 @@
 	if err := c.report(s.Out, res); err != nil {
 		return err
 	}
-	if res.Checks.Violated() {
+	return verdict(res)
+}
+
+// verdict returns the error that a result stands for.
+func verdict(res *wigeonload.Result) error {
+	switch {
+	case res.Checks.Violated():
 		return errViolated
+	case res.Overhead != nil && (res.Overhead.Node.Requests == 0 || res.Overhead.Direct.Requests == 0):
+		return errNothingVerified
+	case res.Overhead == nil && res.Checks.Verified == 0:
+		return errNothingVerified
 	}
 	return nil
 }
--- a/internal/load/wigeonload/load_test.go
+++ b/internal/load/wigeonload/load_test.go
@@ -230,8 +230,11 @@
 		Expect(c.Good).To(BeNumerically(">", 20))
 		Expect(res.Checks.Verified).To(Equal(c.Good))
 		Expect(res.Checks.Violated()).To(BeFalse())
-		Expect(res.Tiers[1].FirstToken.Count).To(BeNumerically(">", 0))
-		Expect(res.Tiers[1].BetweenTokens.Count).To(BeNumerically(">", res.Tiers[1].FirstToken.Count))
+		// The tiers are standard and urgent to models, and urgent to plain services.
+		Expect(res.Tiers).To(HaveLen(3))
+		streams := res.Tiers[1]
+		Expect(streams.FirstToken.Count).To(BeNumerically(">", 0))
+		Expect(streams.BetweenTokens.Count).To(BeNumerically(">", streams.FirstToken.Count))
 		Expect(res.Prefill.Cached).To(BeNumerically(">", 0))
 		Expect(res.Prefill.Wasted).To(Equal(res.Prefill.Computed - res.Prefill.Needed))
 	})
--- a/internal/load/wigeonload/recorder.go
+++ b/internal/load/wigeonload/recorder.go
@@ -42,7 +42,10 @@
 }
 
 type tierKey struct {
-	organisation, tier string
+	// organisation is empty for all together.
+	organisation string
+	tier         string
+	kind         wigeonshift.ServiceKind
 }
 
 type refusalKey struct {
@@ -79,15 +82,27 @@
 }
 
 func (r *recorder) tier(c *wigeonscenario.Class) *tierBook {
-	key := tierKey{organisation: c.Organisation, tier: c.Tier}
-	t, ok := r.tiers[key]
+	return bookOf(r.tiers, tierKey{organisation: c.Organisation, tier: c.Tier, kind: kindOf(c)})
+}
+
+// bookOf returns the book of a key, a new one at first.
+func bookOf(books map[tierKey]*tierBook, key tierKey) *tierBook {
+	t, ok := books[key]
 	if !ok {
 		t = &tierBook{first: newHistogram(), between: newHistogram(), total: newHistogram()}
-		r.tiers[key] = t
+		books[key] = t
 	}
 	return t
 }
 
+// kindOf returns the kind of service that a class calls.
+func kindOf(c *wigeonscenario.Class) wigeonshift.ServiceKind {
+	if c.Kind == wigeonscenario.KindCall {
+		return wigeonshift.ServicePlain
+	}
+	return wigeonshift.ServiceModel
+}
+
 // second returns the timeline's entry of now.
 func (r *recorder) second() *Second {
 	index := int(time.Since(r.start) / time.Second)
--- a/internal/load/wigeonload/result.go
+++ b/internal/load/wigeonload/result.go
@@ -19,9 +19,11 @@
 	// ElapsedMS is the time from the first request to the last answer.
 	ElapsedMS int64 `json:"elapsedMs"`
 	// SendMS is the time in which requests were sent.
-	SendMS   int64          `json:"sendMs"`
-	Tiers    []TierResult   `json:"tiers"`
-	Refusals []RefusalCount `json:"refusals"`
+	SendMS int64 `json:"sendMs"`
+	// Tiers holds each tier's model and plain services, all organisations together; Organisations each one's.
+	Tiers         []TierResult   `json:"tiers"`
+	Organisations []TierResult   `json:"organisations"`
+	Refusals      []RefusalCount `json:"refusals"`
 	// NotSent counts requests that the load's own bound on requests in flight kept back.
 	NotSent  int64     `json:"notSent"`
 	Prefill  *Prefill  `json:"prefill,omitempty"`
@@ -63,10 +65,12 @@
 	}
 }
 
-// TierResult is one tier of an organisation.
+// TierResult is one tier's requests to one kind of services.
 type TierResult struct {
-	Organisation string `json:"organisation"`
-	Tier         string `json:"tier"`
+	// Organisation is empty for all together.
+	Organisation string                  `json:"organisation,omitempty"`
+	Tier         string                  `json:"tier"`
+	Kind         wigeonshift.ServiceKind `json:"kind"`
 	TierCounts
 	// FirstToken and BetweenTokens are of streams, Total of all whole answers.
 	FirstToken    Quantiles `json:"firstToken"`
@@ -157,22 +161,50 @@
 	}
 }
 
+// merge adds another book.
+func (t *tierBook) merge(other *tierBook) {
+	t.Requests += other.Requests
+	t.Sends += other.Sends
+	t.Resends += other.Resends
+	t.Good += other.Good
+	t.Late += other.Late
+	t.Refused += other.Refused
+	t.Broken += other.Broken
+	t.Unreachable += other.Unreachable
+	t.Wrong += other.Wrong
+	t.GoodTokens += other.GoodTokens
+	t.first.Merge(other.first)
+	t.between.Merge(other.between)
+	t.total.Merge(other.total)
+}
+
+// tierResults turns books into results in order.
+func tierResults(books map[tierKey]*tierBook) []TierResult {
+	results := make([]TierResult, 0, len(books))
+	for key, t := range books {
+		results = append(results, TierResult{
+			Organisation: key.organisation, Tier: key.tier, Kind: key.kind, TierCounts: t.TierCounts,
+			FirstToken: quantiles(t.first), BetweenTokens: quantiles(t.between), Total: quantiles(t.total),
+		})
+	}
+	slices.SortFunc(results, func(a, b TierResult) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	return results
+}
+
 // result turns the books into a result.
 func (r *recorder) result() *Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	res := &Result{Started: r.start, NotSent: r.notSent, Timeline: r.timeline}
+	totals := map[tierKey]*tierBook{}
 	for key, t := range r.tiers {
-		res.Tiers = append(res.Tiers, TierResult{
-			Organisation: key.organisation, Tier: key.tier, TierCounts: t.TierCounts,
-			FirstToken: quantiles(t.first), BetweenTokens: quantiles(t.between), Total: quantiles(t.total),
-		})
+		bookOf(totals, tierKey{tier: key.tier, kind: key.kind}).merge(t)
 		res.Checks.Verified += t.Good + t.Late
 		res.Checks.Wrong += t.Wrong
 	}
-	slices.SortFunc(res.Tiers, func(a, b TierResult) int {
-		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Organisation, b.Organisation))
-	})
+	res.Tiers, res.Organisations = tierResults(totals), tierResults(r.tiers)
 	for key, count := range r.refusals {
 		res.Refusals = append(res.Refusals, RefusalCount{key.tier, key.reason, key.state, count})
 	}
--- a/internal/load/wigeonreport/plot.go
+++ b/internal/load/wigeonreport/plot.go
@@ -59,7 +59,7 @@
 		if q.Count == 0 {
 			q = t.Total
 		}
-		names = append(names, t.Tier+"\n"+t.Organisation)
+		names = append(names, t.Tier+"\n"+string(t.Kind))
 		for i, value := range []float64{q.P50, q.P95, q.P99} {
 			groups[i] = append(groups[i], value)
 		}
--- a/internal/load/wigeonreport/report_test.go
+++ b/internal/load/wigeonreport/report_test.go
@@ -22,7 +22,7 @@
 	return &wigeonload.Result{
 		Scenario: "<champerico>", SendMS: 2000, Nodes: []string{"127.0.0.1:1"},
 		Tiers: []wigeonload.TierResult{{
-			Organisation: "rederos", Tier: "tide", TierCounts: wigeonload.TierCounts{Requests: 10, Good: 8, Wrong: 2},
+			Tier: "tide", Kind: wigeonshift.ServiceModel, TierCounts: wigeonload.TierCounts{Requests: 10, Good: 8, Wrong: 2},
 			FirstToken: wigeonload.Quantiles{Count: 8, P50: 12.5, P95: 30, P99: 40},
 		}},
 		Refusals: []wigeonload.RefusalCount{{Tier: "tide", Reason: wigeonshift.ReasonQueueFull, State: wigeonshift.NotRun, Count: 3}},
--- a/internal/load/wigeonreport/table.go
+++ b/internal/load/wigeonreport/table.go
@@ -71,7 +71,10 @@
 // tables returns the tables of a result that have rows.
 func tables(res *wigeonload.Result) []table {
 	all := []table{
-		goodputTable(res), latencyTable(res), refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res),
+		goodputTable("Goodput by tier", res.Tiers, res.SendMS), latencyTable("Times in ms by tier", res.Tiers),
+		goodputTable("Goodput by organisation", res.Organisations, res.SendMS),
+		latencyTable("Times in ms by organisation", res.Organisations),
+		refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res),
 	}
 	shown := all[:0]
 	for _, t := range all {
@@ -82,35 +85,25 @@
 	return shown
 }
 
-func goodputTable(res *wigeonload.Result) table {
-	t := table{
-		Title: "Goodput by tier",
-		Header: []string{
-			"tier", "organisation", "requests", "good", "good/s", "tokens/s", "share", "late", "refused", "broken",
-			"unreachable", "wrong", "resends",
-		},
-	}
-	seconds := max(float64(res.SendMS)/1000, 0.001)
-	for _, r := range res.Tiers {
-		t.Rows = append(t.Rows, []string{
-			r.Tier, r.Organisation, count(r.Requests), count(r.Good), decimal(float64(r.Good) / seconds),
-			decimal(float64(r.GoodTokens) / seconds), percent(float64(r.Good) / max(1, float64(r.Requests))),
-			count(r.Late), count(r.Refused), count(r.Broken), count(r.Unreachable), count(r.Wrong), count(r.Resends),
-		})
+func goodputTable(title string, results []wigeonload.TierResult, sendMS int64) table {
+	t := table{Title: title, Header: append(nameHeader(results),
+		"requests", "good", "good/s", "tokens/s", "share", "late", "refused", "broken", "unreachable", "wrong", "resends")}
+	seconds := max(float64(sendMS)/1000, 0.001)
+	for _, r := range results {
+		t.Rows = append(t.Rows, append(nameCells(r),
+			count(r.Requests), count(r.Good), decimal(float64(r.Good)/seconds),
+			decimal(float64(r.GoodTokens)/seconds), percent(float64(r.Good)/max(1, float64(r.Requests))),
+			count(r.Late), count(r.Refused), count(r.Broken), count(r.Unreachable), count(r.Wrong), count(r.Resends)))
 	}
 	return t
 }
 
-func latencyTable(res *wigeonload.Result) table {
-	t := table{
-		Title: "Times in ms",
-		Header: []string{
-			"tier", "organisation", "first p50", "first p95", "first p99", "between p50", "between p95", "between p99",
-			"whole p50", "whole p95", "whole p99",
-		},
-	}
-	for _, r := range res.Tiers {
-		row := []string{r.Tier, r.Organisation}
+func latencyTable(title string, results []wigeonload.TierResult) table {
+	t := table{Title: title, Header: append(nameHeader(results),
+		"first p50", "first p95", "first p99", "between p50", "between p95", "between p99",
+		"whole p50", "whole p95", "whole p99")}
+	for _, r := range results {
+		row := nameCells(r)
 		for _, q := range []wigeonload.Quantiles{r.FirstToken, r.BetweenTokens, r.Total} {
 			row = append(row, timeText(q, q.P50), timeText(q, q.P95), timeText(q, q.P99))
 		}
@@ -119,6 +112,23 @@
 	return t
 }
 
+// nameHeader heads the columns of nameCells.
+func nameHeader(results []wigeonload.TierResult) []string {
+	if len(results) > 0 && results[0].Organisation == "" {
+		return []string{"tier", "service"}
+	}
+	return []string{"tier", "service", "organisation"}
+}
+
+// nameCells names a result.
+func nameCells(r wigeonload.TierResult) []string {
+	cells := []string{r.Tier, string(r.Kind)}
+	if r.Organisation != "" {
+		cells = append(cells, r.Organisation)
+	}
+	return cells
+}
+
 func refusalTable(res *wigeonload.Result) table {
 	t := table{Title: "Refusals of sends", Header: []string{"tier", "reason", "state", "count"}}
 	for _, r := range res.Refusals {
