--- a/internal/services/wigeonendpoint/dialer.go
+++ b/internal/services/wigeonendpoint/dialer.go
@@ -14,19 +14,25 @@
 
 	"wigeonshift"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/valyala/fasthttp"
 )
 
+// maxClients bounds the clients kept. One that is dropped goes on serving those who hold it.
+const maxClients = 8192
+
 // Dialer makes endpoint clients. It is safe for concurrent use.
 type Dialer struct {
 	set     settings
 	mu      sync.Mutex
-	clients map[string]*Client
+	clients *simplelru.LRU[string, *Client]
 }
 
 // New returns a dialer.
 func New(opts ...Option) *Dialer {
-	d := &Dialer{set: defaultSettings(), clients: map[string]*Client{}}
+	d := &Dialer{set: defaultSettings()}
+	// NewLRU fails only for a size below 1.
+	d.clients, _ = simplelru.NewLRU[string, *Client](maxClients, nil)
 	for _, o := range opts {
 		o(&d.set)
 	}
@@ -37,10 +43,10 @@
 func (d *Dialer) Endpoint(address string) wigeonshift.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c, ok := d.clients[address]
+	c, ok := d.clients.Get(address)
 	if !ok {
 		c = newClient(address, &d.set)
-		d.clients[address] = c
+		d.clients.Add(address, c)
 	}
 	return c
 }
@@ -49,7 +55,7 @@
 func (d *Dialer) CloseIdle() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, c := range d.clients {
+	for _, c := range d.clients.Values() {
 		c.host.CloseIdleConnections()
 	}
 }
