--- a/internal/load/wigeonreport/table.go
+++ b/internal/load/wigeonreport/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 
 	"wigeonshift/internal/load/wigeonload"
 
@@ -47,22 +48,21 @@
 	return out.Render()
 }
 
+// nameColumns are the headers of columns that hold names; the others hold figures.
+var nameColumns = []string{"tier", "service", "organisation", "reason", "state", "check", "path"}
+
 // alignment puts names left and figures right.
 func (t *table) alignment() tw.Alignment {
 	alignment := make(tw.Alignment, len(t.Header))
-	for i := range alignment {
+	for i, header := range t.Header {
 		alignment[i] = tw.AlignRight
-		if len(t.Rows) > 0 && !startsWithDigit(t.Rows[0][i]) {
+		if slices.Contains(nameColumns, header) {
 			alignment[i] = tw.AlignLeft
 		}
 	}
 	return alignment
 }
 
-func startsWithDigit(text string) bool {
-	return text != "" && (text[0] >= '0' && text[0] <= '9' || text[0] == '-')
-}
-
 func headline(res *wigeonload.Result) string {
 	return fmt.Sprintf("%s, seed %d, %d nodes, %.1f s of sending, %.1f s in all", res.Scenario, res.Seed,
 		len(res.Nodes), float64(res.SendMS)/1000, float64(res.ElapsedMS)/1000)
@@ -72,10 +72,12 @@
 func tables(res *wigeonload.Result) []table {
 	all := []table{
 		goodputTable("Goodput by tier", res.Tiers, res.SendMS), latencyTable("Times in ms by tier", res.Tiers),
-		goodputTable("Goodput by organisation", res.Organisations, res.SendMS),
-		latencyTable("Times in ms by organisation", res.Organisations),
-		refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res),
 	}
+	if len(res.Organisations) > len(res.Tiers) {
+		all = append(all, goodputTable("Goodput by organisation", res.Organisations, res.SendMS),
+			latencyTable("Times in ms by organisation", res.Organisations))
+	}
+	all = append(all, refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res))
 	shown := all[:0]
 	for _, t := range all {
 		if len(t.Rows) > 0 {
