--- a/internal/services/wigeonendpoint/client.go
+++ b/internal/services/wigeonendpoint/client.go
@@ -13,6 +13,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// pathStream names the stream of the attempt in the header; tokens may hold any printable characters.
+const pathStream = "/v1/stream"
+
 // Client is the client of one endpoint.
 type Client struct {
 	address string
@@ -24,13 +27,13 @@
 
 // Pause stops a stream at a token boundary and keeps its state.
 func (c *Client) Pause(ctx context.Context, token wigeonshift.AttemptToken) error {
-	_, err := c.control(ctx, fasthttp.MethodPost, streamPath(token)+"/pause", token, nil)
+	_, err := c.control(ctx, fasthttp.MethodPost, pathStream+"/pause", token, nil)
 	return err
 }
 
 // Cancel ends a stream and drops its state. A stream that the engine doesn't know is no error.
 func (c *Client) Cancel(ctx context.Context, token wigeonshift.AttemptToken) error {
-	_, err := c.control(ctx, fasthttp.MethodDelete, streamPath(token), token, nil)
+	_, err := c.control(ctx, fasthttp.MethodDelete, pathStream, token, nil)
 	if errors.Is(err, errUnknownStream) {
 		return nil
 	}
@@ -39,12 +42,12 @@
 
 // ExportKV returns the state of a paused stream.
 func (c *Client) ExportKV(ctx context.Context, token wigeonshift.AttemptToken) ([]byte, error) {
-	return c.control(ctx, fasthttp.MethodGet, streamPath(token)+"/kv", token, nil)
+	return c.control(ctx, fasthttp.MethodGet, pathStream+"/kv", token, nil)
 }
 
 // ImportKV installs the state of a stream that another engine exported, under a token of its own.
 func (c *Client) ImportKV(ctx context.Context, token wigeonshift.AttemptToken, state []byte) error {
-	_, err := c.control(ctx, fasthttp.MethodPut, streamPath(token)+"/kv", token, state)
+	_, err := c.control(ctx, fasthttp.MethodPut, pathStream+"/kv", token, state)
 	return err
 }
 
@@ -142,7 +145,7 @@
 	case x.provesNotRun():
 		return builder.Wrap(wigeonshift.ErrNotRun)
 	default:
-		return builder.Wrap(wigeonshift.ErrEndpointFailed)
+		return builder.Wrapf(wigeonshift.ErrEndpointFailed, "status %d %s", status, f.Reason)
 	}
 }
 
@@ -151,10 +154,6 @@
 	return string(x.response.Header.Peek(wigeonprotocol.HeaderRunState)) == string(wigeonshift.NotRun)
 }
 
-func streamPath(token wigeonshift.AttemptToken) string {
-	return "/v1/streams/" + string(token)
-}
-
 // classNames are the counter's reasons.
 var classNames = []struct {
 	sentinel error
--- a/internal/services/wigeonendpoint/endpoint_test.go
+++ b/internal/services/wigeonendpoint/endpoint_test.go
@@ -48,10 +48,13 @@
 	return e
 }
 
+// tokenPrefix has the characters of an owner's tokens.
+const tokenPrefix = "dev/assistant/local/0#7."
+
 // request asks for a completion that takes several steps.
 func request(token string) wigeonshift.GenerateRequest {
 	return wigeonshift.GenerateRequest{
-		Token: wigeonshift.AttemptToken(token), Model: wigeonengine.DefaultModel,
+		Token: wigeonshift.AttemptToken(tokenPrefix + token), Model: wigeonengine.DefaultModel,
 		Prompt: "which knot holds a seine? " + strings.Repeat("twine ", 200), MaxTokens: 24,
 	}
 }
@@ -216,7 +219,7 @@
 		failed := errors.New("caller gone")
 		_, err = endpoint.Generate(ctx, request("c"), nil, func(wigeonshift.Chunk) error { return failed })
 		Expect(err).To(MatchError(failed))
-		_, err = endpoint.Resume(ctx, "c", 0, (&collector{}).sink)
+		_, err = endpoint.Resume(ctx, tokenPrefix+"c", 0, (&collector{}).sink)
 		Expect(err).To(MatchError(wigeonshift.ErrEndpointLost))
 		Expect(e.Stats().DecodeTokensThrownAway).To(BeNumerically(">", 0))
 	})
@@ -240,10 +243,10 @@
 		Expect(result.Finish).To(Equal(wigeonshift.FinishPaused))
 		state, err := source.ExportKV(ctx, r.Token)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(target.ImportKV(ctx, "moved", state)).To(Succeed())
+		Expect(target.ImportKV(ctx, tokenPrefix+"moved", state)).To(Succeed())
 		Expect(source.Cancel(ctx, r.Token)).To(Succeed())
 		Expect(source.Cancel(ctx, r.Token)).To(Succeed())
-		result, err = target.Resume(ctx, "moved", result.TokensDone, c.sink)
+		result, err = target.Resume(ctx, tokenPrefix+"moved", result.TokensDone, c.sink)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.text.String()).To(Equal(whole(r)))
 		Expect(result.TokensDone).To(Equal(wigeonengine.AnswerTokens(r.Model, r.Prompt, r.MaxTokens)))
--- a/internal/services/wigeonendpoint/generate.go
+++ b/internal/services/wigeonendpoint/generate.go
@@ -30,7 +30,7 @@
 func (c *Client) Resume(
 	ctx context.Context, token wigeonshift.AttemptToken, offset int, sink func(wigeonshift.Chunk) error,
 ) (wigeonshift.GenerateResult, error) {
-	path := streamPath(token) + "?offset=" + strconv.Itoa(offset)
+	path := pathStream + "?offset=" + strconv.Itoa(offset)
 	request := c.newRequest(fasthttp.MethodGet, path, token)
 	defer fasthttp.ReleaseRequest(request)
 	return c.follow(ctx, request, nil, &frames{token: token, sink: sink, offset: offset})
--- a/internal/services/wigeonendpoint/proof_test.go
+++ b/internal/services/wigeonendpoint/proof_test.go
@@ -90,6 +90,7 @@
 
 var _ = Describe("Proof of not-run", func() {
 	const plenty = 1 << 20
+	short := wigeonshift.GenerateRequest{Token: "a", Model: "m", Prompt: strings.Repeat("twine ", 200), MaxTokens: 4}
 	frame := `{"chunk":{"token":"a","offset":0,"count":1,"text":"net "}}` + "\n"
 	result := func(token, done string) string {
 		return `{"result":{"token":"` + token + `","finish":"stop","tokensDone":` + done + `}}` + "\n"
@@ -104,7 +105,7 @@
 			p := &pipes{answer: answer, writable: writable}
 			endpoint := wigeonendpoint.New(wigeonendpoint.WithDial(p.dial)).Endpoint("pipe:1")
 			started := 0
-			_, err := endpoint.Generate(context.Background(), request("a"), func() { started++ },
+			_, err := endpoint.Generate(context.Background(), short, func() { started++ },
 				func(wigeonshift.Chunk) error { return nil })
 			Expect(started).To(Equal(1))
 			if want == nil {
@@ -145,7 +146,7 @@
 				d := wigeonendpoint.New(wigeonendpoint.WithDial(p.dial),
 					wigeonendpoint.WithFirstTokenTimeout(30*time.Second), wigeonendpoint.WithChunkTimeout(5*time.Second))
 				start := time.Now()
-				_, err := d.Endpoint("pipe:1").Generate(context.Background(), request("a"), nil,
+				_, err := d.Endpoint("pipe:1").Generate(context.Background(), short, nil,
 					func(wigeonshift.Chunk) error { return nil })
 				g.Expect(err).To(MatchError(wigeonshift.ErrProgressTimeout))
 				g.Expect(err).NotTo(MatchError(wigeonshift.ErrNotRun))
@@ -175,7 +176,7 @@
 		}{{&tls.Config{RootCAs: roots}, nil}, {&tls.Config{}, wigeonshift.ErrNotRun}} {
 			started := 0
 			_, err := wigeonendpoint.New(wigeonendpoint.WithTLS(c.config)).Endpoint(address).Generate(
-				context.Background(), request("a"), func() { started++ }, func(wigeonshift.Chunk) error { return nil })
+				context.Background(), short, func() { started++ }, func(wigeonshift.Chunk) error { return nil })
 			if c.want == nil {
 				Expect(err).NotTo(HaveOccurred())
 				continue
--- a/internal/standin/wigeonengine/http.go
+++ b/internal/standin/wigeonengine/http.go
@@ -61,11 +61,11 @@
 	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes, IdleTimeout: idleTimeout})
 	app.Use(echoAttempt)
 	app.Post("/v1/generate", e.postGenerate)
-	app.Get("/v1/streams/:token", e.getStream)
-	app.Delete("/v1/streams/:token", e.deleteStream)
-	app.Post("/v1/streams/:token/pause", e.postPause)
-	app.Get("/v1/streams/:token/kv", e.getKV)
-	app.Put("/v1/streams/:token/kv", e.putKV)
+	app.Get("/v1/stream", e.getStream)
+	app.Delete("/v1/stream", e.deleteStream)
+	app.Post("/v1/stream/pause", e.postPause)
+	app.Get("/v1/stream/kv", e.getKV)
+	app.Put("/v1/stream/kv", e.putKV)
 	app.Get("/v1/load", e.getLoad)
 	app.Get("/v1/cache/events", e.getCacheEvents)
 	app.Post("/v1/orders", e.postOrder)
@@ -181,7 +181,7 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-// tokenOf returns the path's attempt token, copied out of the request's buffer.
+// tokenOf returns the header's attempt token, copied out of the request's buffer.
 func tokenOf(c fiber.Ctx) wigeonshift.AttemptToken {
-	return wigeonshift.AttemptToken(strings.Clone(c.Params("token")))
+	return wigeonshift.AttemptToken(strings.Clone(c.Get(wigeonprotocol.HeaderAttempt)))
 }
