--- a/internal/load/wigeonreport/table.go
+++ b/internal/load/wigeonreport/table.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"wigeonshift/internal/load/wigeonload"
 
@@ -47,22 +49,21 @@
 	return out.Render()
 }
 
+// nameColumns are the headers of columns that hold names; the others hold figures.
+var nameColumns = []string{"tier", "service", "organisation", "reason", "state", "check", "path"}
+
 // alignment puts names left and figures right.
 func (t *table) alignment() tw.Alignment {
 	alignment := make(tw.Alignment, len(t.Header))
-	for i := range alignment {
+	for i, header := range t.Header {
 		alignment[i] = tw.AlignRight
-		if len(t.Rows) > 0 && !startsWithDigit(t.Rows[0][i]) {
+		if slices.Contains(nameColumns, header) {
 			alignment[i] = tw.AlignLeft
 		}
 	}
 	return alignment
 }
 
-func startsWithDigit(text string) bool {
-	return text != "" && (text[0] >= '0' && text[0] <= '9' || text[0] == '-')
-}
-
 func headline(res *wigeonload.Result) string {
 	return fmt.Sprintf("%s, seed %d, %d nodes, %.1f s of sending, %.1f s in all", res.Scenario, res.Seed,
 		len(res.Nodes), float64(res.SendMS)/1000, float64(res.ElapsedMS)/1000)
@@ -71,8 +72,13 @@
 // tables returns the tables of a result that have rows.
 func tables(res *wigeonload.Result) []table {
 	all := []table{
-		goodputTable(res), latencyTable(res), refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res),
+		goodputTable("Goodput by tier", res.Tiers, res.SendMS), latencyTable("Times in ms by tier", res.Tiers),
 	}
+	if len(res.Organisations) > len(res.Tiers) {
+		all = append(all, goodputTable("Goodput by organisation", res.Organisations, res.SendMS),
+			latencyTable("Times in ms by organisation", res.Organisations))
+	}
+	all = append(all, refusalTable(res), prefillTable(res), checkTable(res), overheadTable(res), failureTable(res))
 	shown := all[:0]
 	for _, t := range all {
 		if len(t.Rows) > 0 {
@@ -82,35 +88,25 @@
 	return shown
 }
 
-func goodputTable(res *wigeonload.Result) table {
-	t := table{
-		Title: "Goodput by tier",
-		Header: []string{
-			"tier", "organisation", "requests", "good", "good/s", "tokens/s", "share", "late", "refused", "broken",
-			"unreachable", "wrong", "resends",
-		},
-	}
-	seconds := max(float64(res.SendMS)/1000, 0.001)
-	for _, r := range res.Tiers {
-		t.Rows = append(t.Rows, []string{
-			r.Tier, r.Organisation, count(r.Requests), count(r.Good), decimal(float64(r.Good) / seconds),
-			decimal(float64(r.GoodTokens) / seconds), percent(float64(r.Good) / max(1, float64(r.Requests))),
-			count(r.Late), count(r.Refused), count(r.Broken), count(r.Unreachable), count(r.Wrong), count(r.Resends),
-		})
+func goodputTable(title string, results []wigeonload.TierResult, sendMS int64) table {
+	t := table{Title: title, Header: append(nameHeader(results),
+		"requests", "good", "good/s", "tokens/s", "share", "late", "refused", "broken", "unreachable", "wrong", "resends")}
+	seconds := max(float64(sendMS)/1000, 0.001)
+	for _, r := range results {
+		t.Rows = append(t.Rows, append(nameCells(r),
+			count(r.Requests), count(r.Good), decimal(float64(r.Good)/seconds),
+			decimal(float64(r.GoodTokens)/seconds), percent(float64(r.Good)/max(1, float64(r.Requests))),
+			count(r.Late), count(r.Refused), count(r.Broken), count(r.Unreachable), count(r.Wrong), count(r.Resends)))
 	}
 	return t
 }
 
-func latencyTable(res *wigeonload.Result) table {
-	t := table{
-		Title: "Times in ms",
-		Header: []string{
-			"tier", "organisation", "first p50", "first p95", "first p99", "between p50", "between p95", "between p99",
-			"whole p50", "whole p95", "whole p99",
-		},
-	}
-	for _, r := range res.Tiers {
-		row := []string{r.Tier, r.Organisation}
+func latencyTable(title string, results []wigeonload.TierResult) table {
+	t := table{Title: title, Header: append(nameHeader(results),
+		"first p50", "first p95", "first p99", "between p50", "between p95", "between p99",
+		"whole p50", "whole p95", "whole p99")}
+	for _, r := range results {
+		row := nameCells(r)
 		for _, q := range []wigeonload.Quantiles{r.FirstToken, r.BetweenTokens, r.Total} {
 			row = append(row, timeText(q, q.P50), timeText(q, q.P95), timeText(q, q.P99))
 		}
@@ -119,6 +115,23 @@
 	return t
 }
 
+// nameHeader heads the columns of nameCells.
+func nameHeader(results []wigeonload.TierResult) []string {
+	if len(results) > 0 && results[0].Organisation == "" {
+		return []string{"tier", "service"}
+	}
+	return []string{"tier", "service", "organisation"}
+}
+
+// nameCells names a result.
+func nameCells(r wigeonload.TierResult) []string {
+	cells := []string{r.Tier, string(r.Kind)}
+	if r.Organisation != "" {
+		cells = append(cells, r.Organisation)
+	}
+	return cells
+}
+
 func refusalTable(res *wigeonload.Result) table {
 	t := table{Title: "Refusals of sends", Header: []string{"tier", "reason", "state", "count"}}
 	for _, r := range res.Refusals {
@@ -143,6 +156,9 @@
 func checkTable(res *wigeonload.Result) table {
 	c := res.Checks
 	t := table{Title: "Checks (all but the first three must be 0)", Header: []string{"check", "count"}}
+	if res.Overhead != nil {
+		return t
+	}
 	t.Rows = [][]string{
 		{"answers verified whole", count(c.Verified)},
 		{"stand-in ledgers compared", count(int64(c.Ledgers))},
@@ -181,6 +197,20 @@
 	return t
 }
 
+func failureTable(res *wigeonload.Result) table {
+	t := table{Title: "Failures", Header: []string{"path", "reason", "count"}}
+	if res.Overhead == nil {
+		return t
+	}
+	for _, name := range slices.Sorted(maps.Keys(res.Overhead.Direct.Failures)) {
+		t.Rows = append(t.Rows, []string{"direct", name, count(res.Overhead.Direct.Failures[name])})
+	}
+	for _, name := range slices.Sorted(maps.Keys(res.Overhead.Node.Failures)) {
+		t.Rows = append(t.Rows, []string{"nodes", name, count(res.Overhead.Node.Failures[name])})
+	}
+	return t
+}
+
 func count(n int64) string { return fmt.Sprint(n) }
 
 func decimal(f float64) string { return fmt.Sprintf("%.1f", f) }
