--- a/internal/services/wigeonentry/fake_test.go
+++ b/internal/services/wigeonentry/fake_test.go
@@ -244,7 +244,7 @@
 }
 
 func (e *fakeEndpoint) Pause(_ context.Context, token wigeonshift.AttemptToken) error {
-	e.record(e.address, "pause", runDetail{Token: token})
+	e.record(e.address+" control", "pause", runDetail{Token: token})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.pauses[token])
@@ -252,7 +252,7 @@
 }
 
 func (e *fakeEndpoint) Cancel(_ context.Context, token wigeonshift.AttemptToken) error {
-	e.record(e.address, "cancel", runDetail{Token: token})
+	e.record(e.address+" control", "cancel", runDetail{Token: token})
 	return nil
 }
 
--- a/internal/services/wigeonentry/option.go
+++ b/internal/services/wigeonentry/option.go
@@ -6,6 +6,7 @@
 
 	"wigeonshift"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -73,6 +74,9 @@
 // WithAnalyzer sets the analysis of prompts.
 func WithAnalyzer(a Analyzer) Option { return func(s *Service) { s.analyze = a } }
 
+// WithBackOff sets the waits between attempts to record an outcome.
+func WithBackOff(b func() backoff.BackOff) Option { return func(s *Service) { s.backOff = b } }
+
 // defaultAnalyzer estimates the length from the number of bytes and knows no prefixes.
 func defaultAnalyzer(g Generate) Analysis {
 	return Analysis{
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -13,6 +13,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonscheduler"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
@@ -29,6 +30,7 @@
 	settings      Settings
 	log           logrus.FieldLogger
 	counters      *counters
+	backOff       func() backoff.BackOff
 
 	routes   atomic.Pointer[routes]
 	lastID   atomic.Uint64
@@ -61,6 +63,7 @@
 		settings:      DefaultSettings(),
 		log:           discardLog(),
 		counters:      newCounters(tally.NoopScope),
+		backOff:       func() backoff.BackOff { return backoff.NewExponentialBackOff() },
 		ended:         make(chan struct{}, 1),
 		state:         wigeonscheduler.State{Entry: &wigeonscheduler.EntryState{}},
 	}
--- a/internal/services/wigeonentry/session_test.go
+++ b/internal/services/wigeonentry/session_test.go
@@ -12,6 +12,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonentry"
 
+	"github.com/cenkalti/backoff/v5"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 )
@@ -57,7 +58,8 @@
 	}
 	scope := tally.NewTestScope("", nil)
 	service := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()},
-		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope))
+		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope),
+		wigeonentry.WithBackOff(func() backoff.BackOff { return backoff.NewConstantBackOff(time.Second) }))
 	answers := make([]sessionAnswer, len(sc.Callers))
 	var callers sync.WaitGroup
 	for i, c := range sc.Callers {
--- a/internal/services/wigeonentry/settle.go
+++ b/internal/services/wigeonentry/settle.go
@@ -68,7 +68,7 @@
 	defer s.service.finished(&s.service.background)
 	defer close(s.done)
 	_, err := backoff.Retry(s.service.running, s.try,
-		backoff.WithBackOff(backoff.NewExponentialBackOff()),
+		backoff.WithBackOff(s.service.backOff()),
 		backoff.WithMaxElapsedTime(s.service.settings.SettleTimeout))
 	if err != nil {
 		s.service.counters.add("entrySettleFailures", "", 1)
