--- a/internal/services/wigeonentry/run.go
+++ b/internal/services/wigeonentry/run.go
@@ -40,7 +40,7 @@
 	r.ctx, r.cancel = context.WithCancel(f.service.running)
 	f.setCurrent(r)
 	f.arm(time.Now())
-	f.service.tasks.Go(r.run)
+	f.service.startRun(r)
 }
 
 // run carries out the run and posts its end.
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -41,7 +41,10 @@
 	// ended is signalled when a request or background task ends during a drain.
 	ended chan struct{}
 	tasks conc.WaitGroup
-	stop  context.CancelFunc
+	// work reaches an idle worker; idle counts them.
+	work chan *run
+	idle atomic.Int64
+	stop context.CancelFunc
 	// running ends when the service is stopped; attempts hang on it.
 	running context.Context //nolint:containedctx // attempts outlive the caller's context but not the service
 
@@ -65,6 +68,7 @@
 		counters:      newCounters(tally.NoopScope),
 		backOff:       func() backoff.BackOff { return backoff.NewExponentialBackOff() },
 		ended:         make(chan struct{}, 1),
+		work:          make(chan *run),
 		state:         wigeonscheduler.State{Entry: &wigeonscheduler.EntryState{}},
 	}
 	for _, opt := range opts {
