Finish non-idempotent calls whose caller has left, and free slow callers' runs

A deadline or an owner's cancel cut a dispatched non-idempotent call, so its outcome was lost and every repeat got 409. Such a call now goes on without its caller until its outcome is recorded; the caller is answered at once.

A chunk that waited for a slow caller held the lock that the loop needs: no revocation or deadline passed until the caller read on, and the stream was taken for silent. The loop no longer takes the lock before it cancels, and waiting for a caller isn't silence.

--- a/internal/routers/wigeoncaller/fake_test.go
+++ b/internal/routers/wigeoncaller/fake_test.go
@@ -43,7 +43,7 @@
 func (grantSession) Report(wigeonshift.AttemptReport)           {}
 func (grantSession) Close()                                     {}
 
-// wordEngine answers a prompt with its words; the word "break" fails the stream and "hang" waits for its end.
+// wordEngine answers a prompt with its words; "break" fails the stream, "hang" waits for its end and "flood" never ends.
 type wordEngine struct {
 	wigeonshift.Endpoint
 	cancelled chan wigeonshift.AttemptToken
@@ -65,6 +65,12 @@
 		case "hang":
 			<-ctx.Done()
 			return wigeonshift.GenerateResult{}, ctx.Err()
+		case "flood":
+			for ; ; done++ {
+				if err := sink(wigeonshift.Chunk{Token: r.Token, Offset: done, Count: 1, Text: strings.Repeat("x", 4096)}); err != nil {
+					return wigeonshift.GenerateResult{}, err
+				}
+			}
 		}
 		if err := sink(wigeonshift.Chunk{Token: r.Token, Offset: done, Count: 1, Text: word}); err != nil {
 			return wigeonshift.GenerateResult{}, err
--- a/internal/routers/wigeoncaller/server_test.go
+++ b/internal/routers/wigeoncaller/server_test.go
@@ -35,7 +35,7 @@
 	return "p", "o", nil
 }
 
-func newSite() *site {
+func newSite(change ...func(*wigeoncaller.Settings)) *site {
 	e := &wordEngine{cancelled: make(chan wigeonshift.AttemptToken, 8), calls: make(chan wigeonshift.ServiceCall, 8)}
 	entry := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()}, grantBroker{}, oneDialer{e},
 		&memoryClaims{rows: map[string]wigeonshift.Claim{}})
@@ -43,6 +43,9 @@
 	settings.MaxBodyBytes = 4096
 	settings.MaxHeaderBytes = 4096
 	settings.GonePeriod = 5 * time.Millisecond
+	for _, f := range change {
+		f(&settings)
+	}
 	server := wigeoncaller.New(entry, authenticate, wigeoncaller.WithSettings(settings))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -74,6 +77,17 @@
 	return answer, string(text)
 }
 
+// ask sends a completion on a connection of its own and leaves the answer unread.
+func (s *site) ask(body string) net.Conn {
+	c, err := net.Dial("tcp", s.address)
+	Expect(err).NotTo(HaveOccurred())
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.address+"/v1/completions", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer k.secret")
+	Expect(r.Write(c)).To(Succeed())
+	return c
+}
+
 var _ = Describe("The HTTP interface for callers", func() {
 	It("answers completions whole", func() {
 		s := newSite()
@@ -158,12 +172,7 @@
 	DescribeTable("cancels the work of a caller that has gone",
 		func(body string) {
 			s := newSite()
-			c, err := net.Dial("tcp", s.address)
-			Expect(err).NotTo(HaveOccurred())
-			r, err := http.NewRequest(http.MethodPost, "http://"+s.address+"/v1/completions", strings.NewReader(body))
-			Expect(err).NotTo(HaveOccurred())
-			r.Header.Set("Authorization", "Bearer k.secret")
-			Expect(r.Write(c)).To(Succeed())
+			c := s.ask(body)
 			if strings.Contains(body, "first") {
 				line, err := bufio.NewReader(c).ReadString('\n')
 				Expect(err).NotTo(HaveOccurred())
@@ -180,6 +189,26 @@
 		Entry("streamed, after the first token", `{"model":"m","prompt":"first hang","stream":true}`),
 	)
 
+	It("leaves callers that do not read their answer", func() {
+		s := newSite(func(settings *wigeoncaller.Settings) { settings.WriteTimeout = 50 * time.Millisecond })
+		c := s.ask(`{"model":"m","prompt":"flood","stream":true}`)
+		defer c.Close()
+		Eventually(s.engine.cancelled, patience).Should(Receive())
+		Eventually(s.entry.InFlight, patience).Should(BeZero())
+	})
+
+	It("leaves callers that do not finish their request", func() {
+		s := newSite(func(settings *wigeoncaller.Settings) { settings.ReadTimeout = 50 * time.Millisecond })
+		c, err := net.Dial("tcp", s.address)
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = c.Write([]byte("POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n\r\n{"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+		_, err = io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred(), "the connection was not closed")
+	})
+
 	It("lists models and tells its readiness", func() {
 		s := newSite()
 		_, body := s.send("GET", "/v1/models", "")
--- a/internal/services/wigeonentry/flight.go
+++ b/internal/services/wigeonentry/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonshift"
@@ -19,7 +20,9 @@
 	ask     wigeonshift.PermitRequest
 	sink    Sink
 	result  Result
-	ended   bool
+	// answered is set when result is final, ended when nothing more is to be done.
+	answered, ended bool
+
 	session wigeonshift.PermitSession
 	answers <-chan wigeonshift.PermitAnswer
 	events  chan wigeonscheduler.Body
@@ -27,13 +30,16 @@
 	// began is the time of the first byte of the current permit's dispatch.
 	began time.Time
 
+	// offset is the number of tokens delivered to the sink.
+	offset atomic.Int64
+	// progress is the time of the last sign of life of the current run, in nanoseconds of the Unix time.
+	progress atomic.Int64
+	// writing is set while a chunk waits for the caller.
+	writing atomic.Bool
+	// mu is held while a chunk is checked and delivered.
 	mu sync.Mutex
-	// current is the run whose chunks count; guarded by mu.
+	// current is the run whose chunks count. Only the loop changes it, with mu held.
 	current *run
-	// offset is the number of tokens delivered to the sink; guarded by mu.
-	offset int
-	// progress is the time of the last sign of life of the current run; guarded by mu.
-	progress time.Time
 }
 
 func newFlight(s *Service, r Request, ask wigeonshift.PermitRequest, sink Sink) *flight {
@@ -47,23 +53,45 @@
 	}
 }
 
-// loop carries the request to its end. All events of the request pass through it.
-func (f *flight) loop(ctx context.Context) {
+// begin carries the request to its answer.
+func (f *flight) begin(ctx context.Context) {
 	f.timer = time.NewTimer(time.Until(f.ask.Deadline))
-	defer f.timer.Stop()
 	f.apply(ctx, wigeonscheduler.CallerArrived{Ask: f.ask, Claim: f.service.newClaim(f.ask, f.request, time.Now())})
 	gone := ctx.Done()
+	for !f.answered {
+		select {
+		case <-gone:
+			gone = nil
+			f.apply(ctx, wigeonscheduler.CallerGone{Request: f.ask.ID})
+		case b := <-f.events:
+			f.apply(ctx, b)
+		case a, ok := <-f.answers:
+			f.permitAnswered(ctx, a, ok)
+		case <-f.timer.C:
+			f.timeout(ctx)
+		}
+	}
+	if f.ended {
+		f.timer.Stop()
+	}
+}
+
+// loop carries an answered request on to its end.
+func (f *flight) loop() {
+	defer f.service.finished(&f.service.background)
+	defer f.timer.Stop()
+	ctx := f.service.running
+	f.arm(time.Now())
 	for !f.ended {
 		select {
 		case b := <-f.events:
 			f.apply(ctx, b)
 		case a, ok := <-f.answers:
 			f.permitAnswered(ctx, a, ok)
-		case <-gone:
-			gone = nil
-			f.apply(ctx, wigeonscheduler.CallerGone{Request: f.ask.ID})
 		case <-f.timer.C:
 			f.timeout(ctx)
+		case <-ctx.Done():
+			return
 		}
 	}
 }
@@ -80,11 +108,11 @@
 // timeout ends the request at its deadline and a run that went silent.
 func (f *flight) timeout(ctx context.Context) {
 	now := time.Now()
-	if !now.Before(f.ask.Deadline) {
+	if !f.answered && !now.Before(f.ask.Deadline) {
 		f.apply(ctx, wigeonscheduler.DeadlineReached{Request: f.ask.ID})
 		return
 	}
-	if r, silent := f.silentRun(now); silent {
+	if r := f.current; r != nil && f.silenceLeft(now) <= 0 {
 		f.service.counters.add("entryStreamTimeouts", "", 1)
 		f.setCurrent(nil)
 		f.apply(ctx, r.end(wigeonscheduler.OutcomeLost))
@@ -92,30 +120,27 @@
 	f.arm(now)
 }
 
-// silentRun returns the current run if it has shown no sign of life for too long.
-func (f *flight) silentRun(now time.Time) (*run, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.current, f.current != nil && now.Sub(f.progress) >= f.silenceBound()
-}
-
-// silenceBound is the longest silence allowed now; mu is held.
-func (f *flight) silenceBound() time.Duration {
-	if f.offset == 0 {
-		return f.service.settings.FirstTokenTimeout
+// silenceLeft is the time that the current run may still be silent. A run that waits for a slow caller is not.
+func (f *flight) silenceLeft(now time.Time) time.Duration {
+	bound := f.service.settings.StreamTimeout
+	switch {
+	case f.writing.Load():
+		return bound
+	case f.offset.Load() == 0:
+		bound = f.service.settings.FirstTokenTimeout
 	}
-	return f.service.settings.StreamTimeout
+	return bound - time.Duration(now.UnixNano()-f.progress.Load())
 }
 
 // arm sets the timer to the deadline, the end of the allowed silence or the next look at it, whichever comes first.
 func (f *flight) arm(now time.Time) {
-	wait := f.ask.Deadline.Sub(now)
-	f.mu.Lock()
+	wait := f.service.settings.StreamTimeout
 	if f.current != nil {
-		silence := f.progress.Add(f.silenceBound()).Sub(now)
-		wait = min(wait, silence, f.service.settings.StreamTimeout)
+		wait = min(wait, f.silenceLeft(now))
+	}
+	if !f.answered {
+		wait = min(wait, f.ask.Deadline.Sub(now))
 	}
-	f.mu.Unlock()
 	f.timer.Reset(max(wait, time.Millisecond))
 }
 
@@ -137,9 +162,9 @@
 	case wigeonscheduler.ClosePermit:
 		f.closePermit()
 	case wigeonscheduler.Dispatch:
-		f.begin(&run{flight: f, number: e.Run, permit: e.Permit})
+		f.start(&run{flight: f, number: e.Run, permit: e.Permit})
 	case wigeonscheduler.ResumeStream:
-		f.begin(&run{flight: f, number: e.Run, permit: e.Permit, resume: true, offset: e.Offset, wait: e.Wait})
+		f.start(&run{flight: f, number: e.Run, permit: e.Permit, resume: true, offset: e.Offset, wait: e.Wait})
 	case wigeonscheduler.PauseStream:
 		f.pause(e)
 	case wigeonscheduler.CancelStream:
@@ -148,6 +173,9 @@
 		f.report(e.Report)
 	case wigeonscheduler.AnswerCaller:
 		f.answer(e)
+	case wigeonscheduler.EndRequest:
+		f.setCurrent(nil)
+		f.ended = true
 	case wigeonscheduler.Count:
 		f.service.counters.add(e.Name, e.Label, e.Delta)
 	}
@@ -190,14 +218,11 @@
 
 // answer makes the answer final. Chunks that come later are dropped.
 func (f *flight) answer(a wigeonscheduler.AnswerCaller) {
-	if a.Refusal == nil && a.Replay == nil {
-		f.result.Generated = f.current.generated
-		f.result.Answer = f.current.answer
-	}
-	f.setCurrent(nil)
-	f.ended = true
+	f.answered = true
+	f.ended = !a.Continues
 	f.result.Refusal = a.Refusal
-	if a.Replay != nil {
+	switch {
+	case a.Replay != nil:
 		f.result.Replayed = true
 		f.result.Answer = wigeonshift.ServiceAnswer{
 			Token:       a.Replay.Token,
@@ -205,20 +230,23 @@
 			ContentType: a.Replay.ContentType,
 			Body:        a.Replay.Body,
 		}
+	case a.Refusal == nil:
+		f.result.Generated = f.current.generated
+		f.result.Answer = f.current.answer
+	}
+	if f.ended {
+		f.setCurrent(nil)
 	}
 }
 
 // setCurrent replaces the current run; the one before it is abandoned.
 func (f *flight) setCurrent(r *run) {
-	f.mu.Lock()
-	old := f.current
-	f.mu.Unlock()
-	if old != nil {
+	if f.current != nil {
 		// The cancellation frees a chunk that waits for a slow caller with mu held.
-		old.cancel()
+		f.current.cancel()
 	}
 	f.mu.Lock()
 	f.current = r
-	f.progress = time.Now()
 	f.mu.Unlock()
+	f.progress.Store(time.Now().UnixNano())
 }
--- a/internal/services/wigeonentry/request.go
+++ b/internal/services/wigeonentry/request.go
@@ -30,7 +30,8 @@
 	MaxTokens int
 }
 
-// Call asks for one call of a plain service. Its strings and body must stay valid until Do has returned.
+// Call asks for one call of a plain service. Its strings and body must stay valid and unchanged after Do has returned:
+// a run may outlive its request.
 type Call struct {
 	Service string
 	Method  string
--- a/internal/services/wigeonentry/run.go
+++ b/internal/services/wigeonentry/run.go
@@ -35,8 +35,8 @@
 	answer     wigeonshift.ServiceAnswer
 }
 
-// begin makes a run the current one and starts it.
-func (f *flight) begin(r *run) {
+// start makes a run the current one and starts it.
+func (f *flight) start(r *run) {
 	r.ctx, r.cancel = context.WithCancel(f.service.running)
 	f.setCurrent(r)
 	f.arm(time.Now())
@@ -131,19 +131,32 @@
 		return errAbandoned
 	case c.Token != r.permit.Token:
 		return r.reject("token")
-	case c.Offset != f.offset || c.Count < 0:
+	case int64(c.Offset) != f.offset.Load() || c.Count < 0:
 		return r.reject("offset")
 	}
-	if err := f.sink.Write(r.ctx, c.Text); err != nil {
+	done := c.Offset + c.Count
+	if !r.progressed && done > 0 {
+		r.progressed = true
+		r.post(wigeonscheduler.AttemptProgressed{Request: f.ask.ID, Run: r.number, TokensDone: done})
+	}
+	if err := r.write(c.Text); err != nil {
+		return err
+	}
+	f.offset.Store(int64(done))
+	return nil
+}
+
+// write hands text to the caller, who may be slow.
+func (r *run) write(text string) error {
+	f := r.flight
+	f.writing.Store(true)
+	err := f.sink.Write(r.ctx, text)
+	f.progress.Store(time.Now().UnixNano())
+	f.writing.Store(false)
+	if err != nil {
 		r.sinkFailed = true
 		return oops.In("entry").Wrapf(err, "write to caller")
 	}
-	f.offset += c.Count
-	f.progress = time.Now()
-	if !r.progressed && f.offset > 0 {
-		r.progressed = true
-		r.post(wigeonscheduler.AttemptProgressed{Request: f.ask.ID, Run: r.number, TokensDone: f.offset})
-	}
 	return nil
 }
 
@@ -215,8 +228,4 @@
 }
 
 // delivered returns the number of tokens handed to the sink.
-func (f *flight) delivered() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.offset
-}
+func (f *flight) delivered() int { return int(f.offset.Load()) }
--- a/internal/services/wigeonentry/script_test.go
+++ b/internal/services/wigeonentry/script_test.go
@@ -22,6 +22,7 @@
 	Tier      string `json:"tier,omitempty"`
 	TimeoutMS int64  `json:"timeoutMs,omitempty"`
 	GoneMS    int64  `json:"goneMs,omitempty"`
+	SlowMS    int64  `json:"slowMs,omitempty"`
 	Model     string `json:"model,omitempty"`
 	Prompt    string `json:"prompt,omitempty"`
 	MaxTokens int    `json:"maxTokens,omitempty"`
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -94,9 +94,13 @@
 		return s.refuse(id, refusal)
 	}
 	f := newFlight(s, r, ask, sink)
-	f.loop(ctx)
+	f.begin(ctx)
 	f.logEnd()
-	return f.result
+	result := f.result
+	if !f.ended {
+		s.inBackground(f.loop)
+	}
+	return result
 }
 
 // ReadyForCallers tells whether new requests are accepted.
@@ -110,13 +114,6 @@
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
 
-// Running lists the attempts in flight in a shard.
-func (s *Service) Running(shard wigeonshift.ShardID) []wigeonshift.RunningAttempt {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Entry.Running(shard)
-}
-
 // reduce applies an event to the reducer.
 func (s *Service) reduce(b wigeonscheduler.Body) []wigeonscheduler.Effect {
 	s.mu.Lock()
--- a/internal/services/wigeonentry/session_test.go
+++ b/internal/services/wigeonentry/session_test.go
@@ -37,12 +37,20 @@
 	}}}
 }
 
-// textSink collects an answer.
-type textSink struct{ text strings.Builder }
+// textSink collects an answer. A slow one takes its time for each piece.
+type textSink struct {
+	text strings.Builder
+	slow time.Duration
+}
 
-func (s *textSink) Write(_ context.Context, text string) error {
-	s.text.WriteString(text)
-	return nil
+func (s *textSink) Write(ctx context.Context, text string) error {
+	select {
+	case <-time.After(s.slow):
+		s.text.WriteString(text)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // play runs a script on the real service in virtual time and returns what happened.
@@ -102,7 +110,7 @@
 		r.Call = &wigeonentry.Call{Service: c.Service, Method: c.Method, Path: c.Path, Body: []byte(c.Body)}
 	}
 	st.record("caller", "request", c)
-	var sink textSink
+	sink := textSink{slow: time.Duration(c.SlowMS) * time.Millisecond}
 	result := service.Do(ctx, r, &sink)
 	a := sessionAnswer{
 		Request: result.ID, AtMS: time.Since(st.start).Milliseconds(), Text: sink.text.String(),
--- a/internal/services/wigeonscheduler/entry.go
+++ b/internal/services/wigeonscheduler/entry.go
@@ -72,6 +72,8 @@
 	Pausing bool
 	// ResumeWanted is set when the owner resumed the request before its pause was complete.
 	ResumeWanted bool
+	// Answered is set when the caller has its refusal and the run goes on so that its outcome can be recorded.
+	Answered bool
 }
 
 // runState tells what is known about whether the request ran.
@@ -98,24 +100,6 @@
 	}}
 }
 
-// Running lists the attempts in flight in a shard.
-func (e *EntryState) Running(shard wigeonshift.ShardID) []wigeonshift.RunningAttempt {
-	var attempts []wigeonshift.RunningAttempt
-	for _, r := range e.Requests {
-		if r.Permit.Shard != shard || (r.Phase != PhaseDispatched && r.Phase != PhasePaused) {
-			continue
-		}
-		attempts = append(attempts, wigeonshift.RunningAttempt{
-			Request:    r.Ask,
-			Token:      r.Permit.Token,
-			Endpoint:   r.Permit.Endpoint,
-			TokensDone: r.TokensDone,
-			Paused:     r.Phase == PhasePaused,
-		})
-	}
-	return attempts
-}
-
 // requestOf returns the request that an entry event concerns; ok is false for events of other kinds.
 func requestOf(b Body) (id wigeonshift.RequestID, ok bool) {
 	switch b := b.(type) {
--- a/internal/services/wigeonscheduler/entry_attempt.go
+++ b/internal/services/wigeonscheduler/entry_attempt.go
@@ -63,6 +63,9 @@
 		effects = append(effects, SettleClaim{Claim: c})
 	}
 	delete(e.Requests, r.Ask.ID)
+	if r.Answered {
+		return append(effects, EndRequest{})
+	}
 	return append(effects, AnswerCaller{})
 }
 
@@ -89,7 +92,7 @@
 	report := r.report(wigeonshift.AttemptNotRun)
 	report.Report.ConnectRefused = b.ConnectRefused
 	effects := []Effect{report}
-	if r.Claim != nil && r.Began {
+	if r.Claim != nil && (r.Began || r.Answered) {
 		return append(effects, e.end(r, wigeonshift.ReasonEndpointError, wigeonshift.NotRun, retryAfterDefault)...)
 	}
 	r.Ask.Avoid = append(slices.Clone(r.Ask.Avoid), r.Permit.Endpoint)
@@ -152,6 +155,9 @@
 	}
 	switch v.Action {
 	case wigeonshift.RevokeCancel:
+		if r.mustFinish() {
+			return ignore("revoke")
+		}
 		return e.refuse(r, wigeonshift.ReasonPreempted, retryAfterDefault)
 	case wigeonshift.RevokePause:
 		return r.pause()
--- a/internal/services/wigeonscheduler/entry_event.go
+++ b/internal/services/wigeonscheduler/entry_event.go
@@ -153,11 +153,15 @@
 		Report wigeonshift.AttemptReport
 	}
 	// AnswerCaller gives the final answer: the endpoint's whole answer, a refusal, or a recorded answer. It is
-	// always the last effect on a request.
+	// the last effect on a request unless Continues is set; EndRequest follows then.
 	AnswerCaller struct {
 		Refusal *wigeonshift.Refusal
 		Replay  *wigeonshift.Claim
+		// Continues is set when the run goes on without its caller.
+		Continues bool
 	}
+	// EndRequest ends a request that went on without its caller.
+	EndRequest struct{}
 )
 
 func (WriteClaim) effect()    {}
@@ -170,3 +174,4 @@
 func (CancelStream) effect()  {}
 func (ReportAttempt) effect() {}
 func (AnswerCaller) effect()  {}
+func (EndRequest) effect()    {}
--- a/internal/services/wigeonscheduler/entry_reduce.go
+++ b/internal/services/wigeonscheduler/entry_reduce.go
@@ -178,17 +178,36 @@
 }
 
 func (e *EntryState) callerGone(r *EntryRequest) []Effect {
-	if r.Claim != nil && r.Phase == PhaseDispatched {
-		// The outcome is kept for the caller's repeat.
-		return ignore("callerGone")
+	if r.mustFinish() {
+		return r.leave(wigeonshift.ReasonCallerGone)
 	}
 	return e.refuse(r, wigeonshift.ReasonCallerGone, 0)
 }
 
 func (e *EntryState) deadlineReached(r *EntryRequest) []Effect {
+	if r.mustFinish() {
+		return r.leave(wigeonshift.ReasonDeadlinePassed)
+	}
 	return e.refuse(r, wigeonshift.ReasonDeadlinePassed, retryAfterDefault)
 }
 
+// mustFinish tells whether the run goes on without its caller, because its outcome is to be recorded for a repeat.
+func (r *EntryRequest) mustFinish() bool {
+	return r.Claim != nil && r.Phase == PhaseDispatched
+}
+
+// leave refuses the caller and lets the run go on.
+func (r *EntryRequest) leave(reason wigeonshift.RefusalReason) []Effect {
+	if r.Answered {
+		return ignore("answered")
+	}
+	r.Answered = true
+	return []Effect{
+		Count{Name: CountEntryRefusals, Label: string(reason), Delta: 1},
+		AnswerCaller{Refusal: &wigeonshift.Refusal{Reason: reason, State: r.runState()}, Continues: true},
+	}
+}
+
 // refuse ends a request without a result, with the truth about whether it ran.
 func (e *EntryState) refuse(r *EntryRequest, reason wigeonshift.RefusalReason, retry time.Duration) []Effect {
 	state := r.runState()
@@ -212,5 +231,8 @@
 		}
 	}
 	delete(e.Requests, r.Ask.ID)
+	if r.Answered {
+		return append(effects, EndRequest{})
+	}
 	return slices.Concat(effects, refusal(reason, state, retry))
 }
--- a/internal/services/wigeonscheduler/entry_test.go
+++ b/internal/services/wigeonscheduler/entry_test.go
@@ -176,9 +176,11 @@
 					m.step(g, b)
 				}
 			}
-			// Nothing comes any more but the deadline.
+			// Nothing comes any more but the deadline, and the end of a run that goes on after it.
 			m.step(g, DeadlineReached{Request: m.ask.ID})
 			g.Expect(m.answers).To(HaveLen(1))
+			m.step(g, AttemptEnded{Request: m.ask.ID, Run: m.run, Outcome: OutcomeLost})
+			g.Expect(m.answers).To(HaveLen(1))
 			g.Expect(len(m.settled)).To(BeNumerically("<=", 1))
 			g.Expect(m.state.Entry.Requests).To(BeEmpty())
 		})
