--- a/internal/routers/wigeoncaller/server_test.go
+++ b/internal/routers/wigeoncaller/server_test.go
@@ -159,7 +159,9 @@
 		Expect(answer.Header.Get("Wigeon-Replayed")).To(BeEmpty())
 		c := <-s.engine.calls
 		c.Token = ""
-		Expect(c).To(Equal(wigeonshift.ServiceCall{Method: "POST", Path: "/parts/7?boat=3", ContentType: "text/plain", Body: []byte("twine")}))
+		Expect(c).To(Equal(wigeonshift.ServiceCall{
+			Method: "POST", Path: "/parts/7?boat=3", ContentType: "text/plain", Body: []byte("twine"), NonIdempotent: true,
+		}))
 		answer, body = s.send("POST", "/v1/services/store/parts/7?boat=3", "twine", "Idempotency-Key", "k", "Content-Type", "text/plain")
 		Expect(answer.StatusCode).To(Equal(201))
 		Expect(body).To(Equal("issued"))
--- a/internal/services/wigeonentry/fake_test.go
+++ b/internal/services/wigeonentry/fake_test.go
@@ -235,7 +235,11 @@
 }
 
 func (e *fakeEndpoint) Call(ctx context.Context, c wigeonshift.ServiceCall, onStart func()) (wigeonshift.ServiceAnswer, error) {
-	end, _, err := e.play(ctx, "call "+c.Method+" "+c.Path, c.Token, 0, onStart, func(wigeonshift.Chunk) error { return nil })
+	action := "call " + c.Method + " " + c.Path
+	if c.NonIdempotent {
+		action += " once"
+	}
+	end, _, err := e.play(ctx, action, c.Token, 0, onStart, func(wigeonshift.Chunk) error { return nil })
 	token := c.Token
 	if end.Token != "" {
 		token = wigeonshift.AttemptToken(end.Token)
--- a/internal/services/wigeonentry/run.go
+++ b/internal/services/wigeonentry/run.go
@@ -96,6 +96,8 @@
 		Path:        c.Path,
 		ContentType: c.ContentType,
 		Body:        c.Body,
+
+		NonIdempotent: r.flight.ask.NonIdempotent,
 	}, r.began)
 	return err
 }
--- a/internal/services/wigeonscheduler/entry_test.go
+++ b/internal/services/wigeonscheduler/entry_test.go
@@ -118,6 +118,8 @@
 func (m *entryModel) check(g Gomega, effects []Effect) {
 	for i, e := range effects {
 		switch e := e.(type) {
+		case AskPermit:
+			g.Expect(m.answers).To(BeEmpty(), "asked for a permit without a caller")
 		case Dispatch:
 			g.Expect(m.touched).To(BeFalse(), "dispatched again without proof")
 			g.Expect(m.claim == nil || m.claimed).To(BeTrue(), "dispatched without its claim")
