--- a/internal/routers/wigeoncaller/fake_test.go
+++ b/internal/routers/wigeoncaller/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 
@@ -26,15 +27,16 @@
 	}}}
 }
 
-// grantBroker grants every request at once.
-type grantBroker struct{}
+// grantBroker grants every request at once, for the endpoint at an address.
+type grantBroker struct{ address string }
 
 type grantSession chan wigeonshift.PermitAnswer
 
-func (grantBroker) Ask(_ context.Context, r wigeonshift.PermitRequest) (wigeonshift.PermitSession, error) {
+func (b grantBroker) Ask(_ context.Context, r wigeonshift.PermitRequest) (wigeonshift.PermitSession, error) {
 	s := make(grantSession, 1)
 	s <- wigeonshift.PermitAnswer{Grant: &wigeonshift.Permit{
-		Request: r.ID, Shard: r.Shard, Endpoint: "a", Address: "a", Token: wigeonshift.AttemptToken(r.ID), UseBefore: r.Deadline,
+		Request: r.ID, Shard: r.Shard, Endpoint: "a", Address: b.address,
+		Token: wigeonshift.AttemptToken(fmt.Sprint(r.ID, "-", r.Attempt)), UseBefore: r.Deadline,
 	}}
 	return s, nil
 }
--- a/internal/routers/wigeoncaller/server_test.go
+++ b/internal/routers/wigeoncaller/server_test.go
@@ -37,7 +37,14 @@
 
 func newSite(change ...func(*wigeoncaller.Settings)) *site {
 	e := &wordEngine{cancelled: make(chan wigeonshift.AttemptToken, 8), calls: make(chan wigeonshift.ServiceCall, 8)}
-	entry := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()}, grantBroker{}, oneDialer{e},
+	s := serve(grantBroker{"a"}, oneDialer{e}, change...)
+	s.engine = e
+	return s
+}
+
+// serve serves callers on loopback with one endpoint.
+func serve(broker grantBroker, dialer wigeonshift.EndpointDialer, change ...func(*wigeoncaller.Settings)) *site {
+	entry := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()}, broker, dialer,
 		&memoryClaims{rows: map[string]wigeonshift.Claim{}})
 	settings := wigeoncaller.DefaultSettings()
 	settings.MaxBodyBytes = 4096
@@ -50,7 +57,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	Expect(server.Start(context.Background(), l)).To(Succeed())
-	s := &site{entry, server, e, l.Addr().String()}
+	s := &site{entry: entry, server: server, address: l.Addr().String()}
 	DeferCleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
