Let lower tiers give way at a full instance, and count by tier

An instance at its bound on requests refused whoever came, so a higher tier could be shed while a lower one ran there. Now the newest request of the product's lowest tier gives way, queued or running, except dispatched non-idempotent calls. Metrics by product and tier: arrived, completed, time to the first token; and prompt tokens whose work was thrown away, by reason.

--- a/internal/services/wigeonentry/fake_test.go
+++ b/internal/services/wigeonentry/fake_test.go
@@ -56,7 +56,7 @@
 }
 
 func (b fakeBroker) Ask(_ context.Context, r wigeonshift.PermitRequest) (wigeonshift.PermitSession, error) {
-	b.record("owner", "ask", askDetail{
+	b.record("owner "+string(r.ID), "ask", askDetail{
 		r.ID, r.Shard, r.Tier, r.Rank, r.PromptTokens, r.MaxTokens,
 		r.Deadline.Sub(b.start).Milliseconds(), r.Attempt, r.Avoid, r.Spills,
 	})
@@ -89,15 +89,15 @@
 			if step.Void {
 				p.UseBefore = time.Now().Add(-time.Second)
 			}
-			s.record("owner", "grant", runDetail{Token: token, Text: step.Grant})
+			s.record("owner "+string(s.ask.ID), "grant", runDetail{Token: token, Text: step.Grant})
 			s.answers <- wigeonshift.PermitAnswer{Grant: p}
 		case step.Refuse != "":
-			s.record("owner", "refuse", step.Refuse)
+			s.record("owner "+string(s.ask.ID), "refuse", step.Refuse)
 			s.answers <- wigeonshift.PermitAnswer{Refuse: &wigeonshift.Refusal{
 				Reason: step.Refuse, State: wigeonshift.NotRun, RetryAfter: 1500 * time.Millisecond,
 			}}
 		case step.Revoke != "":
-			s.record("owner", "revoke", step.Revoke)
+			s.record("owner "+string(s.ask.ID), "revoke", step.Revoke)
 			s.answers <- wigeonshift.PermitAnswer{Revoke: &wigeonshift.Revocation{
 				Request: s.ask.ID, Token: token, Epoch: 1, Action: step.Revoke,
 			}}
@@ -113,13 +113,13 @@
 func (s *fakeSession) Answers() <-chan wigeonshift.PermitAnswer { return s.answers }
 
 func (s *fakeSession) Report(r wigeonshift.AttemptReport) {
-	s.record("owner", "report "+string(r.State), reportDetail{
+	s.record("owner "+string(s.ask.ID), "report "+string(r.State), reportDetail{
 		r.Token, r.Endpoint, r.TokensDone, r.Elapsed.Milliseconds(), r.ConnectRefused,
 	})
 }
 
 func (s *fakeSession) Close() {
-	s.record("owner", "close", nil)
+	s.record("owner "+string(s.ask.ID), "close", nil)
 	s.cancel()
 }
 
--- a/internal/services/wigeonentry/flight.go
+++ b/internal/services/wigeonentry/flight.go
@@ -20,13 +20,17 @@
 	ask     wigeonshift.PermitRequest
 	sink    Sink
 	result  Result
+	metrics *tierMetrics
+	arrived time.Time
 	// answered is set when result is final, ended when nothing more is to be done.
 	answered, ended bool
 
 	session wigeonshift.PermitSession
 	answers <-chan wigeonshift.PermitAnswer
 	events  chan wigeonscheduler.Body
-	timer   *time.Timer
+	// displaced is signalled when the request has to give way.
+	displaced chan struct{}
+	timer     *time.Timer
 	// began is the time of the first byte of the current permit's dispatch.
 	began time.Time
 
@@ -49,14 +53,19 @@
 		ask:     ask,
 		sink:    sink,
 		result:  Result{ID: ask.ID},
+		metrics: s.counters.tier(ask),
+		arrived: time.Now(),
 		events:  make(chan wigeonscheduler.Body, eventBuffer),
+
+		displaced: make(chan struct{}, 1),
 	}
 }
 
 // begin carries the request to its answer.
 func (f *flight) begin(ctx context.Context) {
-	f.timer = time.NewTimer(time.Until(f.ask.Deadline))
-	f.apply(ctx, wigeonscheduler.CallerArrived{Ask: f.ask, Claim: f.service.newClaim(f.ask, f.request, time.Now())})
+	f.metrics.arrived.Inc(1)
+	f.timer = time.NewTimer(f.ask.Deadline.Sub(f.arrived))
+	f.apply(ctx, wigeonscheduler.CallerArrived{Ask: f.ask, Claim: f.service.newClaim(f.ask, f.request, f.arrived)})
 	gone := ctx.Done()
 	for !f.answered {
 		select {
@@ -67,6 +76,8 @@
 			f.apply(ctx, b)
 		case a, ok := <-f.answers:
 			f.permitAnswered(ctx, a, ok)
+		case <-f.displaced:
+			f.apply(ctx, wigeonscheduler.Displaced{Request: f.ask.ID})
 		case <-f.timer.C:
 			f.timeout(ctx)
 		}
@@ -79,6 +90,7 @@
 // loop carries an answered request on to its end.
 func (f *flight) loop() {
 	defer f.service.finished(&f.service.background)
+	defer f.service.leave(f)
 	defer f.timer.Stop()
 	ctx := f.service.running
 	f.arm(time.Now())
@@ -153,6 +165,8 @@
 
 func (f *flight) carryOut(ctx context.Context, e wigeonscheduler.Effect) {
 	switch e := e.(type) {
+	case wigeonscheduler.Displace:
+		f.service.displace(e.Request)
 	case wigeonscheduler.WriteClaim:
 		f.writeClaim(ctx, e.Claim)
 	case wigeonscheduler.SettleClaim:
@@ -231,6 +245,7 @@
 			Body:        a.Replay.Body,
 		}
 	case a.Refusal == nil:
+		f.metrics.completed.Inc(1)
 		f.result.Generated = f.current.generated
 		f.result.Answer = f.current.answer
 	}
--- a/internal/services/wigeonentry/option.go
+++ b/internal/services/wigeonentry/option.go
@@ -22,7 +22,7 @@
 
 // Settings are the limits of the entry path.
 type Settings struct {
-	// MaxConcurrent bounds the requests in flight.
+	// MaxConcurrent bounds the requests in flight. At the bound a request of a lower tier gives way to a higher one.
 	MaxConcurrent int
 	// MaxBodyBytes bounds the body or prompt of services without a bound of their own.
 	MaxBodyBytes int
--- a/internal/services/wigeonentry/run.go
+++ b/internal/services/wigeonentry/run.go
@@ -139,6 +139,9 @@
 	done := c.Offset + c.Count
 	if !r.progressed && done > 0 {
 		r.progressed = true
+		if f.offset.Load() == 0 {
+			f.metrics.firstToken.RecordDuration(time.Since(f.arrived))
+		}
 		r.post(wigeonscheduler.AttemptProgressed{Request: f.ask.ID, Run: r.number, TokensDone: done})
 	}
 	if err := r.write(c.Text); err != nil {
--- a/internal/services/wigeonentry/script_test.go
+++ b/internal/services/wigeonentry/script_test.go
@@ -12,9 +12,11 @@
 	Runs   map[string][][]runStep `json:"runs,omitempty"`
 	Claims []string               `json:"claims,omitempty"`
 	// Settles holds the results of the calls that record an outcome; empty for success.
-	Settles  []string `json:"settles,omitempty"`
-	DrainMS  int64    `json:"drainMs,omitempty"`
-	DrainFor int64    `json:"drainForMs,omitempty"`
+	Settles []string `json:"settles,omitempty"`
+	// MaxConcurrent is the bound on the requests in flight; 0 leaves the default.
+	MaxConcurrent int   `json:"maxConcurrent,omitempty"`
+	DrainMS       int64 `json:"drainMs,omitempty"`
+	DrainFor      int64 `json:"drainForMs,omitempty"`
 }
 
 type callerScript struct {
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -50,6 +50,8 @@
 
 	mu    sync.Mutex
 	state wigeonscheduler.State
+	// flights holds the flights of the state's requests; guarded by mu.
+	flights map[wigeonshift.RequestID]*flight
 }
 
 // New returns a service that is ready to accept requests.
@@ -69,11 +71,12 @@
 		backOff:       func() backoff.BackOff { return backoff.NewExponentialBackOff() },
 		ended:         make(chan struct{}, 1),
 		work:          make(chan *run),
-		state:         wigeonscheduler.State{Entry: &wigeonscheduler.EntryState{}},
+		flights:       map[wigeonshift.RequestID]*flight{},
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.state.Entry = &wigeonscheduler.EntryState{MaxRequests: s.settings.MaxConcurrent}
 	s.running, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -84,20 +87,20 @@
 	if id == "" {
 		id = s.NextID()
 	}
-	if s.inFlight.Add(1) > int64(s.settings.MaxConcurrent) {
-		s.finished(&s.inFlight)
-		return s.refuse(id, refused(wigeonshift.ReasonTooMany))
-	}
+	s.inFlight.Add(1)
 	defer s.finished(&s.inFlight)
 	ask, refusal := s.admit(id, r, time.Now())
 	if refusal != nil {
 		return s.refuse(id, refusal)
 	}
 	f := newFlight(s, r, ask, sink)
+	s.enter(f)
 	f.begin(ctx)
 	f.logEnd()
 	result := f.result
-	if !f.ended {
+	if f.ended {
+		s.leave(f)
+	} else {
 		s.inBackground(f.loop)
 	}
 	return result
@@ -114,6 +117,32 @@
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
 
+func (s *Service) enter(f *flight) {
+	s.mu.Lock()
+	s.flights[f.ask.ID] = f
+	s.mu.Unlock()
+}
+
+func (s *Service) leave(f *flight) {
+	s.mu.Lock()
+	delete(s.flights, f.ask.ID)
+	s.mu.Unlock()
+}
+
+// displace tells a request that it has to give way.
+func (s *Service) displace(id wigeonshift.RequestID) {
+	s.mu.Lock()
+	f := s.flights[id]
+	s.mu.Unlock()
+	if f == nil {
+		return
+	}
+	select {
+	case f.displaced <- struct{}{}:
+	default:
+	}
+}
+
 // reduce applies an event to the reducer.
 func (s *Service) reduce(b wigeonscheduler.Body) []wigeonscheduler.Effect {
 	s.mu.Lock()
--- a/internal/services/wigeonentry/service_test.go
+++ b/internal/services/wigeonentry/service_test.go
@@ -28,7 +28,7 @@
 			Runs:    map[string][][]runStep{"a": {words("stop", "two ", "fingers")}},
 		})
 		Expect(s.Answers).To(Equal([]sessionAnswer{{Request: "i-1", AtMS: 32, Text: "two fingers", Finish: wigeonshift.FinishStop}}))
-		Expect(s.actions("owner")).To(Equal([]string{
+		Expect(s.actions("owner i-1")).To(Equal([]string{
 			"ask", "grant", "report started", "report firstToken", "report finished", "close",
 		}))
 	})
--- a/internal/services/wigeonentry/session_test.go
+++ b/internal/services/wigeonentry/session_test.go
@@ -65,8 +65,12 @@
 		rows: map[string]wigeonshift.Claim{}, pauses: map[wigeonshift.AttemptToken]chan struct{}{},
 	}
 	scope := tally.NewTestScope("", nil)
+	settings := wigeonentry.DefaultSettings()
+	if sc.MaxConcurrent > 0 {
+		settings.MaxConcurrent = sc.MaxConcurrent
+	}
 	service := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()},
-		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope),
+		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope), wigeonentry.WithSettings(settings),
 		wigeonentry.WithBackOff(func() backoff.BackOff { return backoff.NewConstantBackOff(time.Second) }))
 	answers := make([]sessionAnswer, len(sc.Callers))
 	var callers sync.WaitGroup
@@ -133,8 +137,10 @@
 	counters := map[string]int64{}
 	for _, c := range scope.Snapshot().Counters() {
 		name := c.Name()
-		if reason := c.Tags()["reason"]; reason != "" {
-			name += "/" + reason
+		for _, tag := range []string{"reason", "tier"} {
+			if value := c.Tags()[tag]; value != "" {
+				name += "/" + value
+			}
 		}
 		counters[name] = c.Value()
 	}
--- a/internal/services/wigeonscheduler/entry.go
+++ b/internal/services/wigeonscheduler/entry.go
@@ -26,6 +26,8 @@
 	CountEntryRefusals = "entryRefusals"
 	CountEntryRetries  = "entryRetries"
 	CountEntryIgnored  = "entryIgnored"
+	// CountWastedPrefill counts prompt tokens whose work was thrown away, as far as the owner did not expect them cached.
+	CountWastedPrefill = "entryWastedPrefillTokens"
 )
 
 // EntryPhase is the phase of one accepted request.
@@ -47,7 +49,12 @@
 type EntryState struct {
 	// Draining is set once and never cleared.
 	Draining bool
-	Requests map[wigeonshift.RequestID]*EntryRequest
+	// MaxRequests bounds the requests; 0 means no bound. A request that gives way counts until it has ended.
+	MaxRequests int
+	Requests    map[wigeonshift.RequestID]*EntryRequest
+
+	// tiers holds the requests that may give way, by product.
+	tiers map[string]*tierLists
 }
 
 // EntryRequest is the state of one accepted request.
@@ -74,6 +81,9 @@
 	ResumeWanted bool
 	// Answered is set when the caller has its refusal and the run goes on so that its outcome can be recorded.
 	Answered bool
+
+	tier           *tierList
+	previous, next *EntryRequest
 }
 
 // runState tells what is known about whether the request ran.
@@ -123,6 +133,8 @@
 		return b.Request, true
 	case DeadlineReached:
 		return b.Request, true
+	case Displaced:
+		return b.Request, true
 	}
 	return "", false
 }
--- a/internal/services/wigeonscheduler/entry_attempt.go
+++ b/internal/services/wigeonscheduler/entry_attempt.go
@@ -62,7 +62,7 @@
 		c.State = wigeonshift.ClaimDone
 		effects = append(effects, SettleClaim{Claim: c})
 	}
-	delete(e.Requests, r.Ask.ID)
+	e.remove(r)
 	if r.Answered {
 		return append(effects, EndRequest{})
 	}
--- a/internal/services/wigeonscheduler/entry_event.go
+++ b/internal/services/wigeonscheduler/entry_event.go
@@ -95,6 +95,10 @@
 	DeadlineReached struct {
 		Request wigeonshift.RequestID
 	}
+	// Displaced tells that the request gives way to one of a higher tier because the instance is full.
+	Displaced struct {
+		Request wigeonshift.RequestID
+	}
 	// EntryDrainStarted ends the acceptance of new requests; accepted ones go on.
 	EntryDrainStarted struct{}
 )
@@ -109,10 +113,15 @@
 func (PauseFailed) body()       {}
 func (CallerGone) body()        {}
 func (DeadlineReached) body()   {}
+func (Displaced) body()         {}
 func (EntryDrainStarted) body() {}
 
-// Effects of an entry instance. All but Count concern the one request of the event.
+// Effects of an entry instance. All but Count and Displace concern the one request of the event.
 type (
+	// Displace sends Displaced to another request.
+	Displace struct {
+		Request wigeonshift.RequestID
+	}
 	// WriteClaim writes a claim; ClaimAnswered answers it.
 	WriteClaim struct {
 		Claim wigeonshift.Claim
@@ -164,6 +173,7 @@
 	EndRequest struct{}
 )
 
+func (Displace) effect()      {}
 func (WriteClaim) effect()    {}
 func (SettleClaim) effect()   {}
 func (AskPermit) effect()     {}
--- a/internal/services/wigeonscheduler/entry_reduce.go
+++ b/internal/services/wigeonscheduler/entry_reduce.go
@@ -43,6 +43,8 @@
 		return e.callerGone(r)
 	case DeadlineReached:
 		return e.deadlineReached(r)
+	case Displaced:
+		return e.displaced(r)
 	}
 	return nil
 }
@@ -67,16 +69,17 @@
 	if e.Draining {
 		return refusal(wigeonshift.ReasonShuttingDown, wigeonshift.NotRun, retryAfterElsewhere)
 	}
-	if e.Requests == nil {
-		e.Requests = map[wigeonshift.RequestID]*EntryRequest{}
+	effects, ok := e.makeRoom(a.Ask)
+	if !ok {
+		return refusal(wigeonshift.ReasonTooMany, wigeonshift.NotRun, retryAfterDefault)
 	}
 	r := &EntryRequest{Ask: a.Ask, Claim: a.Claim, Phase: PhasePermit}
-	e.Requests[a.Ask.ID] = r
+	e.add(r)
 	if a.Claim != nil {
 		r.Phase = PhaseClaim
-		return []Effect{WriteClaim{Claim: *a.Claim}}
+		return append(effects, WriteClaim{Claim: *a.Claim})
 	}
-	return []Effect{AskPermit{Ask: r.Ask}}
+	return append(effects, AskPermit{Ask: r.Ask})
 }
 
 func (e *EntryState) claimAnswered(r *EntryRequest, b ClaimAnswered) []Effect {
@@ -104,11 +107,11 @@
 	case existing.Fingerprint != r.Ask.Fingerprint:
 		return e.refuse(r, wigeonshift.ReasonKeyReused, 0)
 	case existing.State == wigeonshift.ClaimDone:
-		delete(e.Requests, r.Ask.ID)
+		e.remove(r)
 		return []Effect{AnswerCaller{Replay: &existing}}
 	default:
 		effects := refusal(wigeonshift.ReasonAlreadyClaimed, wigeonshift.RunUnknown, 0)
-		delete(e.Requests, r.Ask.ID)
+		e.remove(r)
 		return effects
 	}
 }
@@ -191,6 +194,14 @@
 	return e.refuse(r, wigeonshift.ReasonDeadlinePassed, retryAfterDefault)
 }
 
+// displaced refuses a request that gives way, unless its run has to go on meanwhile.
+func (e *EntryState) displaced(r *EntryRequest) []Effect {
+	if r.mustFinish() {
+		return ignore("displaced")
+	}
+	return e.refuse(r, wigeonshift.ReasonPreempted, retryAfterDefault)
+}
+
 // mustFinish tells whether the run goes on without its caller, because its outcome is to be recorded for a repeat.
 func (r *EntryRequest) mustFinish() bool {
 	return r.Claim != nil && r.Phase == PhaseDispatched
@@ -221,6 +232,10 @@
 // end refuses a request whose attempt is over.
 func (e *EntryState) end(r *EntryRequest, reason wigeonshift.RefusalReason, state wigeonshift.RunState, retry time.Duration) []Effect {
 	effects := []Effect{ClosePermit{}}
+	if r.Ask.Model != "" && r.Began && state != wigeonshift.NotRun {
+		wasted := int64(max(0, r.Ask.PromptTokens-r.Permit.CachedTokens))
+		effects = append(effects, Count{Name: CountWastedPrefill, Label: string(reason), Delta: wasted})
+	}
 	if r.Claim != nil {
 		if state == wigeonshift.NotRun {
 			c := *r.Claim
@@ -230,7 +245,7 @@
 			retry = 0
 		}
 	}
-	delete(e.Requests, r.Ask.ID)
+	e.remove(r)
 	if r.Answered {
 		return append(effects, EndRequest{})
 	}
--- a/internal/services/wigeonscheduler/entry_test.go
+++ b/internal/services/wigeonscheduler/entry_test.go
@@ -88,7 +88,7 @@
 	default:
 		return rapid.SampledFrom([]Body{
 			CallerGone{Request: id}, DeadlineReached{Request: id},
-			PermitFailed{Request: id}, EntryDrainStarted{},
+			PermitFailed{Request: id}, EntryDrainStarted{}, Displaced{Request: id},
 			CallerArrived{Ask: m.ask, Claim: m.claim},
 		}).Draw(t, "other")
 	}
@@ -187,4 +187,31 @@
 			g.Expect(m.state.Entry.Requests).To(BeEmpty())
 		})
 	})
+
+	It("lets the newest request of the lowest tier give way when the instance is full", func() {
+		st := State{Entry: &EntryState{MaxRequests: 3}}
+		arrive := func(id string, product string, rank wigeonshift.TierRank) []Effect {
+			return Reduce(&st, Event{Body: CallerArrived{Ask: wigeonshift.PermitRequest{
+				ID: wigeonshift.RequestID(id), Product: product, Rank: rank,
+			}}})
+		}
+		for i, rank := range []wigeonshift.TierRank{2, 2, 1} {
+			Expect(arrive(fmt.Sprint(i), "p", rank)).To(HaveLen(1))
+		}
+		full := refusal(wigeonshift.ReasonTooMany, wigeonshift.NotRun, retryAfterDefault)
+		Expect(arrive("same", "p", 2)).To(Equal(full))
+		Expect(arrive("other product", "q", 0)).To(Equal(full))
+		Expect(arrive("3", "p", 1)).To(ContainElement(Displace{Request: "1"}))
+		Expect(arrive("4", "p", 0)).To(ContainElement(Displace{Request: "0"}))
+		Expect(arrive("5", "p", 0)).To(ContainElement(Displace{Request: "3"}))
+		Expect(arrive("6", "p", 0)).To(ContainElement(Displace{Request: "2"}))
+		Expect(arrive("7", "p", 0)).To(Equal(full))
+		for _, id := range []wigeonshift.RequestID{"0", "1", "2", "3"} {
+			effects := Reduce(&st, Event{Body: Displaced{Request: id}})
+			Expect(effects[len(effects)-1]).To(Equal(AnswerCaller{Refusal: &wigeonshift.Refusal{
+				Reason: wigeonshift.ReasonPreempted, State: wigeonshift.NotRun, RetryAfter: retryAfterDefault,
+			}}))
+		}
+		Expect(st.Entry.Requests).To(HaveLen(3))
+	})
 })
