--- a/internal/routers/wigeoncaller/completion.go
+++ b/internal/routers/wigeoncaller/completion.go
@@ -12,8 +12,11 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// defaultMaxTokens applies when a caller names no max_tokens.
-const defaultMaxTokens = 256
+const (
+	// defaultMaxTokens applies when a caller names no max_tokens.
+	defaultMaxTokens = 256
+	maxMaxTokens     = 1 << 20
+)
 
 // completionBody is the body of both kinds of completions.
 type completionBody struct {
@@ -64,8 +67,8 @@
 		return g, "messages: missing"
 	case !chat && b.Prompt == nil:
 		return g, "prompt: missing"
-	case b.MaxTokens != nil && *b.MaxTokens < 1:
-		return g, "max_tokens: must be at least 1"
+	case b.MaxTokens != nil && (*b.MaxTokens < 1 || *b.MaxTokens > maxMaxTokens):
+		return g, "max_tokens: must be 1 to 1048576"
 	}
 	if b.MaxTokens != nil {
 		g.MaxTokens = *b.MaxTokens
