--- a/internal/routers/wigeoncaller/fake_test.go
+++ b/internal/routers/wigeoncaller/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 
@@ -26,15 +27,16 @@
 	}}}
 }
 
-// grantBroker grants every request at once.
-type grantBroker struct{}
+// grantBroker grants every request at once, for the endpoint at an address.
+type grantBroker struct{ address string }
 
 type grantSession chan wigeonshift.PermitAnswer
 
-func (grantBroker) Ask(_ context.Context, r wigeonshift.PermitRequest) (wigeonshift.PermitSession, error) {
+func (b grantBroker) Ask(_ context.Context, r wigeonshift.PermitRequest) (wigeonshift.PermitSession, error) {
 	s := make(grantSession, 1)
 	s <- wigeonshift.PermitAnswer{Grant: &wigeonshift.Permit{
-		Request: r.ID, Shard: r.Shard, Endpoint: "a", Address: "a", Token: wigeonshift.AttemptToken(r.ID), UseBefore: r.Deadline,
+		Request: r.ID, Shard: r.Shard, Endpoint: "a", Address: b.address,
+		Token: wigeonshift.AttemptToken(fmt.Sprint(r.ID, "-", r.Attempt)), UseBefore: r.Deadline,
 	}}
 	return s, nil
 }
@@ -43,7 +45,7 @@
 func (grantSession) Report(wigeonshift.AttemptReport)           {}
 func (grantSession) Close()                                     {}
 
-// wordEngine answers a prompt with its words; the word "break" fails the stream and "hang" waits for its end.
+// wordEngine answers a prompt with its words; "break" fails the stream, "hang" waits for its end and "flood" never ends.
 type wordEngine struct {
 	wigeonshift.Endpoint
 	cancelled chan wigeonshift.AttemptToken
@@ -65,6 +67,12 @@
 		case "hang":
 			<-ctx.Done()
 			return wigeonshift.GenerateResult{}, ctx.Err()
+		case "flood":
+			for ; ; done++ {
+				if err := sink(wigeonshift.Chunk{Token: r.Token, Offset: done, Count: 1, Text: strings.Repeat("x", 4096)}); err != nil {
+					return wigeonshift.GenerateResult{}, err
+				}
+			}
 		}
 		if err := sink(wigeonshift.Chunk{Token: r.Token, Offset: done, Count: 1, Text: word}); err != nil {
 			return wigeonshift.GenerateResult{}, err
--- a/internal/services/wigeonentry/option.go
+++ b/internal/services/wigeonentry/option.go
@@ -6,6 +6,7 @@
 
 	"wigeonshift"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -21,7 +22,7 @@
 
 // Settings are the limits of the entry path.
 type Settings struct {
-	// MaxConcurrent bounds the requests in flight.
+	// MaxConcurrent bounds the requests in flight. At the bound a request of a lower tier gives way to a higher one.
 	MaxConcurrent int
 	// MaxBodyBytes bounds the body or prompt of services without a bound of their own.
 	MaxBodyBytes int
@@ -73,6 +74,9 @@
 // WithAnalyzer sets the analysis of prompts.
 func WithAnalyzer(a Analyzer) Option { return func(s *Service) { s.analyze = a } }
 
+// WithBackOff sets the waits between attempts to record an outcome.
+func WithBackOff(b func() backoff.BackOff) Option { return func(s *Service) { s.backOff = b } }
+
 // defaultAnalyzer estimates the length from the number of bytes and knows no prefixes.
 func defaultAnalyzer(g Generate) Analysis {
 	return Analysis{
--- a/internal/services/wigeonentry/service.go
+++ b/internal/services/wigeonentry/service.go
@@ -13,6 +13,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonscheduler"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
@@ -29,6 +30,7 @@
 	settings      Settings
 	log           logrus.FieldLogger
 	counters      *counters
+	backOff       func() backoff.BackOff
 
 	routes   atomic.Pointer[routes]
 	lastID   atomic.Uint64
@@ -39,12 +41,17 @@
 	// ended is signalled when a request or background task ends during a drain.
 	ended chan struct{}
 	tasks conc.WaitGroup
-	stop  context.CancelFunc
+	// work reaches an idle worker; idle counts them.
+	work chan *run
+	idle atomic.Int64
+	stop context.CancelFunc
 	// running ends when the service is stopped; attempts hang on it.
 	running context.Context //nolint:containedctx // attempts outlive the caller's context but not the service
 
 	mu    sync.Mutex
 	state wigeonscheduler.State
+	// flights holds the flights of the state's requests; guarded by mu.
+	flights map[wigeonshift.RequestID]*flight
 }
 
 // New returns a service that is ready to accept requests.
@@ -61,12 +68,15 @@
 		settings:      DefaultSettings(),
 		log:           discardLog(),
 		counters:      newCounters(tally.NoopScope),
+		backOff:       func() backoff.BackOff { return backoff.NewExponentialBackOff() },
 		ended:         make(chan struct{}, 1),
-		state:         wigeonscheduler.State{Entry: &wigeonscheduler.EntryState{}},
+		work:          make(chan *run),
+		flights:       map[wigeonshift.RequestID]*flight{},
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.state.Entry = &wigeonscheduler.EntryState{MaxRequests: s.settings.MaxConcurrent}
 	s.running, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -77,19 +87,23 @@
 	if id == "" {
 		id = s.NextID()
 	}
-	if s.inFlight.Add(1) > int64(s.settings.MaxConcurrent) {
-		s.finished(&s.inFlight)
-		return s.refuse(id, refused(wigeonshift.ReasonTooMany))
-	}
+	s.inFlight.Add(1)
 	defer s.finished(&s.inFlight)
 	ask, refusal := s.admit(id, r, time.Now())
 	if refusal != nil {
 		return s.refuse(id, refusal)
 	}
 	f := newFlight(s, r, ask, sink)
-	f.loop(ctx)
+	s.enter(f)
+	f.begin(ctx)
 	f.logEnd()
-	return f.result
+	result := f.result
+	if f.ended {
+		s.leave(f)
+	} else {
+		s.inBackground(f.loop)
+	}
+	return result
 }
 
 // ReadyForCallers tells whether new requests are accepted.
@@ -103,11 +117,30 @@
 // InFlight returns the number of requests in flight.
 func (s *Service) InFlight() int { return int(s.inFlight.Load()) }
 
-// Running lists the attempts in flight in a shard.
-func (s *Service) Running(shard wigeonshift.ShardID) []wigeonshift.RunningAttempt {
+func (s *Service) enter(f *flight) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Entry.Running(shard)
+	s.flights[f.ask.ID] = f
+	s.mu.Unlock()
+}
+
+func (s *Service) leave(f *flight) {
+	s.mu.Lock()
+	delete(s.flights, f.ask.ID)
+	s.mu.Unlock()
+}
+
+// displace tells a request that it has to give way.
+func (s *Service) displace(id wigeonshift.RequestID) {
+	s.mu.Lock()
+	f := s.flights[id]
+	s.mu.Unlock()
+	if f == nil {
+		return
+	}
+	select {
+	case f.displaced <- struct{}{}:
+	default:
+	}
 }
 
 // reduce applies an event to the reducer.
--- a/internal/services/wigeonentry/session_test.go
+++ b/internal/services/wigeonentry/session_test.go
@@ -12,6 +12,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonentry"
 
+	"github.com/cenkalti/backoff/v5"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 )
@@ -36,12 +37,20 @@
 	}}}
 }
 
-// textSink collects an answer.
-type textSink struct{ text strings.Builder }
+// textSink collects an answer. A slow one takes its time for each piece.
+type textSink struct {
+	text strings.Builder
+	slow time.Duration
+}
 
-func (s *textSink) Write(_ context.Context, text string) error {
-	s.text.WriteString(text)
-	return nil
+func (s *textSink) Write(ctx context.Context, text string) error {
+	select {
+	case <-time.After(s.slow):
+		s.text.WriteString(text)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // play runs a script on the real service in virtual time and returns what happened.
@@ -56,8 +65,13 @@
 		rows: map[string]wigeonshift.Claim{}, pauses: map[wigeonshift.AttemptToken]chan struct{}{},
 	}
 	scope := tally.NewTestScope("", nil)
+	settings := wigeonentry.DefaultSettings()
+	if sc.MaxConcurrent > 0 {
+		settings.MaxConcurrent = sc.MaxConcurrent
+	}
 	service := wigeonentry.New(wigeonshift.Instance{ID: "i", Region: "r"}, fixedSource{testConfiguration()},
-		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope))
+		fakeBroker{st}, fakeDialer{st}, fakeClaims{st}, wigeonentry.WithScope(scope), wigeonentry.WithSettings(settings),
+		wigeonentry.WithBackOff(func() backoff.BackOff { return backoff.NewConstantBackOff(time.Second) }))
 	answers := make([]sessionAnswer, len(sc.Callers))
 	var callers sync.WaitGroup
 	for i, c := range sc.Callers {
@@ -100,7 +114,7 @@
 		r.Call = &wigeonentry.Call{Service: c.Service, Method: c.Method, Path: c.Path, Body: []byte(c.Body)}
 	}
 	st.record("caller", "request", c)
-	var sink textSink
+	sink := textSink{slow: time.Duration(c.SlowMS) * time.Millisecond}
 	result := service.Do(ctx, r, &sink)
 	a := sessionAnswer{
 		Request: result.ID, AtMS: time.Since(st.start).Milliseconds(), Text: sink.text.String(),
@@ -123,8 +137,10 @@
 	counters := map[string]int64{}
 	for _, c := range scope.Snapshot().Counters() {
 		name := c.Name()
-		if reason := c.Tags()["reason"]; reason != "" {
-			name += "/" + reason
+		for _, tag := range []string{"reason", "tier"} {
+			if value := c.Tags()[tag]; value != "" {
+				name += "/" + value
+			}
 		}
 		counters[name] = c.Value()
 	}
--- a/internal/services/wigeonscheduler/entry_event.go
+++ b/internal/services/wigeonscheduler/entry_event.go
@@ -95,6 +95,10 @@
 	DeadlineReached struct {
 		Request wigeonshift.RequestID
 	}
+	// Displaced tells that the request gives way to one of a higher tier because the instance is full.
+	Displaced struct {
+		Request wigeonshift.RequestID
+	}
 	// EntryDrainStarted ends the acceptance of new requests; accepted ones go on.
 	EntryDrainStarted struct{}
 )
@@ -109,10 +113,15 @@
 func (PauseFailed) body()       {}
 func (CallerGone) body()        {}
 func (DeadlineReached) body()   {}
+func (Displaced) body()         {}
 func (EntryDrainStarted) body() {}
 
-// Effects of an entry instance. All but Count concern the one request of the event.
+// Effects of an entry instance. All but Count and Displace concern the one request of the event.
 type (
+	// Displace sends Displaced to another request.
+	Displace struct {
+		Request wigeonshift.RequestID
+	}
 	// WriteClaim writes a claim; ClaimAnswered answers it.
 	WriteClaim struct {
 		Claim wigeonshift.Claim
@@ -153,13 +162,18 @@
 		Report wigeonshift.AttemptReport
 	}
 	// AnswerCaller gives the final answer: the endpoint's whole answer, a refusal, or a recorded answer. It is
-	// always the last effect on a request.
+	// the last effect on a request unless Continues is set; EndRequest follows then.
 	AnswerCaller struct {
 		Refusal *wigeonshift.Refusal
 		Replay  *wigeonshift.Claim
+		// Continues is set when the run goes on without its caller.
+		Continues bool
 	}
+	// EndRequest ends a request that went on without its caller.
+	EndRequest struct{}
 )
 
+func (Displace) effect()      {}
 func (WriteClaim) effect()    {}
 func (SettleClaim) effect()   {}
 func (AskPermit) effect()     {}
@@ -170,3 +184,4 @@
 func (CancelStream) effect()  {}
 func (ReportAttempt) effect() {}
 func (AnswerCaller) effect()  {}
+func (EndRequest) effect()    {}
