--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,8 @@
 
 .PHONY: check
 check: lint test build
+
+# Compiles the wire format; buf and protoc-gen-go must be on the path.
+.PHONY: generate
+generate:
+	cd internal/modules/wigeonwire && buf generate
--- /dev/null
+++ b/internal/modules/wigeonsession/heartbeat.go
@@ -0,0 +1,148 @@
+package wigeonsession
+
+import (
+	"time"
+
+	"wigeonshift/internal/modules/wigeonwire"
+)
+
+// Heartbeats share a fixed budget, whatever the number of peers: a node has 6 KB/s for control, of which a fifth
+// (1,200 B/s) goes to them. One heartbeat costs at most 150 bytes on the wire with IP, TCP, TLS and yamux headers
+// and its acknowledgement; each period has one in each direction, 300 bytes a peer. So the period must be at least
+// peers * 300 / 1,200 s = peers * 250 ms: 2 s with 8 peers, 15 s with 60, 375 s with 1,500.
+//
+// A long period doesn't delay the detection of a dead connection that is in use: silence after a message that
+// wants an answer is probed after a second, and the connection is given up a second later.
+const (
+	minHeartbeatPeriod  = time.Second
+	heartbeatPerPeer    = 250 * time.Millisecond
+	silencePeriods      = 3
+	silenceMargin       = time.Second
+	probeAfter          = time.Second
+	probeTimeout        = time.Second
+	retireLinger        = 5 * time.Second
+	forgetPeerAfter     = time.Hour
+	monitorPeriod       = 250 * time.Millisecond
+	maxAnnouncedSilence = 24 * time.Hour
+)
+
+// heartbeatPeriod returns the longest silence of this side towards each of a number of peers.
+func heartbeatPeriod(peers int) time.Duration {
+	return max(minHeartbeatPeriod, time.Duration(peers)*heartbeatPerPeer)
+}
+
+// silenceBound returns the silence after which a peer with a heartbeat period is given up.
+func silenceBound(period time.Duration) time.Duration {
+	return silencePeriods*period + silenceMargin
+}
+
+// runMonitor sends heartbeats and gives up silent links.
+func (n *Network) runMonitor() {
+	ticker := time.NewTicker(monitorPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			n.checkLinks()
+		}
+	}
+}
+
+// checkLinks checks every link and forgets peers without use.
+func (n *Network) checkLinks() {
+	n.mu.Lock()
+	peers := n.peerList()
+	n.mu.Unlock()
+	now := n.now()
+	sessions := 0
+	for _, p := range peers {
+		links := p.snapshotLinks()
+		sessions += len(links)
+		for _, l := range links {
+			l.check(now)
+		}
+		if len(links) == 0 {
+			n.forgetUnused(p, now)
+		}
+	}
+	n.counters.sessions.Update(float64(sessions))
+}
+
+// forgetUnused drops the state of a peer that was not used for long.
+func (n *Network) forgetUnused(p *peer, now time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.links) == 0 && !p.dialing && now-p.usedAt > forgetPeerAfter {
+		delete(n.peers, p.instance.ID)
+	}
+}
+
+// peerCount returns the number of peers known.
+func (n *Network) peerCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers)
+}
+
+// check sends a heartbeat when one is due and ends the link when it is silent, idle or retired.
+func (l *link) check(now time.Duration) {
+	since := func(at int64) time.Duration { return now - time.Duration(at) }
+	heardAt, probedAt := l.heardAt.Load(), l.probedAt.Load()
+	retiredAt := l.retiredAt.Load()
+	switch {
+	case retiredAt != 0 && since(retiredAt) >= retireLinger:
+		l.end("retired", true)
+	case probedAt != 0 && since(probedAt) >= probeTimeout, since(heardAt) >= time.Duration(l.silenceBound.Load()):
+		l.end("silent", false)
+	case retiredAt != 0:
+	case since(l.messageAt.Load()) >= l.n.idleTimeout:
+		l.closeIdle()
+	case probedAt == 0 && l.askedAt.Load() != 0 && since(l.askedAt.Load()) >= probeAfter:
+		l.probedAt.Store(max(int64(now), 1))
+		l.heartbeat(true)
+	case since(l.sentAt.Load()) >= time.Duration(l.announced.Load()):
+		l.heartbeat(false)
+	}
+}
+
+// heartbeat queues a heartbeat; with echo the peer has to answer at once.
+func (l *link) heartbeat(echo bool) {
+	period := heartbeatPeriod(l.n.peerCount())
+	frame := mustEncode(&wigeonwire.Frame{Body: &wigeonwire.Frame_Heartbeat{Heartbeat: &wigeonwire.Heartbeat{
+		PeriodMs: uint32(period.Milliseconds()), Echo: echo,
+	}}})
+	select {
+	case l.control <- frame:
+		l.announced.Store(int64(period))
+	default:
+	}
+}
+
+// receiveHeartbeat takes over the peer's period.
+func (l *link) receiveHeartbeat(h *wigeonwire.Heartbeat) {
+	period := time.Duration(h.GetPeriodMs()) * time.Millisecond
+	period = min(max(period, minHeartbeatPeriod), maxAnnouncedSilence)
+	l.silenceBound.Store(int64(silenceBound(period)))
+	if h.GetEcho() {
+		l.heartbeat(false)
+	}
+}
+
+// closeIdle ends a link without use by a goodbye.
+func (l *link) closeIdle() {
+	l.messageAt.Store(int64(l.n.now()))
+	l.p.sayGoodbye()
+}
+
+// mustEncode encodes a frame that is known to be valid.
+func mustEncode(f *wigeonwire.Frame) []byte {
+	b, err := wigeonwire.EncodeFrame(f)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/modules/wigeonwire/message.go
@@ -0,0 +1,146 @@
+package wigeonwire
+
+import (
+	"wigeonshift"
+
+	"github.com/samber/oops"
+)
+
+// Marshal returns a message as a frame without length prefix.
+func Marshal(m wigeonshift.PeerMessage) ([]byte, error) {
+	f, err := FrameOf(m)
+	if err != nil {
+		return nil, err
+	}
+	framed, err := EncodeFrame(f)
+	if err != nil {
+		return nil, err
+	}
+	prefix := 0
+	for framed[prefix] >= 0x80 {
+		prefix++
+	}
+	return framed[prefix+1:], nil
+}
+
+// Unmarshal decodes what Marshal returned.
+func Unmarshal(body []byte) (wigeonshift.PeerMessage, error) {
+	f, err := DecodeFrame(body)
+	if err != nil {
+		return nil, err
+	}
+	return MessageOf(f)
+}
+
+// FrameOf wraps a message into a frame.
+func FrameOf(m wigeonshift.PeerMessage) (*Frame, error) {
+	switch m := m.(type) {
+	case wigeonshift.PermitAsk:
+		return &Frame{Body: &Frame_PermitAsk{&PermitAsk{Request: requestOut(m.Request)}}}, nil
+	case wigeonshift.PermitCancel:
+		return &Frame{Body: &Frame_PermitCancel{&PermitCancel{Shard: string(m.Shard), Request: string(m.Request)}}}, nil
+	case wigeonshift.AttemptNotice:
+		return &Frame{Body: &Frame_AttemptNotice{reportOut(m.Report)}}, nil
+	case wigeonshift.RunningNotice:
+		return &Frame{Body: &Frame_RunningNotice{runningOut(m)}}, nil
+	case wigeonshift.PermitReply:
+		reply, err := replyOut(m)
+		if err != nil {
+			return nil, err
+		}
+		return &Frame{Body: &Frame_PermitReply{reply}}, nil
+	case wigeonshift.NotOwner:
+		return &Frame{Body: &Frame_NotOwner{&NotOwner{
+			Shard: string(m.Shard), Request: string(m.Request), Owner: InstanceOut(m.Owner),
+		}}}, nil
+	case wigeonshift.OwnerNotice:
+		return &Frame{Body: &Frame_OwnerNotice{&OwnerNotice{
+			Shard: string(m.Shard), Epoch: m.Epoch, Owner: InstanceOut(m.Owner), Release: m.Release,
+		}}}, nil
+	case wigeonshift.ShardSummary:
+		return &Frame{Body: &Frame_ShardSummary{&ShardSummary{
+			Shard: string(m.Shard), Epoch: m.Epoch, LowestRunning: int32(m.LowestRunning),
+			LowestQueued: int32(m.LowestQueued), FreeSlots: int64(m.FreeSlots),
+		}}}, nil
+	default:
+		return configurationFrame(m)
+	}
+}
+
+// configurationFrame wraps the messages about the configuration.
+func configurationFrame(m wigeonshift.PeerMessage) (*Frame, error) {
+	switch m := m.(type) {
+	case wigeonshift.ConfigurationPush:
+		return &Frame{Body: &Frame_ConfigurationPush{&ConfigurationPush{Changes: changesOut(m.Changes)}}}, nil
+	case wigeonshift.ConfigurationAsk:
+		return &Frame{Body: &Frame_ConfigurationAsk{&ConfigurationAsk{Have: m.Have}}}, nil
+	case wigeonshift.ConfigurationSnapshot:
+		return &Frame{Body: &Frame_ConfigurationSnapshot{&ConfigurationSnapshot{
+			Version: m.Version, Document: m.Document,
+		}}}, nil
+	case wigeonshift.ConfigurationHave:
+		return &Frame{Body: &Frame_ConfigurationHave{&ConfigurationHave{Version: m.Version}}}, nil
+	default:
+		return nil, oops.In("wire").Errorf("unknown peer message %T", m)
+	}
+}
+
+// MessageOf returns the message in a frame; ErrMalformed when the frame carries none or lacks a part.
+func MessageOf(f *Frame) (wigeonshift.PeerMessage, error) {
+	switch b := f.Body.(type) {
+	case *Frame_PermitAsk:
+		if b.PermitAsk.GetRequest() == nil {
+			return nil, oops.In("wire").Wrap(ErrMalformed)
+		}
+		return wigeonshift.PermitAsk{Request: requestIn(b.PermitAsk.Request)}, nil
+	case *Frame_PermitCancel:
+		return wigeonshift.PermitCancel{
+			Shard:   wigeonshift.ShardID(b.PermitCancel.GetShard()),
+			Request: wigeonshift.RequestID(b.PermitCancel.GetRequest()),
+		}, nil
+	case *Frame_AttemptNotice:
+		return wigeonshift.AttemptNotice{Report: reportIn(b.AttemptNotice)}, nil
+	case *Frame_RunningNotice:
+		return runningIn(b.RunningNotice)
+	case *Frame_PermitReply:
+		return replyIn(b.PermitReply)
+	case *Frame_NotOwner:
+		return wigeonshift.NotOwner{
+			Shard:   wigeonshift.ShardID(b.NotOwner.GetShard()),
+			Request: wigeonshift.RequestID(b.NotOwner.GetRequest()),
+			Owner:   InstanceIn(b.NotOwner.GetOwner()),
+		}, nil
+	case *Frame_OwnerNotice:
+		return wigeonshift.OwnerNotice{
+			Shard: wigeonshift.ShardID(b.OwnerNotice.GetShard()), Epoch: b.OwnerNotice.GetEpoch(),
+			Owner: InstanceIn(b.OwnerNotice.GetOwner()), Release: b.OwnerNotice.GetRelease(),
+		}, nil
+	case *Frame_ShardSummary:
+		return wigeonshift.ShardSummary{
+			Shard: wigeonshift.ShardID(b.ShardSummary.GetShard()), Epoch: b.ShardSummary.GetEpoch(),
+			LowestRunning: wigeonshift.TierRank(b.ShardSummary.GetLowestRunning()),
+			LowestQueued:  wigeonshift.TierRank(b.ShardSummary.GetLowestQueued()),
+			FreeSlots:     int(b.ShardSummary.GetFreeSlots()),
+		}, nil
+	default:
+		return configurationMessage(f)
+	}
+}
+
+// configurationMessage returns a message about the configuration.
+func configurationMessage(f *Frame) (wigeonshift.PeerMessage, error) {
+	switch b := f.Body.(type) {
+	case *Frame_ConfigurationPush:
+		return wigeonshift.ConfigurationPush{Changes: changesIn(b.ConfigurationPush.GetChanges())}, nil
+	case *Frame_ConfigurationAsk:
+		return wigeonshift.ConfigurationAsk{Have: b.ConfigurationAsk.GetHave()}, nil
+	case *Frame_ConfigurationSnapshot:
+		return wigeonshift.ConfigurationSnapshot{
+			Version: b.ConfigurationSnapshot.GetVersion(), Document: b.ConfigurationSnapshot.GetDocument(),
+		}, nil
+	case *Frame_ConfigurationHave:
+		return wigeonshift.ConfigurationHave{Version: b.ConfigurationHave.GetVersion()}, nil
+	default:
+		return nil, oops.In("wire").Wrap(ErrMalformed)
+	}
+}
