--- a/internal/modules/wigeonsession/counter.go
+++ b/internal/modules/wigeonsession/counter.go
@@ -10,7 +10,7 @@
 var kindNames = []string{
 	"control", "permitAsk", "permitCancel", "attemptNotice", "runningNotice", "permitReply", "notOwner",
 	"ownerNotice", "shardSummary", "configurationPush", "configurationAsk", "configurationSnapshot",
-	"configurationHave",
+	"configurationHave", "ownerAsk",
 }
 
 // kindControl is the index of frames that carry no message.
@@ -43,6 +43,8 @@
 		return 11
 	case wigeonshift.ConfigurationHave:
 		return 12
+	case wigeonshift.OwnerAsk:
+		return 13
 	default:
 		return kindControl
 	}
@@ -51,7 +53,7 @@
 // wantsAnswer tells whether silence after a message is suspicious.
 func wantsAnswer(m wigeonshift.PeerMessage) bool {
 	switch m.(type) {
-	case wigeonshift.PermitAsk, wigeonshift.ConfigurationAsk:
+	case wigeonshift.PermitAsk, wigeonshift.OwnerAsk, wigeonshift.ConfigurationAsk:
 		return true
 	default:
 		return false
--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -51,9 +51,9 @@
 	lost     []func(wigeonshift.Instance)
 	// unreachable is called when an instance could not be dialled.
 	unreachable []func(wigeonshift.Instance)
-	local    *sendQueue[wigeonshift.PeerMessage]
-	start    time.Time
-	dials    atomic.Uint64
+	local       *sendQueue[wigeonshift.PeerMessage]
+	start       time.Time
+	dials       atomic.Uint64
 
 	ctx    context.Context //nolint:containedctx // The network's own life, from Start to Stop.
 	cancel context.CancelFunc
--- a/internal/modules/wigeonwire/message.go
+++ b/internal/modules/wigeonwire/message.go
@@ -53,6 +53,8 @@
 		return &Frame{Body: &Frame_NotOwner{&NotOwner{
 			Shard: string(m.Shard), Request: string(m.Request), Owner: InstanceOut(m.Owner),
 		}}}, nil
+	case wigeonshift.OwnerAsk:
+		return &Frame{Body: &Frame_OwnerAsk{&OwnerAsk{Shard: string(m.Shard)}}}, nil
 	case wigeonshift.OwnerNotice:
 		return &Frame{Body: &Frame_OwnerNotice{&OwnerNotice{
 			Shard: string(m.Shard), Epoch: m.Epoch, Owner: InstanceOut(m.Owner), Release: m.Release,
@@ -110,6 +112,8 @@
 			Request: wigeonshift.RequestID(b.NotOwner.GetRequest()),
 			Owner:   InstanceIn(b.NotOwner.GetOwner()),
 		}, nil
+	case *Frame_OwnerAsk:
+		return wigeonshift.OwnerAsk{Shard: wigeonshift.ShardID(b.OwnerAsk.GetShard())}, nil
 	case *Frame_OwnerNotice:
 		return wigeonshift.OwnerNotice{
 			Shard: wigeonshift.ShardID(b.OwnerNotice.GetShard()), Epoch: b.OwnerNotice.GetEpoch(),
--- a/internal/services/wigeonmember/member.go
+++ b/internal/services/wigeonmember/member.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
+	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonsession"
+
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
-
-	"wigeonshift"
-	"wigeonshift/internal/modules/wigeonsession"
 )
 
 // The list is read every 2 s by small fleets. A fleet spends at most 100 reads/s on it, of about 2,000 that the
@@ -24,7 +24,7 @@
 	minPollPeriod   = 2 * time.Second
 	pollPerInstance = 10 * time.Millisecond
 	// pollSpread is the part of a period by which each poll is spread at random.
-	pollSpread = 0.25
+	pollSpread  = 0.25
 	pollTimeout = 2 * time.Second
 )
 
--- /dev/null
+++ b/internal/services/wigeonowner/drain.go
@@ -0,0 +1,102 @@
+package wigeonowner
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonlease"
+	"wigeonshift/internal/services/wigeonscheduler"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/conc"
+)
+
+// successionTimeout bounds the wait for a successor to serve a shard that was handed to it.
+const successionTimeout = 3 * time.Second
+
+// handOver is the planned move of one shard to another instance.
+type handOver struct {
+	shard *shard
+	ctx   context.Context //nolint:containedctx // The drain's own context.
+	err   error
+}
+
+// Drain hands every owned shard to its next candidate and bids for no other. Until the successor serves a shard,
+// this instance goes on granting, so that no request is refused.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	for _, s := range m.all() {
+		s.keeper.SetRank(-1)
+	}
+	var moves []*handOver
+	var wg conc.WaitGroup
+	for _, s := range m.owned() {
+		h := &handOver{shard: s, ctx: ctx}
+		moves = append(moves, h)
+		wg.Go(h.run)
+	}
+	wg.Wait()
+	var errs []error
+	for _, h := range moves {
+		errs = append(errs, h.err)
+	}
+	return oops.In("owner").Wrap(oops.Join(errs...))
+}
+
+// run moves the shard.
+func (h *handOver) run() {
+	s := h.shard
+	successor := s.m.successorOf(s.id)
+	epoch, err := s.keeper.Transfer(h.ctx, successor)
+	if err != nil {
+		s.m.counters.add("ownerHandOversFailed", "", 1)
+		h.err = oops.In("owner").With("shard", s.id).Wrap(err)
+		return
+	}
+	s.post(wigeonscheduler.LeaseLapsed{})
+	if successor.ID == "" {
+		s.abdicate(successor, epoch)
+		return
+	}
+	s.mu.Lock()
+	s.handingOver = epoch
+	s.mu.Unlock()
+	s.m.send(successor, wigeonshift.OwnerNotice{Shard: s.id, Epoch: epoch, Owner: successor, Release: true})
+	s.abdicate(h.await(successor, epoch))
+}
+
+// await waits until the successor or another instance serves the shard.
+func (h *handOver) await(successor wigeonshift.Instance, epoch uint64) (wigeonshift.Instance, uint64) {
+	timer := time.NewTimer(successionTimeout)
+	defer timer.Stop()
+	select {
+	case n := <-h.shard.successor:
+		h.shard.m.counters.add("ownerHandOvers", "", 1)
+		return n.Owner, n.Epoch
+	case <-timer.C:
+	case <-h.ctx.Done():
+	}
+	h.shard.m.counters.add("ownerHandOversUnanswered", "", 1)
+	return successor, epoch
+}
+
+// successorOf returns the best candidate for a shard except this instance.
+func (m *Manager) successorOf(id wigeonshift.ShardID) wigeonshift.Instance {
+	for _, i := range wigeonlease.Candidates(id, m.members.Live(), 2) {
+		if i.ID != m.network.Self().ID {
+			return i
+		}
+	}
+	return wigeonshift.Instance{}
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/services/wigeonowner/mailbox.go
@@ -0,0 +1,46 @@
+package wigeonowner
+
+import (
+	"sync"
+
+	"wigeonshift/internal/services/wigeonscheduler"
+)
+
+// mailboxLimit bounds the events that wait for a shard's loop.
+const mailboxLimit = 1 << 16
+
+// mailbox is a bounded queue of events for one loop.
+type mailbox struct {
+	ready chan struct{}
+
+	mu     sync.Mutex
+	events []wigeonscheduler.Body
+}
+
+func newMailbox() *mailbox {
+	return &mailbox{ready: make(chan struct{}, 1)}
+}
+
+// put appends an event; false means that the mailbox is full.
+func (b *mailbox) put(e wigeonscheduler.Body) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.events) >= mailboxLimit {
+		return false
+	}
+	b.events = append(b.events, e)
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// takeAll removes and returns all events.
+func (b *mailbox) takeAll() []wigeonscheduler.Body {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	events := b.events
+	b.events = nil
+	return events
+}
--- a/peer.go
+++ b/peer.go
@@ -22,6 +22,10 @@
 	AttemptNotice struct {
 		Report AttemptReport
 	}
+	// OwnerAsk asks for a shard's owner. The owner answers with an OwnerNotice, others with NotOwner.
+	OwnerAsk struct {
+		Shard ShardID
+	}
 	// RunningNotice lists all attempts of one entry in a shard, after a takeover or a reconnect.
 	RunningNotice struct {
 		Shard ShardID
@@ -91,6 +95,7 @@
 func (PermitAsk) peerMessage()             {}
 func (PermitCancel) peerMessage()          {}
 func (AttemptNotice) peerMessage()         {}
+func (OwnerAsk) peerMessage()              {}
 func (RunningNotice) peerMessage()         {}
 func (PermitReply) peerMessage()           {}
 func (NotOwner) peerMessage()              {}
