Test ownership under faults in virtual time and tell peers of a leaving instance

A draining instance could be offered a shard by another draining one, which bounced leases between them; it now declines, and its heartbeats tell that it is leaving.

--- a/internal/modules/wigeonsession/heartbeat.go
+++ b/internal/modules/wigeonsession/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonwire"
 )
 
@@ -113,7 +114,7 @@
 func (l *link) heartbeat(echo bool) {
 	period := heartbeatPeriod(l.n.peerCount())
 	frame := mustEncode(&wigeonwire.Frame{Body: &wigeonwire.Frame_Heartbeat{Heartbeat: &wigeonwire.Heartbeat{
-		PeriodMs: uint32(period.Milliseconds()), Echo: echo,
+		PeriodMs: uint32(period.Milliseconds()), Echo: echo, Leaving: l.n.leaving.Load(),
 	}}})
 	select {
 	case l.control <- frame:
@@ -127,6 +128,11 @@
 	period := time.Duration(h.GetPeriodMs()) * time.Millisecond
 	period = min(max(period, minHeartbeatPeriod), maxAnnouncedSilence)
 	l.silenceBound.Store(int64(silenceBound(period)))
+	if h.GetLeaving() && !l.leavingTold.Swap(true) {
+		i := l.remote
+		i.State = wigeonshift.InstanceLeaving
+		l.n.notifyLeaving(i)
+	}
 	if h.GetEcho() {
 		l.heartbeat(false)
 	}
--- a/internal/modules/wigeonsession/link.go
+++ b/internal/modules/wigeonsession/link.go
@@ -43,6 +43,8 @@
 	retiredAt    atomic.Int64
 	// leaving is set before a goodbye is written; whatever ends the link afterwards is no loss.
 	leaving atomic.Bool
+	// leavingTold is set once the peer told that it is leaving.
+	leavingTold atomic.Bool
 
 	retired    chan struct{}
 	retireOnce sync.Once
--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -49,6 +49,9 @@
 	counters *counters
 	handlers []wigeonshift.PeerHandler
 	lost     []func(wigeonshift.Instance)
+	// stateChanged is called when an instance tells that it is leaving.
+	stateChanged []func(wigeonshift.Instance)
+	leaving      atomic.Bool
 	// unreachable is called when an instance could not be dialled.
 	unreachable []func(wigeonshift.Instance)
 	local       *sendQueue[wigeonshift.PeerMessage]
@@ -104,6 +107,25 @@
 	n.unreachable = append(n.unreachable, h)
 }
 
+// SubscribeLeaving adds a handler that is called when an instance tells that it is leaving. It must be called before
+// Start.
+func (n *Network) SubscribeLeaving(h func(wigeonshift.Instance)) {
+	n.stateChanged = append(n.stateChanged, h)
+}
+
+// SetLeaving tells every peer, now and in later sessions, that this instance is leaving.
+func (n *Network) SetLeaving() {
+	n.leaving.Store(true)
+	n.mu.Lock()
+	peers := n.peerList()
+	n.mu.Unlock()
+	for _, p := range peers {
+		for _, l := range p.snapshotLinks() {
+			l.heartbeat(false)
+		}
+	}
+}
+
 // Probe dials an instance unless a session with it is open.
 func (n *Network) Probe(to wigeonshift.Instance) {
 	p, err := n.peer(to)
@@ -211,6 +233,13 @@
 	}
 }
 
+// notifyLeaving tells all handlers that an instance is leaving.
+func (n *Network) notifyLeaving(i wigeonshift.Instance) {
+	for _, h := range n.stateChanged {
+		h(i)
+	}
+}
+
 // notifyUnreachable tells all handlers that an instance could not be dialled.
 func (n *Network) notifyUnreachable(i wigeonshift.Instance) {
 	for _, h := range n.unreachable {
--- a/internal/services/wigeonlease/keeper.go
+++ b/internal/services/wigeonlease/keeper.go
@@ -293,6 +293,19 @@
 	k.nextAt = time.Now().Add(retryPeriod/2 + rand.N(retryPeriod))
 }
 
+// Supersede notes what the new holder itself told: this instance's lease is over, whether the table can be read or
+// not. It does not notify.
+func (k *Keeper) Supersede(holder wigeonshift.Instance, epoch uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if epoch <= k.row.Epoch {
+		return false
+	}
+	k.owned, k.lapsed, k.heldUntil = false, false, time.Time{}
+	k.see(Row{Holder: holder, Epoch: epoch})
+	return true
+}
+
 // Transfer hands the lease to a successor under the next epoch. The caller may go on granting until the successor
 // has taken over, but gives no more fenced orders.
 func (k *Keeper) Transfer(ctx context.Context, successor wigeonshift.Instance) (epoch uint64, err error) {
--- a/internal/services/wigeonmember/member.go
+++ b/internal/services/wigeonmember/member.go
@@ -42,6 +42,8 @@
 	instance wigeonshift.Instance
 	spokeAt  time.Time
 	failedAt time.Time
+	// left is set once the instance told that it is leaving.
+	left bool
 }
 
 // Members implements wigeonshift.Membership.
@@ -88,6 +90,7 @@
 	network.Subscribe(m.heard)
 	network.SubscribeLost(network.Probe)
 	network.SubscribeUnreachable(m.failed)
+	network.SubscribeLeaving(m.left)
 	return m
 }
 
@@ -106,12 +109,13 @@
 	return nil
 }
 
-// SetLeaving takes this instance out of its own view, so that it no longer bids for leases.
+// SetLeaving takes this instance out of its own view, so that it no longer bids for leases, and tells its peers.
 func (m *Members) SetLeaving() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self.State = wigeonshift.InstanceLeaving
 	m.recompute()
+	m.network.SetLeaving()
 }
 
 // Live returns the instances fit to hold leases, ordered by id.
@@ -197,6 +201,14 @@
 	m.recompute()
 }
 
+// left notes that an instance told that it is leaving. An instance never comes back from that.
+func (m *Members) left(i wigeonshift.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evidenceOf(i).left = true
+	m.recompute()
+}
+
 // evidenceOf returns the evidence on an instance; the caller holds the lock.
 func (m *Members) evidenceOf(i wigeonshift.Instance) *evidence {
 	e := m.evidence[i.ID]
@@ -242,11 +254,13 @@
 	switch {
 	case failed:
 		delete(view, id)
-	case spoke && !ok:
-		view[id] = e.instance
-	case spoke && e.instance.State == wigeonshift.InstanceLeaving:
+	case e.left && ok:
 		listed.State = wigeonshift.InstanceLeaving
 		view[id] = listed
+	case e.left && !spoke:
+		delete(m.evidence, id)
+	case spoke && !ok && !e.left:
+		view[id] = e.instance
 	case !spoke:
 		delete(m.evidence, id)
 	}
--- a/internal/services/wigeonowner/lab_test.go
+++ b/internal/services/wigeonowner/lab_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,7 +48,7 @@
 	runtime.GC()
 	synctest.Test(suiteT, func(t *testing.T) {
 		l := &lab{
-			g: NewWithT(t), platform: wigeonplatform.NewCore(), engines: &engines{orders: map[string][]wigeonshift.Order{}},
+			g: NewWithT(t), platform: wigeonplatform.NewCore(), engines: &engines{},
 			listeners: map[string]*memoryListener{}, conns: map[*memoryConn]bool{}, cut: map[[2]string]bool{},
 		}
 		for i := range count {
@@ -133,13 +134,32 @@
 	return owners[0], other
 }
 
+// except returns the nodes other than some.
+func (l *lab) except(some ...*node) []*node {
+	return slices.DeleteFunc(slices.Clone(l.nodes), func(n *node) bool { return slices.Contains(some, n) })
+}
+
+func (l *lab) byID(id string) *node {
+	return l.nodes[slices.IndexFunc(l.nodes, func(n *node) bool { return n.id == id })]
+}
+
+// status returns the shard's state at its owner.
+func (l *lab) status() wigeonshift.ShardStatus {
+	owner, _ := l.owner()
+	return owner.manager.Statuses()[0]
+}
+
 // ask asks for a permit from a node and returns the answer, the time it took and the session.
 func (n *node) ask(deadline time.Duration) (wigeonshift.PermitAnswer, time.Duration, wigeonshift.PermitSession) {
+	return n.askModel("m", deadline)
+}
+
+func (n *node) askModel(model string, deadline time.Duration) (wigeonshift.PermitAnswer, time.Duration, wigeonshift.PermitSession) {
 	id := wigeonshift.RequestID(fmt.Sprintf("%s-%d", n.id, n.serial.Add(1)))
 	start := time.Now()
 	s, err := n.broker.Ask(ctx, wigeonshift.PermitRequest{
 		ID: id, Shard: shardID, Product: "p", Organisation: "o", Tier: "t", Deadline: start.Add(deadline),
-		PromptTokens: 64, MaxTokens: 16, Fingerprint: wigeonshift.Fingerprint(n.serial.Load()), Model: "m",
+		PromptTokens: 64, MaxTokens: 16, Fingerprint: wigeonshift.Fingerprint(n.serial.Load()), Model: model,
 	})
 	n.lab.g.Expect(err).NotTo(HaveOccurred())
 	select {
@@ -177,6 +197,9 @@
 			IgnoresFencing: true,
 		}
 	}
+	cold := endpoints["e3"]
+	cold.Models = []string{"cold"}
+	endpoints["e3"] = cold
 	return &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
 		Tiers:         map[string]wigeonshift.Tier{"t": {}},
 		Organisations: map[string]wigeonshift.Organisation{"o": {Tiers: []string{"t"}}},
@@ -216,7 +239,32 @@
 // engines are endpoints that report no load and record orders.
 type engines struct {
 	mu     sync.Mutex
-	orders map[string][]wigeonshift.Order
+	orders []sentOrder
+}
+
+type sentOrder struct {
+	at    time.Time
+	order wigeonshift.Order
+}
+
+// count returns the number of orders given.
+func (e *engines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
+
+// latest returns the time of the last order with a fencing number.
+func (e *engines) latest(fence uint64) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var at time.Time
+	for _, o := range e.orders {
+		if o.order.Fence == fence {
+			at = o.at
+		}
+	}
+	return at
 }
 
 type engine struct {
@@ -230,7 +278,7 @@
 }
 
 func (e *engine) Load(context.Context) (wigeonshift.LoadReport, error) {
-	return wigeonshift.LoadReport{TakenAt: time.Now(), Models: []string{"m"}, Incarnation: "1"}, nil
+	return wigeonshift.LoadReport{TakenAt: time.Now(), Incarnation: "1"}, nil
 }
 
 func (e *engine) CacheEvents(context.Context, uint64) (wigeonshift.CacheBatch, error) {
@@ -240,7 +288,7 @@
 func (e *engine) SendOrder(_ context.Context, o wigeonshift.Order) error {
 	e.all.mu.Lock()
 	defer e.all.mu.Unlock()
-	e.all.orders[e.address] = append(e.all.orders[e.address], o)
+	e.all.orders = append(e.all.orders, sentOrder{time.Now(), o})
 	return nil
 }
 
@@ -294,7 +342,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if c.ends[0] == id || c.ends[1] == id {
-			c.Conn.Close()
+			c.Close()
 			delete(l.conns, c)
 		}
 	}
--- a/internal/services/wigeonowner/lease.go
+++ b/internal/services/wigeonowner/lease.go
@@ -30,6 +30,10 @@
 
 // acquired starts to serve the shard, or goes on with fenced orders.
 func (s *shard) acquired(epoch uint64) {
+	if s.m.isDraining() && !s.isOwner() {
+		s.decline()
+		return
+	}
 	s.mu.Lock()
 	fresh := s.state == nil || s.epoch != epoch
 	predecessor := s.predecessor
@@ -55,9 +59,13 @@
 	s.startTask(quarantineLoad{s})
 	s.pollers.start(s)
 	s.announce(predecessor)
-	if s.m.isDraining() {
-		h := &handOver{shard: s, ctx: s.ctx}
-		s.tasks.Go(h.run)
+}
+
+// decline releases a lease that was handed to this instance while it drains. The next candidate takes it.
+func (s *shard) decline() {
+	s.m.counters.add("ownerHandOversDeclined", "", 1)
+	if _, err := s.keeper.Transfer(s.ctx, wigeonshift.Instance{}); err != nil {
+		s.m.log.WithError(err).WithField("shard", s.id).Warn("Lease can't be released")
 	}
 }
 
@@ -113,7 +121,7 @@
 }
 
 // ownerNoticed hears that another instance serves the shard.
-func (s *shard) ownerNoticed(n wigeonshift.OwnerNotice) {
+func (s *shard) ownerNoticed(from wigeonshift.Instance, n wigeonshift.OwnerNotice) {
 	s.mu.Lock()
 	awaited := s.handingOver != 0 && n.Epoch >= s.handingOver
 	s.mu.Unlock()
@@ -123,8 +131,11 @@
 		default:
 		}
 	}
-	if !awaited {
-		s.keeper.Wake()
+	if awaited {
+		return
+	}
+	if from.ID == n.Owner.ID && s.keeper.Supersede(n.Owner, n.Epoch) {
+		s.abdicate(n.Owner, n.Epoch)
 	}
 }
 
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -4,6 +4,10 @@
 	"testing"
 	"time"
 
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonlease"
+	"wigeonshift/internal/standin/wigeonplatform"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -16,6 +20,12 @@
 	RunSpecs(t, "wigeonowner")
 }
 
+// often is the pause between two requests of one caller.
+const often = 20 * time.Millisecond
+
+// takeoverTarget is the time in which a new owner grants after a kill.
+const takeoverTarget = 5 * time.Second
+
 var _ = Describe("Ownership", func() {
 	It("grants over one owner to every node", func() {
 		runLab(3, func(l *lab) {
@@ -30,4 +40,166 @@
 			}
 		})
 	})
+
+	It("takes over from a killed owner within the target and refuses nothing", func() {
+		for range 5 {
+			runLab(4, func(l *lab) {
+				owner, _ := l.owner()
+				d := l.drive("m", often, l.except(owner)...)
+				time.Sleep(2 * time.Second)
+				owner.kill()
+				time.Sleep(10 * time.Second)
+				d.end("kill of the owner")
+				l.g.Expect(d.refused).To(BeZero())
+				l.g.Expect(d.worst).To(BeNumerically("<", takeoverTarget))
+				l.g.Expect(l.status().Epoch).To(BeEquivalentTo(2))
+			})
+		}
+	})
+
+	It("hands over on a planned stop without a gap or a refusal", func() {
+		runLab(3, func(l *lab) {
+			d := l.drive("m", often, l.nodes...)
+			for range 2 {
+				time.Sleep(3 * time.Second)
+				owner, _ := l.owner()
+				epoch := l.status().Epoch
+				owner.members.SetLeaving()
+				l.g.Expect(owner.manager.Drain(ctx)).To(Succeed())
+				n, _ := l.owner()
+				l.g.Expect(n).NotTo(Equal(owner))
+				l.g.Expect(l.status().Epoch).To(BeNumerically(">", epoch))
+			}
+			time.Sleep(time.Second)
+			d.end("planned hand-over")
+			l.g.Expect(d.refused).To(BeZero())
+			l.g.Expect(d.worst).To(BeNumerically("<", 500*time.Millisecond))
+		})
+	})
+
+	It("goes on granting through ten minutes without the store and gives no order meanwhile", func() {
+		runLab(3, func(l *lab) {
+			owner, _ := l.owner()
+			d := l.drive("m", time.Second, l.nodes...)
+			time.Sleep(time.Second)
+			l.platform.SetFaults(wigeonplatform.Faults{Outage: true})
+			time.Sleep(5 * time.Second)
+			orders := l.engines.count()
+			l.g.Expect(l.status().LeaseHeld).To(BeFalse())
+			time.Sleep(10 * time.Minute)
+			l.g.Expect(l.engines.count()).To(Equal(orders))
+			l.platform.SetFaults(wigeonplatform.Faults{})
+			time.Sleep(5 * time.Second)
+			same, _ := l.owner()
+			l.g.Expect(same).To(Equal(owner))
+			l.g.Expect(l.status().LeaseHeld).To(BeTrue())
+			l.g.Expect(l.status().Epoch).To(BeEquivalentTo(1))
+			d.end("store down for 10 minutes")
+			l.g.Expect(d.refused).To(BeZero())
+			l.g.Expect(d.worst).To(BeNumerically("<", time.Second))
+		})
+	})
+
+	It("replaces an owner that is cut off from the store, and no order carries its epoch after the lapse", func() {
+		runLab(3, func(l *lab) {
+			owner, _ := l.owner()
+			d := l.drive("cold", often, l.nodes...) // One endpoint has the model, so its owner orders more.
+			other := l.drive("m", time.Second, l.nodes...)
+			time.Sleep(3 * time.Second)
+			owner.store.closed.Store(true)
+			cutAt := time.Now()
+			time.Sleep(30 * time.Second)
+			n, _ := l.owner()
+			l.g.Expect(n).NotTo(Equal(owner))
+			d.end("owner cut off from the store")
+			other.end("other model")
+			l.g.Expect(l.engines.count()).To(BeNumerically(">", 0))
+			l.g.Expect(l.engines.latest(1)).To(BeTemporally("<", cutAt.Add(wigeonlease.Duration)))
+		})
+	})
+
+	It("survives a cut between the owner and every other node, whose permits of the old epoch end", func() {
+		runLab(4, func(l *lab) {
+			owner, _ := l.owner()
+			d := l.drive("m", often, l.except(owner)...)
+			time.Sleep(2 * time.Second)
+			for _, n := range l.except(owner) {
+				l.partition(owner.id, n.id, true)
+			}
+			owner.store.closed.Store(true)
+			time.Sleep(15 * time.Second)
+			a, _, s := owner.ask(5 * time.Second)
+			l.g.Expect(a.Grant).NotTo(BeNil(), "its own entry is still served: %+v", a.Refuse)
+			finish(s, a.Grant)
+			for _, n := range l.except(owner) {
+				l.partition(owner.id, n.id, false)
+			}
+			owner.store.closed.Store(false)
+			time.Sleep(20 * time.Second)
+			l.owner()
+			d.end("owner cut off from everyone")
+			l.g.Expect(d.refused).To(BeZero())
+			// Silence is found by heartbeats and probes before the search can begin.
+			l.g.Expect(d.worst).To(BeNumerically("<", takeoverTarget+3*time.Second))
+			l.g.Expect(l.status().Epoch).To(BeEquivalentTo(2))
+		})
+	})
+
+	It("refuses honestly at a node that can't reach the owner, and serves it when the cut heals", func() {
+		runLab(4, func(l *lab) {
+			owner, other := l.owner()
+			l.partition(owner.id, other.id, true)
+			a, took, _ := other.ask(20 * time.Second)
+			l.g.Expect(a).To(Equal(wigeonshift.PermitAnswer{}), "the channel is closed without an answer")
+			l.g.Expect(took).To(BeNumerically("<", 12*time.Second))
+			l.partition(owner.id, other.id, false)
+			time.Sleep(3 * time.Second)
+			a, took, s := other.ask(20 * time.Second)
+			l.g.Expect(a.Grant).NotTo(BeNil())
+			l.g.Expect(took).To(BeNumerically("<", 3*time.Second))
+			finish(s, a.Grant)
+		})
+	})
+
+	It("keeps one owner when answers to lease writes are lost", func() {
+		runLab(3, func(l *lab) {
+			d := l.drive("m", often, l.nodes...)
+			l.platform.SetFaults(wigeonplatform.Faults{LostAnswers: 0.5, LateByMS: 300})
+			for range 60 {
+				time.Sleep(time.Second)
+				l.g.Expect(len(l.owners())).To(BeNumerically("<=", 1))
+			}
+			l.platform.SetFaults(wigeonplatform.Faults{})
+			time.Sleep(5 * time.Second)
+			l.owner()
+			d.end("half of all answers to writes lost for a minute")
+			l.g.Expect(d.refused).To(BeZero())
+		})
+	})
+
+	It("recovers from two faults at once", func() {
+		runLab(5, func(l *lab) {
+			owner, _ := l.owner()
+			next := l.byID(wigeonlease.Candidates(shardID, l.nodes[0].members.Live(), 2)[1].ID)
+			d := l.drive("m", often, l.except(owner, next)...)
+			time.Sleep(2 * time.Second)
+			owner.kill()
+			next.kill()
+			time.Sleep(10 * time.Second)
+			d.end("kill of the owner and the next candidate")
+			l.g.Expect(d.refused).To(BeZero())
+		})
+		runLab(4, func(l *lab) {
+			owner, _ := l.owner()
+			d := l.drive("m", often, l.except(owner)...)
+			time.Sleep(2 * time.Second)
+			l.platform.SetFaults(wigeonplatform.Faults{Outage: true})
+			owner.kill()
+			time.Sleep(3 * time.Second)
+			l.platform.SetFaults(wigeonplatform.Faults{})
+			time.Sleep(10 * time.Second)
+			d.end("kill of the owner with the store down for 3 s")
+			l.owner()
+		})
+	})
 })
--- a/internal/services/wigeonowner/receive.go
+++ b/internal/services/wigeonowner/receive.go
@@ -78,7 +78,7 @@
 	m.located[n.Shard] = n.Owner
 	m.mu.Unlock()
 	if s := m.shard(n.Shard); s != nil {
-		s.ownerNoticed(n)
+		s.ownerNoticed(from, n)
 	}
 }
 
