--- a/internal/services/wigeonowner/balance.go
+++ b/internal/services/wigeonowner/balance.go
@@ -26,7 +26,7 @@
 		if len(first) == 0 || !s.dueTo(first[0]) {
 			continue
 		}
-		move := &rebalance{handOver{shard: s, ctx: m.ctx, successor: first[0]}}
+		move := &rebalance{handOver{shard: s, ctx: m.ctx, candidates: first, onlyIfAnswered: true}}
 		m.wg.Go(move.run)
 		return
 	}
@@ -41,11 +41,17 @@
 func (r *rebalance) run() {
 	defer r.shard.m.moving.Store(false)
 	r.handOver.run()
+	r.shard.postponeMove()
 	if r.err != nil {
 		r.shard.m.log.WithError(r.err).WithField("shard", r.shard.id).Warn("Shard can't be moved to its first candidate")
-		return
 	}
-	r.shard.m.counters.add("ownerShardsBalanced", "", 1)
+}
+
+// postponeMove starts the wait for the next move anew.
+func (s *shard) postponeMove() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstID = ""
 }
 
 // dueTo tells whether the shard is to move to its first candidate now.
--- a/internal/services/wigeonowner/drain.go
+++ b/internal/services/wigeonowner/drain.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"wigeonshift"
-	"wigeonshift/internal/services/wigeonlease"
 	"wigeonshift/internal/services/wigeonscheduler"
 
 	"github.com/samber/oops"
@@ -25,9 +24,11 @@
 type handOver struct {
 	shard *shard
 	ctx   context.Context //nolint:containedctx // The drain's own context.
-	// successor is the instance that takes over; the zero instance lets the next candidates bid.
-	successor wigeonshift.Instance
-	err       error
+	// candidates may take over; the best one that answers does.
+	candidates []wigeonshift.Instance
+	// onlyIfAnswered gives the move up when no candidate answers.
+	onlyIfAnswered bool
+	err            error
 }
 
 // Drain hands every owned shard to its next candidate and bids for no other. Until the successor serves a shard,
@@ -45,7 +46,7 @@
 	var moves []*handOver
 	var wg conc.WaitGroup
 	for _, s := range m.owned() {
-		h := &handOver{shard: s, ctx: ctx, successor: m.successorOf(s.id)}
+		h := &handOver{shard: s, ctx: ctx, candidates: m.successors(s.id)}
 		moves = append(moves, h)
 		wg.Go(h.run)
 	}
@@ -73,7 +74,10 @@
 
 // run moves the shard.
 func (h *handOver) run() {
-	s, successor := h.shard, h.successor
+	s, successor := h.shard, h.choose()
+	if successor.ID == "" && h.onlyIfAnswered {
+		return
+	}
 	epoch, err := s.keeper.Transfer(h.ctx, successor)
 	if err != nil {
 		s.m.counters.add("ownerHandOversFailed", "", 1)
@@ -81,10 +85,6 @@
 		return
 	}
 	s.post(wigeonscheduler.LeaseLapsed{})
-	if successor.ID == "" {
-		s.abdicate(successor, epoch)
-		return
-	}
 	select {
 	case <-s.successor:
 		// An answer to an earlier move counts no more.
@@ -93,7 +93,9 @@
 	s.mu.Lock()
 	s.handingOver = epoch
 	s.mu.Unlock()
-	s.m.send(successor, wigeonshift.OwnerNotice{Shard: s.id, Epoch: epoch, Owner: successor, Release: true})
+	if successor.ID != "" {
+		s.m.send(successor, wigeonshift.OwnerNotice{Shard: s.id, Epoch: epoch, Owner: successor, Release: true})
+	}
 	s.abdicate(h.await(successor, epoch))
 }
 
@@ -112,16 +114,6 @@
 	return successor, epoch
 }
 
-// successorOf returns the best candidate for a shard except this instance.
-func (m *Manager) successorOf(id wigeonshift.ShardID) wigeonshift.Instance {
-	for _, i := range wigeonlease.Candidates(id, m.members.Live(), 2) {
-		if i.ID != m.network.Self().ID {
-			return i
-		}
-	}
-	return wigeonshift.Instance{}
-}
-
 // sortedKeys returns the keys of a map in order.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
--- a/internal/services/wigeonowner/receive.go
+++ b/internal/services/wigeonowner/receive.go
@@ -33,6 +33,10 @@
 		if s := m.ownedShard(from, msg.Shard, ""); s != nil {
 			m.send(from, s.notice())
 		}
+	case wigeonshift.NotOwner:
+		if s := m.shard(msg.Shard); s != nil && msg.Owner.ID == m.network.Self().ID {
+			s.witnessed(from.ID)
+		}
 	case wigeonshift.OwnerNotice:
 		m.ownerNoticed(from, msg)
 	case wigeonshift.ShardSummary:
--- a/internal/services/wigeonowner/shard.go
+++ b/internal/services/wigeonowner/shard.go
@@ -35,6 +35,8 @@
 	predecessor wigeonshift.Instance
 	// successor has taken the shard over from this instance.
 	successor chan wigeonshift.OwnerNotice
+	// witnesses takes the ids of instances that name this one as the owner.
+	witnesses chan string
 	// handingOver is the epoch of a hand-over that waits for its successor, 0 for none.
 	handingOver uint64
 	entries     map[string]wigeonshift.Instance
@@ -58,6 +60,7 @@
 		notices:   make(chan wigeonlease.Notice, 16),
 		slots:     make(chan struct{}, maxTasks),
 		successor: make(chan wigeonshift.OwnerNotice, 1),
+		witnesses: make(chan string, successorCandidates),
 	}
 	s.ctx, s.cancel = context.WithCancel(m.ctx)
 	s.keeper = wigeonlease.NewKeeper(id, m.network.Self(), m.store, s.leaseChanged,
