--- a/internal/models/wigeonconfig/repository.go
+++ b/internal/models/wigeonconfig/repository.go
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	r.remember(c)
+	r.Observe(c)
 	return c, nil
 }
 
@@ -113,8 +113,9 @@
 	return Decode(document)
 }
 
-// remember keeps the newest configuration. Versions only rise.
-func (r *Repository) remember(c *wigeonshift.Configuration) {
+// Observe tells the repository of a configuration that was read elsewhere, so that it needn't load it. The
+// repository keeps the newest one.
+func (r *Repository) Observe(c *wigeonshift.Configuration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.latest == nil || c.Version > r.latest.Version {
--- a/internal/models/wigeonconfig/submit.go
+++ b/internal/models/wigeonconfig/submit.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return wigeonshift.Change{}, nil, err
 	}
-	r.remember(next)
+	r.Observe(next)
 	return ch, next, nil
 }
 
