--- a/internal/models/wigeonconfig/diff.go
+++ b/internal/models/wigeonconfig/diff.go
@@ -36,7 +36,11 @@
 	}
 	for key, to := range b {
 		from, ok := a[key]
-		if ok && reflect.DeepEqual(from, to) {
+		if !ok {
+			patch[key] = to
+			continue
+		}
+		if reflect.DeepEqual(from, to) {
 			continue
 		}
 		change, err := d(from, to)
--- a/internal/models/wigeonconfig/submit.go
+++ b/internal/models/wigeonconfig/submit.go
@@ -59,7 +59,7 @@
 	if h.Version != p.Base {
 		return r.repeatedOrStale(ctx, p, h.Version)
 	}
-	next, err := r.Preview(ctx, p)
+	next, err := r.patched(ctx, p)
 	if err != nil {
 		return wigeonshift.Change{}, nil, err
 	}
@@ -75,8 +75,24 @@
 	return ch, next, nil
 }
 
-// Preview returns the checked configuration that a patch would make of its base, and changes nothing.
+// Preview returns the configuration that Submit would make of a patch, and changes nothing.
 func (r *Repository) Preview(ctx context.Context, p Patch) (*wigeonshift.Configuration, error) {
+	if err := checkPatch(p); err != nil {
+		return nil, err
+	}
+	h, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if h.Version != p.Base {
+		_, next, err := r.repeatedOrStale(ctx, p, h.Version)
+		return next, err
+	}
+	return r.patched(ctx, p)
+}
+
+// patched applies a patch to its base and checks the result.
+func (r *Repository) patched(ctx context.Context, p Patch) (*wigeonshift.Configuration, error) {
 	current, err := r.LoadVersion(ctx, p.Base)
 	if err != nil {
 		return nil, err
