--- a/internal/services/wigeonspread/wigeonspread_test.go
+++ b/internal/services/wigeonspread/wigeonspread_test.go
@@ -42,13 +42,16 @@
 	// loss is the share of messages lost; cut tells whether two nodes are cut off from each other.
 	loss float64
 	cut  func(a, b string) bool
-	sent int
+	// delay is the time a message takes.
+	delay func(a, b string) time.Duration
+	sent  int
 }
 
 func newHub() *hub {
 	return &hub{
 		core: wigeonplatform.NewCore(), nodes: map[string]*node{}, wake: make(chan struct{}),
 		random: rand.New(rand.NewPCG(7, 7)), cut: func(string, string) bool { return false },
+		delay: func(string, string) time.Duration { return 5 * time.Millisecond },
 	}
 }
 
@@ -98,13 +101,14 @@
 	h.sent++
 	lost := h.random.Float64() < h.loss
 	broken := target == nil || target.dead || h.cut(n.self.ID, to.ID)
+	delay := h.delay(n.self.ID, to.ID)
 	h.mu.Unlock()
 	if broken {
 		<-ctx.Done()
 		return wigeonshift.ErrPeerUnreachable
 	}
 	if !lost {
-		time.AfterFunc(5*time.Millisecond, func() { target.handler(n.self, m) })
+		time.AfterFunc(delay, func() { target.handler(n.self, m) })
 	}
 	return nil
 }
@@ -266,6 +270,35 @@
 		})
 	})
 
+	It("reaches everyone by the platform alone when no instance can reach another", func() {
+		bubble(func(t *testing.T, g *WithT, h *hub) {
+			nodes := h.start(t, 60)
+			time.Sleep(time.Second)
+			h.mu.Lock()
+			h.cut = func(string, string) bool { return true }
+			h.mu.Unlock()
+			time.Sleep(time.Minute)
+			accept(g, nodes[0], 0)
+			within(g, nodes, 1)
+		})
+	})
+
+	It("never reverts to an older configuration that comes late", func() {
+		bubble(func(t *testing.T, g *WithT, h *hub) {
+			nodes := h.start(t, 3)
+			time.Sleep(time.Second)
+			accept(g, nodes[0], 0)
+			old := nodes[0].Current()
+			accept(g, nodes[1], 1)
+			within(g, nodes, 2)
+			nodes[0].Accept(wigeonshift.Change{Version: 1}, old)
+			for range 100 {
+				time.Sleep(time.Millisecond)
+				g.Expect(version(nodes[0])).To(BeEquivalentTo(2))
+			}
+		})
+	})
+
 	It("keeps every node serving through a store outage, and lets one start with the peers' version", func() {
 		bubble(func(t *testing.T, g *WithT, h *hub) {
 			nodes := h.start(t, 9)
@@ -318,11 +351,11 @@
 
 	It("never starts ready on a version older than the peers' newest while the store is down", func() {
 		bubble(func(t *testing.T, g *WithT, h *hub) {
-			nodes := h.start(t, 4)
+			nodes := h.start(t, 3)
 			time.Sleep(time.Second)
 			accept(g, nodes[0], 0)
 			within(g, nodes, 1)
-			behind := nodes[3]
+			behind := nodes[2]
 			behind.store.cut(true)
 			h.mu.Lock()
 			h.cut = func(a, b string) bool {
@@ -330,7 +363,15 @@
 			}
 			h.mu.Unlock()
 			accept(g, nodes[0], 1)
-			within(g, nodes[:3], 2)
+			within(g, nodes[:2], 2)
+			h.mu.Lock()
+			h.delay = func(a, b string) time.Duration {
+				if a == behind.self.ID || b == behind.self.ID {
+					return time.Millisecond
+				}
+				return 300 * time.Millisecond
+			}
+			h.mu.Unlock()
 			h.core.SetFaults(wigeonplatform.Faults{Outage: true})
 			late := h.add(9)
 			g.Expect(late.Start(t.Context())).To(Succeed())
