--- a/internal/models/wigeonconfig/apikey.go
+++ b/internal/models/wigeonconfig/apikey.go
@@ -5,12 +5,9 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"strings"
 	"time"
 
 	"wigeonshift"
-
-	"github.com/samber/oops"
 )
 
 // Sizes of generated API keys.
@@ -66,36 +63,3 @@
 	Organisation string
 	KeyID        string
 }
-
-// KeyIndex finds the owner of an API key in one configuration without looking at the others.
-type KeyIndex struct {
-	keys map[string]indexedKey
-}
-
-type indexedKey struct {
-	caller Caller
-	stored wigeonshift.APIKey
-}
-
-// NewKeyIndex returns the index of a configuration's keys.
-func NewKeyIndex(c *wigeonshift.Configuration) *KeyIndex {
-	x := &KeyIndex{keys: map[string]indexedKey{}}
-	for product, p := range c.Products {
-		for organisation, o := range p.Organisations {
-			for id, k := range o.APIKeys {
-				x.keys[id] = indexedKey{caller: Caller{Product: product, Organisation: organisation, KeyID: id}, stored: k}
-			}
-		}
-	}
-	return x
-}
-
-// Authenticate returns the caller of a presented key, or an error that wraps ErrUnknownKey.
-func (x *KeyIndex) Authenticate(presented string, at time.Time) (Caller, error) {
-	id, secret, _ := strings.Cut(presented, ".")
-	k, ok := x.keys[id]
-	if !ok || !VerifyAPIKey(k.stored, secret, at) {
-		return Caller{}, oops.In("configuration").Wrap(ErrUnknownKey)
-	}
-	return k.caller, nil
-}
--- a/internal/models/wigeonconfig/check.go
+++ b/internal/models/wigeonconfig/check.go
@@ -22,9 +22,9 @@
 // Check reports whether a configuration keeps its schema and refers only to what it defines. Its error is an
 // *InvalidError with the path of each fault.
 func Check(c *wigeonshift.Configuration) error {
-	k := &checker{keys: map[string]string{}}
+	k := &checker{keys: map[string]keyOwner{}}
 	for name, p := range c.Products {
-		k.product(join("products", name), name, p)
+		k.within("products", name, func() { k.product(name, p) })
 	}
 	if len(k.faults) == 0 {
 		return nil
@@ -33,121 +33,146 @@
 	return &InvalidError{Faults: k.faults[:min(len(k.faults), maxFaults)]}
 }
 
+// checker walks a configuration. Paths are built for faults only: a large configuration has hundreds of thousands.
 type checker struct {
 	faults []Fault
-	// keys maps the id of each API key to the path of its organisation.
-	keys map[string]string
+	// path is the place of the value under check.
+	path []string
+	// keys maps the id of each API key to its owner.
+	keys map[string]keyOwner
 }
 
-func (k *checker) fault(path, format string, args ...any) {
+// keyOwner is the organisation of an API key.
+type keyOwner struct {
+	product      string
+	organisation string
+}
+
+func (o keyOwner) path() string {
+	return "products." + o.product + ".organisations." + o.organisation
+}
+
+// within runs a check of the value at a name below a field of the current path.
+func (k *checker) within(field, name string, check func()) {
+	k.path = append(k.path, field, name)
+	check()
+	k.path = k.path[:len(k.path)-2]
+}
+
+// fault reports a fault of a field of the value under check; an empty field means the value itself.
+func (k *checker) fault(field, format string, args ...any) {
+	path := join(strings.Join(k.path, "."), field)
 	k.faults = append(k.faults, Fault{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
-func (k *checker) require(ok bool, path, reason string) {
+func (k *checker) require(ok bool, field, reason string) {
 	if !ok {
-		k.fault(path, "%s", reason)
+		k.fault(field, "%s", reason)
 	}
 }
 
 // name checks a key of a map. Slashes separate the parts of shard ids, and dots those of paths and of caller keys.
-func (k *checker) name(path, name string) {
-	bad := name == "" || len(name) > MaxNameLength || strings.ContainsFunc(name, func(r rune) bool {
-		return r <= ' ' || r == '/' || r == '.' || r == 0x7f
-	})
-	k.require(!bad, path, "name must have 1 to 100 bytes without space, slash or dot")
+func (k *checker) name(name string) {
+	bad := name == "" || len(name) > MaxNameLength
+	for i := range len(name) {
+		bad = bad || name[i] <= ' ' || name[i] == '/' || name[i] == '.' || name[i] == 0x7f
+	}
+	k.require(!bad, "", "name must have 1 to 100 bytes without space, slash or dot")
 }
 
-func (k *checker) product(path, name string, p wigeonshift.Product) {
-	k.name(path, name)
-	k.require(len(p.Tiers) > 0, path+".tiers", "a product needs at least one tier")
-	k.tiers(path+".tiers", p.Tiers)
+func (k *checker) product(name string, p wigeonshift.Product) {
+	k.name(name)
+	k.require(len(p.Tiers) > 0, "tiers", "a product needs at least one tier")
+	k.tiers(p.Tiers)
 	for organisation, o := range p.Organisations {
-		k.organisation(path+".organisations."+organisation, organisation, o, p.Tiers)
+		k.within("organisations", organisation, func() { k.organisation(keyOwner{name, organisation}, o, p.Tiers) })
 	}
 	for service, s := range p.Services {
-		k.service(path+".services."+service, service, s)
+		k.within("services", service, func() { k.service(service, s) })
 	}
 }
 
-func (k *checker) tiers(path string, tiers map[string]wigeonshift.Tier) {
+func (k *checker) tiers(tiers map[string]wigeonshift.Tier) {
 	ranks := map[wigeonshift.TierRank]int{}
 	for _, t := range tiers {
 		ranks[t.Rank]++
 	}
 	for name, t := range tiers {
-		at := join(path, name)
-		k.name(at, name)
-		k.require(t.Rank >= 0, at+".rank", "must not be negative")
-		k.require(ranks[t.Rank] == 1, at+".rank", "another tier of the product has the same rank")
-		k.require(t.DefaultDeadlineMS > 0, at+".defaultDeadlineMs", "must be positive")
+		k.within("tiers", name, func() {
+			k.name(name)
+			k.require(t.Rank >= 0, "rank", "must not be negative")
+			k.require(ranks[t.Rank] == 1, "rank", "another tier of the product has the same rank")
+			k.require(t.DefaultDeadlineMS > 0, "defaultDeadlineMs", "must be positive")
+		})
 	}
 }
 
-func (k *checker) organisation(path, name string, o wigeonshift.Organisation, tiers map[string]wigeonshift.Tier) {
-	k.name(path, name)
-	k.require(len(o.Tiers) > 0, path+".tiers", "an organisation needs at least one tier")
+func (k *checker) organisation(owner keyOwner, o wigeonshift.Organisation, tiers map[string]wigeonshift.Tier) {
+	k.name(owner.organisation)
+	k.require(len(o.Tiers) > 0, "tiers", "an organisation needs at least one tier")
 	for i, t := range o.Tiers {
 		if _, ok := tiers[t]; !ok {
-			k.fault(path+".tiers", "the product has no tier %q", t)
+			k.fault("tiers", "the product has no tier %q", t)
 		}
-		k.require(!slices.Contains(o.Tiers[:i], t), path+".tiers", "a tier stands twice")
+		k.require(!slices.Contains(o.Tiers[:i], t), "tiers", "a tier stands twice")
 	}
-	k.require(isShare(o.Weight), path+".weight", "must be a finite number of at least 0")
-	k.require(o.MaxConcurrent >= 0, path+".maxConcurrent", "must not be negative")
-	k.require(isShare(o.TokensPerSecond), path+".tokensPerSecond", "must be a finite number of at least 0")
+	k.require(isShare(o.Weight), "weight", "must be a finite number of at least 0")
+	k.require(o.MaxConcurrent >= 0, "maxConcurrent", "must not be negative")
+	k.require(isShare(o.TokensPerSecond), "tokensPerSecond", "must be a finite number of at least 0")
 	for id, key := range o.APIKeys {
-		k.apiKey(path+".apiKeys."+id, id, path, key)
+		k.within("apiKeys", id, func() { k.apiKey(id, owner, key) })
 	}
 }
 
-func (k *checker) apiKey(path, id, organisation string, key wigeonshift.APIKey) {
-	k.name(path, id)
+func (k *checker) apiKey(id string, owner keyOwner, key wigeonshift.APIKey) {
+	k.name(id)
 	if other, ok := k.keys[id]; ok {
-		k.fault(max(other, organisation)+".apiKeys."+id, "%s has a key with the same id", min(other, organisation))
+		first, second := min(other.path(), owner.path()), max(other.path(), owner.path())
+		reason := first + " has a key with the same id"
+		k.faults = append(k.faults, Fault{Path: second + ".apiKeys." + id, Reason: reason})
 	}
-	k.keys[id] = organisation
-	k.require(isHex(key.Salt, saltBytes), path+".salt", "must be 16 bytes as hexadecimal")
-	k.require(isHex(key.Hash, hashBytes), path+".hash", "must be 32 bytes as hexadecimal")
+	k.keys[id] = owner
+	k.require(isHex(key.Salt, saltBytes), "salt", "must be 16 bytes as hexadecimal")
+	k.require(isHex(key.Hash, hashBytes), "hash", "must be 32 bytes as hexadecimal")
 }
 
-func (k *checker) service(path, name string, s wigeonshift.Service) {
-	k.name(path, name)
-	k.require(s.MaxBodyBytes >= 0, path+".maxBodyBytes", "must not be negative")
+func (k *checker) service(name string, s wigeonshift.Service) {
+	k.name(name)
+	k.require(s.MaxBodyBytes >= 0, "maxBodyBytes", "must not be negative")
 	switch s.Kind {
 	case wigeonshift.ServiceModel:
-		k.require(len(s.Models) > 0, path+".models", "a model service needs at least one model")
-		k.require(len(s.NonIdempotentMethods) == 0, path+".nonIdempotentMethods", "only plain services have methods")
+		k.require(len(s.Models) > 0, "models", "a model service needs at least one model")
+		k.require(len(s.NonIdempotentMethods) == 0, "nonIdempotentMethods", "only plain services have methods")
 	case wigeonshift.ServicePlain:
-		k.require(len(s.Models) == 0, path+".models", "a plain service has no models")
+		k.require(len(s.Models) == 0, "models", "a plain service has no models")
 	default:
-		k.fault(path+".kind", "must be model or plain")
+		k.fault("kind", "must be model or plain")
 	}
 	for _, m := range s.NonIdempotentMethods {
-		k.require(m != "" && strings.ToUpper(m) == m, path+".nonIdempotentMethods", "methods are written in capitals")
+		k.require(m != "" && strings.ToUpper(m) == m, "nonIdempotentMethods", "methods are written in capitals")
 	}
 	addresses := map[string]string{}
 	for endpoint, e := range s.Endpoints {
-		at := path + ".endpoints." + endpoint
-		k.endpoint(at, endpoint, e, s)
+		k.within("endpoints", endpoint, func() { k.endpoint(endpoint, e, s) })
 		if other, ok := addresses[e.Address]; ok {
-			k.fault(path+".endpoints."+max(other, endpoint)+".address", "%s has the same address", min(other, endpoint))
+			k.fault("endpoints."+max(other, endpoint)+".address", "%s has the same address", min(other, endpoint))
 		}
 		addresses[e.Address] = endpoint
 	}
 }
 
-func (k *checker) endpoint(path, name string, e wigeonshift.EndpointSpec, s wigeonshift.Service) {
-	k.name(path, name)
+func (k *checker) endpoint(name string, e wigeonshift.EndpointSpec, s wigeonshift.Service) {
+	k.name(name)
 	_, err := netip.ParseAddrPort(e.Address)
-	k.require(err == nil, path+".address", "must be an IP number and port")
-	k.require(e.Region != "" && !strings.Contains(e.Region, "/"), path+".region", "must be set, without slash")
-	k.require(e.Zone != "", path+".zone", "must be set")
-	k.require(e.State == wigeonshift.EndpointActive || e.State == wigeonshift.EndpointLeaving, path+".state",
+	k.require(err == nil, "address", "must be an IP number and port")
+	k.require(e.Region != "" && !strings.Contains(e.Region, "/"), "region", "must be set, without slash")
+	k.require(e.Zone != "", "zone", "must be set")
+	k.require(e.State == wigeonshift.EndpointActive || e.State == wigeonshift.EndpointLeaving, "state",
 		"must be active or leaving")
-	k.require(e.MaxConcurrent >= 0, path+".maxConcurrent", "must not be negative")
+	k.require(e.MaxConcurrent >= 0, "maxConcurrent", "must not be negative")
 	for _, m := range e.Models {
 		if !slices.Contains(s.Models, m) {
-			k.fault(path+".models", "the service has no model %q", m)
+			k.fault("models", "the service has no model %q", m)
 		}
 	}
 }
@@ -157,6 +182,15 @@
 }
 
 func isHex(s string, size int) bool {
-	b, err := hex.DecodeString(s)
-	return err == nil && len(b) == size
+	if len(s) != hex.EncodedLen(size) {
+		return false
+	}
+	for i := range len(s) {
+		digit := s[i] >= '0' && s[i] <= '9'
+		letter := s[i]|0x20 >= 'a' && s[i]|0x20 <= 'f'
+		if !digit && !letter {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/models/wigeonconfig/keyring.go
+++ b/internal/models/wigeonconfig/keyring.go
@@ -18,12 +18,7 @@
 type Keyring struct {
 	source  wigeonshift.ConfigurationSource
 	mu      sync.Mutex
-	current atomic.Pointer[versionedIndex]
-}
-
-type versionedIndex struct {
-	configuration *wigeonshift.Configuration
-	index         *KeyIndex
+	current atomic.Pointer[KeyIndex]
 }
 
 // NewKeyring returns a keyring over a source.
@@ -38,13 +33,13 @@
 	if v == nil {
 		return Caller{}, nil, oops.In("configuration").Wrap(wigeonshift.ErrNoConfiguration)
 	}
-	caller, err := v.index.Authenticate(presented, time.Now())
+	caller, err := v.Authenticate(presented, time.Now())
 	return caller, v.configuration, err
 }
 
 // index returns the index of the configuration in force. The first request after a change builds it; requests beside
 // it go on with the index before.
-func (k *Keyring) index() *versionedIndex {
+func (k *Keyring) index() *KeyIndex {
 	c := k.source.Current()
 	v := k.current.Load()
 	switch {
@@ -62,7 +57,12 @@
 	if v := k.current.Load(); v != nil && v.configuration == c {
 		return v
 	}
-	v = &versionedIndex{configuration: c, index: NewKeyIndex(c)}
-	k.current.Store(v)
-	return v
+	if v := k.current.Load(); v != nil {
+		next := v.Update(c)
+		k.current.Store(next)
+		return next
+	}
+	first := NewKeyIndex(c)
+	k.current.Store(first)
+	return first
 }
--- a/internal/services/wigeonspread/handle.go
+++ b/internal/services/wigeonspread/handle.go
@@ -104,7 +104,7 @@
 	if s.asked == from.ID {
 		s.asked = ""
 	}
-	if own > 0 && version <= own {
+	if s.Current() != nil && version <= own {
 		needed := min(s.settings.StartPeers, len(s.tree.Load().others()))
 		s.confirm.heardPeer(from.ID, now, needed, s.settings.StartWait)
 	}
