--- a/cmd/root.go
+++ b/cmd/root.go
@@ -32,6 +32,10 @@
 
 // CLI is the grammar of the command line.
 type CLI struct {
+	Node    NodeCommand    `cmd:"" help:"Run one instance."`
+	Dev     DevCommand     `cmd:"" help:"Run a whole site on loopback in one process: stand-ins and nodes."`
+	Config  ConfigCommand  `cmd:"" help:"Show and change the configuration."`
+	Status  StatusCommand  `cmd:"" help:"Show instances, shards, endpoints and tiers."`
 	Standin StandinCommand `cmd:"" help:"Run a stand-in for a system that wigeonshift works with."`
 	Load    LoadCommand    `cmd:"" help:"Send a scenario's requests to running nodes and verify every answer."`
 	Version VersionCommand `cmd:"" help:"Print the version."`
--- a/internal/modules/wigeonsetting/tls.go
+++ b/internal/modules/wigeonsetting/tls.go
@@ -7,6 +7,8 @@
 	Key         string `toml:"key" validate:"required_with=Certificate"`
 	// Authority is a PEM file with the certificates that sign the other side's; it makes authentication mutual.
 	Authority string `toml:"authority"`
+	// ServerName is the DNS name that the certificates of servers must carry; empty means "wigeonshift". Listeners ignore it.
+	ServerName string `toml:"serverName"`
 }
 
 // Enabled tells whether any file is set.
--- a/internal/services/wigeonlease/keeper.go
+++ b/internal/services/wigeonlease/keeper.go
@@ -32,8 +32,8 @@
 	// Watchers is the number of candidates after the holder that watch a lease.
 	Watchers = 3
 
-	// rankDelay keeps the watchers of later ranks from racing the first.
-	rankDelay = 300 * time.Millisecond
+	// rankDelay keeps the watchers of later ranks from racing the first, which may see a renewal a watch period later.
+	rankDelay = WatchPeriod
 	// retryPeriod is the time to the next try after a failed call, spread by half of it.
 	retryPeriod = 400 * time.Millisecond
 	// callTimeout bounds one call to the table.
--- a/internal/standin/wigeondev/configuration.go
+++ b/internal/standin/wigeondev/configuration.go
@@ -8,6 +8,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/models/wigeonconfig"
+	"wigeonshift/internal/modules/wigeonsetting"
 
 	"github.com/samber/oops"
 )
@@ -18,6 +19,16 @@
 	RecordsService   = "records"
 )
 
+// OperatorKey is the key that operators of the site present.
+const OperatorKey = "dev.rail"
+
+// OperatorEntry returns the operator's entry for the settings of the site's nodes.
+func OperatorEntry() wigeonsetting.OperatorKey {
+	name, secret, _ := strings.Cut(OperatorKey, ".")
+	stored := wigeonconfig.NewAPIKey(secret)
+	return wigeonsetting.OperatorKey{Name: name, Role: "editor", Salt: stored.Salt, Hash: stored.Hash}
+}
+
 // patch returns the merge patch that makes the site's configuration out of nothing.
 func (s *Site) patch() ([]byte, error) {
 	id, secret, _ := strings.Cut(CallerKey, ".")
