--- a/internal/modules/wigeonsetting/caller.go
+++ b/internal/modules/wigeonsetting/caller.go
@@ -1,6 +1,10 @@
 package wigeonsetting
 
-import "time"
+import (
+	"time"
+
+	"wigeonshift/internal/modules/wigeontoml"
+)
 
 // Caller holds the settings of the callers' API.
 type Caller struct {
@@ -13,12 +17,12 @@
 	// MaxConcurrent bounds the requests in flight on this instance.
 	MaxConcurrent int `toml:"maxConcurrent" validate:"min=1,max=1000000"`
 	// ReadTimeout bounds the time to read a whole request.
-	ReadTimeout Duration `toml:"readTimeout" validate:"min=1000000"`
+	ReadTimeout wigeontoml.Duration `toml:"readTimeout" validate:"min=1000000"`
 	// WriteTimeout bounds one write of an answer to a slow caller.
-	WriteTimeout Duration `toml:"writeTimeout" validate:"min=1000000"`
+	WriteTimeout wigeontoml.Duration `toml:"writeTimeout" validate:"min=1000000"`
 	// IdleTimeout closes connections without a request.
-	IdleTimeout Duration `toml:"idleTimeout" validate:"min=1000000"`
-	TLS         TLS      `toml:"tls"`
+	IdleTimeout wigeontoml.Duration `toml:"idleTimeout" validate:"min=1000000"`
+	TLS         TLS                 `toml:"tls"`
 }
 
 func defaultCaller() Caller {
@@ -27,8 +31,8 @@
 		MaxBodyBytes:   8 << 20,
 		MaxHeaderBytes: 16 << 10,
 		MaxConcurrent:  4096,
-		ReadTimeout:    Duration{30 * time.Second},
-		WriteTimeout:   Duration{30 * time.Second},
-		IdleTimeout:    Duration{2 * time.Minute},
+		ReadTimeout:    wigeontoml.Duration{Duration: 30 * time.Second},
+		WriteTimeout:   wigeontoml.Duration{Duration: 30 * time.Second},
+		IdleTimeout:    wigeontoml.Duration{Duration: 2 * time.Minute},
 	}
 }
--- a/internal/modules/wigeonsetting/platform.go
+++ b/internal/modules/wigeonsetting/platform.go
@@ -1,13 +1,17 @@
 package wigeonsetting
 
-import "time"
+import (
+	"time"
+
+	"wigeonshift/internal/modules/wigeontoml"
+)
 
 // Platform holds the settings of the platform's table, object store, instance list and weight store.
 type Platform struct {
 	// Address is the IP number and port of the platform's services.
 	Address string `toml:"address" validate:"required,hostname_port"`
 	// Timeout bounds one call.
-	Timeout Duration `toml:"timeout" validate:"min=1000000"`
+	Timeout wigeontoml.Duration `toml:"timeout" validate:"min=1000000"`
 	// WritesPerSecond and ReadsPerSecond bound this instance's calls.
 	WritesPerSecond float64 `toml:"writesPerSecond" validate:"min=0.1,max=1000"`
 	ReadsPerSecond  float64 `toml:"readsPerSecond" validate:"min=0.1,max=10000"`
@@ -18,7 +22,7 @@
 
 func defaultPlatform() Platform {
 	return Platform{
-		Timeout:         Duration{2 * time.Second},
+		Timeout:         wigeontoml.Duration{Duration: 2 * time.Second},
 		WritesPerSecond: 100,
 		ReadsPerSecond:  200,
 	}
--- a/internal/modules/wigeonsetting/setting.go
+++ b/internal/modules/wigeonsetting/setting.go
@@ -4,12 +4,9 @@
 import (
 	"errors"
 	"os"
-	"reflect"
-	"strings"
-	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
+	"wigeonshift/internal/modules/wigeontoml"
+
 	"github.com/samber/oops"
 )
 
@@ -29,26 +26,6 @@
 	Metrics  Metrics  `toml:"metrics"`
 }
 
-// Duration is a time.Duration that reads texts such as "1.5s".
-type Duration struct {
-	time.Duration
-}
-
-// UnmarshalText parses a duration.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	d.Duration = parsed
-	return nil
-}
-
-// MarshalText formats a duration.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(d.String()), nil
-}
-
 // Default returns the settings that apply where the file says nothing.
 func Default() Settings {
 	return Settings{
@@ -76,21 +53,8 @@
 // Parse reads and checks settings; name stands in its errors as the file's name.
 func Parse(name string, text []byte) (Settings, error) {
 	s := Default()
-	decoder := toml.NewDecoder(strings.NewReader(string(text)))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, decodeError(name, err)
-	}
-	if err := s.check(); err != nil {
-		return Settings{}, checkError(name, text, err)
+	if err := wigeontoml.Decode(name, text, &s); err != nil {
+		return Settings{}, errors.Join(ErrInvalid, err)
 	}
 	return s, nil
 }
-
-// check tests the ranges and requirements that stand in the fields' tags.
-func (s *Settings) check() error {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
-	v.RegisterCustomTypeFunc(func(f reflect.Value) any { return int64(f.Interface().(Duration).Duration) }, Duration{})
-	return v.Struct(s)
-}
--- a/internal/modules/wigeonsetting/setting_test.go
+++ b/internal/modules/wigeonsetting/setting_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/modules/wigeontoml"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -59,7 +60,7 @@
 	for f := range t.Fields() {
 		name := f.Tag.Get("toml")
 		Expect(keys).To(HaveKey(name), path+name)
-		if f.Type.Kind() == reflect.Struct && f.Type != reflect.TypeFor[wigeonsetting.Duration]() {
+		if f.Type.Kind() == reflect.Struct && f.Type != reflect.TypeFor[wigeontoml.Duration]() {
 			expectKeys(f.Type, keys[name].(map[string]any), path+name+".")
 		}
 	}
