Dial anew after a silent connection to the platform

A connection that went silent left the other idle ones of the pool, silent too, to be tried one by one: with four of them a write stayed unsettled for 5 s (the test failed so). A call without answer now drops all idle connections.

--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -112,6 +112,10 @@
 		deadline = time.Now().Add(transportTimeout)
 	}
 	if err := t.client.DoDeadline(req, resp, deadline); err != nil {
+		if !errors.Is(err, errDial) {
+			// A connection that went silent is rarely alone: later calls dial anew instead of trying each idle one.
+			t.client.CloseIdleConnections()
+		}
 		return nil, oops.In("store").With("path", c.path).Wrap(errors.Join(callError(c, err), err))
 	}
 	if resp.StatusCode() < 300 {
