--- a/internal/models/wigeonconfig/keys.go
+++ b/internal/models/wigeonconfig/keys.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"reflect"
 	"strconv"
@@ -12,6 +13,11 @@
 	"wigeonshift"
 )
 
+// maxDepth bounds the nesting of a patch; the document itself has less.
+const maxDepth = 32
+
+var errTooDeep = fmt.Errorf("nested more than %d levels deep", maxDepth)
+
 var configurationType = reflect.TypeFor[wigeonshift.Configuration]()
 
 // checkKeys reports every key of a patch that the document doesn't know, and every key written twice. The JSON
@@ -34,6 +40,7 @@
 // keyWalk follows a JSON text along a type.
 type keyWalk struct {
 	decoder *json.Decoder
+	depth   int
 	faults  []Fault
 }
 
@@ -43,6 +50,11 @@
 	if err != nil {
 		return err
 	}
+	w.depth++
+	defer func() { w.depth-- }()
+	if w.depth > maxDepth {
+		return errTooDeep
+	}
 	switch token {
 	case json.Delim('{'):
 		return w.members(path, t)
--- a/internal/models/wigeonconfig/wigeonconfig_test.go
+++ b/internal/models/wigeonconfig/wigeonconfig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -59,6 +60,7 @@
 		Entry("key twice", `{"products":{"loft":{"tiers":{"a":null,"a":null}}}}`, "products.loft.tiers.a", "twice"),
 		Entry("wrong type", `{"products":{"loft":{"tiers":{"urgent":{"rank":"x"}}}}}`, "products.loft.tiers.urgent.rank", "whole number"),
 		Entry("version", `{"version":9}`, "version", "can't be patched"),
+		Entry("deep nesting", strings.Repeat("[", 100_000), "", "levels deep"),
 		Entry("no object", `{"products":{"loft":[]}}`, "products.loft", "object"),
 		Entry("endpoint of an unknown product", `{"products":{"lost":{"services":{"a":{"endpoints":{
 			"e":{"address":"10.0.0.2:80","region":"r","zone":"z","state":"active"}}}}}}}`, "products.lost.services.a.kind", "model or plain"),
--- a/internal/services/wigeonspread/deliver.go
+++ b/internal/services/wigeonspread/deliver.go
@@ -139,7 +139,7 @@
 func (s *Spread) ask(now time.Time) {
 	t := s.tree.Load()
 	have := wigeonshift.ConfigurationAsk{Have: s.force.version()}
-	others := t.others()
+	others := t.others
 	if settled, _ := s.confirm.state(); !settled {
 		s.askAt = now.Add(jitter(s.settings.StartWait / 2))
 		for _, n := range rand.Perm(len(others))[:min(s.settings.StartPeers, len(others))] {
--- a/internal/services/wigeonspread/handle.go
+++ b/internal/services/wigeonspread/handle.go
@@ -105,7 +105,7 @@
 		s.asked = ""
 	}
 	if s.Current() != nil && version <= own {
-		needed := min(s.settings.StartPeers, len(s.tree.Load().others()))
+		needed := min(s.settings.StartPeers, len(s.tree.Load().others))
 		s.confirm.heardPeer(from.ID, now, needed, s.settings.StartWait)
 	}
 	return before
--- a/internal/services/wigeonspread/tree.go
+++ b/internal/services/wigeonspread/tree.go
@@ -18,18 +18,21 @@
 	regions map[string][]wigeonshift.Instance
 	// position is each instance's index in its region.
 	position map[string]int
-	members  []wigeonshift.Instance
-	fanOut   int
-	polls    bool
+	// others holds the members without this instance.
+	others []wigeonshift.Instance
+	fanOut int
+	// polls is set when this instance polls the platform.
+	polls bool
 }
 
 func newTree(self wigeonshift.Instance, live []wigeonshift.Instance, s Settings) *tree {
-	t := &tree{
-		self: self, regions: map[string][]wigeonshift.Instance{}, position: map[string]int{}, members: live, fanOut: s.FanOut,
-	}
+	t := &tree{self: self, regions: map[string][]wigeonshift.Instance{}, position: map[string]int{}, fanOut: s.FanOut}
 	for _, i := range wigeonshift.RankCandidates(treeKey, live) {
 		t.position[i.ID] = len(t.regions[i.Region])
 		t.regions[i.Region] = append(t.regions[i.Region], i)
+		if i.ID != self.ID {
+			t.others = append(t.others, i)
+		}
 	}
 	t.polls = polls(self, live, s.PollersPerZone)
 	return t
@@ -88,14 +91,3 @@
 	}
 	return wigeonshift.Instance{}, false
 }
-
-// others returns the members without this instance.
-func (t *tree) others() []wigeonshift.Instance {
-	var others []wigeonshift.Instance
-	for _, i := range t.members {
-		if i.ID != t.self.ID {
-			others = append(others, i)
-		}
-	}
-	return others
-}
--- a/shard.go
+++ b/shard.go
@@ -1,6 +1,7 @@
 package wigeonshift
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -138,17 +139,23 @@
 
 // RankCandidates orders instances for a key, best first.
 func RankCandidates(key string, instances []Instance) []Instance {
-	ranked := slices.Clone(instances)
-	slices.SortFunc(ranked, func(a, b Instance) int {
-		sa, sb := RendezvousScore(key, a.ID), RendezvousScore(key, b.ID)
-		switch {
-		case sa > sb:
-			return -1
-		case sa < sb:
-			return 1
-		default:
-			return strings.Compare(a.ID, b.ID)
+	type candidate struct {
+		score uint64
+		index int
+	}
+	candidates := make([]candidate, len(instances))
+	for n, i := range instances {
+		candidates[n] = candidate{score: RendezvousScore(key, i.ID), index: n}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
 		}
+		return strings.Compare(instances[a.index].ID, instances[b.index].ID)
 	})
+	ranked := make([]Instance, len(instances))
+	for n, c := range candidates {
+		ranked[n] = instances[c.index]
+	}
 	return ranked
 }
