--- a/internal/services/wigeonentry/route.go
+++ b/internal/services/wigeonentry/route.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbroker"
 )
 
 type serviceKey struct{ product, service string }
@@ -64,9 +65,5 @@
 	if len(shards) == 0 {
 		return "", false
 	}
-	hash := uint64(a.Fingerprint)
-	if len(a.Prefix) > 0 {
-		hash = uint64(a.Prefix[0])
-	}
-	return shards[hash%uint64(len(shards))], true
+	return wigeonbroker.ChooseShard(shards, a.Prefix, a.Fingerprint), true
 }
