--- a/internal/modules/wigeonsetting/setting_test.go
+++ b/internal/modules/wigeonsetting/setting_test.go
@@ -19,7 +19,7 @@
 	RunSpecs(t, "wigeonsetting")
 }
 
-const minimal = "[node]\nzone = \"z\"\nregion = \"r\"\n[platform]\naddress = \"127.0.0.1:7000\"\n"
+const minimal = "[node]\nzone = \"z\"\nregion = \"r\"\n[platform]\naddress = \"127.0.0.1:7400\"\n"
 
 var _ = Describe("Settings", func() {
 	It("documents every key with its default in the example file", func() {
@@ -30,7 +30,7 @@
 
 		want := wigeonsetting.Default()
 		want.Node.Zone, want.Node.Region = "champerico", "costa-sur"
-		want.Platform.Address = "127.0.0.1:7000"
+		want.Platform.Address = "127.0.0.1:7400"
 		want.Operator.Keys = []wigeonsetting.OperatorKey{}
 		Expect(loaded).To(Equal(want))
 
