--- a/internal/load/wigeonload/load_test.go
+++ b/internal/load/wigeonload/load_test.go
@@ -31,7 +31,8 @@
 // fakeNode is the callers' API with one engine and one plain service behind it, and with faults of its own.
 type fakeNode struct {
 	engine, plain wigeonshift.Endpoint
-	serial        atomic.Int64
+	// serial numbers the attempts, asked the requests.
+	serial, asked atomic.Int64
 	// crossed answers every request with the answer of another prompt.
 	crossed bool
 	// doubled runs everything twice.
@@ -48,7 +49,7 @@
 	if r.URL.Path == "/readyz" {
 		return
 	}
-	if f.refusing && f.serial.Add(1)%2 == 1 {
+	if f.refusing && f.asked.Add(1)%2 == 1 {
 		f.refuse(w)
 		return
 	}
