Add an outage of the stores alone to the stand-in; say when a patch was never sent

A run with four node processes showed two faults. A node that started during the stand-in's outage never became ready, because the outage took the instance list along, so that it knew no peer: the faults now tell the stores from the list (with the list down as well it still waits). The command advised to send a patch again that had never left: a refused connection is now said so. Also: a base beyond the newest version was reported without its reason.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -73,6 +73,9 @@
 	var b strings.Builder
 	switch ce.Body.Reason {
 	case wigeonoperator.ReasonStaleBase:
+		if len(ce.Body.Changes) == 0 {
+			return fmt.Errorf("your base doesn't exist: the newest version is %d", ce.Body.Head)
+		}
 		fmt.Fprintf(&b, "the newest version is %d; changed since your base:", ce.Body.Head)
 		for _, ch := range ce.Body.Changes {
 			fmt.Fprintf(&b, "\n  %d by %s at %s: %s", ch.Version, ch.Author, ch.At.Format(timeLayout), ch.Patch)
--- a/cmd/config_test.go
+++ b/cmd/config_test.go
@@ -75,6 +75,8 @@
 		Expect(runConfig("patch", first, "--base", "0")).To(ContainSubstring("accepted as version 1"))
 		_, err := runConfig("patch", second, "--base", "0")
 		Expect(err).To(MatchError(And(ContainSubstring("newest version is 1"), ContainSubstring("1 by ana"), ContainSubstring("urgent"))))
+		_, err = runConfig("patch", second, "--base", "9")
+		Expect(err).To(MatchError(ContainSubstring("doesn't exist: the newest version is 1")))
 		Expect(runConfig("patch", second, "--base", "1", "--json")).To(ContainSubstring(`"version": 2`))
 		Expect(runConfig("diff", "2", "1")).To(MatchJSON(`{"products":{"loft":{"tiers":{"urgent":{"defaultDeadlineMs":2000}}}}}`))
 		Expect(runConfig("rollback", "1", "--base", "2")).To(ContainSubstring("accepted as version 3"))
@@ -87,9 +89,21 @@
 	It("tells what to do when the outcome of a patch is unknown", func() {
 		serve()
 		patch := write("p.json", `{"products":{"a":{"tiers":{"t":{"rank":0,"defaultDeadlineMs":1}}}}}`)
-		GinkgoT().Setenv("WIGEONSHIFT_OPERATOR", "http://127.0.0.1:1")
-		_, err := runConfig("patch", patch, "--base", "0", "--patch-id", "p7")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoT().Setenv("WIGEONSHIFT_OPERATOR", "http://"+l.Addr().String())
+		go func() {
+			c, err := l.Accept()
+			if err == nil {
+				_, _ = c.Read(make([]byte, 1))
+				c.Close()
+			}
+			l.Close()
+		}()
+		_, err = runConfig("patch", patch, "--base", "0", "--patch-id", "p7")
 		Expect(err).To(MatchError(ContainSubstring("--patch-id p7")))
+		_, err = runConfig("patch", patch, "--base", "0", "--patch-id", "p7")
+		Expect(err).To(MatchError(And(ContainSubstring("nothing was changed"), Not(ContainSubstring("--patch-id")))), "nobody listens")
 	})
 
 	It("validates offline and names the path of a fault", func() {
--- a/cmd/config_write.go
+++ b/cmd/config_write.go
@@ -74,6 +74,8 @@
 	switch {
 	case errors.As(err, &ce) && ce.Body.Reason != wigeonoperator.ReasonOutcomeUnknown:
 		return explain(err)
+	case errors.Is(err, wigeonoperator.ErrNotSent):
+		return fmt.Errorf("%w\nnothing was changed", err)
 	case err != nil:
 		return fmt.Errorf("%w\nthe patch may be accepted or not: send it again with --patch-id %s to find out", err, id)
 	case asJSON:
--- a/internal/routers/wigeonoperator/client.go
+++ b/internal/routers/wigeonoperator/client.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -21,6 +22,9 @@
 	maxResponseBytes = 64 << 20
 )
 
+// ErrNotSent reports a call that no instance has received.
+var ErrNotSent = errors.New("not sent")
+
 // Client calls the operator API of an instance.
 type Client struct {
 	base string
@@ -124,6 +128,10 @@
 		req.SetBodyRaw(payload)
 	}
 	if err := c.http.DoTimeout(req, resp, clientTimeout); err != nil {
+		var dial *fasthttp.ErrDialWithUpstream
+		if errors.As(err, &dial) {
+			err = errors.Join(ErrNotSent, err)
+		}
 		return answer, fmt.Errorf("operator API at %s: %w", c.base, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/standin/wigeonplatform/fault.go
+++ b/internal/standin/wigeonplatform/fault.go
@@ -14,6 +14,8 @@
 type Faults struct {
 	// Outage refuses every call with proof that it had no effect.
 	Outage bool `json:"outage,omitempty"`
+	// StoreOutage refuses the calls of the table and the object store alone.
+	StoreOutage bool `json:"storeOutage,omitempty"`
 	// Silent swallows every call: no effect and no answer until the caller's deadline.
 	Silent bool `json:"silent,omitempty"`
 	// LatencyMS delays each call, half of it before and half after its effect.
@@ -58,11 +60,19 @@
 }
 
 // access is the kind of a call.
-type access int
+type access struct {
+	// write is set when the call may change something.
+	write bool
+	// store is set for calls of the table and the object store.
+	store bool
+}
 
-const (
-	accessRead access = iota
-	accessWrite
+// Kinds of calls.
+var (
+	storeRead  = access{store: true}
+	storeWrite = access{store: true, write: true}
+	listRead   = access{}
+	slotWrite  = access{write: true}
 )
 
 // call runs one call under the faults in force. effect runs at most once, with the lock held.
@@ -97,19 +107,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	budget := c.reads
-	if a == accessWrite {
+	if a.write {
 		budget = c.writes
 		c.writeCount.Add(1)
 	} else {
 		c.readCount.Add(1)
 	}
-	if c.faults.Outage {
+	if c.faults.Outage || (c.faults.StoreOutage && a.store) {
 		return c.faults, false, oops.In("platform").Wrap(wigeonshift.ErrUnavailable)
 	}
 	if !budget.Allow() {
 		return c.faults, false, oops.In("platform").Wrap(wigeonshift.ErrThrottled)
 	}
-	if a == accessWrite {
+	if a.write {
 		lost = c.chooseLost()
 	}
 	return c.faults, lost, nil
@@ -139,7 +149,7 @@
 
 // abandoned is the error of a caller that got no answer. A read has no effect in any case.
 func abandoned(a access) error {
-	if a == accessRead {
+	if !a.write {
 		return oops.In("platform").Wrap(wigeonshift.ErrUnavailable)
 	}
 	return oops.In("platform").Wrap(wigeonshift.ErrOutcomeUnknown)
--- a/internal/standin/wigeonplatform/instance.go
+++ b/internal/standin/wigeonplatform/instance.go
@@ -91,7 +91,7 @@
 // Instances returns the lagging list.
 func (c *Core) Instances(ctx context.Context) ([]wigeonshift.Instance, error) {
 	var list []wigeonshift.Instance
-	err := c.call(ctx, accessRead, func() error {
+	err := c.call(ctx, listRead, func() error {
 		c.instances.advance(time.Now().Add(-c.listLag))
 		list = sortedInstances(c.instances.shown)
 		return nil
--- a/internal/standin/wigeonplatform/object.go
+++ b/internal/standin/wigeonplatform/object.go
@@ -16,7 +16,7 @@
 	if key == "" || len(value) > MaxObjectBytes {
 		return oops.In("platform").With("key", key).Wrap(errBadRequest)
 	}
-	return c.call(ctx, accessWrite, func() error {
+	return c.call(ctx, storeWrite, func() error {
 		c.objects.ReplaceOrInsert(object{key: key, value: bytes.Clone(value)})
 		return nil
 	})
@@ -25,7 +25,7 @@
 // GetObject returns an object.
 func (c *Core) GetObject(ctx context.Context, key string) ([]byte, error) {
 	var value []byte
-	err := c.call(ctx, accessRead, func() error {
+	err := c.call(ctx, storeRead, func() error {
 		found, ok := c.objects.Get(object{key: key})
 		if !ok {
 			return oops.In("platform").With("key", key).Wrap(wigeonshift.ErrNotFound)
@@ -40,7 +40,7 @@
 func (c *Core) ListObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	var keys []string
 	limit = min(limit, MaxListLength)
-	err := c.call(ctx, accessRead, func() error {
+	err := c.call(ctx, storeRead, func() error {
 		c.objects.AscendGreaterOrEqual(object{key: max(prefix, after)}, func(o object) bool {
 			if len(keys) >= limit || !strings.HasPrefix(o.key, prefix) {
 				return false
@@ -57,7 +57,7 @@
 
 // DeleteObject removes an object.
 func (c *Core) DeleteObject(ctx context.Context, key string) error {
-	return c.call(ctx, accessWrite, func() error {
+	return c.call(ctx, storeWrite, func() error {
 		c.objects.Delete(object{key: key})
 		return nil
 	})
@@ -66,7 +66,7 @@
 // Reserve asks for a slot to load a model's weights. Slots are free at a fixed rate for all models together.
 func (c *Core) Reserve(ctx context.Context, _ string) (time.Duration, error) {
 	var delay time.Duration
-	err := c.call(ctx, accessWrite, func() error {
+	err := c.call(ctx, slotWrite, func() error {
 		now := time.Now()
 		r := c.slots.ReserveN(now, 1)
 		delay = r.DelayFrom(now)
--- a/internal/standin/wigeonplatform/table.go
+++ b/internal/standin/wigeonplatform/table.go
@@ -21,7 +21,7 @@
 // Get returns a row.
 func (c *Core) Get(ctx context.Context, key string) (wigeonshift.Row, error) {
 	var row wigeonshift.Row
-	err := c.call(ctx, accessRead, func() error {
+	err := c.call(ctx, storeRead, func() error {
 		found, ok := c.rows.Get(wigeonshift.Row{Key: key})
 		if !ok {
 			return oops.In("platform").With("key", key).Wrap(wigeonshift.ErrNotFound)
@@ -36,7 +36,7 @@
 func (c *Core) Scan(ctx context.Context, prefix, after string, limit int) ([]wigeonshift.Row, error) {
 	var rows []wigeonshift.Row
 	limit = min(limit, MaxListLength)
-	err := c.call(ctx, accessRead, func() error {
+	err := c.call(ctx, storeRead, func() error {
 		c.rows.AscendGreaterOrEqual(wigeonshift.Row{Key: max(prefix, after)}, func(r wigeonshift.Row) bool {
 			if len(rows) >= limit || !strings.HasPrefix(r.Key, prefix) {
 				return false
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	var revisions []uint64
-	err := c.call(ctx, accessWrite, func() error {
+	err := c.call(ctx, storeWrite, func() error {
 		for _, d := range tx.Conditions {
 			found, _ := c.rows.Get(wigeonshift.Row{Key: d.Key})
 			if found.Revision != d.Revision {
