--- a/internal/models/wigeonclaim/wigeonclaim_test.go
+++ b/internal/models/wigeonclaim/wigeonclaim_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -210,6 +211,37 @@
 		})
 	})
 
+	// The figures of docs/measurements/claims.md: go test -v ./internal/models/wigeonclaim
+	DescribeTable("bounds the latency that batching adds", func(perSecond int) {
+		bubble(func(t *testing.T, g *WithT, core *wigeonplatform.Core) {
+			const trip = 10 * time.Millisecond
+			core.SetFaults(wigeonplatform.Faults{LatencyMS: trip.Milliseconds()})
+			s := instance(t, core)
+			latencies := make([]time.Duration, perSecond)
+			var wg sync.WaitGroup
+			for i := range latencies {
+				time.Sleep(time.Second / time.Duration(perSecond))
+				wg.Go(func() {
+					start := time.Now()
+					_, err := try(s, claim(fmt.Sprint(i), "a"))
+					g.Expect(err).NotTo(HaveOccurred())
+					latencies[i] = time.Since(start)
+				})
+			}
+			wg.Wait()
+			slices.Sort(latencies)
+			longest := latencies[perSecond-1]
+			t.Logf("%d claims/s, a write takes %s: %d writes; claims take %s at the median, %s at most",
+				perSecond, trip, core.Counts().Writes, latencies[perSecond/2], longest)
+			// At worst a claim waits for one batch in flight on each lane and for its own linger.
+			g.Expect(longest).To(BeNumerically("<=", 2*trip+2*wigeonclaim.DefaultLinger))
+		})
+	},
+		Entry("few", 10),
+		Entry("many", 500),
+		Entry("very many", 5000),
+	)
+
 	It("gives a released or expired key again, and sweeps expired rows and bodies", func() {
 		bubble(func(t *testing.T, g *WithT, core *wigeonplatform.Core) {
 			sweeping := func() bool { return true }
--- a/internal/services/wigeonspread/deliver.go
+++ b/internal/services/wigeonspread/deliver.go
@@ -133,6 +133,11 @@
 	if !now.Before(s.askAt) {
 		s.ask(now)
 	}
+	confirmed := 0.0
+	if s.Confirmed() {
+		confirmed = 1
+	}
+	s.scope.Gauge("configurationConfirmed").Update(confirmed)
 }
 
 // ask asks for what is newer: the parent, or others while the start is not settled or the last one asked was silent.
