--- a/cmd/standin_fleet.go
+++ b/cmd/standin_fleet.go
@@ -20,6 +20,8 @@
 // StandinFleetCommand runs stand-ins for every endpoint of a configuration in one process, until a signal.
 type StandinFleetCommand struct {
 	Configuration string        `arg:"" type:"existingfile" help:"Configuration or first patch, as JSON."`
+	Only          []string      `help:"Name of an endpoint to run; repeatable, default is all."`
+	Except        []string      `help:"Name of an endpoint to leave out; repeatable."`
 	Latency       time.Duration `help:"Time that each call of a plain service takes." default:"2ms"`
 	EventLoss     float64       `help:"Share of cache events never shown." default:"0.02"`
 	StopTimeout   time.Duration `help:"Time that work gets to finish at the end." default:"30s"`
@@ -48,13 +50,20 @@
 	for _, product := range configuration.Products {
 		for _, service := range product.Services {
 			for _, name := range slices.Sorted(maps.Keys(service.Endpoints)) {
-				members = append(members, c.member(service, service.Endpoints[name], uint64(len(members))))
+				if c.runs(name) {
+					members = append(members, c.member(service, service.Endpoints[name], uint64(len(members))))
+				}
 			}
 		}
 	}
 	return members
 }
 
+// runs tells whether an endpoint is one of this process.
+func (c *StandinFleetCommand) runs(name string) bool {
+	return (len(c.Only) == 0 || slices.Contains(c.Only, name)) && !slices.Contains(c.Except, name)
+}
+
 func (c *StandinFleetCommand) member(service wigeonshift.Service, e wigeonshift.EndpointSpec, seed uint64) standin {
 	if service.Kind == wigeonshift.ServicePlain {
 		return wigeonplain.New(e.Address, wigeonplain.WithLatency(c.Latency))
