Poll no plain services, and take a probed peer port for what it is

Cause 1: the owner's pollers asked every endpoint for load, plain services too; each poll failed and ownerPollsFailed rose for ever. Plain services are no longer polled; their health shows in answers and the reducer's probes. Both tests failed before.

--- a/internal/modules/wigeonsession/handshake.go
+++ b/internal/modules/wigeonsession/handshake.go
@@ -21,6 +21,8 @@
 	ErrProtocolVersion = errors.New("unlike protocol version")
 	// ErrOtherInstance reports that another instance answers at the address.
 	ErrOtherInstance = errors.New("another instance answers at the address")
+	// errNoHello reports a connection that closed before it opened a lane, as the checks of balancers do.
+	errNoHello = errors.New("closed before the handshake")
 	// errHandshake reports a handshake out of order.
 	errHandshake = errors.New("handshake failed")
 )
@@ -156,15 +158,24 @@
 // refuse closes a connection whose handshake failed.
 func (a *acceptor) refuse(mux *yamux.Session, err error) {
 	mux.Close() //nolint:errcheck // The handshake's error is the one that matters.
+	log := a.n.log.WithError(err).WithField("address", a.conn.RemoteAddr().String())
+	if errors.Is(err, errNoHello) {
+		a.n.counters.ended("probe")
+		log.Debug("Peer connection closed before its handshake")
+		return
+	}
 	a.n.counters.ended("handshake")
-	a.n.log.WithError(err).WithField("address", a.conn.RemoteAddr().String()).Warn("Peer handshake failed")
+	log.Warn("Peer handshake failed")
 }
 
 // answer accepts the lanes and reads their hellos as the accepting side.
 func (l *link) answer() (*wigeonwire.Hello, error) {
 	var first *wigeonwire.Hello
-	for range laneCount {
+	for i := range laneCount {
 		stream, err := l.mux.AcceptStream()
+		if i == 0 && errors.Is(err, io.EOF) {
+			return nil, errNoHello
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/modules/wigeonsession/session_test.go
+++ b/internal/modules/wigeonsession/session_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 )
 
 var suiteT *testing.T
@@ -122,6 +124,28 @@
 		})
 	})
 
+	It("warns of a broken handshake but not of a connection that closes without one", func() {
+		bubble(func(g *WithT) {
+			w := newWire()
+			log, hook := logtest.NewNullLogger()
+			a := startNode(g, w, "a", wigeonsession.WithLogger(log))
+			for _, sent := range []string{"", "GET / HTTP/1.1\r\n\r\n"} {
+				g.Expect(hook.AllEntries()).To(BeEmpty())
+				c, err := w.dial(ctx, a.Self().Address)
+				g.Expect(err).NotTo(HaveOccurred())
+				if sent != "" {
+					_, err = c.Write([]byte(sent))
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				g.Expect(c.Close()).To(Succeed())
+				synctest.Wait()
+			}
+			g.Expect(hook.AllEntries()).To(HaveLen(1))
+			g.Expect(hook.LastEntry().Level).To(Equal(logrus.WarnLevel))
+			g.Expect(a.Stop(ctx)).To(Succeed())
+		})
+	})
+
 	It("closes an idle session without a loss and refuses beyond a full queue", func() {
 		bubble(func(g *WithT) {
 			w := newWire()
--- a/internal/services/wigeonowner/lab_test.go
+++ b/internal/services/wigeonowner/lab_test.go
@@ -33,6 +33,8 @@
 	platform *wigeonplatform.Core
 	engines  *engines
 	nodes    []*node
+	// configuration is the one in force.
+	configuration *wigeonshift.Configuration
 	// epoch is the shard's epoch when the test begins.
 	epoch uint64
 
@@ -46,11 +48,15 @@
 // run builds a lab in virtual time. Two collections empty the timer pool of yamux: its timers must not cross
 // from one bubble to the next.
 func runLab(count int, run func(l *lab)) {
+	runLabWith(labConfiguration, count, run)
+}
+
+func runLabWith(c *wigeonshift.Configuration, count int, run func(l *lab)) {
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(suiteT, func(t *testing.T) {
 		l := &lab{
-			g: NewWithT(t), platform: wigeonplatform.NewCore(), engines: &engines{},
+			g: NewWithT(t), platform: wigeonplatform.NewCore(), engines: &engines{}, configuration: c,
 			listeners: map[string]*memoryListener{}, conns: map[*memoryConn]bool{}, cut: map[[2]string]bool{},
 		}
 		for i := range count {
@@ -85,7 +91,7 @@
 	n.network = wigeonsession.New(self, wigeonsession.WithListener(l.listen(self.Address)),
 		wigeonsession.WithDial(func(ctx context.Context, a string) (net.Conn, error) { return l.dial(ctx, id, a) }))
 	n.members = wigeonmember.New(n.store, n.network)
-	n.manager = wigeonowner.New(n.network, n.members, n.store, n.store, &fixedConfiguration{}, l.engines)
+	n.manager = wigeonowner.New(n.network, n.members, n.store, n.store, &fixedConfiguration{now: l.configuration}, l.engines)
 	n.broker = wigeonbroker.New(n.network, n.members, n.store)
 	l.platform.PutInstance(self)
 	l.g.Expect(n.network.Start(ctx)).To(Succeed())
@@ -187,12 +193,16 @@
 	s.Close()
 }
 
-// fixedConfiguration is one pool of four model endpoints.
-type fixedConfiguration struct{ never chan struct{} }
+// fixedConfiguration never changes.
+type fixedConfiguration struct {
+	now   *wigeonshift.Configuration
+	never chan struct{}
+}
 
-func (*fixedConfiguration) Current() *wigeonshift.Configuration { return labConfiguration }
-func (f *fixedConfiguration) Changed() <-chan struct{}          { return f.never }
+func (f *fixedConfiguration) Current() *wigeonshift.Configuration { return f.now }
+func (f *fixedConfiguration) Changed() <-chan struct{}            { return f.never }
 
+// labConfiguration is one pool of four model endpoints.
 var labConfiguration = func() *wigeonshift.Configuration {
 	endpoints := map[string]wigeonshift.EndpointSpec{}
 	for i := range 4 {
@@ -244,6 +254,7 @@
 type engines struct {
 	mu     sync.Mutex
 	orders []sentOrder
+	polls  atomic.Int64
 }
 
 type sentOrder struct {
@@ -282,6 +293,7 @@
 }
 
 func (e *engine) Load(context.Context) (wigeonshift.LoadReport, error) {
+	e.all.polls.Add(1)
 	return wigeonshift.LoadReport{TakenAt: time.Now(), Incarnation: "1"}, nil
 }
 
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -42,6 +42,16 @@
 		})
 	})
 
+	It("polls model engines and leaves plain services alone", func() {
+		plain := &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
+			Services: map[string]wigeonshift.Service{"s": {Kind: wigeonshift.ServicePlain, Endpoints: map[string]wigeonshift.EndpointSpec{
+				"r0": {Address: "r0:1", Region: "lima", State: wigeonshift.EndpointActive},
+			}}},
+		}}}
+		runLab(1, func(l *lab) { l.g.Expect(l.engines.polls.Load()).To(BeNumerically(">", 0)) })
+		runLabWith(plain, 1, func(l *lab) { l.g.Expect(l.engines.polls.Load()).To(BeZero()) })
+	})
+
 	It("takes over from a killed owner within the target and refuses nothing", func() {
 		for range 5 {
 			runLab(4, func(l *lab) {
--- a/internal/services/wigeonowner/poll.go
+++ b/internal/services/wigeonowner/poll.go
@@ -73,7 +73,7 @@
 		f.shard.mu.Unlock()
 		if c != nil && c != seen {
 			seen = c
-			f.update(c.ShardEndpoints(f.shard.id))
+			f.update(polled(c, f.shard.id))
 		}
 		select {
 		case <-f.ctx.Done():
@@ -83,6 +83,16 @@
 	}
 }
 
+// polled returns the endpoints that are polled. Plain services report neither load nor cache events; their health shows
+// in their answers, and the reducer asks for a probe where it is in doubt.
+func polled(c *wigeonshift.Configuration, id wigeonshift.ShardID) map[string]wigeonshift.EndpointSpec {
+	p, _, ok := id.Pool()
+	if !ok || c.Products[p.Product].Services[p.Service].Kind == wigeonshift.ServicePlain {
+		return nil
+	}
+	return c.ShardEndpoints(id)
+}
+
 // update starts and ends pollers.
 func (f *fleet) update(endpoints map[string]wigeonshift.EndpointSpec) {
 	for name, p := range f.running {
@@ -131,7 +141,7 @@
 	}
 }
 
-// poll reads once. Plain services report neither load nor cache events.
+// poll reads once.
 func (p *poller) poll() {
 	ctx, cancel := context.WithTimeout(p.ctx, pollTimeout)
 	defer cancel()
