Take a plain service back after a restart

Cause: an endpoint that refused connections is probed by reading its load report. A plain service has none, so that every probe failed and the service stayed out until its shard moved, also when it had long been back. Ruled out: the probe's schedule (probes were sent). Change: for a plain service any answer proves that it serves; a model engine must still report. The new test failed before: no permit 30 s after the service was back.

--- a/internal/services/wigeonowner/effect.go
+++ b/internal/services/wigeonowner/effect.go
@@ -141,11 +141,18 @@
 	start := time.Now()
 	_, err := t.shard.m.dialer.Endpoint(t.probe.Address).Load(ctx)
 	t.shard.post(wigeonscheduler.ProbeAnswered{
-		Endpoint: t.probe.Endpoint, Healthy: err == nil || errors.Is(err, wigeonshift.ErrUnsupported),
-		Latency: time.Since(start),
+		Endpoint: t.probe.Endpoint, Healthy: t.healthy(err), Latency: time.Since(start),
 	})
 }
 
+// healthy judges a probe's answer. A plain service knows no load report: any answer shows that it serves.
+func (t probeTask) healthy(err error) bool {
+	if err == nil || errors.Is(err, wigeonshift.ErrUnsupported) {
+		return true
+	}
+	return t.shard.isPlain() && errors.Is(err, wigeonshift.ErrEndpointFailed)
+}
+
 // minTime returns the earlier of two times.
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/services/wigeonowner/lab_test.go
+++ b/internal/services/wigeonowner/lab_test.go
@@ -255,6 +255,8 @@
 	mu     sync.Mutex
 	orders []sentOrder
 	polls  atomic.Int64
+	// loadError is what a look at the load ends with.
+	loadError error
 }
 
 type sentOrder struct {
@@ -294,6 +296,9 @@
 
 func (e *engine) Load(context.Context) (wigeonshift.LoadReport, error) {
 	e.all.polls.Add(1)
+	if e.all.loadError != nil {
+		return wigeonshift.LoadReport{}, e.all.loadError
+	}
 	return wigeonshift.LoadReport{TakenAt: time.Now(), Incarnation: "1"}, nil
 }
 
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -27,6 +27,15 @@
 // takeoverTarget is the time in which a new owner grants after a kill.
 const takeoverTarget = 5 * time.Second
 
+// plainConfiguration is one plain service.
+var plainConfiguration = &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
+	Tiers:         map[string]wigeonshift.Tier{"t": {}},
+	Organisations: map[string]wigeonshift.Organisation{"o": {Tiers: []string{"t"}}},
+	Services: map[string]wigeonshift.Service{"s": {Kind: wigeonshift.ServicePlain, Endpoints: map[string]wigeonshift.EndpointSpec{
+		"r0": {Address: "r0:1", Region: "lima", State: wigeonshift.EndpointActive},
+	}}},
+}}}
+
 var _ = Describe("Ownership", func() {
 	It("grants over one owner to every node", func() {
 		runLab(3, func(l *lab) {
@@ -43,13 +52,30 @@
 	})
 
 	It("polls model engines and leaves plain services alone", func() {
-		plain := &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
-			Services: map[string]wigeonshift.Service{"s": {Kind: wigeonshift.ServicePlain, Endpoints: map[string]wigeonshift.EndpointSpec{
-				"r0": {Address: "r0:1", Region: "lima", State: wigeonshift.EndpointActive},
-			}}},
-		}}}
 		runLab(1, func(l *lab) { l.g.Expect(l.engines.polls.Load()).To(BeNumerically(">", 0)) })
-		runLabWith(plain, 1, func(l *lab) { l.g.Expect(l.engines.polls.Load()).To(BeZero()) })
+		runLabWith(plainConfiguration, 1, func(l *lab) { l.g.Expect(l.engines.polls.Load()).To(BeZero()) })
+	})
+
+	It("takes a plain service back after a restart, when it answers anything", func() {
+		runLabWith(plainConfiguration, 1, func(l *lab) {
+			l.engines.loadError = wigeonshift.ErrEndpointLost
+			a, _, s := l.nodes[0].askModel("", time.Second)
+			l.g.Expect(a.Grant).NotTo(BeNil(), "%+v", a)
+			s.Report(wigeonshift.AttemptReport{
+				Request: a.Grant.Request, Shard: shardID, Token: a.Grant.Token, Endpoint: a.Grant.Endpoint,
+				State: wigeonshift.AttemptNotRun, ConnectRefused: true,
+			})
+			s.Close()
+			time.Sleep(30 * time.Second)
+			a, _, s = l.nodes[0].askModel("", time.Second)
+			l.g.Expect(a.Grant).To(BeNil())
+			s.Close()
+			l.engines.loadError = wigeonshift.ErrEndpointFailed
+			time.Sleep(30 * time.Second)
+			a, _, s = l.nodes[0].askModel("", time.Second)
+			l.g.Expect(a.Grant).NotTo(BeNil(), "%+v", a)
+			s.Close()
+		})
 	})
 
 	It("takes over from a killed owner within the target and refuses nothing", func() {
--- a/internal/services/wigeonowner/poll.go
+++ b/internal/services/wigeonowner/poll.go
@@ -86,13 +86,25 @@
 // polled returns the endpoints that are polled. Plain services report neither load nor cache events; their health shows
 // in their answers, and the reducer asks for a probe where it is in doubt.
 func polled(c *wigeonshift.Configuration, id wigeonshift.ShardID) map[string]wigeonshift.EndpointSpec {
-	p, _, ok := id.Pool()
-	if !ok || c.Products[p.Product].Services[p.Service].Kind == wigeonshift.ServicePlain {
+	if servesPlain(c, id) {
 		return nil
 	}
 	return c.ShardEndpoints(id)
 }
 
+// servesPlain reports whether a shard's endpoints are plain services.
+func servesPlain(c *wigeonshift.Configuration, id wigeonshift.ShardID) bool {
+	p, _, _ := id.Pool()
+	return c.Products[p.Product].Services[p.Service].Kind == wigeonshift.ServicePlain
+}
+
+// isPlain reports whether the shard's endpoints are plain services.
+func (s *shard) isPlain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configuration != nil && servesPlain(s.configuration, s.id)
+}
+
 // update starts and ends pollers.
 func (f *fleet) update(endpoints map[string]wigeonshift.EndpointSpec) {
 	for name, p := range f.running {
