--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -35,9 +35,10 @@
 	}
 }
 
-// judgePace compares a stream's pace with the endpoint's typical one.
+// judgePace compares a stream's pace with the endpoint's typical one. A pace within the target harms no caller, however
+// far it is from the typical one.
 func (s *Shard) judgePace(e *endpoint, pace float64) {
-	if e.health != healthUp || e.speed.paceSamples < 3 {
+	if e.health != healthUp || e.speed.paceSamples < 3 || pace <= s.settings.TokenPaceTarget.Seconds() {
 		return
 	}
 	if pace > slowPace*e.speed.typicalPace && pace > 2*s.peerPace(e) {
--- /dev/null
+++ b/internal/services/wigeonscheduler/straggler_test.go
@@ -0,0 +1,49 @@
+package wigeonscheduler
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonshift"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The judgement on an endpoint's pace", func() {
+	// answer runs one request whose tokens come at a pace, and returns the endpoint's health.
+	answer := func(r *rig, id string, pace time.Duration) string {
+		GinkgoHelper()
+		const tokens = 50
+		p := r.ask(id, 1, nil)[wigeonshift.RequestID(id)][0].Grant
+		Expect(p).NotTo(BeNil())
+		report := wigeonshift.AttemptReport{Request: p.Request, Shard: p.Shard, Token: p.Token, Endpoint: p.Endpoint}
+		for _, state := range []wigeonshift.AttemptState{
+			wigeonshift.AttemptStarted, wigeonshift.AttemptFirstToken, wigeonshift.AttemptFinished,
+		} {
+			report.State = state
+			if state == wigeonshift.AttemptFirstToken {
+				report.Elapsed, report.TokensDone = time.Millisecond, 1
+			}
+			if state == wigeonshift.AttemptFinished {
+				report.Elapsed, report.TokensDone = time.Millisecond+(tokens-1)*pace, tokens
+			}
+			r.send(AttemptReported{Entry: "entry", Report: report})
+		}
+		return r.st.Shard.Status().Endpoints[0].Health
+	}
+
+	DescribeTable("against its typical pace",
+		func(typical, slow time.Duration, straggler bool) {
+			r := newRig(1, nil)
+			healthy := ""
+			for i := range 5 {
+				healthy = answer(r, fmt.Sprint("usual", i), typical)
+			}
+			Expect(answer(r, "slow", slow) != healthy).To(Equal(straggler))
+		},
+		Entry("five times the usual and above the target", 12*time.Millisecond, 60*time.Millisecond, true),
+		Entry("ten times the usual and far below the target", 50*time.Microsecond, 500*time.Microsecond, false),
+		Entry("twice the usual", 20*time.Millisecond, 40*time.Millisecond, false),
+	)
+})
