--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -92,42 +92,6 @@
 	return n.self
 }
 
-// Subscribe adds a handler for every message. It must be called before Start.
-func (n *Network) Subscribe(h wigeonshift.PeerHandler) {
-	n.handlers = append(n.handlers, h)
-}
-
-// SubscribeLost adds a handler that is called when the last session with an instance ended without a goodbye,
-// or when none could be opened. It must be called before Start.
-func (n *Network) SubscribeLost(h func(wigeonshift.Instance)) {
-	n.lost = append(n.lost, h)
-}
-
-// SubscribeUnreachable adds a handler that is called when an instance could not be dialled. It must be called
-// before Start.
-func (n *Network) SubscribeUnreachable(h func(wigeonshift.Instance)) {
-	n.unreachable = append(n.unreachable, h)
-}
-
-// SubscribeLeaving adds a handler that is called when an instance tells that it is leaving. It must be called before
-// Start.
-func (n *Network) SubscribeLeaving(h func(wigeonshift.Instance)) {
-	n.stateChanged = append(n.stateChanged, h)
-}
-
-// SetLeaving tells every peer, now and in later sessions, that this instance is leaving.
-func (n *Network) SetLeaving() {
-	n.leaving.Store(true)
-	n.mu.Lock()
-	peers := n.peerList()
-	n.mu.Unlock()
-	for _, p := range peers {
-		for _, l := range p.snapshotLinks() {
-			l.heartbeat(false)
-		}
-	}
-}
-
 // Probe dials an instance unless a session with it is open.
 func (n *Network) Probe(to wigeonshift.Instance) {
 	p, err := n.peer(to)
@@ -228,34 +192,6 @@
 	}
 }
 
-// deliver hands a message to all handlers.
-func (n *Network) deliver(from wigeonshift.Instance, m wigeonshift.PeerMessage) {
-	for _, h := range n.handlers {
-		h(from, m)
-	}
-}
-
-// notifyLeaving tells all handlers that an instance is leaving.
-func (n *Network) notifyLeaving(i wigeonshift.Instance) {
-	for _, h := range n.stateChanged {
-		h(i)
-	}
-}
-
-// notifyUnreachable tells all handlers that an instance could not be dialled.
-func (n *Network) notifyUnreachable(i wigeonshift.Instance) {
-	for _, h := range n.unreachable {
-		h(i)
-	}
-}
-
-// notifyLost tells all handlers that the last session with an instance is gone.
-func (n *Network) notifyLost(i wigeonshift.Instance) {
-	for _, h := range n.lost {
-		h(i)
-	}
-}
-
 // peer returns the state of a peer and makes it when it is new.
 func (n *Network) peer(to wigeonshift.Instance) (*peer, error) {
 	n.mu.Lock()
--- a/internal/services/wigeonbroker/broker.go
+++ b/internal/services/wigeonbroker/broker.go
@@ -52,6 +52,8 @@
 	scope          tally.Scope
 	log            logrus.FieldLogger
 	noOwnerTimeout time.Duration
+	// configuration is nil without WithConfiguration.
+	configuration wigeonshift.ConfigurationSource
 
 	ctx    context.Context //nolint:containedctx // The broker's own life, from Start to Stop.
 	cancel context.CancelFunc
@@ -79,6 +81,12 @@
 	return func(b *Broker) { b.noOwnerTimeout = d }
 }
 
+// WithConfiguration lets the broker send requests of a shard that the configuration no longer has to another one of
+// its pool.
+func WithConfiguration(c wigeonshift.ConfigurationSource) Option {
+	return func(b *Broker) { b.configuration = c }
+}
+
 // New returns a broker. It must be called before the network starts.
 func New(network wigeonshift.PeerNetwork, members wigeonshift.Membership, table wigeonshift.Table, opts ...Option) *Broker {
 	silent := logrus.New()
@@ -165,6 +173,9 @@
 		if st.confirmed && st.hasAttempts() && now.Sub(st.reportedAt) >= reportPeriod {
 			b.report(st)
 		}
+		if !st.confirmed && len(st.sessions) > 0 {
+			b.spillVanished(st)
+		}
 		for _, s := range st.sessions {
 			b.checkSession(s, now)
 		}
--- a/internal/services/wigeonbroker/broker_test.go
+++ b/internal/services/wigeonbroker/broker_test.go
@@ -60,6 +60,16 @@
 	return nil
 }
 
+// onePool is a configuration with one shard.
+type onePool struct{}
+
+func (onePool) Changed() <-chan struct{} { return nil }
+func (onePool) Current() *wigeonshift.Configuration {
+	return &wigeonshift.Configuration{Products: map[string]wigeonshift.Product{"p": {
+		Services: map[string]wigeonshift.Service{"s": {Endpoints: map[string]wigeonshift.EndpointSpec{"e": {Region: "r"}}}},
+	}}}
+}
+
 // of returns the messages of one type sent to an instance, and forgets them.
 func of[M wigeonshift.PeerMessage](n *network, to wigeonshift.Instance) []M {
 	var found []M
@@ -74,7 +84,7 @@
 func run(test func(g *WithT, n *network, br *wigeonbroker.Broker)) {
 	synctest.Test(suiteT, func(t *testing.T) {
 		g, n := NewWithT(t), &network{}
-		br := wigeonbroker.New(n, n, wigeonplatform.NewCore())
+		br := wigeonbroker.New(n, n, wigeonplatform.NewCore(), wigeonbroker.WithConfiguration(onePool{}))
 		g.Expect(br.Start(ctx)).To(Succeed())
 		test(g, n, br)
 		g.Expect(br.Stop(ctx)).To(Succeed())
@@ -178,6 +188,16 @@
 		})
 	})
 
+	It("passes requests of a shard that the configuration no longer has to its pool", func() {
+		run(func(g *WithT, n *network, br *wigeonbroker.Broker) {
+			s, err := br.Ask(ctx, wigeonshift.PermitRequest{ID: "r1", Shard: "p/s/r/1"})
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+			g.Expect(*(<-s.Answers()).Spill).To(Equal(shardID))
+			s.Close()
+		})
+	})
+
 	It("keeps requests with a common prefix at one shard and moves few when a shard is added", func() {
 		shards := []wigeonshift.ShardID{"p/s/r/0", "p/s/r/1", "p/s/r/2", "p/s/r/3"}
 		moved := 0
--- a/internal/services/wigeonbroker/choose.go
+++ b/internal/services/wigeonbroker/choose.go
@@ -1,6 +1,7 @@
 package wigeonbroker
 
 import (
+	"slices"
 	"strconv"
 
 	"wigeonshift"
@@ -23,3 +24,28 @@
 	}
 	return best
 }
+
+// spillVanished passes the waiting requests of a shard that the configuration no longer has to the rest of its pool;
+// the caller holds the lock.
+func (b *Broker) spillVanished(st *shard) {
+	if b.configuration == nil || b.configuration.Current() == nil {
+		return
+	}
+	pool, _, ok := st.id.Pool()
+	c := b.configuration.Current()
+	if !ok || len(c.PoolEndpoints(pool)) == 0 {
+		return
+	}
+	left := c.PoolShards(pool)
+	if slices.Contains(left, st.id) {
+		return
+	}
+	for _, s := range st.ordered() {
+		if s.state == stateWaiting {
+			to := ChooseShard(left, s.request.Prefix, s.request.Fingerprint)
+			s.state = stateEnded
+			b.retried("shardGone")
+			s.deliver(wigeonshift.PermitAnswer{Spill: &to})
+		}
+	}
+}
--- a/internal/services/wigeonlease/keeper.go
+++ b/internal/services/wigeonlease/keeper.go
@@ -10,7 +10,6 @@
 
 	"wigeonshift"
 
-	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
@@ -40,28 +39,6 @@
 	callTimeout = time.Second
 )
 
-// Notice is one change of a lease as its keeper sees it.
-type Notice struct {
-	Kind NoticeKind
-	// Epoch is the epoch acquired, or the epoch of the new holder.
-	Epoch uint64
-	// Holder is the new holder of a lost lease.
-	Holder wigeonshift.Instance
-}
-
-// NoticeKind names a change of a lease.
-type NoticeKind string
-
-// Kinds of notices.
-const (
-	// Acquired means that this instance holds the lease, newly or again after it lapsed.
-	Acquired NoticeKind = "acquired"
-	// Lapsed means that renewals failed for too long; nobody else is known to hold the lease.
-	Lapsed NoticeKind = "lapsed"
-	// Lost means that another instance holds the lease.
-	Lost NoticeKind = "lost"
-)
-
 // Keeper bids for the lease of one shard, renews it and watches it while another instance holds it.
 type Keeper struct {
 	shard wigeonshift.ShardID
@@ -292,40 +269,3 @@
 	}
 	k.nextAt = time.Now().Add(retryPeriod/2 + rand.N(retryPeriod))
 }
-
-// Supersede notes what the new holder itself told: this instance's lease is over, whether the table can be read or
-// not. It does not notify.
-func (k *Keeper) Supersede(holder wigeonshift.Instance, epoch uint64) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if epoch <= k.row.Epoch {
-		return false
-	}
-	k.owned, k.lapsed, k.heldUntil = false, false, time.Time{}
-	k.see(Row{Holder: holder, Epoch: epoch})
-	return true
-}
-
-// Transfer hands the lease to a successor under the next epoch. The caller may go on granting until the successor
-// has taken over, but gives no more fenced orders.
-func (k *Keeper) Transfer(ctx context.Context, successor wigeonshift.Instance) (epoch uint64, err error) {
-	k.busy <- struct{}{}
-	defer func() { <-k.busy }()
-	k.mu.Lock()
-	row, owned := k.row, k.owned
-	k.owned, k.heldUntil = false, time.Time{}
-	k.mu.Unlock()
-	if !owned {
-		return 0, oops.In("lease").With("shard", k.shard).Wrap(wigeonshift.ErrNotOwner)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	handed, err := k.store.Acquire(ctx, k.shard, row, successor)
-	if err != nil {
-		return 0, err
-	}
-	k.mu.Lock()
-	k.see(handed)
-	k.mu.Unlock()
-	return handed.Epoch, nil
-}
--- a/internal/services/wigeonowner/load_test.go
+++ b/internal/services/wigeonowner/load_test.go
@@ -72,6 +72,9 @@
 	}
 	if a.Grant == nil {
 		d.refused++
+		if d.refused <= 3 {
+			GinkgoWriter.Printf("refused after %v: %+v\n", took, a.Refuse)
+		}
 		return
 	}
 	d.granted++
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -141,11 +141,14 @@
 		runLab(4, func(l *lab) {
 			owner, _ := l.owner()
 			d := l.drive("m", often, l.except(owner)...)
+			// Its own entry goes on to demand a model that lacks capacity, so that the owner would give orders.
+			alone, scarce := l.drive("m", time.Second, owner), l.drive("cold", often, owner)
 			time.Sleep(2 * time.Second)
 			for _, n := range l.except(owner) {
 				l.partition(owner.id, n.id, true)
 			}
 			owner.store.closed.Store(true)
+			cutAt := time.Now()
 			time.Sleep(15 * time.Second)
 			a, _, s := owner.ask(5 * time.Second)
 			l.g.Expect(a.Grant).NotTo(BeNil(), "its own entry is still served: %+v", a.Refuse)
@@ -159,6 +162,9 @@
 			time.Sleep(15 * time.Second)
 			l.owner()
 			d.end("owner cut off from everyone")
+			alone.end("requests at that owner itself")
+			scarce.end("requests at that owner itself for the other model")
+			l.g.Expect(l.engines.latest(l.epoch)).To(BeTemporally("<", cutAt.Add(wigeonlease.Duration)))
 			l.g.Expect(d.refused).To(BeZero())
 			// Silence is found by heartbeats and probes before the search can begin.
 			l.g.Expect(d.worst).To(BeNumerically("<", takeoverTarget+3*time.Second))
