--- a/internal/modules/wigeonsession/heartbeat.go
+++ b/internal/modules/wigeonsession/heartbeat.go
@@ -25,6 +25,7 @@
 	probeTimeout        = time.Second
 	retireLinger        = 5 * time.Second
 	forgetPeerAfter     = time.Hour
+	forgetPeriod        = time.Minute
 	monitorPeriod       = 250 * time.Millisecond
 	maxAnnouncedSilence = 24 * time.Hour
 )
@@ -43,35 +44,38 @@
 func (n *Network) runMonitor() {
 	ticker := time.NewTicker(monitorPeriod)
 	defer ticker.Stop()
+	forget := time.NewTicker(forgetPeriod)
+	defer forget.Stop()
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-ticker.C:
 			n.checkLinks()
+		case <-forget.C:
+			n.forgetPeers()
 		}
 	}
 }
 
-// checkLinks checks every link and forgets peers without use.
+// checkLinks checks every link.
 func (n *Network) checkLinks() {
+	now := n.now()
+	links := n.links.all()
+	for _, l := range links {
+		l.check(now)
+	}
+	n.counters.sessions.Update(float64(len(links)))
+}
+
+// forgetPeers drops the state of peers without use.
+func (n *Network) forgetPeers() {
 	n.mu.Lock()
 	peers := n.peerList()
 	n.mu.Unlock()
-	now := n.now()
-	sessions := 0
 	for _, p := range peers {
-		links := p.snapshotLinks()
-		sessions += len(links)
-		for _, l := range links {
-			l.check(now)
-		}
-		if len(links) == 0 {
-			n.forgetUnused(p, now)
-		}
+		n.forgetUnused(p, n.now())
 	}
-	n.sessions.Store(int64(sessions))
-	n.counters.sessions.Update(float64(sessions))
 }
 
 // forgetUnused drops the state of a peer that was not used for long.
@@ -108,7 +112,7 @@
 
 // heartbeat queues a heartbeat; with echo the peer has to answer at once.
 func (l *link) heartbeat(echo bool) {
-	budget := heartbeatPeriod(int(l.n.sessions.Load()))
+	budget := heartbeatPeriod(len(l.n.links.all()))
 	period := max(budget, time.Duration(l.peerBudget.Load()))
 	frame := mustEncode(&wigeonwire.Frame{Body: &wigeonwire.Frame_Heartbeat{Heartbeat: &wigeonwire.Heartbeat{
 		PeriodMs: uint32(period.Milliseconds()), BudgetMs: uint32(budget.Milliseconds()), Echo: echo, Leaving: l.n.leaving.Load(),
--- a/internal/modules/wigeonsession/link.go
+++ b/internal/modules/wigeonsession/link.go
@@ -97,6 +97,11 @@
 		l.n.counters.ended(reason)
 		l.n.log.WithField("instance", l.remote.ID).WithField("reason", reason).Debug("Peer session ended")
 		l.p.linkEnded(l, clean || l.leaving.Load())
+		for _, ln := range l.lanes {
+			// A reader of a closing yamux session spins until the session has closed its streams. When many sessions
+			// end at once that takes all cores, so readers are sent away first.
+			ln.stream.SetReadDeadline(time.Now()) //nolint:errcheck // It never fails.
+		}
 		l.conn.SetDeadline(time.Now()) //nolint:errcheck // The connection is closed next.
 		l.mux.Close()                  //nolint:errcheck // Nothing is left to do about a connection that fails to close.
 	})
--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -57,8 +57,7 @@
 	local       *sendQueue[wigeonshift.PeerMessage]
 	start       time.Time
 	dials       atomic.Uint64
-	// sessions is the number of open links at the last check.
-	sessions atomic.Int64
+	links       linkSet
 
 	ctx    context.Context //nolint:containedctx // The network's own life, from Start to Stop.
 	cancel context.CancelFunc
--- a/internal/modules/wigeonsession/peer.go
+++ b/internal/modules/wigeonsession/peer.go
@@ -151,6 +151,7 @@
 // from the instance with the smaller id stays. knownDial is the largest dial number of ours that the peer knew.
 func (p *peer) adopt(l *link, knownDial uint64) {
 	p.links[l] = true
+	p.n.links.add(l)
 	p.failures, p.retryAt = 0, 0
 	p.usedAt = p.n.now()
 	if !l.dialled {
@@ -189,6 +190,7 @@
 func (p *peer) linkEnded(l *link, clean bool) {
 	p.mu.Lock()
 	delete(p.links, l)
+	p.n.links.remove(l)
 	wasCurrent := p.current == l
 	if wasCurrent {
 		p.current = nil
