--- a/cmd/config_test.go
+++ b/cmd/config_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 
 	"wigeonshift"
 	"wigeonshift/internal/models/wigeonconfig"
@@ -92,14 +93,15 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		GinkgoT().Setenv("WIGEONSHIFT_OPERATOR", "http://"+l.Addr().String())
-		go func() {
-			c, err := l.Accept()
-			if err == nil {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() {
+			defer l.Close()
+			if c, err := l.Accept(); err == nil {
 				_, _ = c.Read(make([]byte, 1))
 				c.Close()
 			}
-			l.Close()
-		}()
+		})
 		_, err = runConfig("patch", patch, "--base", "0", "--patch-id", "p7")
 		Expect(err).To(MatchError(ContainSubstring("--patch-id p7")))
 		_, err = runConfig("patch", patch, "--base", "0", "--patch-id", "p7")
--- a/internal/models/wigeonstore/fuzz_test.go
+++ b/internal/models/wigeonstore/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,19 @@
 	"wigeonshift/internal/models/wigeonstore"
 )
 
+// answerer answers whatever comes first on a connection with fixed bytes, and closes it.
+type answerer struct {
+	conn   net.Conn
+	answer []byte
+}
+
+func (a *answerer) run() {
+	defer a.conn.Close()
+	_ = a.conn.SetDeadline(time.Now().Add(time.Second))
+	_, _ = a.conn.Read(make([]byte, 64<<10))
+	_, _ = a.conn.Write(a.answer)
+}
+
 // FuzzAnswer checks that whatever comes back on a connection leaves a commit with one known kind of outcome.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"revisions\":[1]}"))
@@ -20,13 +34,11 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"))
 	f.Add([]byte("nonsense"))
 	f.Fuzz(func(t *testing.T, answer []byte) {
+		var wg sync.WaitGroup
+		defer wg.Wait()
 		store := wigeonstore.NewTransport("http://10.0.0.1:1", wigeonstore.WithDial(func(string) (net.Conn, error) {
 			near, far := net.Pipe()
-			go func() {
-				defer far.Close()
-				_, _ = far.Read(make([]byte, 64<<10))
-				_, _ = far.Write(answer)
-			}()
+			wg.Go((&answerer{conn: far, answer: answer}).run)
 			return near, nil
 		}))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/models/wigeonstore/silent_test.go
+++ b/internal/models/wigeonstore/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,9 +33,9 @@
 		core := wigeonplatform.NewCore()
 		server, _ := serve(core)
 		old := &atomic.Bool{}
-		dials := 0
+		var dials atomic.Int64
 		store := wigeonstore.NewTransport("http://"+server.Address(), wigeonstore.WithDial(func(address string) (net.Conn, error) {
-			dials++
+			dials.Add(1)
 			c, err := net.Dial("tcp", address)
 			// Only connections made before the silence fall silent.
 			silent := &atomic.Bool{}
@@ -44,18 +45,15 @@
 			return &silenceable{Conn: c, silent: silent}, err
 		}))
 		// Several connections wait idle in the pool.
-		core.SetFaults(wigeonplatform.Faults{LatencyMS: 50})
-		done := make(chan error, 4)
-		for range 4 {
-			go func() {
-				_, err := store.Scan(context.Background(), "", "", 1)
-				done <- err
-			}()
+		core.SetFaults(wigeonplatform.Faults{LatencyMS: 500})
+		var wg sync.WaitGroup
+		errs := make([]error, 4)
+		for i := range errs {
+			wg.Go(func() { _, errs[i] = store.Scan(context.Background(), "", "", 1) })
 		}
-		for range 4 {
-			Expect(<-done).To(Succeed())
-		}
-		Expect(dials).To(Equal(4))
+		wg.Wait()
+		Expect(errs).To(HaveEach(BeNil()))
+		Expect(dials.Load()).To(BeEquivalentTo(4))
 		core.SetFaults(wigeonplatform.Faults{})
 		old.Store(true)
 
@@ -69,6 +67,6 @@
 		_, err = wigeonstore.CommitSettled(ctx, store, insert("k", "v"), holds(store, "k", "v"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
-		Expect(dials).To(Equal(5), "a fresh dial beside the old connections")
+		Expect(dials.Load()).To(BeEquivalentTo(5), "a fresh dial beside the old connections")
 	})
 })
--- a/internal/services/wigeonspread/wigeonspread_test.go
+++ b/internal/services/wigeonspread/wigeonspread_test.go
@@ -283,6 +283,25 @@
 		})
 	})
 
+	It("spreads a patch whose acceptor died before it told anybody, though the store fails right after", func() {
+		bubble(func(t *testing.T, g *WithT, h *hub) {
+			nodes := h.start(t, 12)
+			time.Sleep(time.Second)
+			patch := wigeonconfig.Patch{ID: "p", Document: []byte(`{"products":{"p":{"tiers":{"t":{"rank":0,"defaultDeadlineMs":1}}}}}`)}
+			_, _, err := nodes[3].repo.Submit(t.Context(), patch)
+			g.Expect(err).NotTo(HaveOccurred())
+			h.core.SetFaults(wigeonplatform.Faults{Outage: true})
+			h.mu.Lock()
+			nodes[3].dead = true
+			h.mu.Unlock()
+			g.Expect(nodes[3].Stop(t.Context())).To(Succeed())
+			time.Sleep(10 * time.Minute)
+			h.core.SetFaults(wigeonplatform.Faults{})
+			within(g, append(nodes[:3:3], nodes[4:]...), 1)
+			g.Expect(nodes[3].Start(t.Context())).To(Succeed())
+		})
+	})
+
 	It("never reverts to an older configuration that comes late", func() {
 		bubble(func(t *testing.T, g *WithT, h *hub) {
 			nodes := h.start(t, 3)
