--- a/cmd/status.go
+++ b/cmd/status.go
@@ -63,8 +63,8 @@
 // printStatus prints one table for instances, and for each owned shard its tiers and endpoints.
 func printStatus(out io.Writer, shown systemStatus) error {
 	i := shown.Instance
-	fmt.Fprintf(out, "instance %s: ready %t, draining %t, %d requests in flight, configuration %d\n",
-		i.Instance.ID, i.Ready, i.Draining, i.Requests, i.ConfigurationVersion)
+	fmt.Fprintf(out, "instance %s: ready %t, draining %t, %d requests in flight, configuration %d, confirmed %t\n",
+		i.Instance.ID, i.Ready, i.Draining, i.Requests, i.ConfigurationVersion, i.ConfigurationConfirmed)
 	rows := make([][]string, 0, len(shown.Instances))
 	for _, v := range shown.Instances {
 		rows = append(rows, []string{v.ID, v.Address, v.Zone, strconv.FormatUint(v.Version, 10), fmt.Sprintf("%d ms", v.LagMS)})
--- a/internal/routers/wigeonnode/adapter.go
+++ b/internal/routers/wigeonnode/adapter.go
@@ -88,6 +88,7 @@
 	}
 	if c := n.spread.Current(); c != nil {
 		s.ConfigurationVersion = c.Version
+		s.ConfigurationConfirmed = n.spread.Confirmed()
 	}
 	return s
 }
--- a/internal/routers/wigeonnode/node.go
+++ b/internal/routers/wigeonnode/node.go
@@ -139,7 +139,7 @@
 		wigeonspread.WithLogger(n.log), wigeonspread.WithScope(scope))
 	n.owner = wigeonowner.New(n.network, n.members, n.platform, n.platform, n.spread, dialer,
 		wigeonowner.WithLogger(n.log), wigeonowner.WithScope(scope))
-	n.broker = wigeonbroker.New(n.network, n.members, n.platform,
+	n.broker = wigeonbroker.New(n.network, n.members, n.platform, wigeonbroker.WithConfiguration(n.spread),
 		wigeonbroker.WithLogger(n.log), wigeonbroker.WithScope(scope))
 	n.claims = wigeonclaim.New(n.platform, n.platform, wigeonclaim.WithSweeper(n.sweepsClaims, wigeonclaim.DefaultSweepPeriod),
 		wigeonclaim.WithLogger(n.log), wigeonclaim.WithScope(scope))
--- a/status.go
+++ b/status.go
@@ -9,6 +9,8 @@
 	Draining bool     `json:"draining"`
 	// ConfigurationVersion is the version in force; 0 before the first.
 	ConfigurationVersion uint64 `json:"configurationVersion"`
+	// ConfigurationConfirmed tells whether platform or peers confirmed the version lately.
+	ConfigurationConfirmed bool `json:"configurationConfirmed"`
 	// Requests is the number of caller requests in flight.
 	Requests int           `json:"requests"`
 	Shards   []ShardStatus `json:"shards,omitempty"`
