--- a/internal/models/wigeonclaim/lane.go
+++ b/internal/models/wigeonclaim/lane.go
@@ -18,6 +18,8 @@
 	key      string
 	revision uint64
 	value    []byte
+	// index is the key of the row's entry by expiry, written along; empty for none.
+	index string
 	// taken is set by whoever decides its fate first: the lane that writes it or the caller that gives up.
 	taken atomic.Bool
 	done  chan result
@@ -33,9 +35,9 @@
 	err     error
 }
 
-// write queues a row and waits for its result.
-func (s *Store) write(ctx context.Context, key string, revision uint64, value []byte) result {
-	o := &operation{key: key, revision: revision, value: value, done: make(chan result, 1)}
+// write queues an operation and waits for its result.
+func (s *Store) write(ctx context.Context, o *operation) result {
+	o.done = make(chan result, 1)
 	select {
 	case s.queue <- o:
 	default:
@@ -155,6 +157,12 @@
 		tx.Conditions = append(tx.Conditions, wigeonshift.Condition{Key: o.key, Revision: o.revision})
 		tx.Writes = append(tx.Writes, wigeonshift.Write{Key: o.key, Value: o.value})
 	}
+	// The entries by expiry come last: the revisions of the rows stand at the places of their operations.
+	for _, o := range batch {
+		if o.index != "" {
+			tx.Writes = append(tx.Writes, wigeonshift.Write{Key: o.index})
+		}
+	}
 	first := batch[0]
 	return wigeonstore.CommitSettled(ctx, l.store.table, tx, func(ctx context.Context) (bool, error) {
 		current, err := l.store.read(ctx, first.key)
--- a/internal/models/wigeonclaim/settle.go
+++ b/internal/models/wigeonclaim/settle.go
@@ -33,7 +33,11 @@
 		revision = current.Revision
 	}
 	for range maxRounds {
-		result := s.write(ctx, key, revision, value)
+		o := &operation{key: key, revision: revision, value: value}
+		if revision == 0 {
+			o.index = indexKey(c.Expires, c.Key)
+		}
+		result := s.write(ctx, o)
 		if result.err == nil {
 			s.revisions.Remove(c.Token)
 			s.count("claimSettled", string(c.State))
--- a/internal/models/wigeonclaim/store.go
+++ b/internal/models/wigeonclaim/store.go
@@ -27,7 +27,7 @@
 	DefaultLanes        = 2
 	DefaultBatchTimeout = 5 * time.Second
 	DefaultMaxRowBody   = 32 << 10
-	DefaultSweepPeriod  = time.Second
+	DefaultSweepPeriod  = 5 * time.Second
 	// MaxKeyBytes bounds a claim's key.
 	MaxKeyBytes = 1024
 	// maxBatch keeps a transaction below the platform's limit.
@@ -40,7 +40,11 @@
 	expiryGrace = time.Minute
 )
 
-const rowPrefix = "claim/"
+// Prefixes of the rows.
+const (
+	rowPrefix   = "claim/"
+	indexPrefix = "claimexpiry/"
+)
 
 // Store implements wigeonshift.ClaimStore over the platform's table.
 type Store struct {
@@ -148,7 +152,8 @@
 	}
 	revision := uint64(0)
 	for range maxRounds {
-		result := s.write(ctx, rowPrefix+c.Key, revision, value)
+		o := &operation{key: rowPrefix + c.Key, revision: revision, value: value, index: indexKey(c.Expires, c.Key)}
+		result := s.write(ctx, o)
 		if result.err == nil {
 			s.revisions.Add(c.Token, result.revision)
 			s.count("claimWritten", "")
