--- a/internal/models/wigeonstore/guard.go
+++ b/internal/models/wigeonstore/guard.go
@@ -17,6 +17,7 @@
 // Defaults of a guard.
 const (
 	DefaultCallTimeout     = 2 * time.Second
+	DefaultObjectTimeout   = 10 * time.Second
 	DefaultReadsPerSecond  = 20
 	DefaultWritesPerSecond = 20
 	DefaultBurst           = 40
@@ -30,28 +31,41 @@
 // Guard gives the calls of a platform deadlines, budgets, circuit breakers and retries. A write is repeated only
 // with proof that it had no effect.
 type Guard struct {
-	backend  wigeonshift.Platform
-	timeout  time.Duration
-	tries    uint
-	reads    *rate.Limiter
-	writes   *rate.Limiter
-	failures uint32
-	pause    time.Duration
-	scope    tally.Scope
-	table    *gobreaker.TwoStepCircuitBreaker[struct{}]
-	objects  *gobreaker.TwoStepCircuitBreaker[struct{}]
-	list     *gobreaker.TwoStepCircuitBreaker[struct{}]
-	weights  *gobreaker.TwoStepCircuitBreaker[struct{}]
+	backend       wigeonshift.Platform
+	timeout       time.Duration
+	objectTimeout time.Duration
+	tries         uint
+	reads         *rate.Limiter
+	writes        *rate.Limiter
+	failures      uint32
+	pause         time.Duration
+	scope         tally.Scope
+	table         *service
+	objects       *service
+	list          *service
+	weights       *service
+}
+
+// service is one of the platform's services, as a guard sees it.
+type service struct {
+	breaker *gobreaker.TwoStepCircuitBreaker[struct{}]
+	// timeout bounds one try of a call.
+	timeout time.Duration
 }
 
 // Option changes a guard at construction.
 type Option func(*Guard)
 
-// WithCallTimeout bounds each try of a call.
+// WithCallTimeout bounds each try of a call, those of the object store excepted.
 func WithCallTimeout(d time.Duration) Option {
 	return func(g *Guard) { g.timeout = d }
 }
 
+// WithObjectTimeout bounds each try of a call of the object store, whose objects may be large.
+func WithObjectTimeout(d time.Duration) Option {
+	return func(g *Guard) { g.objectTimeout = d }
+}
+
 // WithBudget bounds this instance's reads and writes a second.
 func WithBudget(reads, writes float64, burst int) Option {
 	return func(g *Guard) {
@@ -78,27 +92,28 @@
 // New returns a guard around a platform.
 func New(backend wigeonshift.Platform, opts ...Option) *Guard {
 	g := &Guard{
-		backend:  backend,
-		timeout:  DefaultCallTimeout,
-		tries:    DefaultTries,
-		reads:    rate.NewLimiter(DefaultReadsPerSecond, DefaultBurst),
-		writes:   rate.NewLimiter(DefaultWritesPerSecond, DefaultBurst),
-		failures: DefaultBreakerFailures,
-		pause:    DefaultBreakerPause,
-		scope:    tally.NoopScope,
+		backend:       backend,
+		timeout:       DefaultCallTimeout,
+		objectTimeout: DefaultObjectTimeout,
+		tries:         DefaultTries,
+		reads:         rate.NewLimiter(DefaultReadsPerSecond, DefaultBurst),
+		writes:        rate.NewLimiter(DefaultWritesPerSecond, DefaultBurst),
+		failures:      DefaultBreakerFailures,
+		pause:         DefaultBreakerPause,
+		scope:         tally.NoopScope,
 	}
 	for _, o := range opts {
 		o(g)
 	}
-	g.table = g.breaker("table")
-	g.objects = g.breaker("objects")
-	g.list = g.breaker("instances")
-	g.weights = g.breaker("weights")
+	g.table = g.service("table", g.timeout)
+	g.objects = g.service("objects", g.objectTimeout)
+	g.list = g.service("instances", g.timeout)
+	g.weights = g.service("weights", g.timeout)
 	return g
 }
 
-func (g *Guard) breaker(name string) *gobreaker.TwoStepCircuitBreaker[struct{}] {
-	return gobreaker.NewTwoStepCircuitBreaker[struct{}](gobreaker.Settings{
+func (g *Guard) service(name string, timeout time.Duration) *service {
+	breaker := gobreaker.NewTwoStepCircuitBreaker[struct{}](gobreaker.Settings{
 		Name:         name,
 		Timeout:      g.pause,
 		ReadyToTrip:  func(c gobreaker.Counts) bool { return c.ConsecutiveFailures >= g.failures },
@@ -108,6 +123,7 @@
 			g.scope.Tagged(map[string]string{"service": name, "state": to.String()}).Counter("storeBreaker").Inc(1)
 		},
 	})
+	return &service{breaker: breaker, timeout: timeout}
 }
 
 // isFailure reports whether an error speaks against the service rather than against the call.
@@ -121,12 +137,12 @@
 }
 
 // guarded runs one call with budget, breaker, deadline and retries.
-func guarded[T any](ctx context.Context, g *Guard, b *gobreaker.TwoStepCircuitBreaker[struct{}], budget *rate.Limiter,
+func guarded[T any](ctx context.Context, g *Guard, s *service, budget *rate.Limiter,
 	operation func(ctx context.Context) (T, error),
 ) (T, error) {
 	var last error
 	try := func() (T, error) {
-		v, err := attempt(ctx, g, b, budget, operation)
+		v, err := attempt(ctx, g, s, budget, operation)
 		last = err
 		if err != nil && !isRepeatable(err) {
 			err = backoff.Permanent(err)
@@ -150,18 +166,18 @@
 }
 
 // attempt makes one try. Its error always carries what is known of the effect.
-func attempt[T any](ctx context.Context, g *Guard, b *gobreaker.TwoStepCircuitBreaker[struct{}], budget *rate.Limiter,
+func attempt[T any](ctx context.Context, g *Guard, s *service, budget *rate.Limiter,
 	operation func(ctx context.Context) (T, error),
 ) (T, error) {
 	var zero T
-	bounded, cancel := context.WithTimeout(ctx, g.timeout)
+	bounded, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	if err := budget.Wait(bounded); err != nil {
 		err = oops.In("store").Wrap(errors.Join(wigeonshift.ErrThrottled, err))
 		g.count("storeRefusal", err)
 		return zero, err
 	}
-	done, err := b.Allow()
+	done, err := s.breaker.Allow()
 	if err != nil {
 		err = oops.In("store").Wrap(errors.Join(wigeonshift.ErrUnavailable, err))
 		g.count("storeRefusal", err)
--- a/internal/services/wigeonspread/poll.go
+++ b/internal/services/wigeonspread/poll.go
@@ -9,7 +9,7 @@
 
 // Bounds of polling.
 const (
-	pollTimeout = 10 * time.Second
+	pollTimeout = 40 * time.Second
 	// fetchedPause is the time until the poll that confirms what was just fetched.
 	fetchedPause = 50 * time.Millisecond
 	// maxPolledChanges is the gap up to which changes are read one by one; a larger one is loaded from a snapshot.
