Make the TLS handshake part of the platform client's dial

A platform whose certificate is not trusted left every write with an unknown outcome (the test failed so): the handshake's failure was not told from a lost answer. It now proves that nothing was sent.

--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"wigeonshift"
@@ -22,7 +23,6 @@
 const (
 	// MaxResponseBytes bounds an answer of the platform.
 	MaxResponseBytes = 64 << 20
-	dialTimeout      = time.Second
 	// maxIdleConnection is shorter than the platform's own idle timeout, so that a call rarely meets a closing connection.
 	maxIdleConnection = 15 * time.Second
 	maxConnections    = 64
@@ -34,6 +34,8 @@
 type Transport struct {
 	base   string
 	client *fasthttp.Client
+	tls    *tls.Config
+	dial   fasthttp.DialFunc
 }
 
 // TransportOption changes a transport at construction.
@@ -41,46 +43,41 @@
 
 // WithTLS sets the TLS configuration of https addresses.
 func WithTLS(t *tls.Config) TransportOption {
-	return func(t2 *Transport) { t2.client.TLSConfig = t }
+	return func(tr *Transport) { tr.tls = t }
 }
 
 // WithDial replaces the way connections are made.
 func WithDial(dial func(address string) (net.Conn, error)) TransportOption {
-	return func(t *Transport) { t.client.Dial = markDial(dial) }
+	return func(t *Transport) { t.dial = dial }
 }
 
 // NewTransport returns a transport to a base URL such as http://10.0.0.1:7400.
 func NewTransport(base string, opts ...TransportOption) *Transport {
-	t := &Transport{base: base, client: &fasthttp.Client{
-		Name:                      "wigeonshift",
-		MaxConnsPerHost:           maxConnections,
-		MaxIdleConnDuration:       maxIdleConnection,
-		MaxResponseBodySize:       MaxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
+	t := &Transport{
+		client: &fasthttp.Client{
+			Name:                      "wigeonshift",
+			MaxConnsPerHost:           maxConnections,
+			MaxIdleConnDuration:       maxIdleConnection,
+			MaxResponseBodySize:       MaxResponseBytes,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+				return false, false
+			},
 		},
-		Dial: markDial(func(address string) (net.Conn, error) {
-			return fasthttp.DialTimeout(address, dialTimeout)
-		}),
-	}}
+		dial: func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) },
+	}
 	for _, o := range opts {
 		o(t)
 	}
-	return t
-}
-
-// errDial marks a connection that was never made, which proves that nothing was sent.
-var errDial = errors.New("dial failed")
-
-func markDial(dial fasthttp.DialFunc) fasthttp.DialFunc {
-	return func(address string) (net.Conn, error) {
-		c, err := dial(address)
-		if err != nil {
-			return nil, errors.Join(errDial, err)
-		}
-		return c, nil
+	host, secure := strings.CutPrefix(base, "https://")
+	if secure {
+		// The handshake belongs to the dial, so that its failure proves that nothing was sent.
+		base = "http://" + withPort(host, "443")
+		t.dial = handshake(t.dial, t.tls)
 	}
+	t.base = base
+	t.client.Dial = markDial(t.dial)
+	return t
 }
 
 // call is one HTTP call of the platform.
