Take a new epoch under an id seen before, serve a lone instance's shards through its drain, release leases at a stop

A process that restarts under a configured id took its old row with the same epoch, so two runs could have issued the same attempt tokens. A drain without another candidate gave the shard up and refused what waited.

--- a/internal/modules/wigeontls/source.go
+++ b/internal/modules/wigeontls/source.go
@@ -101,6 +101,9 @@
 
 // Stop ends the following.
 func (t *Source) Stop(_ context.Context) error {
+	if t.cancel == nil {
+		return nil
+	}
 	t.cancel()
 	t.wg.Wait()
 	return nil
--- a/internal/services/wigeonbroker/broker.go
+++ b/internal/services/wigeonbroker/broker.go
@@ -114,6 +114,9 @@
 
 // Stop ends the work; open sessions hear nothing more.
 func (b *Broker) Stop(_ context.Context) error {
+	if b.cancel == nil {
+		return nil
+	}
 	b.cancel()
 	b.wg.Wait()
 	return nil
--- a/internal/services/wigeonlease/lease_test.go
+++ b/internal/services/wigeonlease/lease_test.go
@@ -169,6 +169,21 @@
 		})
 	})
 
+	It("takes a new epoch when a process restarts under the same id", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g := NewWithT(t)
+			core := wigeonplatform.NewCore()
+			first, stop := bidders(core, 1)
+			time.Sleep(time.Second)
+			stop()
+			again, stop := bidders(core, 1)
+			time.Sleep(time.Second)
+			stop()
+			g.Expect(first[0].notices).To(Equal([]wigeonlease.Notice{{Kind: wigeonlease.Acquired, Epoch: 1}}))
+			g.Expect(again[0].notices).To(Equal([]wigeonlease.Notice{{Kind: wigeonlease.Acquired, Epoch: 2}}))
+		})
+	})
+
 	It("hands over at once, also when the answer is lost, and keeps out of the former holder's hands", func() {
 		synctest.Test(suiteT, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/services/wigeonlease/watch.go
+++ b/internal/services/wigeonlease/watch.go
@@ -19,14 +19,9 @@
 	k.see(row)
 	bid := k.bids()
 	k.mu.Unlock()
-	if !bid {
-		return
-	}
-	if row.Holder.ID == k.self.ID {
-		k.claimOwn(ctx, row)
-		return
+	if bid {
+		k.acquire(ctx, row)
 	}
-	k.acquire(ctx, row)
 }
 
 // see notes a row that was read or written; the caller holds the lock.
@@ -37,10 +32,8 @@
 	}
 	k.row, k.known = row, true
 	k.nextAt = now.Add(k.watchPeriod())
-	if k.rank >= 0 && row.Holder.ID != "" {
-		if end := k.expiry(); end.After(now) && end.Before(k.nextAt) {
-			k.nextAt = end
-		}
+	if end := k.expiry(); k.rank >= 0 && end.After(now) && end.Before(k.nextAt) {
+		k.nextAt = end
 	}
 }
 
@@ -50,8 +43,12 @@
 	return period - period/10 + rand.N(period/10+1)
 }
 
-// expiry is the time at which the keeper may take the lease over.
+// expiry is the time at which the keeper may take the lease over. A row without a holder is left to the first
+// candidate for a moment.
 func (k *Keeper) expiry() time.Time {
+	if k.row.Holder.ID == "" {
+		return k.seenAt.Add(time.Duration(max(0, k.rank)) * rankDelay)
+	}
 	return k.seenAt.Add(Duration + time.Duration(max(0, k.rank-1))*rankDelay)
 }
 
@@ -62,26 +59,13 @@
 		return false
 	case k.row.Holder.ID == k.self.ID:
 		return true
-	case k.row.Holder.ID == "":
-		// Nobody holds it: the first candidate bids at once, the others wait for it.
-		return k.rank == 0 || time.Since(k.seenAt) >= time.Duration(k.rank)*rankDelay
 	default:
 		return !time.Now().Before(k.expiry())
 	}
 }
 
-// claimOwn renews a row that names this instance: a hand-over, or a bid whose answer was lost.
-func (k *Keeper) claimOwn(ctx context.Context, row Row) {
-	sentAt := time.Now()
-	renewed, err := k.store.Renew(ctx, k.shard, row)
-	if err != nil {
-		k.failed("renew", err)
-		return
-	}
-	k.take(renewed, sentAt)
-}
-
-// acquire bids for the lease.
+// acquire bids for the lease. A row that names this instance (a hand-over, a bid with a lost answer, or a former
+// process under the same id) is taken under a new epoch too, so that no two owners ever share one.
 func (k *Keeper) acquire(ctx context.Context, row Row) {
 	sentAt := time.Now()
 	acquired, err := k.store.Acquire(ctx, k.shard, row, k.self)
--- a/internal/services/wigeonmember/member.go
+++ b/internal/services/wigeonmember/member.go
@@ -107,6 +107,9 @@
 
 // Stop ends the polling.
 func (m *Members) Stop(_ context.Context) error {
+	if m.cancel == nil {
+		return nil
+	}
 	m.cancel()
 	m.wg.Wait()
 	return nil
--- a/internal/services/wigeonowner/drain.go
+++ b/internal/services/wigeonowner/drain.go
@@ -31,7 +31,8 @@
 	err            error
 }
 
-// Drain hands every owned shard to its next candidate and bids for no other. Until the successor serves a shard,
+// Drain hands every owned shard to its next candidate and bids for no other. A shard without another candidate is
+// served until Stop. Until the successor serves a shard,
 // this instance goes on granting, so that no request is refused.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.mu.Lock()
@@ -74,7 +75,12 @@
 
 // run moves the shard.
 func (h *handOver) run() {
-	s, successor := h.shard, h.choose()
+	s := h.shard
+	if len(h.candidates) == 0 {
+		// Alone: the shard is served until the stop, so that what waits is not refused.
+		return
+	}
+	successor := h.choose()
 	if successor.ID == "" && h.onlyIfAnswered {
 		return
 	}
--- a/internal/services/wigeonowner/manager.go
+++ b/internal/services/wigeonowner/manager.go
@@ -28,6 +28,8 @@
 	refreshPause = 200 * time.Millisecond
 	// entryGrace is the time in which an entry whose session is gone may come back.
 	entryGrace = 5 * time.Second
+	// releaseTimeout bounds the release of leases at a stop.
+	releaseTimeout = 2 * time.Second
 	// announceLimit is the largest fleet in which a new owner tells every instance.
 	announceLimit = 64
 )
@@ -96,16 +98,36 @@
 	return nil
 }
 
-// Stop ends all work at once. Leases that Drain did not hand over run out.
-func (m *Manager) Stop(_ context.Context) error {
+// Stop ends all work. Leases that Drain did not hand over are released, or run out when the table can't be written.
+func (m *Manager) Stop(ctx context.Context) error {
 	m.mu.Lock()
 	m.stopped = true
 	m.mu.Unlock()
+	if m.cancel == nil {
+		return nil
+	}
+	m.releaseAll(ctx)
 	m.cancel()
 	m.wg.Wait()
 	return nil
 }
 
+// releaseAll gives up the leases that are still held.
+func (m *Manager) releaseAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	for _, s := range m.owned() {
+		s.keeper.SetRank(-1)
+		if _, held := s.keeper.Held(); !held {
+			continue
+		}
+		if _, err := s.keeper.Transfer(ctx, wigeonshift.Instance{}); err != nil {
+			m.log.WithError(err).WithField("shard", s.id).Warn("Lease can't be released")
+			return
+		}
+	}
+}
+
 // Statuses returns the state of every shard owned here, ordered by id.
 func (m *Manager) Statuses() []wigeonshift.ShardStatus {
 	var statuses []wigeonshift.ShardStatus
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -114,6 +114,23 @@
 		})
 	})
 
+	It("serves its shards through a drain when it is alone, and frees them for its successor at the stop", func() {
+		runLab(1, func(l *lab) {
+			only, _ := l.owner()
+			d := l.drive("m", often, only)
+			time.Sleep(time.Second)
+			only.members.SetLeaving()
+			l.g.Expect(only.manager.Drain(ctx)).To(Succeed())
+			time.Sleep(5 * time.Second)
+			d.end("drain of the only instance")
+			l.g.Expect(d.refused).To(BeZero())
+			only.stop()
+			l.startNode("next")
+			time.Sleep(time.Second)
+			l.owner()
+		})
+	})
+
 	It("gives a new instance its share within seconds, without a refusal", func() {
 		runLab(1, func(l *lab) {
 			first, _ := l.owner()
