Call a node ready only after the first patch

Cause: a node before an empty store had version 0 in force and said ready. Now a node without any configuration isn't ready, so that the balancer leaves it out. The test failed before.

--- a/internal/routers/wigeonnode/adapter.go
+++ b/internal/routers/wigeonnode/adapter.go
@@ -92,9 +92,11 @@
 	return s
 }
 
-// ready tells whether the balancer should send callers here.
+// ready tells whether the balancer should send callers here. Before the first patch no key is known: a request would
+// be refused for good that another instance, which knows more, would serve.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.spread.Ready()
+	c := n.spread.Current()
+	return !n.draining.Load() && n.spread.Ready() && c != nil && c.Version > 0
 }
 
 // operatorKeys returns the keys of the settings as the operators' API wants them.
--- a/internal/routers/wigeonnode/path_test.go
+++ b/internal/routers/wigeonnode/path_test.go
@@ -4,18 +4,39 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
 	"wigeonshift/internal/load/wigeonload"
 	"wigeonshift/internal/routers/wigeonoperator"
 	"wigeonshift/internal/standin/wigeondev"
+	"wigeonshift/internal/standin/wigeonplatform"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
 )
 
+var _ = Describe("A node before an empty platform", func() {
+	It("takes no callers before the first patch", func() {
+		ctx := context.Background()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		platform := wigeonplatform.NewServer(wigeonplatform.NewCore(), l)
+		Expect(platform.Start(ctx)).To(Succeed())
+		n := startNode(platform.Address(), "first")
+		Eventually(func() error { _, err := operator(n).Show(true); return err }, patience).Should(Succeed())
+		Consistently(n.Ready, time.Second).Should(BeFalse())
+		patch := json.RawMessage(`{"products":{"p":{"tiers":{"t":{"rank":0,"defaultDeadlineMs":1000}}}}}`)
+		_, err = operator(n).Patch(wigeonoperator.PatchBody{Patch: patch, PatchID: "first"})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(n.Ready, patience).Should(BeTrue())
+		Expect(n.Close(ctx)).To(Succeed())
+		Expect(platform.Stop(ctx)).To(Succeed())
+	})
+})
+
 var _ = Describe("Three nodes before a site", Ordered, func() {
 	ctx := context.Background()
 	var w *world
--- a/internal/routers/wigeonnode/site_test.go
+++ b/internal/routers/wigeonnode/site_test.go
@@ -49,7 +49,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	w := &world{site: site}
 	for i := range nodeCount {
-		w.nodes = append(w.nodes, w.startNode(fmt.Sprintf("node-%d", i)))
+		w.nodes = append(w.nodes, startNode(site.PlatformAddress(), fmt.Sprintf("node-%d", i)))
 	}
 	for _, n := range w.nodes {
 		Eventually(n.Ready, patience).Should(BeTrue())
@@ -57,8 +57,8 @@
 	return w
 }
 
-// startNode starts one node.
-func (w *world) startNode(id string) *wigeonnode.Node {
+// startNode starts one node before a platform.
+func startNode(platform, id string) *wigeonnode.Node {
 	ctx := context.Background()
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
@@ -67,7 +67,7 @@
 	s.Caller.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Operator.Keys = []wigeonsetting.OperatorKey{wigeondev.OperatorEntry()}
 	s.Metrics.Listen = ""
-	s.Platform.Address, s.Platform.Announce = w.site.PlatformAddress(), true
+	s.Platform.Address, s.Platform.Announce = platform, true
 	s.Drain.Notice.Duration = time.Second
 	n, err := wigeonnode.New(ctx, s, log)
 	Expect(err).NotTo(HaveOccurred())
