Prefer endpoints that hold the prefix and learn capacity from several reports

Cause: a prompt went to the endpoint with the least finish time, so that fast endpoints computed every schema anew, and one load report with a request waiting shrank an endpoint's capacity for good. Change: with time to spare the least repeated prefill decides; a job waits for the holder of its prefix; capacity is bounded only after three reports in a row with requests waiting.

--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -54,10 +54,7 @@
 		j.state = jobDecoding
 	}
 	j.firstToken = r.Elapsed
-	predicted := j.request.PromptTokens - j.uncached
-	if r.CachedTokens > 0 || predicted > 0 {
-		e.cache.confirm(predicted, r.CachedTokens)
-	}
+	e.cache.confirm(j.cached, r.CachedTokens)
 	s.observeFirstToken(j, r)
 }
 
--- a/internal/services/wigeonscheduler/capacity.go
+++ b/internal/services/wigeonscheduler/capacity.go
@@ -11,10 +11,15 @@
 	capacityGrowth = 0.5
 	capacityShrink = 0.5
 	minCapacity    = 2
-	// paceSpread is the pace against the endpoint's best one above which more streams do not pay.
-	paceSpread = 2.0
+	// slowTokens is the time between tokens, in targets, and paceSpread the pace against the endpoint's best one from
+	// which fewer streams are taken. Prefills between the tokens slow streams down without any fault of their number,
+	// so both are far from the ordinary.
+	slowTokens = 5.0
+	paceSpread = 4.0
 	// batchForget lets a capacity that an engine's report bounded grow again, for each report without waiting.
 	batchForget = 0.05
+	// minWaitingReports is the number of load reports in a row with requests waiting that bounds the capacity.
+	minWaitingReports = 3
 )
 
 // growCapacity lets an endpoint that answers in time at its limit take more.
@@ -35,7 +40,7 @@
 	if e.spec.MaxConcurrent > 0 {
 		return
 	}
-	bound := math.Max(s.settings.TokenPaceTarget.Seconds(), paceSpread*e.speed.bestPace)
+	bound := math.Max(slowTokens*s.settings.TokenPaceTarget.Seconds(), paceSpread*e.speed.bestPace)
 	if pace > bound {
 		e.capacity = math.Max(minCapacity, e.capacity-capacityShrink)
 	}
@@ -60,18 +65,30 @@
 	if r.CacheCapacity > 0 {
 		e.cache.limit = min(maxCacheBlocks, max(1, r.CacheCapacity/wigeonshift.PrefixBlockTokens))
 	}
-	switch {
-	case r.Waiting > 0 && r.Running > 0:
-		e.batchLimit = float64(r.Running)
+	e.noteWaiting(r)
+}
+
+// noteWaiting learns the number of streams an engine runs at once. A single report with requests waiting says
+// nothing, because they may just have come in; several in a row bound the capacity.
+func (e *endpoint) noteWaiting(r wigeonshift.LoadReport) {
+	if r.Waiting == 0 || r.Running == 0 {
+		e.waitingReports, e.waitingRunning = 0, 0
+		if e.batchLimit > 0 {
+			e.batchLimit += batchForget
+		}
+		return
+	}
+	e.waitingReports++
+	e.waitingRunning = max(e.waitingRunning, r.Running)
+	if e.waitingReports >= minWaitingReports {
+		e.batchLimit = float64(e.waitingRunning)
 		e.capacity = math.Max(1, math.Min(e.capacity, e.batchLimit))
-	case e.batchLimit > 0:
-		e.batchLimit += batchForget
 	}
 }
 
 // cacheReported corrects the predicted cache of an endpoint.
 func (s *Shard) cacheReported(b CacheReported) {
 	if e := s.endpoints[b.Endpoint]; e != nil {
-		e.cache.apply(b.Batch)
+		e.cache.apply(b.Batch, s.now)
 	}
 }
--- a/internal/services/wigeonscheduler/endpoint.go
+++ b/internal/services/wigeonscheduler/endpoint.go
@@ -76,6 +76,8 @@
 	lostAt time.Time
 	// batchLimit is the number of streams that the engine itself was seen to run while others waited; 0 if never.
 	batchLimit float64
+	// waitingReports counts load reports in a row with requests waiting, waitingRunning is the most that ran in them.
+	waitingReports, waitingRunning int
 	// order is the state of orders to the endpoint.
 	order orderState
 }
--- a/internal/services/wigeonscheduler/job.go
+++ b/internal/services/wigeonscheduler/job.go
@@ -49,7 +49,9 @@
 	token    wigeonshift.AttemptToken
 	voidAt   time.Time
 	granted  time.Time
-	// uncached is the predicted number of prompt tokens to compute.
+	// cached is the predicted number of prompt tokens in the endpoint's cache; uncached is the number to compute, with
+	// the trust in the prediction reckoned in.
+	cached   int
 	uncached int
 	// ahead is the number of prompt tokens that stood before this prompt when it was granted.
 	ahead int
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -22,10 +22,18 @@
 const (
 	// wasteWeight is how many seconds of delay a second of repeated prefill is worth.
 	wasteWeight = 2.0
-	// minWasteTokens is the repeated prefill from which a job waits for the endpoint that holds its prefix.
-	minWasteTokens = 512
-	// holdMarginSeconds is kept between the end of a wait and the time at which a job has to start.
-	holdMarginSeconds = 0.5
+	// comfortShare is the part of the time to a bound within which repeated prefill counts before speed.
+	comfortShare = 0.5
+	// holdShare is the part of the time to a bound that a job may plan with when it waits for its prefix.
+	holdShare = 0.7
+	// holdFactor is how many seconds a job waits at most to save a second of repeated prefill.
+	holdFactor = 20.0
+	// evictionWeight and evictionAge weigh what a new prefix pushes out of a full cache: the weight is halved when the
+	// least recently used block has not been used for the age, in seconds.
+	evictionWeight = 4.0
+	evictionAge    = 30.0
+	// urgentSeconds is the time before its latest start at which a job overrides the separation of long prompts.
+	urgentSeconds = 0.5
 	// deadlineMargin is the share of the time to the deadline that a placement may plan with.
 	deadlineMargin = 0.95
 )
@@ -39,8 +47,10 @@
 	first, finish float64
 	// score orders candidates; the least is best.
 	score float64
-	// inTime tells whether first and finish meet the job's bounds.
-	inTime bool
+	// waste is the number of prompt tokens to compute that another endpoint holds.
+	waste int
+	// inTime tells whether first and finish meet the job's bounds, comfortable whether there is time to spare.
+	inTime, comfortable bool
 }
 
 // place grants a queued job if an endpoint can take it now.
@@ -101,20 +111,26 @@
 		s.suspects.flights[j.request.Fingerprint].permits(e)
 }
 
-// better returns the candidate to prefer: one in time before one that is not, then the least score.
+// better returns the candidate to prefer: one in time before one that is not; with time to spare the least repeated
+// prefill; then the least score.
 func better(a, b candidate) candidate {
-	switch {
-	case a.endpoint == nil:
-		return b
-	case a.inTime != b.inTime:
-		if a.inTime {
-			return a
-		}
-		return b
-	case b.score < a.score:
+	if a.endpoint == nil || b.before(&a) {
 		return b
+	}
+	return a
+}
+
+// before reports whether a candidate is preferred to another.
+func (c *candidate) before(o *candidate) bool {
+	switch {
+	case c.inTime != o.inTime:
+		return c.inTime
+	case c.comfortable != o.comfortable:
+		return c.comfortable
+	case c.comfortable && c.waste != o.waste:
+		return c.waste < o.waste
 	default:
-		return a
+		return c.score < o.score
 	}
 }
 
@@ -142,11 +158,26 @@
 	c := candidate{endpoint: e, cached: cached, uncached: uncached}
 	c.first = defaultOverhead + float64(e.pendingPrefill+uncached)/rate
 	c.finish = c.first + s.expectedTokens(j)*e.speed.pace()
-	c.score = c.finish + wasteWeight*float64(longest-cached)/rate
-	c.inTime = c.finish <= s.remaining(j)*deadlineMargin && c.first <= s.firstTokenBudget(j)
+	c.waste = max(0, longest-cached)
+	c.score = c.finish + wasteWeight*float64(c.waste)/rate + s.evictionCost(e, uncached)
+	remaining, budget := s.remaining(j), s.firstTokenBudget(j)
+	c.inTime = c.finish <= remaining*deadlineMargin && c.first <= budget
+	c.comfortable = c.finish <= remaining*comfortShare && c.first <= budget*comfortShare
 	return c
 }
 
+// evictionCost is the expected prefill in seconds that storing new tokens costs by pushing others out of the cache.
+func (s *Shard) evictionCost(e *endpoint, tokens int) float64 {
+	c := e.cache
+	blocks := tokens / wigeonshift.PrefixBlockTokens
+	over := min(blocks, len(c.places)+blocks-c.limit)
+	if over <= 0 {
+		return 0
+	}
+	age := s.now.Sub(c.oldest()).Seconds()
+	return evictionWeight * float64(over*wigeonshift.PrefixBlockTokens) / e.speed.rate() / (1 + age/evictionAge)
+}
+
 // admits tells whether a job may join an endpoint with a free slot: long prefills keep apart from one another and
 // from short prompts, and a straggler gets only probes.
 func (s *Shard) admits(j *job, c candidate, urgent bool) bool {
@@ -189,12 +220,13 @@
 
 // worthWaiting tells whether the job should wait for an endpoint that holds its prefix and is busy now.
 func (s *Shard) worthWaiting(j *job, open, waiting candidate) bool {
-	if waiting.endpoint == nil || !waiting.inTime || waiting.cached-open.cached < minWasteTokens {
+	if waiting.endpoint == nil || waiting.waste >= open.waste {
 		return false
 	}
-	slack := min(s.remaining(j)*deadlineMargin-open.finish, s.firstTokenBudget(j)-open.first)
+	saved := float64(open.waste-waiting.waste) / open.endpoint.speed.rate()
 	wait := s.expectedRelease(waiting.endpoint)
-	return slack > holdMarginSeconds && wait+waiting.finish < s.remaining(j)*deadlineMargin && wait+waiting.first < s.firstTokenBudget(j)
+	waited := s.now.Sub(j.arrived).Seconds()
+	return wait+waited < holdFactor*saved && wait+waiting.finish < s.remaining(j)*holdShare && wait+waiting.first < s.firstTokenBudget(j)*holdShare
 }
 
 // expectedRelease is the expected time in seconds until an endpoint can take another job.
@@ -222,7 +254,7 @@
 // urgent tells whether a job has to start now to be on time; it then overrides the separation of long prompts.
 func (s *Shard) urgent(j *job) bool {
 	fast := s.fastest(j)
-	return s.remaining(j)*deadlineMargin-fast < holdMarginSeconds
+	return s.remaining(j)*deadlineMargin-fast < urgentSeconds
 }
 
 // grant gives a queued job a permit for an endpoint.
@@ -238,12 +270,12 @@
 		useBefore = j.deadline
 	}
 	j.voidAt = useBefore.Add(s.settings.PermitGrace)
-	j.uncached, j.ahead, j.expectedFirst = c.uncached, e.pendingPrefill, c.first
+	j.cached, j.uncached, j.ahead, j.expectedFirst = c.cached, c.uncached, e.pendingPrefill, c.first
 	j.crash = e.crash
 	s.attach(j, e)
 	s.suspects.join(j)
 	s.addPrefill(j)
-	e.cache.store(j.request.Prefix)
+	e.cache.store(j.request.Prefix, s.now)
 	s.markProbe(j, e)
 	s.answer(j, wigeonshift.PermitAnswer{Grant: &wigeonshift.Permit{
 		Request: j.request.ID, Shard: s.id, Epoch: s.epoch, Endpoint: e.name, Address: e.spec.Address,
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -9,6 +9,9 @@
 // maxPausedShare bounds the paused jobs of an endpoint against its limit; each keeps its state in the engine's memory.
 const maxPausedShare = 2
 
+// pressingSeconds is the time left for a first token below which a victim that cannot pause is cancelled.
+const pressingSeconds = 1.0
+
 // makeRoom lets work of lower tiers give way to a job and grants it. Another shard with a free slot goes first.
 func (s *Shard) makeRoom(j *job) bool {
 	if !s.lowerRuns(j.rank()) {
@@ -19,6 +22,7 @@
 	}
 	longest := s.lookupPrefix(j)
 	urgent := s.urgent(j)
+	pressing := urgent || s.firstTokenBudget(j) < pressingSeconds
 	var best candidate
 	var victim *job
 	for _, e := range s.ordered {
@@ -30,6 +34,9 @@
 			continue
 		}
 		v := s.victimOn(e, j.rank())
+		if v != nil && !pressing && !s.pausable(v) {
+			continue
+		}
 		if v != nil && (victim == nil || s.gives(v, victim) || !s.gives(victim, v) && c.score < best.score) {
 			best, victim = c, v
 		}
--- a/internal/services/wigeonscheduler/prefix.go
+++ b/internal/services/wigeonscheduler/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"time"
 
 	"wigeonshift"
 )
@@ -54,6 +55,8 @@
 type cacheNode struct {
 	hash       wigeonshift.BlockHash
 	prev, next int32
+	// used is the time of the last use in milliseconds.
+	used int64
 }
 
 // prefixCache is the predicted cache of one endpoint.
@@ -113,15 +116,25 @@
 }
 
 // store remembers blocks as held and most recently used.
-func (c *prefixCache) store(blocks []wigeonshift.BlockHash) {
+func (c *prefixCache) store(blocks []wigeonshift.BlockHash, now time.Time) {
+	used := now.UnixMilli()
 	for i := len(blocks) - 1; i >= 0; i-- {
-		c.storeBlock(blocks[i])
+		c.storeBlock(blocks[i], used)
 	}
 }
 
+// oldest is the time at which the least recently used block was used, zero for an empty cache.
+func (c *prefixCache) oldest() time.Time {
+	if c.tail < 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(c.nodes[c.tail].used)
+}
+
 // storeBlock remembers one block.
-func (c *prefixCache) storeBlock(hash wigeonshift.BlockHash) {
+func (c *prefixCache) storeBlock(hash wigeonshift.BlockHash, used int64) {
 	if at, ok := c.places[hash]; ok {
+		c.nodes[at].used = used
 		c.unlink(at)
 		c.push(at)
 		return
@@ -137,6 +150,7 @@
 	} else {
 		c.nodes = append(c.nodes, cacheNode{hash: hash})
 	}
+	c.nodes[at].used = used
 	c.places[hash] = at
 	c.push(at)
 	set := c.owner.holders[hash]
@@ -202,11 +216,13 @@
 	minTrust  = 0.2
 	gapTrust  = 0.9
 	trustGain = 0.1
+	// eventLag is the age up to which own dispatches outweigh a cache event.
+	eventLag = 3 * time.Second
 )
 
 // apply corrects the prediction by an engine's events. A jump of the sequence lowers the trust; a new incarnation
 // clears the cache.
-func (c *prefixCache) apply(b wigeonshift.CacheBatch) {
+func (c *prefixCache) apply(b wigeonshift.CacheBatch, now time.Time) {
 	if b.Incarnation != c.incarnation {
 		if c.incarnation != "" {
 			c.clear()
@@ -221,19 +237,25 @@
 			c.trust = max(minTrust, c.trust*gapTrust)
 		}
 		c.sequence = ev.Sequence
-		c.applyEvent(ev)
+		c.applyEvent(ev, now)
 	}
 }
 
-// applyEvent applies one event. What the own dispatches stored since the event stays: events come late, and an
-// eviction is believed only for blocks that were not used lately.
-func (c *prefixCache) applyEvent(ev wigeonshift.CacheEvent) {
+// applyEvent applies one event. Events come late: an eviction is not believed for blocks that own dispatches used
+// within the lag, and a stored block does not count as used again.
+func (c *prefixCache) applyEvent(ev wigeonshift.CacheEvent, now time.Time) {
 	switch ev.Kind {
 	case wigeonshift.CacheStored:
-		c.store(ev.Blocks)
+		for i := len(ev.Blocks) - 1; i >= 0; i-- {
+			if _, ok := c.places[ev.Blocks[i]]; !ok {
+				c.storeBlock(ev.Blocks[i], now.UnixMilli())
+			}
+		}
 	case wigeonshift.CacheEvicted:
 		for _, hash := range ev.Blocks {
-			c.evict(hash)
+			if at, ok := c.places[hash]; ok && now.UnixMilli()-c.nodes[at].used > eventLag.Milliseconds() {
+				c.evict(hash)
+			}
 		}
 	case wigeonshift.CacheCleared:
 		c.clear()
--- a/internal/services/wigeonscheduler/rebuild.go
+++ b/internal/services/wigeonscheduler/rebuild.go
@@ -70,7 +70,7 @@
 	s.jobs[a.Request.ID] = j
 	s.attach(j, e)
 	s.suspects.join(j)
-	e.cache.store(a.Request.Prefix)
+	e.cache.store(a.Request.Prefix, s.now)
 	switch {
 	case a.Paused:
 		s.attemptPaused(j)
