--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -21,17 +21,20 @@
 // Weights and margins of the placement.
 const (
 	// wasteWeight is how many seconds of delay a second of repeated prefill is worth.
-	wasteWeight = 2.0
-	// comfortShare is the part of the time to a bound within which repeated prefill counts before speed.
-	comfortShare = 0.5
+	wasteWeight = 100
+	// finishComfort and firstComfort are the parts of the time to the deadline and to the first token's bound within
+	// which repeated prefill counts before speed.
+	finishComfort = 0.85
+	firstComfort  = 0.7
 	// holdShare is the part of the time to a bound that a job may plan with when it waits for its prefix.
-	holdShare = 0.7
+	holdShare = 0.8
 	// holdFactor is how many seconds a job waits at most to save a second of repeated prefill.
 	holdFactor = 20.0
-	// evictionWeight and evictionAge weigh what a new prefix pushes out of a full cache: the weight is halved when the
-	// least recently used block has not been used for the age, in seconds.
-	evictionWeight = 4.0
-	evictionAge    = 30.0
+	// evictionAge weighs what a new prefix pushes out of a full cache: it counts half when the least recently used block
+	// has not been used for the age, in seconds.
+	evictionAge = 30.0
+	// wasteStep is the difference in repeated prefill, in tokens, that counts.
+	wasteStep = 128
 	// urgentSeconds is the time before its latest start at which a job overrides the separation of long prompts.
 	urgentSeconds = 0.5
 	// deadlineMargin is the share of the time to the deadline that a placement may plan with.
@@ -47,7 +50,7 @@
 	first, finish float64
 	// score orders candidates; the least is best.
 	score float64
-	// waste is the number of prompt tokens to compute that another endpoint holds.
+	// waste is the number of prompt tokens to compute that another endpoint holds or that are pushed out of the cache.
 	waste int
 	// inTime tells whether first and finish meet the job's bounds, comfortable whether there is time to spare.
 	inTime, comfortable bool
@@ -65,7 +68,7 @@
 	case open.endpoint != nil && open.inTime:
 		s.grant(j, open)
 		return placed
-	case s.makeRoom(j):
+	case s.makeRoom(j, waiting):
 		return placed
 	case open.endpoint != nil && !waiting.inTime:
 		return s.placeLate(j, open)
@@ -127,7 +130,7 @@
 		return c.inTime
 	case c.comfortable != o.comfortable:
 		return c.comfortable
-	case c.comfortable && c.waste != o.waste:
+	case c.comfortable && c.waste/wasteStep != o.waste/wasteStep:
 		return c.waste < o.waste
 	default:
 		return c.score < o.score
@@ -158,16 +161,16 @@
 	c := candidate{endpoint: e, cached: cached, uncached: uncached}
 	c.first = defaultOverhead + float64(e.pendingPrefill+uncached)/rate
 	c.finish = c.first + s.expectedTokens(j)*e.speed.pace()
-	c.waste = max(0, longest-cached)
-	c.score = c.finish + wasteWeight*float64(c.waste)/rate + s.evictionCost(e, uncached)
+	c.waste = max(0, longest-cached) + s.evicted(e, uncached)
+	c.score = c.finish + wasteWeight*float64(c.waste)/rate
 	remaining, budget := s.remaining(j), s.firstTokenBudget(j)
 	c.inTime = c.finish <= remaining*deadlineMargin && c.first <= budget
-	c.comfortable = c.finish <= remaining*comfortShare && c.first <= budget*comfortShare
+	c.comfortable = c.finish <= remaining*finishComfort && c.first <= budget*firstComfort
 	return c
 }
 
-// evictionCost is the expected prefill in seconds that storing new tokens costs by pushing others out of the cache.
-func (s *Shard) evictionCost(e *endpoint, tokens int) float64 {
+// evicted is the expected number of tokens that have to be computed again because new ones push them out of the cache.
+func (s *Shard) evicted(e *endpoint, tokens int) int {
 	c := e.cache
 	blocks := tokens / wigeonshift.PrefixBlockTokens
 	over := min(blocks, len(c.places)+blocks-c.limit)
@@ -175,7 +178,7 @@
 		return 0
 	}
 	age := s.now.Sub(c.oldest()).Seconds()
-	return evictionWeight * float64(over*wigeonshift.PrefixBlockTokens) / e.speed.rate() / (1 + age/evictionAge)
+	return int(float64(over*wigeonshift.PrefixBlockTokens) / (1 + age/evictionAge))
 }
 
 // admits tells whether a job may join an endpoint with a free slot: long prefills keep apart from one another and
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -12,8 +12,9 @@
 // pressingSeconds is the time left for a first token below which a victim that cannot pause is cancelled.
 const pressingSeconds = 1.0
 
-// makeRoom lets work of lower tiers give way to a job and grants it. Another shard with a free slot goes first.
-func (s *Shard) makeRoom(j *job) bool {
+// makeRoom lets work of lower tiers give way to a job and grants it. Another shard with a free slot goes first, and a
+// wait for the endpoint that holds the prefix where it is worth while.
+func (s *Shard) makeRoom(j *job, waiting candidate) bool {
 	if !s.lowerRuns(j.rank()) {
 		return s.spillTo(j, func(o *peerShard) bool { return o.summary.LowestRunning > j.rank() })
 	}
@@ -37,11 +38,11 @@
 		if v != nil && !pressing && !s.pausable(v) {
 			continue
 		}
-		if v != nil && (victim == nil || s.gives(v, victim) || !s.gives(victim, v) && c.score < best.score) {
+		if v != nil && (victim == nil || s.roomBefore(&c, v, &best, victim)) {
 			best, victim = c, v
 		}
 	}
-	if victim == nil {
+	if victim == nil || !pressing && s.worthWaiting(j, best, waiting) {
 		return false
 	}
 	s.preempt(victim)
@@ -49,6 +50,18 @@
 	return true
 }
 
+// roomBefore reports whether one endpoint and its victim are preferred to another pair: a victim that keeps its prefill
+// first, then the better placement, then the victim that gives way first.
+func (s *Shard) roomBefore(c *candidate, v *job, best *candidate, victim *job) bool {
+	if pv, pw := s.pausable(v), s.pausable(victim); pv != pw {
+		return pv
+	}
+	if c.before(best) != best.before(c) {
+		return c.before(best)
+	}
+	return s.gives(v, victim)
+}
+
 // lowerRuns reports whether anything of a lower tier than a rank runs in the shard.
 func (s *Shard) lowerRuns(rank wigeonshift.TierRank) bool {
 	for i := len(s.tiers) - 1; i >= 0 && s.tiers[i].rank > rank; i-- {
