Tell a full endpoint from a slow one

Cause: an endpoint that got one stream too many answered late and was taken for a straggler, while a real straggler that was full went unseen for 4.5 s. Change: a late first token of a job that took the last slot cuts the capacity first; recent first tokens are compared with the endpoint's usual delay; a probe has to end at an ordinary pace; lower tiers pause on a straggler.

--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -14,6 +14,9 @@
 		return
 	}
 	j.tokensDone = max(j.tokensDone, r.TokensDone)
+	if r.State == wigeonshift.AttemptFirstToken || r.State == wigeonshift.AttemptFinished {
+		j.endpoint.heardAt = s.now
+	}
 	switch r.State {
 	case wigeonshift.AttemptStarted:
 		s.attemptStarted(j)
@@ -62,7 +65,7 @@
 func (s *Shard) observeFirstToken(j *job, r wigeonshift.AttemptReport) {
 	e, seconds := j.endpoint, r.Elapsed.Seconds()
 	own := j.request.PromptTokens - min(r.CachedTokens, j.request.PromptTokens)
-	if j.ahead == 0 || own >= j.ahead {
+	if e.health == healthUp && (j.ahead == 0 || own >= j.ahead) {
 		e.speed.observeFirstToken(own+j.ahead/2, seconds)
 	}
 	s.judgeFirstToken(j, seconds)
@@ -84,11 +87,15 @@
 	if !j.interrupted && r.TokensDone > 1 && r.Elapsed > j.firstToken {
 		pace := (r.Elapsed - j.firstToken).Seconds() / float64(r.TokensDone-1)
 		s.judgePace(e, pace)
-		e.speed.observePace(pace)
-		s.adaptCapacity(e, pace)
+		s.judgeProbeEnd(j, pace)
+		if e.health == healthUp {
+			e.speed.observePace(pace)
+			s.adaptCapacity(e, pace)
+		}
 	}
 	if j.request.Model == "" {
 		s.judgePace(e, r.Elapsed.Seconds())
+		s.judgeProbeEnd(j, r.Elapsed.Seconds())
 		e.speed.observePace(r.Elapsed.Seconds())
 	}
 	s.suspects.clear(j)
--- a/internal/services/wigeonscheduler/capacity.go
+++ b/internal/services/wigeonscheduler/capacity.go
@@ -17,7 +17,7 @@
 	slowTokens = 5.0
 	paceSpread = 4.0
 	// batchForget lets a capacity that an engine's report bounded grow again, for each report without waiting.
-	batchForget = 0.05
+	batchForget = 0.1
 	// minWaitingReports is the number of load reports in a row with requests waiting that bounds the capacity.
 	minWaitingReports = 3
 )
--- a/internal/services/wigeonscheduler/endpoint.go
+++ b/internal/services/wigeonscheduler/endpoint.go
@@ -72,6 +72,12 @@
 	probe *job
 	// probeEvery is the time until the probe after the next.
 	probeEvery time.Duration
+	// delay compares the endpoint's first tokens with their expectation.
+	delay delayRatio
+	// boundedAt is the time at which an overdue first token last cut the capacity.
+	boundedAt time.Time
+	// heardAt is the time of the last first token or whole answer from the endpoint.
+	heardAt time.Time
 	// lostAt is the time of the last loss; zero once it proved to be the connection's.
 	lostAt time.Time
 	// batchLimit is the number of streams that the engine itself was seen to run while others waited; 0 if never.
--- a/internal/services/wigeonscheduler/job.go
+++ b/internal/services/wigeonscheduler/job.go
@@ -59,6 +59,8 @@
 	expectedFirst float64
 	firstToken    time.Duration
 	tokensDone    int
+	// crowded is set when the job took the endpoint's last slot.
+	crowded bool
 	// crash is the endpoint's loss count when the job was granted.
 	crash int
 	// interrupted is set once the stream was paused or taken over; its pace then teaches nothing.
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -30,6 +30,8 @@
 	holdShare = 0.8
 	// holdFactor is how many seconds a job waits at most to save a second of repeated prefill.
 	holdFactor = 20.0
+	// holdPatience is the part of its whole time that a job nobody waits for at a screen may wait for its prefix.
+	holdPatience = 0.05
 	// evictionAge weighs what a new prefix pushes out of a full cache: it counts half when the least recently used block
 	// has not been used for the age, in seconds.
 	evictionAge = 30.0
@@ -229,7 +231,11 @@
 	saved := float64(open.waste-waiting.waste) / open.endpoint.speed.rate()
 	wait := s.expectedRelease(waiting.endpoint)
 	waited := s.now.Sub(j.arrived).Seconds()
-	return wait+waited < holdFactor*saved && wait+waiting.finish < s.remaining(j)*holdShare && wait+waiting.first < s.firstTokenBudget(j)*holdShare
+	patience := holdFactor * saved
+	if !s.interactive(j) {
+		patience = max(patience, holdPatience*(s.remaining(j)+waited))
+	}
+	return wait+waited < patience && wait+waiting.finish < s.remaining(j)*holdShare && wait+waiting.first < s.firstTokenBudget(j)*holdShare
 }
 
 // expectedRelease is the expected time in seconds until an endpoint can take another job.
@@ -276,6 +282,7 @@
 	j.cached, j.uncached, j.ahead, j.expectedFirst = c.cached, c.uncached, e.pendingPrefill, c.first
 	j.crash = e.crash
 	s.attach(j, e)
+	j.crowded = e.free() <= 1
 	s.suspects.join(j)
 	s.addPrefill(j)
 	e.cache.store(j.request.Prefix, s.now)
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -149,6 +149,9 @@
 		if e.paused == 0 || e.health == healthDown {
 			continue
 		}
+		if top, ok := e.topRank(); ok && e.health == healthStraggler && top < t.rank {
+			continue
+		}
 		for _, j := range e.jobs {
 			if j.state != jobPaused || j.rank() != t.rank {
 				continue
--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -11,6 +11,18 @@
 	// overdueFactor and overdueSlack tell when a first token is overdue against its expectation, in seconds.
 	overdueFactor = 3.0
 	overdueSlack  = 0.75
+	// boundInterval is the least time between two cuts of an endpoint's capacity. An overdue first token of a job that
+	// found the endpoint full shows at first only that it runs fewer streams at once than was thought; jobs that are
+	// overdue after the cut make a straggler.
+	boundInterval = 5 * time.Second
+	// slowRatio is how far the recent first tokens have to be above the usual against their expectation; recentGain and
+	// typicalGain weigh a new one, maxRatio bounds the weight of a single one, ratioBase in seconds keeps tiny
+	// expectations from counting.
+	slowRatio   = 3.0
+	recentGain  = 0.4
+	typicalGain = 0.02
+	maxRatio    = 5.0
+	ratioBase   = 0.05
 	// slowPace is the pace against the endpoint's typical one that makes it a straggler.
 	slowPace = 4.0
 	// recoveredFactor is the slowness against the typical speed up to which a probed endpoint is taken back.
@@ -26,15 +38,56 @@
 // judgeFirstToken compares a first token's time with its expectation.
 func (s *Shard) judgeFirstToken(j *job, seconds float64) {
 	e := j.endpoint
+	ratio := (seconds + ratioBase) / (j.expectedFirst + ratioBase)
 	if e.probe == j {
-		s.judgeProbe(e, seconds <= recoveredFactor*j.expectedFirst+overdueSlack)
+		if ratio > recoveredFactor*e.delay.usual() {
+			s.judgeProbe(e, false)
+		}
+		return
+	}
+	if j.crowded && ratio > recoveredFactor && s.now.Sub(e.boundedAt) > boundInterval {
+		e.boundedAt = s.now
+		e.boundCapacity(e.running - e.yielding - 1)
 		return
 	}
-	if seconds > overdueFactor*j.expectedFirst+overdueSlack {
+	if e.health == healthUp && e.delay.observe(ratio) {
 		s.markStraggler(e)
 	}
 }
 
+// delayRatio compares first tokens with their expectation, lately and in the long run.
+type delayRatio struct {
+	recent, typical float64
+}
+
+// usual is the ratio of ordinary times.
+func (d *delayRatio) usual() float64 {
+	return max(1, d.typical)
+}
+
+// observe learns a ratio and reports whether the recent ones are far above the usual.
+func (d *delayRatio) observe(ratio float64) bool {
+	if d.typical == 0 {
+		d.recent, d.typical = 1, 1
+	}
+	d.recent += recentGain * (min(ratio, maxRatio) - d.recent)
+	if d.recent > slowRatio*d.usual() {
+		d.recent = 1
+		return true
+	}
+	d.typical += typicalGain * (ratio - d.typical)
+	return false
+}
+
+// judgeProbeEnd takes a straggler back whose probe came to its end at an ordinary pace.
+func (s *Shard) judgeProbeEnd(j *job, pace float64) {
+	e := j.endpoint
+	if e.probe != j {
+		return
+	}
+	s.judgeProbe(e, e.speed.typicalPace == 0 || pace <= recoveredFactor*e.speed.typicalPace)
+}
+
 // judgePace compares a stream's pace with the endpoint's typical one. A pace within the target harms no caller, however
 // far it is from the typical one.
 func (s *Shard) judgePace(e *endpoint, pace float64) {
@@ -70,6 +123,30 @@
 	e.probeEvery = s.settings.ProbeInterval
 	e.probeAt = s.now.Add(e.probeEvery)
 	s.count("stragglers", "")
+	s.relieve(e)
+}
+
+// relieve pauses what runs below the highest tier on a straggler, so that the highest may still be on time.
+func (s *Shard) relieve(e *endpoint) {
+	top, ok := e.topRank()
+	if !ok {
+		return
+	}
+	for _, j := range e.jobs {
+		if j.rank() > top && s.mayGiveWay(j) && s.pausable(j) {
+			s.preempt(j)
+		}
+	}
+}
+
+// topRank is the highest tier with a running job on the endpoint.
+func (e *endpoint) topRank() (rank wigeonshift.TierRank, ok bool) {
+	for _, j := range e.jobs {
+		if j.slot && j.state != jobPausing && (!ok || j.rank() < rank) {
+			rank, ok = j.rank(), true
+		}
+	}
+	return rank, ok
 }
 
 // watchOverdue marks endpoints whose oldest prefill is overdue. It needs no report from them.
@@ -77,15 +154,34 @@
 	if e.health != healthUp {
 		return
 	}
+	crowded, overdue, silent := 0, 0, false
 	for _, j := range e.jobs {
-		if !j.prefill || j.state != jobPrefilling {
+		if !j.prefill || j.state != jobPrefilling || s.now.Sub(j.granted).Seconds() <= overdueFactor*j.expectedFirst+overdueSlack {
 			continue
 		}
-		if s.now.Sub(j.granted).Seconds() > overdueFactor*j.expectedFirst+overdueSlack {
-			s.markStraggler(e)
-			return
+		silent = silent || e.heardAt.Before(j.granted)
+		if j.crowded && (e.boundedAt.IsZero() || j.granted.Before(e.boundedAt)) {
+			crowded++
+		} else {
+			overdue++
 		}
 	}
+	switch {
+	case silent || overdue > 0:
+		s.markStraggler(e)
+	case crowded > 0 && (e.boundedAt.IsZero() || s.now.Sub(e.boundedAt) > boundInterval):
+		e.boundedAt = s.now
+		e.boundCapacity(e.running - e.yielding - crowded)
+	}
+}
+
+// boundCapacity takes a number of streams for the most that an endpoint runs at once.
+func (e *endpoint) boundCapacity(n int) {
+	if e.spec.MaxConcurrent > 0 {
+		return
+	}
+	e.batchLimit = max(minCapacity, float64(n))
+	e.capacity = min(e.capacity, e.batchLimit)
 }
 
 // admitsProbe tells whether a job may probe a straggler: a short prompt with time enough even if it is still slow.
