--- a/internal/policy/wigeonbench/world.go
+++ b/internal/policy/wigeonbench/world.go
@@ -118,13 +118,23 @@
 		w.plan(cachePeriod, func() { w.reportCache(e) })
 	}
 	w.open = len(w.scenario.Requests)
-	for len(w.agenda) > 0 && w.open > 0 {
+	end := time.Duration(-1)
+	for len(w.agenda) > 0 {
 		next := heap.Pop(&w.agenda).(happening)
 		w.now = next.at
+		if w.open == 0 && end < 0 {
+			end = w.now + drainTime
+		}
+		if end >= 0 && w.now > end {
+			return
+		}
 		next.do()
 	}
 }
 
+// drainTime is played after the last outcome, so that the last reports arrive.
+const drainTime = time.Second
+
 // configuration brings the engines to the policy.
 func (w *world) configuration() wigeonscheduler.ConfigurationChanged {
 	c := wigeonscheduler.ConfigurationChanged{Version: 1, Endpoints: map[string]wigeonshift.EndpointSpec{}, Product: &wigeonshift.Product{}}
--- a/internal/services/wigeonscheduler/admission.go
+++ b/internal/services/wigeonscheduler/admission.go
@@ -20,6 +20,9 @@
 	maxRetryAfter = 60 * time.Second
 	// answerGain is the weight of one finished answer in the expected length of answers.
 	answerGain = 0.02
+	// serviceMargin is the part of an average endpoint's service time that has to fit behind the queue: a queue that
+	// leaves only time enough for the fastest endpoint would leave the slower ones idle.
+	serviceMargin = 1.25
 )
 
 // permitRequested queues, grants or refuses a request.
@@ -29,7 +32,7 @@
 		s.repeated(j, b)
 		return
 	}
-	if s.closed.covers(r.ID, r.Attempt) {
+	if s.closed.covers(&r) {
 		return
 	}
 	j := &job{request: r, entry: b.Entry, arrived: s.now, deadline: r.Deadline}
@@ -37,15 +40,46 @@
 		j.deadline = s.now.Add(noDeadline)
 	}
 	if refusal := s.admit(j); refusal != nil {
-		if !capacityReason(refusal.Reason) || !s.spill(j) {
-			s.refuse(j, *refusal)
-		}
+		s.refuseNew(j, *refusal)
 		return
 	}
-	s.jobs[r.ID] = j
+	s.queueNew(j)
+	j.lane.blocked = j.lane.blocked && j.flow.jobs[0] != j
+}
+
+// queueNew adds an admitted request to the queue.
+func (s *Shard) queueNew(j *job) {
+	s.jobs[j.request.ID] = j
 	s.noteDemand(j)
 	s.enqueue(j)
-	j.lane.blocked = j.lane.blocked && j.flow.jobs[0] != j
+}
+
+// refuseNew refuses a request on arrival, unless work of lower tiers gives way to it or another shard takes it.
+func (s *Shard) refuseNew(j *job, r wigeonshift.Refusal) {
+	if capacityReason(r.Reason) && r.RetryAfter > 0 {
+		if j.organisation != nil && s.granting() && s.lowerRuns(j.rank()) && !j.organisation.limited() {
+			s.organisations[j.organisation.name] = j.organisation
+			s.queueNew(j)
+			if !j.lane.key.alone && s.makeRoom(j, candidate{}, true) {
+				return
+			}
+			s.dequeue(j)
+		}
+		if s.spill(j) {
+			s.forget(j)
+			return
+		}
+	}
+	s.forget(j)
+	s.refuse(j, r)
+}
+
+// forget drops what an unqueued request left behind.
+func (s *Shard) forget(j *job) {
+	delete(s.jobs, j.request.ID)
+	if j.organisation != nil {
+		s.dropOrganisation(j.organisation)
+	}
 }
 
 // repeated answers a repeat of a known request like the first time.
@@ -79,20 +113,15 @@
 		return s.refusal(wigeonshift.ReasonNoEndpoint, s.advise(s.settings.ProbeInterval.Seconds()))
 	}
 	j.fastest = s.fastest(j)
-	if j.fastest > s.remaining(j) {
+	if s.hopeless(j, j.fastest) {
 		return s.refusal(wigeonshift.ReasonDeadline, 0)
 	}
 	j.work = s.slotSeconds(j)
 	j.organisation = s.organisationOf(r.Organisation)
 	if refusal := s.admitOrganisation(j); refusal != nil {
-		s.dropOrganisation(j.organisation)
-		return refusal
-	}
-	if refusal := s.admitQueue(j); refusal != nil {
-		s.dropOrganisation(j.organisation)
 		return refusal
 	}
-	return nil
+	return s.admitQueue(j)
 }
 
 // capacityReason tells whether another shard of the pool might take what this one refuses.
@@ -115,11 +144,17 @@
 	if s.epoch == 0 {
 		return nil
 	}
+	if j.organisation.limited() {
+		if wait := max(s.expectedWait(j), j.organisation.ownWait()); wait+j.fastest > s.remaining(j) {
+			return s.refusal(wigeonshift.ReasonOrganisationCap, s.advise(wait))
+		}
+		return nil
+	}
 	wait := s.expectedWait(j)
 	if wait == 0 {
 		return nil
 	}
-	if wait+j.fastest > s.remaining(j) || wait > s.settings.MaxQueueSeconds {
+	if wait+math.Max(j.fastest, serviceMargin*j.work) > s.remaining(j) || wait > s.settings.MaxQueueSeconds {
 		reason := wigeonshift.ReasonDeadline
 		if wait > s.settings.MaxQueueSeconds {
 			reason = wigeonshift.ReasonQueueFull
@@ -252,19 +287,25 @@
 
 // refuse answers a request finally and remembers it against duplicates.
 func (s *Shard) refuse(j *job, r wigeonshift.Refusal) {
-	s.closed.add(j.request.ID, j.request.Attempt)
+	s.closed.add(&j.request)
 	delete(s.jobs, j.request.ID)
 	s.answer(j, wigeonshift.PermitAnswer{Refuse: &r})
 	s.count("refusals", string(r.Reason))
 }
 
+// hopeless tells whether a job could not be on time even at the best endpoint if idle; another try with the same
+// deadline would fare no better.
+func (s *Shard) hopeless(j *job, fastest float64) bool {
+	return fastest > j.deadline.Sub(j.arrived).Seconds()*deadlineMargin
+}
+
 // refuseQueued takes a job out of the queue and refuses it.
 func (s *Shard) refuseQueued(j *job, reason wigeonshift.RefusalReason) {
 	wait := s.expectedWait(j)
 	s.dequeue(j)
 	s.dropOrganisation(j.organisation)
 	after := time.Duration(0)
-	if reason != wigeonshift.ReasonDeadlinePassed {
+	if reason != wigeonshift.ReasonDeadlinePassed && !s.hopeless(j, j.fastest) {
 		after = s.advise(wait)
 	}
 	s.refuse(j, *s.refusal(reason, after))
--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -14,6 +14,7 @@
 		return
 	}
 	j.tokensDone = max(j.tokensDone, r.TokensDone)
+	j.started = j.started || r.State == wigeonshift.AttemptPaused || r.State == wigeonshift.AttemptResumed
 	if r.State == wigeonshift.AttemptFirstToken || r.State == wigeonshift.AttemptFinished {
 		j.endpoint.heardAt = s.now
 	}
@@ -41,6 +42,7 @@
 
 // attemptStarted marks a permit as spent.
 func (s *Shard) attemptStarted(j *job) {
+	j.started = true
 	if j.state == jobGranted {
 		j.state = jobPrefilling
 	}
@@ -84,22 +86,34 @@
 		j.firstToken = r.Elapsed
 	}
 	s.answers.observe(r.TokensDone, j.request.MaxTokens)
-	if !j.interrupted && r.TokensDone > 1 && r.Elapsed > j.firstToken {
-		pace := (r.Elapsed - j.firstToken).Seconds() / float64(r.TokensDone-1)
-		s.judgePace(e, pace)
+	pace := 0.0
+	switch {
+	case j.interrupted:
+	case j.request.Model == "":
+		pace = r.Elapsed.Seconds()
+	case r.TokensDone > 1 && r.Elapsed > j.firstToken:
+		pace = (r.Elapsed - j.firstToken).Seconds() / float64(r.TokensDone-1)
+	}
+	if j.alone {
+		s.suspects.clear(j)
+		s.requeueSuspects()
+	}
+	if pace > 0 {
 		s.judgeProbeEnd(j, pace)
-		if e.health == healthUp {
-			e.speed.observePace(pace)
-			s.adaptCapacity(e, pace)
-		}
 	}
-	if j.request.Model == "" {
-		s.judgePace(e, r.Elapsed.Seconds())
-		s.judgeProbeEnd(j, r.Elapsed.Seconds())
-		e.speed.observePace(r.Elapsed.Seconds())
-	}
-	s.suspects.clear(j)
 	s.closeJob(j)
+	if pace > 0 {
+		s.observePace(e, pace)
+	}
+}
+
+// observePace learns from the pace of a finished stream, or from the time of a plain call.
+func (s *Shard) observePace(e *endpoint, pace float64) {
+	s.judgePace(e, pace)
+	if e.health == healthUp {
+		e.speed.observePace(pace)
+		s.adaptCapacity(e, pace)
+	}
 }
 
 // attemptNotRun closes an attempt that proved not to have begun.
@@ -144,7 +158,7 @@
 
 // closeJob forgets a job whose outcome its entry knows.
 func (s *Shard) closeJob(j *job) {
-	s.closed.add(j.request.ID, j.request.Attempt)
+	s.closed.add(&j.request)
 	delete(s.jobs, j.request.ID)
 	if j.endpoint != nil {
 		s.leaveProbe(j)
@@ -163,7 +177,7 @@
 	if j == nil || j.entry != b.Entry {
 		return
 	}
-	if j.endpoint != nil && j.state != jobGranted {
+	if j.started {
 		return
 	}
 	s.closeJob(j)
--- a/internal/services/wigeonscheduler/endpoint.go
+++ b/internal/services/wigeonscheduler/endpoint.go
@@ -80,6 +80,8 @@
 	heardAt time.Time
 	// lostAt is the time of the last loss; zero once it proved to be the connection's.
 	lostAt time.Time
+	// lostIncarnation is the incarnation under which the lost attempt was granted, empty when not known.
+	lostIncarnation string
 	// batchLimit is the number of streams that the engine itself was seen to run while others waited; 0 if never.
 	batchLimit float64
 	// waitingReports counts load reports in a row with requests waiting, waitingRunning is the most that ran in them.
@@ -104,10 +106,12 @@
 		}
 	}
 	for _, o := range s.organisations {
-		o.spec = wigeonshift.Organisation{}
-		if c.Product != nil {
-			o.spec = c.Product.Organisations[o.name]
-		}
+		o.change(func() {
+			o.spec = wigeonshift.Organisation{}
+			if c.Product != nil {
+				o.spec = c.Product.Organisations[o.name]
+			}
+		})
 	}
 	slices.SortFunc(s.ordered, func(a, b *endpoint) int { return strings.Compare(a.name, b.name) })
 	s.assignIndexes()
@@ -207,7 +211,7 @@
 	}
 	j.slot = true
 	j.endpoint.running++
-	j.organisation.running++
+	j.organisation.change(func() { j.organisation.running++ })
 	s.tierOf(j.rank()).running++
 }
 
@@ -221,7 +225,7 @@
 		j.endpoint.yielding--
 	}
 	j.endpoint.running--
-	j.organisation.running--
+	j.organisation.change(func() { j.organisation.running-- })
 	s.tierOf(j.rank()).running--
 	s.unblock()
 }
--- a/internal/services/wigeonscheduler/job.go
+++ b/internal/services/wigeonscheduler/job.go
@@ -48,6 +48,8 @@
 	endpoint *endpoint
 	token    wigeonshift.AttemptToken
 	voidAt   time.Time
+	// started is set once the entry told that the permit was spent.
+	started bool
 	granted  time.Time
 	// cached is the predicted number of prompt tokens in the endpoint's cache; uncached is the number to compute, with
 	// the trust in the prediction reckoned in.
@@ -61,6 +63,8 @@
 	tokensDone    int
 	// crowded is set when the job took the endpoint's last slot.
 	crowded bool
+	// incarnation is the endpoint's as known when the job was granted.
+	incarnation string
 	// crash is the endpoint's loss count when the job was granted.
 	crash int
 	// interrupted is set once the stream was paused or taken over; its pace then teaches nothing.
@@ -93,6 +97,15 @@
 	// permits counts jobs that are with an endpoint, paused ones included.
 	permits int
 	bucket  tokenBucket
+	// waiting is the organisation's queued work in each tier. The tiers' totals leave it out while the organisation is
+	// at its own limit, because it then delays nobody else.
+	waiting []waitingWork
+}
+
+// waitingWork is what one organisation has queued in one tier.
+type waitingWork struct {
+	tier          *tier
+	work, prefill float64
 }
 
 // weight is the organisation's share against others.
@@ -108,6 +121,48 @@
 	return o.spec.MaxConcurrent > 0 && o.running >= o.spec.MaxConcurrent
 }
 
+// change applies a change of the organisation's running count or limits and moves its queued work out of the tiers'
+// totals or back when it reaches or leaves its limit.
+func (o *organisation) change(apply func()) {
+	was := o.limited()
+	apply()
+	now := o.limited()
+	if was == now {
+		return
+	}
+	sign := 1.0
+	if now {
+		sign = -1
+	}
+	for _, w := range o.waiting {
+		w.tier.add(sign*w.work, sign*w.prefill)
+	}
+}
+
+// wait adds queued work of a tier, or takes it away.
+func (o *organisation) wait(t *tier, work, prefill float64) {
+	if !o.limited() {
+		t.add(work, prefill)
+	}
+	for i := range o.waiting {
+		if o.waiting[i].tier == t {
+			o.waiting[i].work += work
+			o.waiting[i].prefill += prefill
+			return
+		}
+	}
+	o.waiting = append(o.waiting, waitingWork{tier: t, work: work, prefill: prefill})
+}
+
+// ownWait is the time in seconds that the organisation's own queued work takes at its limit.
+func (o *organisation) ownWait() float64 {
+	work := 0.0
+	for _, w := range o.waiting {
+		work += w.work
+	}
+	return work / float64(max(1, o.spec.MaxConcurrent))
+}
+
 // organisationOf returns the record of an organisation, made on first use.
 func (s *Shard) organisationOf(name string) *organisation {
 	o := s.organisations[name]
@@ -128,33 +183,40 @@
 	}
 }
 
-// closedRing remembers the last requests that ended, with the attempt number they ended at.
+// visit numbers the times that a request comes to an owner: each spent permit and each shard that passed it on raises
+// it, a repeated message does not.
+func visit(r *wigeonshift.PermitRequest) int {
+	return r.Attempt*(maxSpills+1) + r.Spills
+}
+
+// closedRing remembers the last requests that ended, with the visit they ended at.
 type closedRing struct {
-	ids      []wigeonshift.RequestID
-	next     int
-	attempts map[wigeonshift.RequestID]int
+	ids    []wigeonshift.RequestID
+	next   int
+	visits map[wigeonshift.RequestID]int
 }
 
 // init sets the number of requests remembered.
 func (c *closedRing) init(size int) {
 	c.ids = make([]wigeonshift.RequestID, size)
-	c.attempts = map[wigeonshift.RequestID]int{}
+	c.visits = map[wigeonshift.RequestID]int{}
 }
 
 // add remembers a request.
-func (c *closedRing) add(id wigeonshift.RequestID, attempt int) {
-	if _, ok := c.attempts[id]; ok {
-		c.attempts[id] = attempt
+func (c *closedRing) add(r *wigeonshift.PermitRequest) {
+	id := r.ID
+	if _, ok := c.visits[id]; ok {
+		c.visits[id] = visit(r)
 		return
 	}
-	delete(c.attempts, c.ids[c.next])
+	delete(c.visits, c.ids[c.next])
 	c.ids[c.next] = id
-	c.attempts[id] = attempt
+	c.visits[id] = visit(r)
 	c.next = (c.next + 1) % len(c.ids)
 }
 
-// covers reports whether a request ended at this attempt or a later one.
-func (c *closedRing) covers(id wigeonshift.RequestID, attempt int) bool {
-	ended, ok := c.attempts[id]
-	return ok && attempt <= ended
+// covers reports whether a request ended at this visit or a later one.
+func (c *closedRing) covers(r *wigeonshift.PermitRequest) bool {
+	ended, ok := c.visits[r.ID]
+	return ok && visit(r) <= ended
 }
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -70,11 +70,11 @@
 	case open.endpoint != nil && open.inTime:
 		s.grant(j, open)
 		return placed
-	case s.makeRoom(j, waiting):
+	case s.makeRoom(j, waiting, false):
 		return placed
 	case open.endpoint != nil && !waiting.inTime:
 		return s.placeLate(j, open)
-	case open.endpoint != nil || waiting.endpoint == nil || waiting.endpoint.free() > 0:
+	case open.endpoint != nil || waiting.endpoint == nil || waiting.endpoint.free() > 0 || s.lowerRuns(j.rank()):
 		return held
 	default:
 		return full
@@ -88,7 +88,9 @@
 		s.grant(j, c)
 		return placed
 	}
-	s.refuseQueued(j, wigeonshift.ReasonDeadline)
+	if !s.press(j) {
+		s.refuseQueued(j, wigeonshift.ReasonDeadline)
+	}
 	return placed
 }
 
@@ -193,7 +195,7 @@
 	if e.pendingPrefill == 0 && !s.long(c.uncached) {
 		return true
 	}
-	if urgent {
+	if urgent || s.lastChance(j, &c) {
 		return true
 	}
 	if s.long(c.uncached) {
@@ -260,7 +262,12 @@
 	return s.settings.FirstTokenTarget.Seconds() - s.now.Sub(j.arrived).Seconds()
 }
 
-// urgent tells whether a job has to start now to be on time; it then overrides the separation of long prompts.
+// lastChance tells whether a job has to start now on an endpoint to be on time there.
+func (s *Shard) lastChance(j *job, c *candidate) bool {
+	return c.inTime && s.remaining(j)*deadlineMargin-c.finish < urgentSeconds
+}
+
+// urgent tells whether a job has to start now anywhere to be on time; it then overrides the separation of long prompts.
 func (s *Shard) urgent(j *job) bool {
 	fast := s.fastest(j)
 	return s.remaining(j)*deadlineMargin-fast < urgentSeconds
@@ -280,7 +287,7 @@
 	}
 	j.voidAt = useBefore.Add(s.settings.PermitGrace)
 	j.cached, j.uncached, j.ahead, j.expectedFirst = c.cached, c.uncached, e.pendingPrefill, c.first
-	j.crash = e.crash
+	j.crash, j.incarnation = e.crash, e.incarnation
 	s.attach(j, e)
 	j.crowded = e.free() <= 1
 	s.suspects.join(j)
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -12,9 +12,17 @@
 // pressingSeconds is the time left for a first token below which a victim that cannot pause is cancelled.
 const pressingSeconds = 1.0
 
+// With more than backlogSeconds of work queued at its tier a job takes the place of lower tiers without regard to long
+// prompts before it, up to maxShortLong of them, or to its prefix.
+const (
+	backlogSeconds = 1.0
+	maxShortLong   = 2
+)
+
 // makeRoom lets work of lower tiers give way to a job and grants it. Another shard with a free slot goes first, and a
-// wait for the endpoint that holds the prefix where it is worth while.
-func (s *Shard) makeRoom(j *job, waiting candidate) bool {
+// wait for the endpoint that holds the prefix where it is worth while. With force a victim that cannot pause is
+// cancelled and long prompts are not kept apart: the job would be shed otherwise.
+func (s *Shard) makeRoom(j *job, waiting candidate, force bool) bool {
 	if !s.lowerRuns(j.rank()) {
 		return s.spillTo(j, func(o *peerShard) bool { return o.summary.LowestRunning > j.rank() })
 	}
@@ -22,34 +30,96 @@
 		return true
 	}
 	longest := s.lookupPrefix(j)
-	urgent := s.urgent(j)
+	urgent := force || s.urgent(j)
 	pressing := urgent || s.firstTokenBudget(j) < pressingSeconds
+	short := s.expectedWait(j) > backlogSeconds
 	var best candidate
 	var victim *job
 	for _, e := range s.ordered {
-		if !s.mayTake(j, e) || e.reserved != nil || e.health != healthUp {
+		v := s.victimFor(j, e, pressing, force)
+		if v == nil {
 			continue
 		}
-		c := s.estimate(j, e, longest)
-		if !c.inTime && c.finish > s.remaining(j) || !s.admits(j, c, urgent) {
-			continue
+		c := s.estimateWithout(j, e, longest, v.pendingTokens())
+		if force && !c.inTime {
+			c = s.estimateWithout(j, e, longest, s.lowerPrefill(e, j.rank()))
 		}
-		v := s.victimOn(e, j.rank())
-		if v != nil && !pressing && !s.pausable(v) {
+		if !c.inTime && c.finish > s.remaining(j) || !s.admits(j, c, urgent || short && e.pendingLong < maxShortLong) {
 			continue
 		}
-		if v != nil && (victim == nil || s.roomBefore(&c, v, &best, victim)) {
+		if victim == nil || s.roomBefore(&c, v, &best, victim) {
 			best, victim = c, v
 		}
 	}
-	if victim == nil || !pressing && s.worthWaiting(j, best, waiting) {
+	if victim == nil || !pressing && !short && s.worthWaiting(j, best, waiting) {
 		return false
 	}
+	e := best.endpoint
 	s.preempt(victim)
+	if e.reserved != nil {
+		s.dropReservation(e.reserved)
+	}
+	if force && !s.estimate(j, e, longest).inTime {
+		s.preemptPrefills(e, j.rank())
+	}
 	s.grant(j, best)
 	return true
 }
 
+// kept reports whether the endpoint is kept for a suspect request; one that only waits for it gives way to force.
+func (e *endpoint) kept(force bool) bool {
+	return e.reserved != nil && !(force && e.reserved.endpoint == nil)
+}
+
+// victimFor returns the job of an endpoint that would give way to another, nil for none; one that cannot pause only
+// when the other is pressing.
+func (s *Shard) victimFor(j *job, e *endpoint, pressing, force bool) *job {
+	if !s.mayTake(j, e) || e.kept(force) || e.health != healthUp {
+		return nil
+	}
+	v := s.victimOn(e, j.rank())
+	if v == nil || !pressing && !s.pausable(v) {
+		return nil
+	}
+	return v
+}
+
+// estimateWithout predicts how a job would fare on an endpoint once a number of prompt tokens has left it.
+func (s *Shard) estimateWithout(j *job, e *endpoint, longest, tokens int) candidate {
+	e.pendingPrefill -= tokens
+	c := s.estimate(j, e, longest)
+	e.pendingPrefill += tokens
+	return c
+}
+
+// pendingTokens is the number of prompt tokens that the endpoint still computes for a job.
+func (j *job) pendingTokens() int {
+	if !j.prefill {
+		return 0
+	}
+	return j.uncached
+}
+
+// lowerPrefill is the number of prompt tokens of lower tiers that an endpoint would not compute if they gave way.
+func (s *Shard) lowerPrefill(e *endpoint, rank wigeonshift.TierRank) int {
+	tokens := 0
+	for _, j := range e.jobs {
+		if j.rank() > rank && s.mayGiveWay(j) {
+			tokens += j.pendingTokens()
+		}
+	}
+	return tokens
+}
+
+// preemptPrefills lets the prompts of lower tiers at an endpoint give way.
+func (s *Shard) preemptPrefills(e *endpoint, rank wigeonshift.TierRank) {
+	for _, j := range e.jobs {
+		if j.prefill && j.rank() > rank && s.mayGiveWay(j) {
+			s.preempt(j)
+		}
+	}
+}
+
 // roomBefore reports whether one endpoint and its victim are preferred to another pair: a victim that keeps its prefill
 // first, then the better placement, then the victim that gives way first.
 func (s *Shard) roomBefore(c *candidate, v *job, best *candidate, victim *job) bool {
@@ -88,7 +158,7 @@
 
 // mayGiveWay reports whether a running job may be paused or cancelled.
 func (s *Shard) mayGiveWay(j *job) bool {
-	return j.slot && j.state != jobPausing && j.state != jobCancelling && !j.request.NonIdempotent
+	return j.slot && j.state != jobPausing && j.state != jobCancelling && !j.request.NonIdempotent && (j.started || !s.now.After(j.voidAt))
 }
 
 // pausable reports whether a job can stop without losing its prefill.
@@ -127,6 +197,7 @@
 	if s.pausable(j) {
 		action, reason, state = wigeonshift.RevokePause, "pause", jobPausing
 	}
+	s.endPrefill(j)
 	j.state, j.revoked = state, s.now
 	j.endpoint.yielding++
 	s.sendRevocation(j, action)
@@ -231,6 +302,7 @@
 		id := o.summary.Shard
 		s.answer(j, wigeonshift.PermitAnswer{Spill: &id})
 		s.count("spills", "")
+		s.closed.add(&j.request)
 		if j.flow != nil {
 			s.closeJob(j)
 		}
--- a/internal/services/wigeonscheduler/quarantine.go
+++ b/internal/services/wigeonscheduler/quarantine.go
@@ -111,23 +111,22 @@
 
 // clear acquits the fingerprint of a job that ran alone to its end.
 func (q *suspects) clear(j *job) {
-	if j.alone {
-		delete(q.records, j.request.Fingerprint)
-	}
+	delete(q.records, j.request.Fingerprint)
 }
 
 // acquit drops the suspicion of a loss after which the endpoint still reports the same incarnation: it was the
 // connection that broke.
-func (q *suspects) acquit(e *endpoint, takenAt time.Time) {
-	if len(q.records) == 0 || e.lostAt.IsZero() || !takenAt.After(e.lostAt) {
+func (s *Shard) acquit(e *endpoint, takenAt time.Time) {
+	if !takenAt.After(e.lostAt) {
 		return
 	}
-	e.lostAt = time.Time{}
-	for f, r := range q.records {
+	for f, r := range s.suspects.records {
 		if r.endpoint == e.name && r.crash == e.crash && r.crashes == 1 {
-			delete(q.records, f)
+			delete(s.suspects.records, f)
 		}
 	}
+	e.lostIncarnation = ""
+	s.requeueSuspects()
 }
 
 // forget drops suspects whose time is over.
@@ -155,19 +154,20 @@
 		return
 	}
 	e.crash++
-	e.lostAt = s.now
+	e.lostAt, e.lostIncarnation = s.now, j.incarnation
 	s.markDown(e)
 	e.cache.clear()
 	for _, o := range e.jobs {
 		s.suspectJob(o)
 	}
+	s.requeueSuspects()
 	s.count("crashes", "")
 }
 
 // suspectJob adds a crash to the record of a job's fingerprint.
 func (s *Shard) suspectJob(j *job) {
 	f, e := j.request.Fingerprint, j.endpoint
-	if f == 0 || j.state == jobGranted && s.now.After(j.voidAt) {
+	if f == 0 || !j.started && s.now.After(j.voidAt) {
 		return
 	}
 	r := s.suspects.records[f]
@@ -197,7 +197,6 @@
 	}
 	s.suspects.refused[f] = true
 	s.count("quarantined", "")
-	s.requeueSuspects()
 }
 
 // quarantineLoaded takes fingerprints from the table.
@@ -214,8 +213,8 @@
 	s.requeueSuspects()
 }
 
-// requeueSuspects moves queued jobs whose fingerprint became suspect to the lane of those that run alone, and refuses
-// those whose fingerprint is refused now.
+// requeueSuspects moves queued jobs whose fingerprint became suspect to the lane of those that run alone, those that
+// were acquitted back, and refuses those whose fingerprint is refused now.
 func (s *Shard) requeueSuspects() {
 	for _, j := range s.sortedJobs("") {
 		if j.flow == nil {
@@ -225,7 +224,8 @@
 		switch {
 		case f != 0 && s.suspects.refused[f]:
 			s.refuseQueued(j, wigeonshift.ReasonQuarantined)
-		case s.suspects.suspect(f) && !j.lane.key.alone:
+		case s.suspects.suspect(f) != j.lane.key.alone:
+			s.dropReservation(j)
 			s.dequeue(j)
 			s.enqueue(j)
 		}
@@ -238,6 +238,9 @@
 	if s.aloneJob != nil && s.aloneJob != j || s.suspects.flights[j.request.Fingerprint] != nil {
 		return held
 	}
+	if j.reserved != nil && (!s.mayTake(j, j.reserved) || j.reserved.health != healthUp) {
+		s.dropReservation(j)
+	}
 	longest := s.lookupPrefix(j)
 	var best candidate
 	for _, e := range s.ordered {
--- a/internal/services/wigeonscheduler/queue.go
+++ b/internal/services/wigeonscheduler/queue.go
@@ -91,8 +91,16 @@
 	j.lane, j.flow, j.state = l, f, jobQueued
 	j.organisation.queued++
 	t.queued++
-	t.work += j.work
-	t.prefill += float64(j.request.PromptTokens)
+	j.organisation.wait(t, j.work, float64(j.request.PromptTokens))
+}
+
+// add changes the totals of queued work.
+func (t *tier) add(work, prefill float64) {
+	t.work += work
+	t.prefill += prefill
+	if t.queued == 0 || t.work < 0 {
+		t.work, t.prefill = 0, 0
+	}
 }
 
 // byDeadline orders jobs by deadline; equal ones keep their order of arrival.
@@ -116,11 +124,7 @@
 	j.organisation.queued--
 	t := s.tierOf(j.rank())
 	t.queued--
-	t.work -= j.work
-	t.prefill -= float64(j.request.PromptTokens)
-	if t.queued == 0 {
-		t.work, t.prefill = 0, 0
-	}
+	j.organisation.wait(t, -j.work, -float64(j.request.PromptTokens))
 }
 
 // dropFlow removes an empty flow and keeps the round robin's place.
--- a/internal/services/wigeonscheduler/rebuild.go
+++ b/internal/services/wigeonscheduler/rebuild.go
@@ -38,7 +38,7 @@
 		s.adopt(b.Entry, a)
 	}
 	for _, j := range s.sortedJobs(b.Entry) {
-		if j.endpoint != nil && j.state != jobGranted && !known[j.request.ID] {
+		if j.started && !known[j.request.ID] {
 			s.closeJob(j)
 		}
 	}
@@ -66,7 +66,7 @@
 		j.deadline = s.now.Add(noDeadline)
 	}
 	j.organisation = s.organisationOf(a.Request.Organisation)
-	j.tokensDone, j.interrupted, j.state = a.TokensDone, true, jobDecoding
+	j.tokensDone, j.interrupted, j.state, j.started = a.TokensDone, true, jobDecoding, true
 	s.jobs[a.Request.ID] = j
 	s.attach(j, e)
 	s.suspects.join(j)
@@ -99,13 +99,13 @@
 		s.housekeepAt = s.now.Add(housekeepInterval)
 		s.housekeep()
 	}
-	for _, t := range s.tiers {
-		s.expireTier(t)
-	}
 	for _, e := range slices.Clone(s.ordered) {
+		s.tickEndpoint(e)
 		s.watchOverdue(e)
 		s.probeDown(e)
-		s.tickEndpoint(e)
+	}
+	for _, t := range s.tiers {
+		s.expireTier(t)
 	}
 	s.tickOrders()
 	s.summarise()
@@ -127,19 +127,34 @@
 
 // expireTier refuses queued jobs that cannot be on time any more.
 func (s *Shard) expireTier(t *tier) {
-	var late []*job
+	var late, pressed []*job
 	for _, l := range t.lanes {
 		for _, f := range l.active {
 			for _, j := range f.jobs {
-				if s.expired(j) != "" {
+				switch {
+				case s.expired(j) != "":
 					late = append(late, j)
+				case s.remaining(j)*deadlineMargin-j.fastest < urgentSeconds || s.firstTokenBudget(j) < pressingSeconds:
+					pressed = append(pressed, j)
 				}
 			}
 		}
 	}
 	for _, j := range late {
-		s.refuseQueued(j, s.expired(j))
+		if !s.press(j) {
+			s.refuseQueued(j, s.expired(j))
+		}
 	}
+	for _, j := range pressed {
+		s.press(j)
+	}
+}
+
+// press lets lower tiers give way to a job at its last chance although others of its tier stand before it, and
+// reports whether they did.
+func (s *Shard) press(j *job) bool {
+	return s.granting() && s.lowerRuns(j.rank()) && !j.lane.key.alone && !j.organisation.limited() &&
+		s.makeRoom(j, candidate{}, true)
 }
 
 // expired returns the reason for which a queued job has to be refused now, empty for none.
@@ -147,9 +162,11 @@
 	switch {
 	case s.remaining(j) <= 0:
 		return wigeonshift.ReasonDeadlinePassed
+	case s.remaining(j) < j.fastest && j.organisation.limited():
+		return wigeonshift.ReasonOrganisationCap
 	case s.remaining(j) < j.fastest:
 		return wigeonshift.ReasonDeadline
-	case s.interactive(j) && s.firstTokenBudget(j) <= 0:
+	case s.interactive(j) && s.firstTokenBudget(j) <= 0 && !j.organisation.limited():
 		return wigeonshift.ReasonQueueFull
 	case !s.servedAtAll(&j.request):
 		return wigeonshift.ReasonNoEndpoint
@@ -163,7 +180,7 @@
 func (s *Shard) tickEndpoint(e *endpoint) {
 	for _, j := range slices.Clone(e.jobs) {
 		switch {
-		case j.state == jobGranted && s.now.After(j.voidAt):
+		case !j.started && s.now.After(j.voidAt):
 			s.voidGrant(j)
 		case s.now.Sub(j.deadline) > orphanGrace:
 			s.count("orphans", "")
--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -126,14 +126,14 @@
 	s.relieve(e)
 }
 
-// relieve pauses what runs below the highest tier on a straggler, so that the highest may still be on time.
+// relieve pauses what runs below the highest tier on a straggler and can wait, so that the highest may still be on time.
 func (s *Shard) relieve(e *endpoint) {
 	top, ok := e.topRank()
 	if !ok {
 		return
 	}
 	for _, j := range e.jobs {
-		if j.rank() > top && s.mayGiveWay(j) && s.pausable(j) {
+		if j.rank() > top && !s.interactive(j) && s.mayGiveWay(j) && s.pausable(j) {
 			s.preempt(j)
 		}
 	}
@@ -271,7 +271,9 @@
 // noteIncarnation clears what was known of an engine that restarted.
 func (s *Shard) noteIncarnation(e *endpoint, r wigeonshift.LoadReport) {
 	if e.incarnation == r.Incarnation {
-		s.suspects.acquit(e, r.TakenAt)
+		if e.lostIncarnation == r.Incarnation {
+			s.acquit(e, r.TakenAt)
+		}
 		return
 	}
 	if e.incarnation != "" {
