--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -140,12 +140,20 @@
 	s.tierOf(j.rank()).paused++
 }
 
-// attemptResumed takes the slot of an attempt that runs again.
+// attemptResumed takes the slot of an attempt that runs again, or takes back a pause that failed.
 func (s *Shard) attemptResumed(j *job) {
-	if j.state != jobPaused {
-		return
+	switch j.state {
+	case jobPaused:
+		s.unpause(j)
+	case jobPausing:
+		// The engine did not pause; the stream goes on and is not asked again.
+		j.endpoint.yielding--
+		j.state, j.unpausable = jobDecoding, true
+		if j.prefill {
+			j.state = jobPrefilling
+		}
+		s.unblock()
 	}
-	s.unpause(j)
 }
 
 // unpause counts a paused job as running.
--- a/internal/services/wigeonscheduler/job.go
+++ b/internal/services/wigeonscheduler/job.go
@@ -69,6 +69,8 @@
 	crash int
 	// interrupted is set once the stream was paused or taken over; its pace then teaches nothing.
 	interrupted bool
+	// unpausable is set once the engine failed to pause the stream.
+	unpausable bool
 	// revoked is the time of the last unanswered revocation.
 	revoked time.Time
 	// alone is set for a suspect that runs with nothing beside it, reserved is the endpoint kept free for it.
@@ -186,7 +188,7 @@
 // visit numbers the times that a request comes to an owner: each spent permit and each shard that passed it on raises
 // it, a repeated message does not.
 func visit(r *wigeonshift.PermitRequest) int {
-	return r.Attempt*(maxSpills+1) + r.Spills
+	return r.Attempt*(MaxSpills+1) + r.Spills
 }
 
 // closedRing remembers the last requests that ended, with the visit they ended at.
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -164,7 +164,7 @@
 // pausable reports whether a job can stop without losing its prefill.
 func (s *Shard) pausable(j *job) bool {
 	e := j.endpoint
-	return e.spec.CanPause && j.state == jobDecoding && !j.request.NonIdempotent && e.paused < maxPausedShare*e.limit()
+	return e.spec.CanPause && j.request.Model != "" && j.state == jobDecoding && !j.unpausable && !j.request.NonIdempotent && e.paused < maxPausedShare*e.limit()
 }
 
 // gives reports whether a gives way before b: pausable before not, lower tiers first, then the least work to lose.
