--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,9 @@
 .PHONY: generate
 generate:
 	cd internal/modules/wigeonwire && buf generate
+
+# Measures the scheduling policy against ordinary ones; the same seed gives the same figures.
+SEED ?= 1
+.PHONY: bench-policy
+bench-policy: build
+	./bin/wigeonshift policy --seed $(SEED)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -38,6 +38,7 @@
 	Status  StatusCommand  `cmd:"" help:"Show instances, shards, endpoints and tiers."`
 	Standin StandinCommand `cmd:"" help:"Run a stand-in for a system that wigeonshift works with."`
 	Load    LoadCommand    `cmd:"" help:"Send a scenario's requests to running nodes and verify every answer."`
+	Policy  PolicyCommand  `cmd:"" help:"Measure the scheduling policy against ordinary ones."`
 	Version VersionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/internal/policy/wigeonbench/checker.go
+++ b/internal/policy/wigeonbench/checker.go
@@ -17,13 +17,13 @@
 	// permit is the last grant, nil before the first.
 	permit *wigeonshift.Permit
 	// running tells whether the permit may be in use at its endpoint.
-	running  bool
-	started  bool
+	running bool
+	started bool
 	// answering is set with the first token.
 	answering bool
-	paused   bool
-	yielding bool
-	alone    bool
+	paused    bool
+	yielding  bool
+	alone     bool
 	// outcomes counts final answers and final reports of the present attempt.
 	outcomes int
 }
@@ -62,7 +62,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		AnswerShare: traceAnswerShare,
-		endpoints: map[string]wigeonshift.EndpointSpec{}, requests: map[wigeonshift.RequestID]*shadow{},
+		endpoints:   map[string]wigeonshift.EndpointSpec{}, requests: map[wigeonshift.RequestID]*shadow{},
 		losses: map[wigeonshift.Fingerprint]int{}, lostPermits: map[wigeonshift.AttemptToken]bool{}, loaded: map[wigeonshift.Fingerprint]bool{},
 	}
 }
--- a/internal/policy/wigeonbench/property_test.go
+++ b/internal/policy/wigeonbench/property_test.go
@@ -334,4 +334,3 @@
 
 // FuzzReducer explores the same property from the fuzzer's corpus.
 func FuzzReducer(f *testing.F) { f.Fuzz(rapid.MakeFuzz(runChaos)) }
-
--- a/internal/policy/wigeontrace/scenario.go
+++ b/internal/policy/wigeontrace/scenario.go
@@ -38,11 +38,11 @@
 	return list
 }
 
-// instituto returns the workload of the repair lofts: plans before the tide, quick questions, ordinary plans and
+// repairWorkload returns the workload of the repair lofts: plans before the tide, quick questions, ordinary plans and
 // photo tags in the background.
-func instituto(random *rand.Rand) *workload {
+func repairWorkload(random *rand.Rand) *workload {
 	return &workload{
-		product: "instituto", engines: engines(12), random: random,
+		product: "lofts", engines: engines(12), random: random,
 		organisations: []string{"champerico", "sipacate", "iztapa", "monterrico", "tulate"},
 		weights:       []float64{0.4, 0.25, 0.15, 0.12, 0.08},
 		kinds: []kind{
@@ -54,12 +54,12 @@
 	}
 }
 
-// asociacion returns the workload of schema migration: verdicts for bank windows, quick questions, migration scripts
+// migrationWorkload returns the workload of schema migration: verdicts for bank windows, quick questions, migration scripts
 // and review in the background; schemas are long and shared by many requests.
-func asociacion(random *rand.Rand) *workload {
+func migrationWorkload(random *rand.Rand) *workload {
 	schema := [2]int{6000, 24000}
 	return &workload{
-		product: "asociacion", engines: engines(9), random: random,
+		product: "migration", engines: engines(9), random: random,
 		organisations: []string{"miraflores", "surquillo", "sanisidro", "barranco", "lince"},
 		weights:       []float64{0.4, 0.25, 0.15, 0.12, 0.08},
 		kinds: []kind{
@@ -89,9 +89,9 @@
 		CacheLagMin: 500 * time.Millisecond, CacheLagMax: 2 * time.Second, CacheLoss: 0.02, Slack: traceSlack,
 	}
 	if slices.Contains([]string{"asociacionDay", "bankWindow", "crash", "poison", "cacheEventsLost", "sharedSchemas"}, name) {
-		sc.build(asociacion(random))
+		sc.build(migrationWorkload(random))
 	} else {
-		sc.build(instituto(random))
+		sc.build(repairWorkload(random))
 	}
 	return sc, true
 }
--- a/internal/services/wigeonscheduler/job.go
+++ b/internal/services/wigeonscheduler/job.go
@@ -50,7 +50,7 @@
 	voidAt   time.Time
 	// started is set once the entry told that the permit was spent.
 	started bool
-	granted  time.Time
+	granted time.Time
 	// cached is the predicted number of prompt tokens in the endpoint's cache; uncached is the number to compute, with
 	// the trust in the prediction reckoned in.
 	cached   int
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -68,7 +68,7 @@
 
 // kept reports whether the endpoint is kept for a suspect request; one that only waits for it gives way to force.
 func (e *endpoint) kept(force bool) bool {
-	return e.reserved != nil && !(force && e.reserved.endpoint == nil)
+	return e.reserved != nil && (!force || e.reserved.endpoint != nil)
 }
 
 // victimFor returns the job of an endpoint that would give way to another, nil for none; one that cannot pause only
