--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -14,6 +14,10 @@
 		return
 	}
 	j.tokensDone = max(j.tokensDone, r.TokensDone)
+	j.started = j.started || r.State == wigeonshift.AttemptPaused || r.State == wigeonshift.AttemptResumed
+	if r.State == wigeonshift.AttemptFirstToken || r.State == wigeonshift.AttemptFinished {
+		j.endpoint.heardAt = s.now
+	}
 	switch r.State {
 	case wigeonshift.AttemptStarted:
 		s.attemptStarted(j)
@@ -38,6 +42,7 @@
 
 // attemptStarted marks a permit as spent.
 func (s *Shard) attemptStarted(j *job) {
+	j.started = true
 	if j.state == jobGranted {
 		j.state = jobPrefilling
 	}
@@ -54,10 +59,7 @@
 		j.state = jobDecoding
 	}
 	j.firstToken = r.Elapsed
-	predicted := j.request.PromptTokens - j.uncached
-	if r.CachedTokens > 0 || predicted > 0 {
-		e.cache.confirm(predicted, r.CachedTokens)
-	}
+	e.cache.confirm(j.cached, r.CachedTokens)
 	s.observeFirstToken(j, r)
 }
 
@@ -65,7 +67,7 @@
 func (s *Shard) observeFirstToken(j *job, r wigeonshift.AttemptReport) {
 	e, seconds := j.endpoint, r.Elapsed.Seconds()
 	own := j.request.PromptTokens - min(r.CachedTokens, j.request.PromptTokens)
-	if j.ahead == 0 || own >= j.ahead {
+	if e.health == healthUp && (j.ahead == 0 || own >= j.ahead) {
 		e.speed.observeFirstToken(own+j.ahead/2, seconds)
 	}
 	s.judgeFirstToken(j, seconds)
@@ -84,18 +86,34 @@
 		j.firstToken = r.Elapsed
 	}
 	s.answers.observe(r.TokensDone, j.request.MaxTokens)
-	if !j.interrupted && r.TokensDone > 1 && r.Elapsed > j.firstToken {
-		pace := (r.Elapsed - j.firstToken).Seconds() / float64(r.TokensDone-1)
-		s.judgePace(e, pace)
-		e.speed.observePace(pace)
-		s.adaptCapacity(e, pace)
+	pace := 0.0
+	switch {
+	case j.interrupted:
+	case j.request.Model == "":
+		pace = r.Elapsed.Seconds()
+	case r.TokensDone > 1 && r.Elapsed > j.firstToken:
+		pace = (r.Elapsed - j.firstToken).Seconds() / float64(r.TokensDone-1)
+	}
+	if j.alone {
+		s.suspects.clear(j)
+		s.requeueSuspects()
 	}
-	if j.request.Model == "" {
-		s.judgePace(e, r.Elapsed.Seconds())
-		e.speed.observePace(r.Elapsed.Seconds())
+	if pace > 0 {
+		s.judgeProbeEnd(j, pace)
 	}
-	s.suspects.clear(j)
 	s.closeJob(j)
+	if pace > 0 {
+		s.observePace(e, pace)
+	}
+}
+
+// observePace learns from the pace of a finished stream, or from the time of a plain call.
+func (s *Shard) observePace(e *endpoint, pace float64) {
+	s.judgePace(e, pace)
+	if e.health == healthUp {
+		e.speed.observePace(pace)
+		s.adaptCapacity(e, pace)
+	}
 }
 
 // attemptNotRun closes an attempt that proved not to have begun.
@@ -122,12 +140,20 @@
 	s.tierOf(j.rank()).paused++
 }
 
-// attemptResumed takes the slot of an attempt that runs again.
+// attemptResumed takes the slot of an attempt that runs again, or takes back a pause that failed.
 func (s *Shard) attemptResumed(j *job) {
-	if j.state != jobPaused {
-		return
+	switch j.state {
+	case jobPaused:
+		s.unpause(j)
+	case jobPausing:
+		// The engine did not pause; the stream goes on and is not asked again.
+		j.endpoint.yielding--
+		j.state, j.unpausable = jobDecoding, true
+		if j.prefill {
+			j.state = jobPrefilling
+		}
+		s.unblock()
 	}
-	s.unpause(j)
 }
 
 // unpause counts a paused job as running.
@@ -140,7 +166,7 @@
 
 // closeJob forgets a job whose outcome its entry knows.
 func (s *Shard) closeJob(j *job) {
-	s.closed.add(j.request.ID, j.request.Attempt)
+	s.closed.add(&j.request)
 	delete(s.jobs, j.request.ID)
 	if j.endpoint != nil {
 		s.leaveProbe(j)
@@ -159,7 +185,7 @@
 	if j == nil || j.entry != b.Entry {
 		return
 	}
-	if j.endpoint != nil && j.state != jobGranted {
+	if j.started {
 		return
 	}
 	s.closeJob(j)
--- a/internal/services/wigeonscheduler/endpoint.go
+++ b/internal/services/wigeonscheduler/endpoint.go
@@ -72,10 +72,20 @@
 	probe *job
 	// probeEvery is the time until the probe after the next.
 	probeEvery time.Duration
+	// delay compares the endpoint's first tokens with their expectation.
+	delay delayRatio
+	// boundedAt is the time at which an overdue first token last cut the capacity.
+	boundedAt time.Time
+	// heardAt is the time of the last first token or whole answer from the endpoint.
+	heardAt time.Time
 	// lostAt is the time of the last loss; zero once it proved to be the connection's.
 	lostAt time.Time
+	// lostIncarnation is the incarnation under which the lost attempt was granted, empty when not known.
+	lostIncarnation string
 	// batchLimit is the number of streams that the engine itself was seen to run while others waited; 0 if never.
 	batchLimit float64
+	// waitingReports counts load reports in a row with requests waiting, waitingRunning is the most that ran in them.
+	waitingReports, waitingRunning int
 	// order is the state of orders to the endpoint.
 	order orderState
 }
@@ -96,10 +106,12 @@
 		}
 	}
 	for _, o := range s.organisations {
-		o.spec = wigeonshift.Organisation{}
-		if c.Product != nil {
-			o.spec = c.Product.Organisations[o.name]
-		}
+		o.change(func() {
+			o.spec = wigeonshift.Organisation{}
+			if c.Product != nil {
+				o.spec = c.Product.Organisations[o.name]
+			}
+		})
 	}
 	slices.SortFunc(s.ordered, func(a, b *endpoint) int { return strings.Compare(a.name, b.name) })
 	s.assignIndexes()
@@ -199,7 +211,7 @@
 	}
 	j.slot = true
 	j.endpoint.running++
-	j.organisation.running++
+	j.organisation.change(func() { j.organisation.running++ })
 	s.tierOf(j.rank()).running++
 }
 
@@ -213,7 +225,7 @@
 		j.endpoint.yielding--
 	}
 	j.endpoint.running--
-	j.organisation.running--
+	j.organisation.change(func() { j.organisation.running-- })
 	s.tierOf(j.rank()).running--
 	s.unblock()
 }
