--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 test:
 	$(GO) vet ./...
 	$(GO) test ./...
+	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 
 .PHONY: check
 check: lint test build
