--- a/internal/routers/wigeonoperator/client.go
+++ b/internal/routers/wigeonoperator/client.go
@@ -129,7 +129,8 @@
 	}
 	if err := c.http.DoTimeout(req, resp, clientTimeout); err != nil {
 		var dial *fasthttp.ErrDialWithUpstream
-		if errors.As(err, &dial) {
+		var untrusted *tls.CertificateVerificationError
+		if errors.As(err, &dial) || errors.As(err, &untrusted) {
 			err = errors.Join(ErrNotSent, err)
 		}
 		return answer, fmt.Errorf("operator API at %s: %w", c.base, err)
