Use stragglers where nothing quicker is left, and take plain services back

Cause: a plain service that was slow once became a straggler and stayed one. Its probe was judged by its first token, which a call doesn't have, so that the end of every probe counted as failed; its slow call was learned as its usual pace, so that it was never the best choice again; and non-idempotent calls probe nothing. With all endpoints of a service in that state, work was admitted at the pace of the probes. Ruled out: the claims (GETs were refused as well), the owner's move (refusals came in phases without one).

--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -91,8 +91,11 @@
 		s.adaptCapacity(e, pace)
 	}
 	if j.request.Model == "" {
+		s.judgeProbeEnd(j, r.Elapsed.Seconds())
 		s.judgePace(e, r.Elapsed.Seconds())
-		e.speed.observePace(r.Elapsed.Seconds())
+		if e.health == healthUp {
+			e.speed.observePace(r.Elapsed.Seconds())
+		}
 	}
 	s.suspects.clear(j)
 	s.closeJob(j)
--- a/internal/services/wigeonscheduler/endpoint.go
+++ b/internal/services/wigeonscheduler/endpoint.go
@@ -15,7 +15,7 @@
 	healthUp health = iota
 	// healthDown endpoints get nothing but probes.
 	healthDown
-	// healthStraggler endpoints get one request at a time, when a probe is due.
+	// healthStraggler endpoints get one request at a time, when a probe is due, while others are up.
 	healthStraggler
 )
 
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -148,10 +148,10 @@
 }
 
 // admits tells whether a job may join an endpoint with a free slot: long prefills keep apart from one another and
-// from short prompts, and a straggler gets only probes.
+// from short prompts, and a straggler gets only probes while a quicker endpoint is there.
 func (s *Shard) admits(j *job, c candidate, urgent bool) bool {
 	e := c.endpoint
-	if e.health == healthStraggler {
+	if e.health == healthStraggler && !s.lastResort(j) {
 		return s.admitsProbe(j, e)
 	}
 	if e.pendingPrefill == 0 && !s.long(c.uncached) {
--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// judgeProbeEnd takes a straggler back whose probe came to its end at an ordinary pace.
+func (s *Shard) judgeProbeEnd(j *job, pace float64) {
+	e := j.endpoint
+	if e.probe != j {
+		return
+	}
+	ordinary := max(recoveredFactor*e.speed.typicalPace, s.settings.TokenPaceTarget.Seconds())
+	s.judgeProbe(e, e.speed.typicalPace == 0 || pace <= ordinary)
+}
+
 // judgePace compares a stream's pace with the endpoint's typical one. A pace within the target harms no caller, however
 // far it is from the typical one.
 func (s *Shard) judgePace(e *endpoint, pace float64) {
@@ -88,6 +98,16 @@
 	}
 }
 
+// lastResort tells whether no quicker endpoint is there for a job, so that stragglers get ordinary work.
+func (s *Shard) lastResort(j *job) bool {
+	for _, e := range s.ordered {
+		if e.health == healthUp && s.mayTake(j, e) {
+			return false
+		}
+	}
+	return true
+}
+
 // admitsProbe tells whether a job may probe a straggler: a short prompt with time enough even if it is still slow.
 func (s *Shard) admitsProbe(j *job, e *endpoint) bool {
 	if e.probe != nil || s.now.Before(e.probeAt) || j.request.NonIdempotent || j.request.PromptTokens > probePromptTokens {
@@ -99,7 +119,7 @@
 
 // markProbe remembers that a granted job probes its endpoint.
 func (s *Shard) markProbe(j *job, e *endpoint) {
-	if e.health == healthStraggler {
+	if e.health == healthStraggler && e.probe == nil {
 		e.probe = j
 	}
 }
