--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -44,12 +44,19 @@
   pids+=($!)
 }
 
-# stop_all ends what this script started, the frozen too.
+# stop ends processes by id and waits for them.
+stop() {
+  local p
+  for p in "$@"; do kill -TERM "$p" 2>/dev/null || true; done
+  for p in "$@"; do wait "$p" 2>/dev/null || true; done
+}
+
+# stop_all ends what this script started, the frozen too; nodes first, since they hand over to the last.
 stop_all() {
   local p
-  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null || true; done
-  for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
-  for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+  for p in "${nodes[@]}"; do kill -CONT "$p" 2>/dev/null || true; done
+  stop "${nodes[@]}"
+  stop "${pids[@]}"
 }
 trap stop_all EXIT
 
