Do not spend a permit for an endpoint that is leaving in the entry's own configuration

An owner that was frozen grants on its old view until it hears of its successor. The entry knows better: it gives the permit back and asks again.

--- a/internal/services/wigeonentry/flight.go
+++ b/internal/services/wigeonentry/flight.go
@@ -114,7 +114,8 @@
 		f.apply(ctx, wigeonscheduler.PermitFailed{Request: f.ask.ID})
 		return
 	}
-	f.apply(ctx, wigeonscheduler.PermitAnswered{Request: f.ask.ID, Answer: a})
+	leaving := a.Grant != nil && f.service.isLeaving(f.ask, a.Grant.Endpoint)
+	f.apply(ctx, wigeonscheduler.PermitAnswered{Request: f.ask.ID, Answer: a, Leaving: leaving})
 }
 
 // timeout ends the request at its deadline and a run that went silent.
--- a/internal/services/wigeonentry/route.go
+++ b/internal/services/wigeonentry/route.go
@@ -67,3 +67,13 @@
 	}
 	return wigeonbroker.ChooseShard(shards, a.Prefix, a.Fingerprint), true
 }
+
+// isLeaving tells whether the configuration in force here lets an endpoint finish what runs and take nothing new.
+func (s *Service) isLeaving(ask wigeonshift.PermitRequest, endpoint string) bool {
+	c := s.configuration.Current()
+	pool, _, ok := ask.Shard.Pool()
+	if c == nil || !ok {
+		return false
+	}
+	return c.Products[pool.Product].Services[pool.Service].Endpoints[endpoint].State == wigeonshift.EndpointLeaving
+}
--- a/internal/services/wigeonentry/session_test.go
+++ b/internal/services/wigeonentry/session_test.go
@@ -24,7 +24,10 @@
 func (s fixedSource) Changed() <-chan struct{}            { return nil }
 
 func testConfiguration() *wigeonshift.Configuration {
-	endpoints := map[string]wigeonshift.EndpointSpec{"a": {Address: "a", Region: "r"}, "b": {Address: "b", Region: "r"}}
+	endpoints := map[string]wigeonshift.EndpointSpec{
+		"a": {Address: "a", Region: "r"}, "b": {Address: "b", Region: "r"},
+		"gone": {Address: "gone", Region: "r", State: wigeonshift.EndpointLeaving},
+	}
 	return &wigeonshift.Configuration{Version: 1, Products: map[string]wigeonshift.Product{"p": {
 		Tiers: map[string]wigeonshift.Tier{
 			"high": {Rank: 0, DefaultDeadlineMS: 30_000}, "low": {Rank: 1, DefaultDeadlineMS: 60_000},
--- a/internal/services/wigeonscheduler/entry_event.go
+++ b/internal/services/wigeonscheduler/entry_event.go
@@ -57,6 +57,9 @@
 	PermitAnswered struct {
 		Request wigeonshift.RequestID
 		Answer  wigeonshift.PermitAnswer
+		// Leaving is set when the granted endpoint is leaving in this instance's own configuration: an owner that was
+		// frozen may not know it yet.
+		Leaving bool
 	}
 	// PermitFailed tells that no owner could be asked.
 	PermitFailed struct {
--- a/internal/services/wigeonscheduler/entry_reduce.go
+++ b/internal/services/wigeonscheduler/entry_reduce.go
@@ -28,7 +28,7 @@
 	case ClaimAnswered:
 		return e.claimAnswered(r, b)
 	case PermitAnswered:
-		return e.permitAnswered(r, b.Answer, ev.At)
+		return e.permitAnswered(r, b.Answer, b.Leaving, ev.At)
 	case PermitFailed:
 		return e.permitFailed(r)
 	case AttemptBegan:
@@ -116,14 +116,14 @@
 	}
 }
 
-func (e *EntryState) permitAnswered(r *EntryRequest, a wigeonshift.PermitAnswer, at time.Time) []Effect {
+func (e *EntryState) permitAnswered(r *EntryRequest, a wigeonshift.PermitAnswer, leaving bool, at time.Time) []Effect {
 	switch {
 	case a.Revoke != nil:
 		return e.revoked(r, *a.Revoke)
 	case r.Phase != PhasePermit:
 		return ignore("permit")
 	case a.Grant != nil:
-		return e.granted(r, *a.Grant, at)
+		return e.granted(r, *a.Grant, leaving, at)
 	case a.Refuse != nil:
 		return e.refuse(r, a.Refuse.Reason, a.Refuse.RetryAfter)
 	case a.Spill != nil:
@@ -133,10 +133,14 @@
 }
 
 // granted spends a permit.
-func (e *EntryState) granted(r *EntryRequest, p wigeonshift.Permit, at time.Time) []Effect {
+func (e *EntryState) granted(r *EntryRequest, p wigeonshift.Permit, leaving bool, at time.Time) []Effect {
 	if at.After(p.UseBefore) {
 		return e.askAgain(r, "permitExpired")
 	}
+	if leaving {
+		r.Ask.Avoid = append(slices.Clone(r.Ask.Avoid), p.Endpoint)
+		return e.askAgain(r, "endpointLeaving")
+	}
 	r.Phase = PhaseDispatched
 	r.Permit = p
 	r.Run++
