--- a/internal/routers/wigeonnode/node.go
+++ b/internal/routers/wigeonnode/node.go
@@ -95,13 +95,13 @@
 func (n *Node) listen(ctx context.Context) error {
 	var err error
 	if n.listeners.peer, err = bind(ctx, n.settings.Peer.Listen); err != nil {
-		return oops.In("node").With("key", "peer.listen").Wrap(err)
+		return oops.In("node").Wrapf(err, "peer.listen")
 	}
 	if n.listeners.caller, err = bind(ctx, n.settings.Caller.Listen); err != nil {
-		return oops.In("node").With("key", "caller.listen").Wrap(err)
+		return oops.In("node").Wrapf(err, "caller.listen")
 	}
 	if n.listeners.operator, err = bind(ctx, n.settings.Operator.Listen); err != nil {
-		return oops.In("node").With("key", "operator.listen").Wrap(err)
+		return oops.In("node").Wrapf(err, "operator.listen")
 	}
 	return nil
 }
