--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -6,6 +6,8 @@
 #
 # NODES    1 by default; requests go through the first one, which with several need not own the shard
 # SECONDS  20 by default
+#
+# NODE_PROCS bounds the threads of each node that run at once (GOMAXPROCS); empty leaves the default.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -70,7 +72,7 @@
 processes=()
 for i in $(seq "$count"); do
   write_settings "$i" "$out/node-$i.toml"
-  spawn "node-$i" "$binary" node --config "$out/node-$i.toml"
+  spawn "node-$i" env ${NODE_PROCS:+GOMAXPROCS=$NODE_PROCS} "$binary" node --config "$out/node-$i.toml"
   nodes+=($!)
   processes+=(--process $!)
 done
