Judge the queue of a new owner when lower tiers can give way

Cause: while a new owner rebuilds its view it grants nothing, and lower tiers can't give way. Ruled out: want of capacity (the refusals begin in the very instant of the takeover). Change: during the rebuild requests are queued, and the bound on the first token runs from its end; then lower tiers give way or the queue is judged as ever. The test failed before with queueFull.

--- a/internal/services/wigeonscheduler/admission.go
+++ b/internal/services/wigeonscheduler/admission.go
@@ -141,7 +141,8 @@
 
 // admitQueue refuses a request whose deadline the queue before it leaves out of reach.
 func (s *Shard) admitQueue(j *job) *wigeonshift.Refusal {
-	if s.epoch == 0 {
+	if !s.granting() {
+		// Lower tiers can't give way yet; the queue is judged when they can.
 		return nil
 	}
 	if j.organisation.limited() {
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -254,12 +254,17 @@
 	return j.deadline.Sub(s.now).Seconds()
 }
 
-// firstTokenBudget is the time left for a job's first token in seconds; it is bounded for interactive jobs only.
+// firstTokenBudget is the time left for a job's first token in seconds; it is bounded for interactive jobs only. It runs
+// from the time when the shard may grant: before that a job can neither start nor take the place of a lower tier.
 func (s *Shard) firstTokenBudget(j *job) float64 {
-	if !s.interactive(j) {
+	if !s.interactive(j) || s.epoch == 0 {
 		return s.remaining(j)
 	}
-	return s.settings.FirstTokenTarget.Seconds() - s.now.Sub(j.arrived).Seconds()
+	since := j.arrived
+	if s.rebuildUntil.After(since) {
+		since = s.rebuildUntil
+	}
+	return s.settings.FirstTokenTarget.Seconds() - s.now.Sub(since).Seconds()
 }
 
 // lastChance tells whether a job has to start now on an endpoint to be on time there.
--- /dev/null
+++ b/internal/services/wigeonscheduler/takeover_test.go
@@ -0,0 +1,73 @@
+package wigeonscheduler
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonshift"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A new owner", func() {
+	const drafts, questions = 8, 4
+	draft := func(r *rig, i int) wigeonshift.RunningAttempt {
+		id := wigeonshift.RequestID(fmt.Sprint("draft", i))
+		return wigeonshift.RunningAttempt{
+			Token: wigeonshift.AttemptToken(id), Endpoint: fmt.Sprintf("e%d", i%4), TokensDone: 10,
+			Request: wigeonshift.PermitRequest{
+				ID: id, Shard: "p/s/r/0", Organisation: "o", Rank: 3, Model: "m",
+				Deadline: r.now.Add(2 * time.Minute), PromptTokens: 1000, MaxTokens: 500,
+			},
+		}
+	}
+
+	It("sheds no higher tier that waited for it while a lower tier runs", func() {
+		r := newRig(4, nil)
+		r.st.Shard = NewShard("p/s/r/0")
+		specs := map[string]wigeonshift.EndpointSpec{}
+		for i := range 4 {
+			specs[fmt.Sprintf("e%d", i)] = wigeonshift.EndpointSpec{
+				State: wigeonshift.EndpointActive, Models: []string{"m"}, CanPause: true, MaxConcurrent: 2,
+			}
+		}
+		r.send(ConfigurationChanged{Version: 1, Endpoints: specs, Product: &wigeonshift.Product{}})
+		granted := map[wigeonshift.RequestID]bool{}
+		pass := func(answers map[wigeonshift.RequestID][]wigeonshift.PermitAnswer) {
+			GinkgoHelper()
+			for id, list := range answers {
+				for _, a := range list {
+					Expect(a.Refuse).To(BeNil(), "%s: %+v", id, a.Refuse)
+					granted[id] = granted[id] || a.Grant != nil
+				}
+			}
+		}
+		wait := func(d time.Duration) {
+			GinkgoHelper()
+			for end := r.now.Add(d); r.now.Before(end); {
+				r.now = r.now.Add(100 * time.Millisecond)
+				pass(r.send(Ticked{}))
+			}
+		}
+		question := func(q *wigeonshift.PermitRequest) { q.Deadline = r.now.Add(8 * time.Second) }
+		for i := range questions {
+			pass(r.ask(fmt.Sprint("early", i), 1, question))
+		}
+		wait(2 * time.Second)
+		var running []wigeonshift.RunningAttempt
+		for i := range drafts {
+			running = append(running, draft(r, i))
+		}
+		r.send(LeaseAcquired{Epoch: 2, RebuildUntil: r.now.Add(time.Second)})
+		r.send(EntryReported{Entry: "entry", Attempts: running})
+		for i := range questions {
+			pass(r.ask(fmt.Sprint("late", i), 1, question))
+		}
+		wait(1500 * time.Millisecond)
+		Expect(granted).To(HaveLen(2*questions + drafts))
+		for id, was := range granted {
+			Expect(was).To(Equal(id[0] != 'd'), string(id))
+		}
+	})
+})
