--- a/internal/services/wigeonscheduler/shard.go
+++ b/internal/services/wigeonscheduler/shard.go
@@ -1,6 +1,7 @@
 package wigeonscheduler
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -43,8 +44,9 @@
 	// sequence numbers the permits of this owner's epoch.
 	sequence uint64
 	now      time.Time
-	random   uint64
-	wakeAt   time.Time
+	// random is seeded by each event.
+	random rand.PCG
+	wakeAt time.Time
 	// summaryAt, shiftAt and housekeepAt time the periodic work.
 	summaryAt, shiftAt, housekeepAt time.Time
 	// lengths is scratch for cached prefix lengths by endpoint index.
@@ -75,7 +77,7 @@
 	if ev.At.After(s.now) {
 		s.now = ev.At
 	}
-	s.random = ev.Random
+	s.random.Seed(ev.Random, uint64(ev.At.UnixNano()))
 	s.out = nil
 	s.apply(ev.Body)
 	s.dispatch()
@@ -135,18 +137,9 @@
 	s.emit(Count{Name: name, Label: label, Delta: 1})
 }
 
-// nextRandom draws from the event's random number.
-func (s *Shard) nextRandom() uint64 {
-	s.random += 0x9e3779b97f4a7c15
-	z := s.random
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
-
 // jitter returns a factor between 1 and 2.
 func (s *Shard) jitter() float64 {
-	return 1 + float64(s.nextRandom()>>11)/(1<<53)
+	return 1 + rand.New(&s.random).Float64()
 }
 
 // nextToken returns a fresh attempt token.
--- a/internal/standin/wigeonengine/answer.go
+++ b/internal/standin/wigeonengine/answer.go
@@ -1,6 +1,7 @@
 package wigeonengine
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 
@@ -56,7 +57,7 @@
 	var b strings.Builder
 	b.Grow((to - from) * wigeonprompt.BytesPerToken)
 	for i := from; i < to; i++ {
-		bits := mix(a.seed + uint64(i)*0x9e3779b97f4a7c15)
+		bits := rand.NewPCG(a.seed, uint64(i)).Uint64()
 		for range wigeonprompt.BytesPerToken - 1 {
 			b.WriteByte(letters[bits%uint64(len(letters))])
 			bits >>= 5
@@ -65,10 +66,3 @@
 	}
 	return b.String()
 }
-
-// mix is the finaliser of the SplitMix64 generator.
-func mix(z uint64) uint64 {
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
