--- a/internal/services/wigeonbroker/broker.go
+++ b/internal/services/wigeonbroker/broker.go
@@ -20,8 +20,10 @@
 const (
 	// checkPeriod is the resolution of all waits.
 	checkPeriod = 50 * time.Millisecond
-	// searchPause is the time between questions for a shard's owner, spread by half of it.
-	searchPause = 200 * time.Millisecond
+	// searchPause is the time between questions for a shard's owner, spread by half of it. Once all candidates were
+	// asked, it grows with the fleet: whichever becomes the owner tells those who asked it.
+	searchPause            = 200 * time.Millisecond
+	searchPausePerInstance = time.Millisecond
 	// maxRedirects bounds the redirects followed without a pause.
 	maxRedirects = 3
 	// searchCandidates is the number of instances asked in turn.
--- a/internal/services/wigeonbroker/shard.go
+++ b/internal/services/wigeonbroker/shard.go
@@ -71,7 +71,7 @@
 
 // search asks the next candidate for the owner; the caller holds the lock.
 func (b *Broker) search(st *shard) {
-	st.searchAt = time.Now().Add(jittered(searchPause))
+	st.searchAt = time.Now().Add(jittered(b.searchPause(st)))
 	target := b.nextCandidate(st)
 	st.searches++
 	if st.searches%tableAfter == 0 && !st.reading {
@@ -87,6 +87,14 @@
 	}
 }
 
+// searchPause returns the time to the next question for a shard's owner.
+func (b *Broker) searchPause(st *shard) time.Duration {
+	if st.searches < searchCandidates {
+		return searchPause
+	}
+	return max(searchPause, time.Duration(len(b.members.Live()))*searchPausePerInstance)
+}
+
 // nextCandidate returns the best guess at first and then the candidates in turn.
 func (b *Broker) nextCandidate(st *shard) wigeonshift.Instance {
 	if guess := st.owner; guess.ID != "" {
--- a/internal/services/wigeonowner/lab_test.go
+++ b/internal/services/wigeonowner/lab_test.go
@@ -47,16 +47,16 @@
 
 // run builds a lab in virtual time. Two collections empty the timer pool of yamux: its timers must not cross
 // from one bubble to the next.
-func runLab(count int, run func(l *lab)) {
-	runLabWith(labConfiguration, count, run)
+func runLab(count int, run func(l *lab), options ...wigeonplatform.Option) {
+	runLabWith(labConfiguration, count, run, options...)
 }
 
-func runLabWith(c *wigeonshift.Configuration, count int, run func(l *lab)) {
+func runLabWith(c *wigeonshift.Configuration, count int, run func(l *lab), options ...wigeonplatform.Option) {
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(suiteT, func(t *testing.T) {
 		l := &lab{
-			g: NewWithT(t), platform: wigeonplatform.NewCore(), engines: &engines{}, configuration: c,
+			g: NewWithT(t), platform: wigeonplatform.NewCore(options...), engines: &engines{}, configuration: c,
 			listeners: map[string]*memoryListener{}, conns: map[*memoryConn]bool{}, cut: map[[2]string]bool{},
 		}
 		for i := range count {
--- a/internal/services/wigeonowner/lease.go
+++ b/internal/services/wigeonowner/lease.go
@@ -81,17 +81,18 @@
 	}
 }
 
-// announce tells the former owner and, in small fleets, every instance that this one serves the shard.
+// announce tells the former owner, those who looked for one and, in small fleets, every instance that this one
+// serves the shard.
 func (s *shard) announce(predecessor wigeonshift.Instance) {
 	notice := s.notice()
 	if predecessor.ID != "" {
 		s.m.send(predecessor, notice)
 	}
-	live := s.m.members.Live()
-	if len(live) > announceLimit {
-		return
+	audience := s.m.members.Live()
+	if sought := s.takeSeekers(); len(audience) > announceLimit {
+		audience = sought
 	}
-	for _, i := range live {
+	for _, i := range audience {
 		if i.ID != predecessor.ID {
 			s.m.send(i, notice)
 		}
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -94,6 +94,25 @@
 		}
 	})
 
+	It("takes over within the target in a large fleet, where nobody asks often and not everyone is told", func() {
+		var elsewhere []wigeonshift.Instance
+		for i := range 3000 {
+			elsewhere = append(elsewhere, wigeonshift.Instance{
+				ID: fmt.Sprintf("far%d", i), Address: fmt.Sprintf("far%d:1", i), Region: "elsewhere",
+			})
+		}
+		runLab(4, func(l *lab) {
+			owner, _ := l.owner()
+			d := l.drive("m", often, l.except(owner)...)
+			time.Sleep(2 * time.Second)
+			owner.kill()
+			time.Sleep(15 * time.Second)
+			d.end("kill of the owner in a list of 3,004")
+			l.g.Expect(d.refused).To(BeZero())
+			l.g.Expect(d.worst).To(BeNumerically("<", takeoverTarget))
+		}, wigeonplatform.WithInstances(elsewhere...))
+	})
+
 	It("hands over on a planned stop without a gap or a refusal", func() {
 		runLab(3, func(l *lab) {
 			d := l.drive("m", often, l.nodes...)
--- a/internal/services/wigeonowner/receive.go
+++ b/internal/services/wigeonowner/receive.go
@@ -51,6 +51,9 @@
 		return s
 	}
 	m.counters.add("ownerRedirects", "", 1)
+	if s != nil {
+		s.sought(from)
+	}
 	m.send(from, wigeonshift.NotOwner{Shard: id, Request: r, Owner: m.locate(id)})
 	return nil
 }
--- a/internal/services/wigeonowner/shard.go
+++ b/internal/services/wigeonowner/shard.go
@@ -40,6 +40,8 @@
 	// handingOver is the epoch of a hand-over that waits for its successor, 0 for none.
 	handingOver uint64
 	entries     map[string]wigeonshift.Instance
+	// seekers are told when this instance becomes the owner.
+	seekers seekers
 	// firstID names the first candidate while that is another instance, and moveAt is when the shard goes to it.
 	firstID string
 	moveAt  time.Time
@@ -61,6 +63,7 @@
 		slots:     make(chan struct{}, maxTasks),
 		successor: make(chan wigeonshift.OwnerNotice, 1),
 		witnesses: make(chan string, successorCandidates),
+		seekers:   seekers{},
 	}
 	s.ctx, s.cancel = context.WithCancel(m.ctx)
 	s.keeper = wigeonlease.NewKeeper(id, m.network.Self(), m.store, s.leaseChanged,
