--- a/internal/services/wigeonbroker/broker.go
+++ b/internal/services/wigeonbroker/broker.go
@@ -20,16 +20,18 @@
 const (
 	// checkPeriod is the resolution of all waits.
 	checkPeriod = 50 * time.Millisecond
-	// searchPause is the time between questions for a shard's owner, spread by half of it. Once all candidates were
-	// asked, it grows with the fleet: whichever becomes the owner tells those who asked it.
+	// searchPause is the time between questions for a shard's owner, spread by half of it. After
+	// fastSearches it grows with the fleet: whichever becomes the owner tells those who asked it.
 	searchPause            = 200 * time.Millisecond
 	searchPausePerInstance = time.Millisecond
+	// fastSearches is two rounds of all candidates: the first may have gone to the former owner.
+	fastSearches = 2 * searchCandidates
 	// maxRedirects bounds the redirects followed without a pause.
 	maxRedirects = 3
 	// searchCandidates is the number of instances asked in turn.
 	searchCandidates = 3
 	// tableAfter is the number of fruitless questions after which the lease row is read, and then each time again.
-	tableAfter = 6
+	tableAfter = 12
 	// tableTimeout bounds one read of a lease row.
 	tableTimeout = time.Second
 	// defaultNoOwnerTimeout bounds the search for an owner on behalf of one request. A takeover after a kill
--- a/internal/services/wigeonbroker/shard.go
+++ b/internal/services/wigeonbroker/shard.go
@@ -69,16 +69,19 @@
 	return id == st.failedID && time.Since(st.failedAt) < failedFor
 }
 
-// search asks the next candidate for the owner; the caller holds the lock.
+// search asks the best guess, or the next candidate, for the owner; the caller holds the lock.
 func (b *Broker) search(st *shard) {
 	st.searchAt = time.Now().Add(jittered(b.searchPause(st)))
-	target := b.nextCandidate(st)
-	st.searches++
-	if st.searches%tableAfter == 0 && !st.reading {
+	if st.searches%tableAfter == tableAfter-1 && !st.reading {
 		st.reading = true
 		r := &rowRead{b: b, shard: st.id}
 		b.wg.Go(r.run)
 	}
+	target := st.owner
+	if target.ID == "" {
+		target = b.nextCandidate(st)
+	}
+	st.owner = wigeonshift.Instance{}
 	if target.ID == "" {
 		return
 	}
@@ -89,23 +92,20 @@
 
 // searchPause returns the time to the next question for a shard's owner.
 func (b *Broker) searchPause(st *shard) time.Duration {
-	if st.searches < searchCandidates {
+	if st.searches < fastSearches {
 		return searchPause
 	}
 	return max(searchPause, time.Duration(len(b.members.Live()))*searchPausePerInstance)
 }
 
-// nextCandidate returns the best guess at first and then the candidates in turn.
+// nextCandidate returns the candidates in turn.
 func (b *Broker) nextCandidate(st *shard) wigeonshift.Instance {
-	if guess := st.owner; guess.ID != "" {
-		st.owner = wigeonshift.Instance{}
-		return guess
-	}
 	candidates := wigeonlease.Candidates(st.id, b.members.Live(), searchCandidates)
+	st.searches++
 	if len(candidates) == 0 {
 		return wigeonshift.Instance{}
 	}
-	return candidates[st.searches%len(candidates)]
+	return candidates[(st.searches-1)%len(candidates)]
 }
 
 // adopt takes an instance as the shard's owner, tells it what runs and asks it for what waits; the caller holds
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -102,6 +102,7 @@
 			})
 		}
 		runLab(4, func(l *lab) {
+			time.Sleep(90 * time.Second) // So long a list is read every 30 s, and the shard moves after that.
 			owner, _ := l.owner()
 			d := l.drive("m", often, l.except(owner)...)
 			time.Sleep(2 * time.Second)
