--- a/internal/modules/wigeonsession/lane.go
+++ b/internal/modules/wigeonsession/lane.go
@@ -66,7 +66,7 @@
 	for {
 		f, size, err := wigeonwire.ReadFrame(ln.reader, ln.limit)
 		if err != nil {
-			ln.l.end(readFailure(err), false)
+			ln.failed(readFailure(err), ln.index == laneDecision)
 			return
 		}
 		if !ln.l.receive(f, size) {
@@ -75,6 +75,15 @@
 	}
 }
 
+// failed ends the link after a failure. When the peer has closed the connection, that is left to the reader of the
+// decision lane, which may still hold a goodbye.
+func (ln *lane) failed(reason string, last bool) {
+	if !last && ln.l.mux.IsClosed() {
+		return
+	}
+	ln.l.end(reason, false)
+}
+
 // readFailure names the reason why a read failed.
 func readFailure(err error) string {
 	switch {
@@ -173,7 +182,7 @@
 		//nolint:errcheck // A stream of a closed session fails in Write.
 		ln.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := ln.stream.Write(piece); err != nil {
-			ln.l.end("writeFailed", false)
+			ln.failed("writeFailed", false)
 			return false
 		}
 		ln.l.sentAt.Store(int64(ln.l.n.now()))
--- a/internal/modules/wigeonsession/session_test.go
+++ b/internal/modules/wigeonsession/session_test.go
@@ -55,6 +55,21 @@
 		})
 	})
 
+	It("takes no stop of a peer for a loss", func() {
+		for range 100 {
+			bubble(func(g *WithT) {
+				w := newWire()
+				a, b := startNode(g, w, "a"), startNode(g, w, "b")
+				g.Expect(a.Send(ctx, b.Self(), have(1))).To(Succeed())
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(a.Stop(ctx)).To(Succeed())
+				synctest.Wait()
+				g.Expect(b.losses()).To(BeEmpty())
+				g.Expect(b.Stop(ctx)).To(Succeed())
+			})
+		}
+	})
+
 	It("settles simultaneous dials on one session", func() {
 		for round := range 300 {
 			bubble(func(g *WithT) {
