--- a/cmd/root.go
+++ b/cmd/root.go
@@ -39,6 +39,7 @@
 	Standin StandinCommand `cmd:"" help:"Run a stand-in for a system that wigeonshift works with."`
 	Load    LoadCommand    `cmd:"" help:"Send a scenario's requests to running nodes and verify every answer."`
 	Policy  PolicyCommand  `cmd:"" help:"Measure the scheduling policy against ordinary ones."`
+	Measure MeasureCommand `cmd:"" help:"Measure how the costs of each role grow with its size, on this machine."`
 	Version VersionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/docs/wigeondocs/docs_test.go
@@ -0,0 +1,144 @@
+package wigeondocs
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/cmd"
+	"wigeonshift/internal/modules/wigeonsetting"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDocs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeondocs")
+}
+
+const (
+	root = "../../.."
+	docs = root + "/docs/"
+)
+
+// must returns a value without error.
+func must[T any](value T, err error) T {
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return value
+}
+
+// run runs the command line and returns its exit code and output.
+func run(args ...string) (int, string) {
+	var out, errOut bytes.Buffer
+	code := cmd.Run(args, &out, &errOut)
+	return code, out.String() + errOut.String()
+}
+
+var _ = Describe("Pages", func() {
+	It("list every metric of the code and no other", func() {
+		named := must(MetricNames(root + "/internal"))
+		Expect(named).To(ContainElements("grants", "entryRefusals", "leasesLapsed", "entryFirstToken", "peerSessions"))
+		Expect(must(FirstColumn(docs + "metrics.md"))).To(Equal(named))
+	})
+
+	It("list every refusal reason of callers and operators and no other", func() {
+		reasons := must(Reasons(root + "/request.go"))
+		Expect(len(reasons)).To(BeNumerically(">", 20))
+		Expect(tableAfter(docs+"caller-api.md", "| status | reasons |")).To(ConsistOf(reasons))
+		operators := must(Reasons(root + "/internal/routers/wigeonoperator/error.go"))
+		Expect(len(operators)).To(BeNumerically(">", 5))
+		text := string(must(os.ReadFile(docs + "operator-api.md")))
+		for _, reason := range operators {
+			Expect(text).To(ContainSubstring("`" + reason + "`"))
+		}
+	})
+
+	It("list every key of the settings and the configuration and no other", func() {
+		keys := Keys(reflect.TypeFor[wigeonsetting.Settings](), "toml", "", reflect.TypeFor[wigeonsetting.Duration]())
+		keys = append(keys, Keys(reflect.TypeFor[wigeonshift.Configuration](), "json", "", reflect.TypeFor[time.Time]())...)
+		var documented []string
+		key := regexp.MustCompile(`^(version|[a-z]\w*(\.\w+)+)$`)
+		for line := range strings.Lines(string(must(os.ReadFile(docs + "configuration.md")))) {
+			for _, name := range quoted(line) {
+				if strings.HasPrefix(line, "|") && key.MatchString(name) && name != "products.NAME" {
+					documented = append(documented, name)
+				}
+			}
+		}
+		Expect(unique(documented)).To(Equal(unique(keys)))
+	})
+
+	It("link only to pages that exist", func() {
+		link := regexp.MustCompile(`\]\(([^)#:]+)\)`)
+		for _, page := range must(filepath.Glob(docs + "*.md")) {
+			for _, m := range link.FindAllStringSubmatch(string(must(os.ReadFile(page))), -1) {
+				Expect(filepath.Join(docs, m[1])).To(BeAnExistingFile(), page)
+			}
+		}
+	})
+})
+
+// tableAfter returns the names in code quotes of the second column of the table with a heading.
+func tableAfter(page, heading string) []string {
+	_, table, found := strings.Cut(string(must(os.ReadFile(page))), heading)
+	Expect(found).To(BeTrue())
+	table, _, _ = strings.Cut(table, "\n\n")
+	var names []string
+	for line := range strings.Lines(table) {
+		if cells := strings.Split(line, "|"); len(cells) > 2 {
+			names = append(names, quoted(cells[2])...)
+		}
+	}
+	return names
+}
+
+var _ = Describe("Commands of the pages", func() {
+	// Each documented command must be one that the command line knows; kong prints its help without running it.
+	It("are known to the command line, flags included", func() {
+		GinkgoT().Chdir(root)
+		pages := append(must(filepath.Glob("docs/*.md")), must(filepath.Glob("docs/operations/*.md"))...)
+		seen := 0
+		for _, page := range append(pages, "README.md") {
+			for _, command := range must(Commands(page, "wigeonshift ")) {
+				// Placeholders are written in capitals.
+				filled := regexp.MustCompile(`\b[A-Z_]{4,}\b|\.\.\.`).ReplaceAllString(command, "1")
+				words := strings.Fields(filled)[1:]
+				code, out := run(append(slices.Clone(words), "--help")...)
+				Expect(code).To(Equal(cmd.ExitOK), "%s: %s\n%s", page, command, out)
+				Expect(out).To(ContainSubstring("Usage: wigeonshift"), command)
+				for _, word := range words {
+					if flag, _, _ := strings.Cut(word, "="); strings.HasPrefix(flag, "--") {
+						Expect(out).To(MatchRegexp(`(?m)%s\b`, regexp.QuoteMeta(flag)), command)
+					}
+				}
+				seen++
+			}
+		}
+		Expect(seen).To(BeNumerically(">=", 15))
+	})
+
+	It("run where they need no site", func() {
+		dir := GinkgoT().TempDir()
+		patch := filepath.Join(dir, "patch.json")
+		Expect(os.WriteFile(patch, []byte(`{"products":{"p":{"tiers":{"urgent":{"rank":0,"defaultDeadlineMs":1000}}}}}`), 0o600)).To(Succeed())
+		for _, c := range [][]string{
+			{"version"}, {"--help"}, {"config", "keygen"}, {"config", "keygen", "--operator", "ana", "--role", "editor"},
+			{"config", "validate", patch}, {"node", "--config", docs + "wigeonshift.example.toml", "--check"},
+			{"config", "validate", root + "/scenarios/instituto.json"}, {"config", "validate", root + "/scenarios/asociacion.json"},
+		} {
+			code, out := run(c...)
+			Expect(code).To(Equal(cmd.ExitOK), "%v: %s", c, out)
+		}
+		Expect(os.WriteFile(patch, []byte(`{"products":{"p":{"tires":{}}}}`), 0o600)).To(Succeed())
+		code, _ := run("config", "validate", patch)
+		Expect(code).NotTo(Equal(cmd.ExitOK))
+	})
+})
--- /dev/null
+++ b/internal/measure/wigeonslope/results.go
@@ -0,0 +1,88 @@
+package wigeonslope
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"strings"
+
+	"wigeonshift/internal/measure/wigeonoverlay"
+)
+
+// Fleet of the target, for the comparison of overlays.
+const (
+	targetNodes  = 1500
+	targetShards = 125
+	overlaySeed  = 1
+)
+
+// Results are the outcome of all measurements that were run.
+type Results struct {
+	Go         string `json:"go"`
+	Processors int    `json:"processors"`
+	// LoadBefore and LoadAfter are the machine's load averages over one minute.
+	LoadBefore string              `json:"loadBefore"`
+	LoadAfter  string              `json:"loadAfter"`
+	Series     []Series            `json:"series"`
+	Overlay    []wigeonoverlay.Row `json:"overlay,omitempty"`
+}
+
+// OverlayName names the comparison of overlays among the measurements.
+const OverlayName = "overlay"
+
+// Measurements returns all measurements that produce series, in order.
+func (s Scale) Measurements() []Measurement {
+	return []Measurement{
+		{"reducer", s.MeasureReducer},
+		{"prefix", s.MeasurePrefix},
+		{"configuration", s.MeasureConfiguration},
+		{"permits", s.MeasurePermits},
+		{"takeover", s.MeasureTakeover},
+		{"sessions", s.MeasureSessions},
+		{"nodes", s.MeasureNodes},
+		{"shards", s.MeasureShards},
+		{"polls", s.MeasurePolls},
+		{"tree", s.MeasureTree},
+	}
+}
+
+// Names returns the names of all measurements.
+func (s Scale) Names() []string {
+	var names []string
+	for _, m := range s.Measurements() {
+		names = append(names, m.Name)
+	}
+	return append(names, OverlayName)
+}
+
+// Run runs the measurements with a name, or all; progress is told each one before it starts.
+func (s Scale) Run(ctx context.Context, only string, progress func(name string)) (Results, error) {
+	r := Results{Go: runtime.Version(), Processors: runtime.NumCPU(), LoadBefore: loadAverage()}
+	for _, m := range s.Measurements() {
+		if only != "" && only != m.Name {
+			continue
+		}
+		progress(m.Name)
+		series, err := m.Run(ctx)
+		if err != nil {
+			return r, err
+		}
+		r.Series = append(r.Series, series...)
+	}
+	if only == "" || only == OverlayName {
+		progress(OverlayName)
+		r.Overlay = wigeonoverlay.Measure(targetNodes, targetShards, overlaySeed)
+	}
+	r.LoadAfter = loadAverage()
+	return r, nil
+}
+
+// loadAverage returns the machine's load over one minute, empty where it can't be read.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	return first
+}
