Do not rebuild the view of instances for messages that confirm it

Each message of an instance that had been silent for a second rebuilt and sorted the whole view. An owner at the target hears from some 500 entries about once a second each.

--- a/internal/services/wigeonmember/member.go
+++ b/internal/services/wigeonmember/member.go
@@ -192,13 +192,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.evidenceOf(from)
-	fresh := e.failedAt.IsZero() && now.Sub(e.spokeAt) < recheckPeriod && e.instance == from
+	// A message that confirms the view must stay cheap: owners hear from hundreds of instances.
+	confirms := e.failedAt.IsZero() && e.instance == from && (now.Sub(e.spokeAt) < recheckPeriod || m.isLive(from.ID))
 	e.instance, e.spokeAt, e.failedAt = from, now, time.Time{}
-	if !fresh {
+	if !confirms {
 		m.recompute()
 	}
 }
 
+// isLive tells whether the view holds an instance; the caller holds the lock.
+func (m *Members) isLive(id string) bool {
+	_, found := slices.BinarySearchFunc(m.live, id, func(i wigeonshift.Instance, id string) int { return cmp.Compare(i.ID, id) })
+	return found
+}
+
 // failed notes that an instance could not be dialled.
 func (m *Members) failed(i wigeonshift.Instance) {
 	m.mu.Lock()
