--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 .PHONY: bench-policy
 bench-policy: build
 	./bin/wigeonshift policy --seed $(SEED)
+# Measures the slopes behind docs/CAPACITY.md; takes some minutes.
+.PHONY: measure
+measure:
+	$(GO) run ./cmd/wigeonshift measure --out docs/measurements
--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -29,7 +29,7 @@
 // MeasureCommand measures how the costs of each role grow with its size, on this machine.
 type MeasureCommand struct {
 	Only string `help:"Run one measurement: reducer, prefix, configuration, permits, takeover, sessions, nodes, shards, polls, members, tree or overlay."`
-	Out  string `type:"path" help:"Directory for slopes.json and plots; nothing is written without it."`
+	Out  string `type:"path" help:"Directory for slopes.json and plots; nothing is written without it. With --only the other series in the file stay."`
 	JSON bool   `help:"Print JSON instead of a table."`
 
 	// scale is the default one unless a test sets another.
@@ -53,7 +53,11 @@
 		return err
 	}
 	if c.Out != "" {
-		if err := writeReport(c.Out, report); err != nil {
+		written := report
+		if c.Only != "" {
+			written = report.Merge(earlierReport(c.Out))
+		}
+		if err := writeReport(c.Out, written); err != nil {
 			return err
 		}
 	}
@@ -66,6 +70,16 @@
 	return nil
 }
 
+// earlierReport returns what was written before; what can't be read counts as nothing.
+func earlierReport(dir string) wigeonslope.Results {
+	var earlier wigeonslope.Results
+	text, err := os.ReadFile(filepath.Join(dir, slopesFile))
+	if err != nil || json.Unmarshal(text, &earlier) != nil {
+		return wigeonslope.Results{}
+	}
+	return earlier
+}
+
 // writeReport writes the JSON file and the plots.
 func writeReport(dir string, report wigeonslope.Results) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/internal/measure/wigeonslope/member.go
+++ b/internal/measure/wigeonslope/member.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonwire"
 	"wigeonshift/internal/services/wigeonlease"
 	"wigeonshift/internal/services/wigeonmember"
 	"wigeonshift/internal/standin/wigeonplatform"
@@ -46,6 +47,28 @@
 		}
 		return float64((processorTime() - started).Microseconds()) / rankRounds, nil
 	})
+	shards, _ := points(s.FleetEndpoints, func(n int) (float64, error) {
+		c := fleetConfiguration(n)
+		started := processorTime()
+		for range rankRounds {
+			c.Shards()
+		}
+		return float64((processorTime() - started).Microseconds()) / rankRounds, nil
+	})
+	summary, err := points(s.FleetEndpoints, func(n int) (float64, error) {
+		siblings := wigeonshift.ShardCount(n/targetRegions) - 1
+		frame, err := wigeonwire.FrameOf(wigeonshift.ShardSummary{
+			Shard: "product/assistant/costa-sur/12", Epoch: 100, LowestRunning: 3, LowestQueued: 3, FreeSlots: 200,
+		})
+		if err != nil {
+			return 0, err
+		}
+		b, err := wigeonwire.EncodeFrame(frame)
+		return float64(2 * siblings * len(b)), err
+	})
+	if err != nil {
+		return nil, err
+	}
 	idle, err := points(s.TreeNodes, func(n int) (float64, error) { return s.idleMembers(ctx, n) })
 	if err != nil {
 		return nil, err
@@ -53,10 +76,31 @@
 	return []Series{
 		newSeries("memberListBytes", "nodes", "bytes of one read of the list", "the platform's list as JSON", bytes),
 		newSeries("memberRank", "nodes", "µs of processor time", "one node ranks itself for 125 shards, after each change of the list", rank),
+		newSeries("fleetShards", "endpoints of the fleet", "µs of processor time",
+			"the list of shards of 29 services in 3 regions, after each change of the list or the configuration", shards),
+		newSeries("summaryBytes", "endpoints of the fleet", "bytes/s of an owner",
+			"summaries sent and received as encoded, one a second with each sibling, if all endpoints are one service", summary),
 		newSeries("memberProcessor", "nodes", "% of a core", "one idle node that knows the list, in process", idle),
 	}, nil
 }
 
+// targetModels is the number of models of the target, each a service of its own here.
+const targetModels = 29
+
+// fleetConfiguration returns a configuration with endpoints spread over models and regions.
+func fleetConfiguration(endpoints int) *wigeonshift.Configuration {
+	services := map[string]wigeonshift.Service{}
+	for m := range targetModels {
+		services[fmt.Sprint("s", m)] = wigeonshift.Service{Endpoints: map[string]wigeonshift.EndpointSpec{}}
+	}
+	for e := range endpoints {
+		services[fmt.Sprint("s", e%targetModels)].Endpoints[fmt.Sprint("engine", e)] = wigeonshift.EndpointSpec{
+			Region: fmt.Sprint("r", e/targetModels%targetRegions),
+		}
+	}
+	return &wigeonshift.Configuration{Products: map[string]wigeonshift.Product{"p": {Services: services}}}
+}
+
 // idleMembers returns the share of a core that the view of a number of instances takes, in percent.
 func (s Scale) idleMembers(ctx context.Context, count int) (percent float64, err error) {
 	n, err := newMeshNode(ctx, "self")
--- a/internal/measure/wigeonslope/results.go
+++ b/internal/measure/wigeonslope/results.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 
 	"wigeonshift/internal/measure/wigeonoverlay"
@@ -87,3 +88,20 @@
 	first, _, _ := strings.Cut(string(text), " ")
 	return first
 }
+
+// Merge returns earlier results with these in their place.
+func (r Results) Merge(earlier Results) Results {
+	merged := Results{Go: r.Go, Processors: r.Processors, Series: slices.Clone(earlier.Series), Overlay: earlier.Overlay}
+	for _, s := range r.Series {
+		at := slices.IndexFunc(merged.Series, func(e Series) bool { return e.Name == s.Name })
+		if at < 0 {
+			merged.Series = append(merged.Series, s)
+			continue
+		}
+		merged.Series[at] = s
+	}
+	if len(r.Overlay) > 0 {
+		merged.Overlay = r.Overlay
+	}
+	return merged
+}
--- a/internal/measure/wigeonslope/scale.go
+++ b/internal/measure/wigeonslope/scale.go
@@ -20,6 +20,8 @@
 	Running []int
 	// TreeNodes are the fleet sizes of the tree rule.
 	TreeNodes []int
+	// FleetEndpoints are the endpoints of whole fleets.
+	FleetEndpoints []int
 	// Requests is the number of requests over which the reducer's time is averaged.
 	Requests int
 	// Repeats is the number of runs whose median is taken where a single run is too noisy.
@@ -32,19 +34,20 @@
 // DefaultScale returns the sizes behind docs/CAPACITY.md.
 func DefaultScale() Scale {
 	return Scale{
-		Endpoints:     []int{16, 64, 512},
-		Organisations: []int{1, 1000, 10_000, 48_000},
-		Queued:        []int{1000, 4000, 16_000},
-		Peers:         []int{3, 7, 15, 23},
-		Permits:       []int{1000, 4000, 16_000},
-		Nodes:         []int{2, 4, 8, 16},
-		Shards:        []int{4, 16, 48},
-		Polled:        []int{4, 16, 64},
-		Running:       []int{0, 200, 1000},
-		TreeNodes:     []int{9, 100, 500, 1500},
-		Requests:      40_000,
-		Repeats:       3,
-		Settle:        4 * time.Second,
-		Window:        12 * time.Second,
+		Endpoints:      []int{16, 64, 512},
+		Organisations:  []int{1, 1000, 10_000, 48_000},
+		Queued:         []int{1000, 4000, 16_000},
+		Peers:          []int{3, 7, 15, 23},
+		Permits:        []int{1000, 4000, 16_000},
+		Nodes:          []int{2, 4, 8, 16},
+		Shards:         []int{4, 16, 48},
+		Polled:         []int{4, 16, 64},
+		Running:        []int{0, 200, 1000},
+		TreeNodes:      []int{9, 100, 500, 1500},
+		FleetEndpoints: []int{500, 2000, 7900},
+		Requests:       40_000,
+		Repeats:        3,
+		Settle:         4 * time.Second,
+		Window:         12 * time.Second,
 	}
 }
--- a/internal/measure/wigeonslope/scale_test.go
+++ b/internal/measure/wigeonslope/scale_test.go
@@ -12,7 +12,7 @@
 func tinyScale() Scale {
 	return Scale{
 		Endpoints: []int{2, 4}, Organisations: []int{1, 20}, Queued: []int{20, 40}, Peers: []int{1, 2}, Permits: []int{5, 10},
-		Nodes: []int{1, 2}, Shards: []int{1, 2}, Polled: []int{1, 2}, Running: []int{0, 5}, TreeNodes: []int{9, 100},
+		Nodes: []int{1, 2}, Shards: []int{1, 2}, Polled: []int{1, 2}, Running: []int{0, 5}, TreeNodes: []int{9, 100}, FleetEndpoints: []int{50, 200},
 		Requests: 200, Repeats: 1, Settle: 100 * time.Millisecond, Window: 200 * time.Millisecond,
 	}
 }
@@ -36,7 +36,7 @@
 	It("takes three or more sizes by default", func() {
 		d := DefaultScale()
 		for _, sizes := range [][]int{
-			d.Endpoints, d.Organisations, d.Queued, d.Peers, d.Permits, d.Nodes, d.Shards, d.Polled, d.Running, d.TreeNodes,
+			d.Endpoints, d.Organisations, d.Queued, d.Peers, d.Permits, d.Nodes, d.Shards, d.Polled, d.Running, d.TreeNodes, d.FleetEndpoints,
 		} {
 			Expect(len(sizes)).To(BeNumerically(">=", 3))
 		}
