--- a/internal/docs/wigeondocs/docs_test.go
+++ b/internal/docs/wigeondocs/docs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -13,6 +15,7 @@
 
 	"wigeonshift"
 	"wigeonshift/cmd"
+	"wigeonshift/internal/measure/wigeonslope"
 	"wigeonshift/internal/modules/wigeonsetting"
 	"wigeonshift/internal/modules/wigeontoml"
 
@@ -86,6 +89,27 @@
 		expectSame(documented, keys)
 	})
 
+	It("give the fit of every measured series as it was written, at three sizes or more", func() {
+		var measured wigeonslope.Results
+		Expect(json.Unmarshal(must(os.ReadFile(docs+"measurements/slopes.json")), &measured)).To(Succeed())
+		page := string(must(os.ReadFile(docs + "CAPACITY.md")))
+		_, table, found := strings.Cut(page, "## All slopes")
+		Expect(found).To(BeTrue())
+		var names []string
+		for _, s := range measured.Series {
+			names = append(names, s.Name)
+			Expect(len(s.Points)).To(BeNumerically(">=", 3), s.Name)
+			Expect(table).To(ContainSubstring("| `"+s.Name+"` |"), s.Name)
+			Expect(table).To(ContainSubstring(fmt.Sprintf("| %.3f |", s.Fit.R2)), s.Name)
+		}
+		Expect(names).NotTo(BeEmpty())
+		for _, name := range quoted(page) {
+			if regexp.MustCompile(`^[a-z]+([A-Z][a-z]+)+$`).MatchString(name) && !slices.Contains(must(Reasons(root+"/request.go")), name) {
+				Expect(names).To(ContainElement(name))
+			}
+		}
+	})
+
 	It("link only to pages that exist", func() {
 		link := regexp.MustCompile(`\]\(([^)#:]+)\)`)
 		for _, page := range must(filepath.Glob(docs + "*.md")) {
