--- a/internal/services/wigeonlease/candidate.go
+++ b/internal/services/wigeonlease/candidate.go
@@ -1,6 +1,8 @@
 package wigeonlease
 
 import (
+	"slices"
+
 	"wigeonshift"
 )
 
@@ -15,10 +17,15 @@
 // Rank returns an instance's place among the candidates for a shard, -1 when it is none.
 func Rank(shard wigeonshift.ShardID, live []wigeonshift.Instance, id string) int {
 	pool, _, _ := shard.Pool()
-	local := inRegion(live, pool.Region)
+	everywhere := !anyInRegion(live, pool.Region)
 	own := wigeonshift.RendezvousScore(string(shard), id)
 	rank, found := 0, false
-	for _, i := range local {
+	// Every instance ranks itself for every shard: the list is not copied here.
+	for n := range live {
+		i := &live[n]
+		if !everywhere && i.Region != pool.Region {
+			continue
+		}
 		if i.ID == id {
 			found = true
 			continue
@@ -34,6 +41,11 @@
 	return rank
 }
 
+// anyInRegion tells whether a region has an instance.
+func anyInRegion(live []wigeonshift.Instance, region string) bool {
+	return slices.ContainsFunc(live, func(i wigeonshift.Instance) bool { return i.Region == region })
+}
+
 // inRegion returns the instances of a region, or all when there are none.
 func inRegion(live []wigeonshift.Instance, region string) []wigeonshift.Instance {
 	var local []wigeonshift.Instance
--- /dev/null
+++ b/internal/services/wigeonlease/candidate_test.go
@@ -0,0 +1,37 @@
+package wigeonlease_test
+
+import (
+	"fmt"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonlease"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Rank", func() {
+	It("is the place among the candidates, of the own region or of all when it has none", func() {
+		var live []wigeonshift.Instance
+		for i := range 30 {
+			live = append(live, wigeonshift.Instance{ID: fmt.Sprint("node", i), Region: fmt.Sprint("r", i%3)})
+		}
+		for s := range 20 {
+			for _, region := range []string{"r0", "r2", "elsewhere"} {
+				id := wigeonshift.Pool{Product: "p", Service: fmt.Sprint("s", s), Region: region}.Shard(0)
+				places := map[string]int{}
+				for place, i := range wigeonlease.Candidates(id, live, len(live)) {
+					places[i.ID] = place
+				}
+				for _, i := range live {
+					want, ok := places[i.ID]
+					if !ok {
+						want = -1
+					}
+					Expect(wigeonlease.Rank(id, live, i.ID)).To(Equal(want), "%s %s", id, i.ID)
+				}
+			}
+		}
+		Expect(wigeonlease.Rank("p/s/r0/0", live, "nobody")).To(Equal(-1))
+	})
+})
