--- a/internal/docs/wigeondocs/docs_test.go
+++ b/internal/docs/wigeondocs/docs_test.go
@@ -142,7 +142,8 @@
 		seen := 0
 		for _, page := range append(pages, "README.md") {
 			for _, command := range must(Commands(page, "wigeonshift ")) {
-				// Placeholders are written in capitals.
+				// Placeholders are written in capitals; files that the reader makes are replaced by one that exists.
+				command = regexp.MustCompile(`\S+\.(txt|key)\b`).ReplaceAllString(command, "docs/metrics.md")
 				filled := regexp.MustCompile(`\b[A-Z_]{4,}\b`).ReplaceAllString(command, "1")
 				words := strings.Fields(strings.ReplaceAll(filled, "...", ""))[1:]
 				code, out := run(append(slices.Clone(words), "--help")...)
--- a/internal/measure/wigeonslope/permit.go
+++ b/internal/measure/wigeonslope/permit.go
@@ -132,7 +132,7 @@
 	rebuild, _ := points(s.Running, func(running int) (float64, error) {
 		runs := make([]float64, s.Repeats)
 		for i := range runs {
-			b := newShardBench(64, 100)
+			b := newShardBench(64, 100, nearDeadline)
 			reported := attempts(running)
 			started := processorTime()
 			b.send(wigeonscheduler.EntryReported{Entry: "entry", Attempts: reported})
