--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -97,12 +97,15 @@
 // weigh returns the best endpoint that could take the job now and the best of those that could only later.
 func (s *Shard) weigh(j *job) (open, waiting candidate) {
 	longest := s.lookupPrefix(j)
-	urgent := s.urgent(j)
+	urgent, known := false, false
 	for _, e := range s.ordered {
 		if !s.mayTake(j, e) || e.reserved != nil {
 			continue
 		}
 		c := s.estimate(j, e, longest)
+		if !known && e.free() > 0 && (e.pendingLong > 0 || s.long(c.uncached)) {
+			urgent, known = s.urgent(j), true
+		}
 		if e.free() > 0 && s.admits(j, c, urgent) {
 			open = better(open, c)
 		} else if e.health == healthUp {
