--- a/internal/services/wigeonscheduler/queue.go
+++ b/internal/services/wigeonscheduler/queue.go
@@ -43,7 +43,9 @@
 	// active are the flows with queued jobs, in round robin order from next.
 	active []*flow
 	next   int
-	flows  map[string]*flow
+	// credited is set once the flow whose turn it is has earned its quantum of this turn.
+	credited bool
+	flows    map[string]*flow
 	// blocked is set when nothing of the lane could be placed; it is cleared when capacity changes.
 	blocked bool
 }
@@ -132,8 +134,11 @@
 	delete(l.flows, f.organisation.name)
 	i := slices.Index(l.active, f)
 	l.active = slices.Delete(l.active, i, i+1)
-	if i < l.next {
+	switch {
+	case i < l.next:
 		l.next--
+	case i == l.next:
+		l.credited = false
 	}
 	if l.next >= len(l.active) {
 		l.next = 0
@@ -155,22 +160,28 @@
 		f := l.active[l.next]
 		if f.organisation.limited() {
 			limited++
-			l.next = (l.next + 1) % len(l.active)
+			l.advance()
 			continue
 		}
-		if f.deficit >= f.jobs[0].cost() {
-			return f
-		}
 		limited = 0
-		f.deficit += l.quantum() * f.organisation.weight()
+		if !l.credited {
+			f.deficit += l.quantum() * f.organisation.weight()
+			l.credited = true
+		}
 		if f.deficit >= f.jobs[0].cost() {
 			return f
 		}
-		l.next = (l.next + 1) % len(l.active)
+		l.advance()
 	}
 	return nil
 }
 
+// advance gives the turn to the next flow.
+func (l *lane) advance() {
+	l.next = (l.next + 1) % len(l.active)
+	l.credited = false
+}
+
 // dispatch grants queued jobs, highest tier first, as far as capacity goes.
 func (s *Shard) dispatch() {
 	if !s.granting() {
