--- a/internal/services/wigeonbroker/broker_test.go
+++ b/internal/services/wigeonbroker/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,7 @@
 type network struct {
 	handler wigeonshift.PeerHandler
 	lost    func(wigeonshift.Instance)
+	mu      sync.Mutex
 	sent    []sent
 	// answer plays a peer; nil stays silent.
 	answer func(to wigeonshift.Instance, m wigeonshift.PeerMessage) wigeonshift.PeerMessage
@@ -51,7 +53,9 @@
 func (n *network) deliver(from wigeonshift.Instance, m wigeonshift.PeerMessage) { n.handler(from, m) }
 
 func (n *network) Send(_ context.Context, to wigeonshift.Instance, m wigeonshift.PeerMessage) error {
+	n.mu.Lock()
 	n.sent = append(n.sent, sent{to, m})
+	n.mu.Unlock()
 	if n.answer != nil {
 		if reply := n.answer(to, m); reply != nil {
 			go n.deliver(to, reply)
@@ -70,8 +74,17 @@
 	}}}
 }
 
-// of returns the messages of one type sent to an instance, and forgets them.
+// forget drops what was sent so far.
+func (n *network) forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent = nil
+}
+
+// of returns the messages of one type sent to an instance.
 func of[M wigeonshift.PeerMessage](n *network, to wigeonshift.Instance) []M {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	var found []M
 	for _, s := range n.sent {
 		if m, ok := s.m.(M); ok && s.to.ID == to.ID {
@@ -126,7 +139,7 @@
 			g.Expect((<-first.Answers()).Grant.Token).To(BeEquivalentTo("t1"))
 			first.Report(wigeonshift.AttemptReport{Request: "r1", Shard: shardID, State: wigeonshift.AttemptStarted})
 
-			n.sent = nil
+			n.forget()
 			n.deliver(b, notice(2, b))
 			running := of[wigeonshift.RunningNotice](n, b)
 			g.Expect(running).To(HaveLen(1))
@@ -179,7 +192,10 @@
 			g.Expect(ok).To(BeFalse())
 			g.Expect(time.Since(start)).To(BeNumerically("~", 8*time.Second, 200*time.Millisecond))
 			// One question each 100 ms at most, and three redirects after each.
-			g.Expect(len(n.sent)).To(BeNumerically("<=", 80*4))
+			n.mu.Lock()
+			count := len(n.sent)
+			n.mu.Unlock()
+			g.Expect(count).To(BeNumerically("<=", 80*4))
 			second, err := br.Ask(ctx, wigeonshift.PermitRequest{ID: "r2", Shard: shardID})
 			g.Expect(err).NotTo(HaveOccurred())
 			s.Close()
