--- a/internal/docs/wigeondocs/docs_test.go
+++ b/internal/docs/wigeondocs/docs_test.go
@@ -141,11 +141,11 @@
 		pages := append(must(filepath.Glob("docs/*.md")), must(filepath.Glob("docs/operations/*.md"))...)
 		seen := 0
 		for _, page := range append(pages, "README.md") {
-			for _, command := range must(Commands(page, "wigeonshift ")) {
+			for _, command := range must(Commands(page, "wigeonshift", "bin/wigeonshift", "go run ./cmd/wigeonshift")) {
 				// Placeholders are written in capitals; files that the reader makes are replaced by one that exists.
 				command = regexp.MustCompile(`\S+\.(txt|key)\b`).ReplaceAllString(command, "docs/metrics.md")
 				filled := regexp.MustCompile(`\b[A-Z_]{4,}\b`).ReplaceAllString(command, "1")
-				words := strings.Fields(strings.ReplaceAll(filled, "...", ""))[1:]
+				words := strings.Fields(strings.ReplaceAll(filled, "...", ""))
 				code, out := run(append(slices.Clone(words), "--help")...)
 				Expect(code).To(Equal(cmd.ExitOK), "%s: %s\n%s", page, command, out)
 				Expect(out).To(ContainSubstring("Usage: wigeonshift"), command)
@@ -160,6 +160,20 @@
 		Expect(seen).To(BeNumerically(">=", 15))
 	})
 
+	It("are targets of the Makefile where they call make", func() {
+		makefile := string(must(os.ReadFile(root + "/Makefile")))
+		seen := 0
+		for _, page := range append(must(filepath.Glob(docs+"*.md")), root+"/README.md") {
+			for _, target := range must(Commands(page, "make")) {
+				for _, word := range strings.Fields(target) {
+					Expect(strings.Contains(word, "=") || strings.Contains(makefile, "\n"+word+":")).To(BeTrue(), "%s: make %s", page, target)
+				}
+				seen++
+			}
+		}
+		Expect(seen).To(BeNumerically(">=", 1))
+	})
+
 	It("run where they need no site", func() {
 		dir := GinkgoT().TempDir()
 		patch := filepath.Join(dir, "patch.json")
--- a/internal/docs/wigeondocs/names.go
+++ b/internal/docs/wigeondocs/names.go
@@ -87,8 +87,9 @@
 	return names
 }
 
-// Commands returns the commands with a prefix in the indented blocks of a page, without their comments.
-func Commands(page, prefix string) ([]string, error) {
+// Commands returns the arguments of the commands in the indented blocks of a page that start with one of some prefixes,
+// without comments.
+func Commands(page string, prefixes ...string) ([]string, error) {
 	text, err := os.ReadFile(page)
 	if err != nil {
 		return nil, oops.In("docs").Wrap(err)
@@ -96,11 +97,15 @@
 	var commands []string
 	for line := range strings.Lines(string(text)) {
 		command, ok := strings.CutPrefix(line, "    ")
-		if !ok || !strings.HasPrefix(command, prefix) {
+		if !ok {
 			continue
 		}
-		command, _, _ = strings.Cut(command, "  #")
-		commands = append(commands, strings.TrimSpace(command))
+		for _, prefix := range prefixes {
+			if arguments, ok := strings.CutPrefix(command, prefix+" "); ok {
+				arguments, _, _ = strings.Cut(arguments, "  #")
+				commands = append(commands, strings.TrimSuffix(strings.TrimSpace(arguments), " &"))
+			}
+		}
 	}
 	return commands, nil
 }
