--- a/internal/services/wigeonowner/lab_test.go
+++ b/internal/services/wigeonowner/lab_test.go
@@ -294,10 +294,24 @@
 	return &engine{all: e, address: address}
 }
 
+// fail makes every load report fail.
+func (e *engines) fail(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loadError = err
+}
+
+// failure returns the error of load reports, nil for none.
+func (e *engines) failure() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loadError
+}
+
 func (e *engine) Load(context.Context) (wigeonshift.LoadReport, error) {
 	e.all.polls.Add(1)
-	if e.all.loadError != nil {
-		return wigeonshift.LoadReport{}, e.all.loadError
+	if err := e.all.failure(); err != nil {
+		return wigeonshift.LoadReport{}, err
 	}
 	return wigeonshift.LoadReport{TakenAt: time.Now(), Incarnation: "1"}, nil
 }
--- a/internal/services/wigeonowner/owner_test.go
+++ b/internal/services/wigeonowner/owner_test.go
@@ -58,7 +58,7 @@
 
 	It("takes a plain service back after a restart, when it answers anything", func() {
 		runLabWith(plainConfiguration, 1, func(l *lab) {
-			l.engines.loadError = wigeonshift.ErrEndpointLost
+			l.engines.fail(wigeonshift.ErrEndpointLost)
 			a, _, s := l.nodes[0].askModel("", time.Second)
 			l.g.Expect(a.Grant).NotTo(BeNil(), "%+v", a)
 			s.Report(wigeonshift.AttemptReport{
@@ -70,7 +70,7 @@
 			a, _, s = l.nodes[0].askModel("", time.Second)
 			l.g.Expect(a.Grant).To(BeNil())
 			s.Close()
-			l.engines.loadError = wigeonshift.ErrEndpointFailed
+			l.engines.fail(wigeonshift.ErrEndpointFailed)
 			time.Sleep(30 * time.Second)
 			a, _, s = l.nodes[0].askModel("", time.Second)
 			l.g.Expect(a.Grant).NotTo(BeNil(), "%+v", a)
