--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -61,7 +61,7 @@
   sed -e "s/^id = .*/id = \"node-$i\"/" -e 's/^zone = .*/zone = "a"/' -e 's/^region = .*/region = "local"/' \
     -e "s/127\.0\.0\.1:8080/127.0.0.1:809$i/" -e "s/127\.0\.0\.1:7100/127.0.0.1:711$i/" \
     -e "s/127\.0\.0\.1:7200/127.0.0.1:721$i/" -e "s/127\.0\.0\.1:7300/127.0.0.1:731$i/" \
-    -e "s/127\.0\.0\.1:7000/$platform/" -e 's/^announce = .*/announce = true/' -e '/^keys = \[\]/d' \
+    -e "s/^address = .*/address = \"$platform\"/" -e 's/^announce = .*/announce = true/' -e '/^keys = \[\]/d' \
     docs/wigeonshift.example.toml >"$file"
   printf '\n[[operator.keys]]\nname = "trial"\nrole = "editor"\nsalt = "%s"\nhash = "%s"\n' "$(field salt)" "$(field hash)" >>"$file"
 }
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -76,7 +76,7 @@
   sed -e "s/^id = .*/id = \"node-$i\"/" -e "s/^zone = .*/zone = \"${zones[$((i - 1))]}\"/" -e "s/^region = .*/region = \"$region\"/" \
     -e "s/127\.0\.0\.1:8080/127.0.0.1:808$i/" -e "s/127\.0\.0\.1:7100/127.0.0.1:710$i/" \
     -e "s/127\.0\.0\.1:7200/127.0.0.1:720$i/" -e "s/127\.0\.0\.1:7300/127.0.0.1:730$i/" \
-    -e "s/127\.0\.0\.1:7000/$platform/" -e 's/^announce = .*/announce = true/' -e '/^keys = \[\]/d' \
+    -e "s/^address = .*/address = \"$platform\"/" -e 's/^announce = .*/announce = true/' -e '/^keys = \[\]/d' \
     docs/wigeonshift.example.toml >"$file"
   printf '\n[[operator.keys]]\n%s\n' "$operator_entry" >>"$file"
 }
