--- a/cmd/config.go
+++ b/cmd/config.go
@@ -78,7 +78,7 @@
 		}
 		fmt.Fprintf(&b, "the newest version is %d; changed since your base:", ce.Body.Head)
 		for _, ch := range ce.Body.Changes {
-			fmt.Fprintf(&b, "\n  %d by %s at %s: %s", ch.Version, ch.Author, ch.At.Format(timeLayout), ch.Patch)
+			fmt.Fprintf(&b, "\n  %d by %s at %s: %s", ch.Version, ch.Author, ch.At.Format(timeLayout), shorten(string(ch.Patch)))
 		}
 		fmt.Fprintf(&b, "\nmake the patch anew against version %d", ce.Body.Head)
 	case wigeonoperator.ReasonInvalid:
--- a/cmd/config_read.go
+++ b/cmd/config_read.go
@@ -62,8 +62,10 @@
 	return printTable(s.Out, []string{"version", "at", "author", "patch id", "patch"}, rows)
 }
 
+// maxShownPatch is the number of characters shown of a patch; "config diff" shows it whole.
 const maxShownPatch = 120
 
+// shorten cuts a long patch.
 func shorten(text string) string {
 	if r := []rune(text); len(r) > maxShownPatch {
 		return string(r[:maxShownPatch]) + "…"
--- a/internal/services/wigeonscheduler/admission.go
+++ b/internal/services/wigeonscheduler/admission.go
@@ -199,6 +199,7 @@
 func (s *Shard) fastest(j *job) float64 {
 	best := math.Inf(1)
 	longest := s.lookupPrefix(j)
+	tokens := s.expectedTokens(j)
 	for _, e := range s.ordered {
 		if !e.open() || !e.serves(j.request.Model) {
 			continue
@@ -207,7 +208,7 @@
 		if longest > 0 && e.index < len(s.lengths) {
 			cached = min(s.lengths[e.index], longest)
 		}
-		t := defaultOverhead + float64(j.request.PromptTokens-cached)/e.speed.rate() + s.expectedTokens(j)*e.speed.pace()
+		t := defaultOverhead + float64(j.request.PromptTokens-cached)/e.speed.rate() + tokens*e.speed.pace()
 		best = math.Min(best, t)
 	}
 	if math.IsInf(best, 1) {
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -96,13 +96,13 @@
 
 // weigh returns the best endpoint that could take the job now and the best of those that could only later.
 func (s *Shard) weigh(j *job) (open, waiting candidate) {
-	longest := s.lookupPrefix(j)
+	o := s.outlookOf(j)
 	urgent, known := false, false
 	for _, e := range s.ordered {
-		if !s.mayTake(j, e) || e.reserved != nil {
+		if !o.mayTake(j, e) || e.reserved != nil {
 			continue
 		}
-		c := s.estimate(j, e, longest)
+		c := s.estimate(j, e, &o)
 		if !known && e.free() > 0 && (e.pendingLong > 0 || s.long(c.uncached)) {
 			urgent, known = s.urgent(j), true
 		}
@@ -115,10 +115,38 @@
 	return open, waiting
 }
 
+// outlook is what all endpoints weighed for a job have in common, worked out once.
+type outlook struct {
+	// longest is the longest prefix of the prompt that any endpoint holds, in tokens.
+	longest int
+	// tokens is the expected length of the answer.
+	tokens float64
+	// remaining and budget are the seconds to the deadline and to the bound of the first token.
+	remaining, budget float64
+	// flight holds the attempts with the job's fingerprint, nil for none.
+	flight *flight
+}
+
+// outlookOf returns a job's outlook and fills the scratch of cached prefix lengths.
+func (s *Shard) outlookOf(j *job) outlook {
+	return outlook{
+		longest:   s.lookupPrefix(j),
+		tokens:    s.expectedTokens(j),
+		remaining: s.remaining(j),
+		budget:    s.firstTokenBudget(j),
+		flight:    s.suspects.flights[j.request.Fingerprint],
+	}
+}
+
+// mayTake reports whether an endpoint could serve a job at all.
+func (o *outlook) mayTake(j *job, e *endpoint) bool {
+	return e.open() && e.serves(j.request.Model) && !slices.Contains(j.request.Avoid, e.name) && o.flight.permits(e)
+}
+
 // mayTake reports whether an endpoint could serve a job at all.
 func (s *Shard) mayTake(j *job, e *endpoint) bool {
-	return e.open() && e.serves(j.request.Model) && !slices.Contains(j.request.Avoid, e.name) &&
-		s.suspects.flights[j.request.Fingerprint].permits(e)
+	o := outlook{flight: s.suspects.flights[j.request.Fingerprint]}
+	return o.mayTake(j, e)
 }
 
 // better returns the candidate to prefer: one in time before one that is not; with time to spare the least repeated
@@ -157,7 +185,7 @@
 }
 
 // estimate predicts how a job would fare on an endpoint.
-func (s *Shard) estimate(j *job, e *endpoint, longest int) candidate {
+func (s *Shard) estimate(j *job, e *endpoint, o *outlook) candidate {
 	cached := 0
 	if e.index < len(s.lengths) {
 		cached = min(s.lengths[e.index], j.request.PromptTokens-1)
@@ -167,12 +195,11 @@
 	rate := e.speed.rate()
 	c := candidate{endpoint: e, cached: cached, uncached: uncached}
 	c.first = defaultOverhead + float64(e.pendingPrefill+uncached)/rate
-	c.finish = c.first + s.expectedTokens(j)*e.speed.pace()
-	c.waste = max(0, longest-cached) + s.evicted(e, uncached)
+	c.finish = c.first + o.tokens*e.speed.pace()
+	c.waste = max(0, o.longest-cached) + s.evicted(e, uncached)
 	c.score = c.finish + wasteWeight*float64(c.waste)/rate
-	remaining, budget := s.remaining(j), s.firstTokenBudget(j)
-	c.inTime = c.finish <= remaining*deadlineMargin && c.first <= budget
-	c.comfortable = c.finish <= remaining*finishComfort && c.first <= budget*firstComfort
+	c.inTime = c.finish <= o.remaining*deadlineMargin && c.first <= o.budget
+	c.comfortable = c.finish <= o.remaining*finishComfort && c.first <= o.budget*firstComfort
 	return c
 }
 
--- a/internal/services/wigeonscheduler/preemption.go
+++ b/internal/services/wigeonscheduler/preemption.go
@@ -29,7 +29,7 @@
 	if s.spillTo(j, func(o *peerShard) bool { return o.summary.FreeSlots > 0 }) {
 		return true
 	}
-	longest := s.lookupPrefix(j)
+	o := s.outlookOf(j)
 	urgent := force || s.urgent(j)
 	pressing := urgent || s.firstTokenBudget(j) < pressingSeconds
 	short := s.expectedWait(j) > backlogSeconds
@@ -40,9 +40,9 @@
 		if v == nil {
 			continue
 		}
-		c := s.estimateWithout(j, e, longest, v.pendingTokens())
+		c := s.estimateWithout(j, e, &o, v.pendingTokens())
 		if force && !c.inTime {
-			c = s.estimateWithout(j, e, longest, s.lowerPrefill(e, j.rank()))
+			c = s.estimateWithout(j, e, &o, s.lowerPrefill(e, j.rank()))
 		}
 		if !c.inTime && c.finish > s.remaining(j) || !s.admits(j, c, urgent || short && e.pendingLong < maxShortLong) {
 			continue
@@ -59,7 +59,7 @@
 	if e.reserved != nil {
 		s.dropReservation(e.reserved)
 	}
-	if force && !s.estimate(j, e, longest).inTime {
+	if force && !s.estimate(j, e, &o).inTime {
 		s.preemptPrefills(e, j.rank())
 	}
 	s.grant(j, best)
@@ -85,9 +85,9 @@
 }
 
 // estimateWithout predicts how a job would fare on an endpoint once a number of prompt tokens has left it.
-func (s *Shard) estimateWithout(j *job, e *endpoint, longest, tokens int) candidate {
+func (s *Shard) estimateWithout(j *job, e *endpoint, o *outlook, tokens int) candidate {
 	e.pendingPrefill -= tokens
-	c := s.estimate(j, e, longest)
+	c := s.estimate(j, e, o)
 	e.pendingPrefill += tokens
 	return c
 }
--- a/internal/services/wigeonscheduler/quarantine.go
+++ b/internal/services/wigeonscheduler/quarantine.go
@@ -241,13 +241,13 @@
 	if j.reserved != nil && (!s.mayTake(j, j.reserved) || j.reserved.health != healthUp) {
 		s.dropReservation(j)
 	}
-	longest := s.lookupPrefix(j)
+	o := s.outlookOf(j)
 	var best candidate
 	for _, e := range s.ordered {
 		if !s.mayTake(j, e) || e.health != healthUp || e.reserved != nil && e.reserved != j {
 			continue
 		}
-		c := s.estimate(j, e, longest)
+		c := s.estimate(j, e, &o)
 		c.score += float64(e.running) * s.tokensPerAnswer() * e.speed.pace()
 		best = better(best, c)
 	}
@@ -265,7 +265,7 @@
 		return held
 	}
 	j.alone = true
-	s.grant(j, s.estimate(j, j.reserved, longest))
+	s.grant(j, s.estimate(j, j.reserved, &o))
 	return placed
 }
 
