--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -35,6 +35,13 @@
 	maxProbeInterval = 16 * time.Second
 )
 
+// Reasons for which an endpoint counts as a straggler, as labels of its counter.
+const (
+	slowFirstToken = "firstToken"
+	slowPaceReason = "pace"
+	slowOverdue    = "overdue"
+)
+
 // judgeFirstToken compares a first token's time with its expectation.
 func (s *Shard) judgeFirstToken(j *job, seconds float64) {
 	e := j.endpoint
@@ -51,7 +58,7 @@
 		return
 	}
 	if e.health == healthUp && e.delay.observe(ratio) {
-		s.markStraggler(e)
+		s.markStraggler(e, slowFirstToken)
 	}
 }
 
@@ -96,7 +103,7 @@
 		return
 	}
 	if pace > slowPace*e.speed.typicalPace && pace > 2*s.peerPace(e) {
-		s.markStraggler(e)
+		s.markStraggler(e, slowPaceReason)
 	}
 }
 
@@ -116,14 +123,14 @@
 }
 
 // markStraggler takes an endpoint out of ordinary placement.
-func (s *Shard) markStraggler(e *endpoint) {
+func (s *Shard) markStraggler(e *endpoint, reason string) {
 	if e.health != healthUp {
 		return
 	}
 	e.health = healthStraggler
 	e.probeEvery = s.settings.ProbeInterval
 	e.probeAt = s.now.Add(e.probeEvery)
-	s.count("stragglers", "")
+	s.count("stragglers", reason)
 	s.relieve(e)
 }
 
@@ -169,7 +176,7 @@
 	}
 	switch {
 	case silent || overdue > 0:
-		s.markStraggler(e)
+		s.markStraggler(e, slowOverdue)
 	case crowded > 0 && (e.boundedAt.IsZero() || s.now.Sub(e.boundedAt) > boundInterval):
 		e.boundedAt = s.now
 		e.boundCapacity(e.running - e.yielding - crowded)
