Judge no endpoint by the pace of a short answer

Ruled out: evictions (0 to 6,400 tokens repeated on the same engine). Change: answers under 32 tokens are not judged by their pace. The new test failed before.

--- a/cmd/policy.go
+++ b/cmd/policy.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
 	if err := os.WriteFile(filepath.Join(dir, "policy.json"), append(document, '\n'), 0o644); err != nil {
 		return err
 	}
--- a/internal/services/wigeonscheduler/attempt.go
+++ b/internal/services/wigeonscheduler/attempt.go
@@ -103,13 +103,15 @@
 	}
 	s.closeJob(j)
 	if pace > 0 {
+		if j.request.Model == "" || r.TokensDone >= minPaceTokens {
+			s.judgePace(e, pace)
+		}
 		s.observePace(e, pace)
 	}
 }
 
 // observePace learns from the pace of a finished stream, or from the time of a plain call.
 func (s *Shard) observePace(e *endpoint, pace float64) {
-	s.judgePace(e, pace)
 	if e.health == healthUp {
 		e.speed.observePace(pace)
 		s.adaptCapacity(e, pace)
--- a/internal/services/wigeonscheduler/straggler.go
+++ b/internal/services/wigeonscheduler/straggler.go
@@ -25,6 +25,9 @@
 	ratioBase   = 0.05
 	// slowPace is the pace against the endpoint's typical one that makes it a straggler.
 	slowPace = 4.0
+	// minPaceTokens is the least length of an answer whose pace is judged: the prefill of one long prompt beside it slows
+	// all of a shorter one.
+	minPaceTokens = 32
 	// recoveredFactor is the slowness against the typical speed up to which a probed endpoint is taken back.
 	recoveredFactor = 2.0
 	// probePromptTokens bounds the prompt of a request that probes a straggler.
--- a/internal/services/wigeonscheduler/straggler_test.go
+++ b/internal/services/wigeonscheduler/straggler_test.go
@@ -12,9 +12,8 @@
 
 var _ = Describe("The judgement on an endpoint's pace", func() {
 	// answer runs one request whose tokens come at a pace, and returns the endpoint's health.
-	answer := func(r *rig, id string, pace time.Duration) string {
+	finish := func(r *rig, id string, pace time.Duration, tokens int) string {
 		GinkgoHelper()
-		const tokens = 50
 		p := r.ask(id, 1, nil)[wigeonshift.RequestID(id)][0].Grant
 		Expect(p).NotTo(BeNil())
 		report := wigeonshift.AttemptReport{Request: p.Request, Shard: p.Shard, Token: p.Token, Endpoint: p.Endpoint}
@@ -26,12 +25,25 @@
 				report.Elapsed, report.TokensDone = time.Millisecond, 1
 			}
 			if state == wigeonshift.AttemptFinished {
-				report.Elapsed, report.TokensDone = time.Millisecond+(tokens-1)*pace, tokens
+				report.Elapsed, report.TokensDone = time.Millisecond+time.Duration(tokens-1)*pace, tokens
 			}
 			r.send(AttemptReported{Entry: "entry", Report: report})
 		}
 		return r.st.Shard.Status().Endpoints[0].Health
 	}
+	answer := func(r *rig, id string, pace time.Duration) string {
+		GinkgoHelper()
+		return finish(r, id, pace, 50)
+	}
+
+	It("does not blame an endpoint for a few tokens beside the prefill of a long prompt", func() {
+		r := newRig(1, nil)
+		healthy := ""
+		for i := range 5 {
+			healthy = answer(r, fmt.Sprint("usual", i), 12*time.Millisecond)
+		}
+		Expect(finish(r, "short", 100*time.Millisecond, 8)).To(Equal(healthy))
+	})
 
 	DescribeTable("against its typical pace",
 		func(typical, slow time.Duration, straggler bool) {
