--- a/cmd/config_test.go
+++ b/cmd/config_test.go
@@ -96,9 +96,10 @@
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		wg.Go(func() {
-			defer l.Close()
 			if c, err := l.Accept(); err == nil {
 				_, _ = c.Read(make([]byte, 1))
+				// The next dial must find nobody listening.
+				l.Close()
 				c.Close()
 			}
 		})
--- a/internal/modules/wigeonsession/heartbeat.go
+++ b/internal/modules/wigeonsession/heartbeat.go
@@ -78,11 +78,14 @@
 	}
 }
 
-// forgetUnused drops the state of a peer that was not used for long.
+// forgetUnused drops the state of a peer that was not used for long. A sender holds the peer's lock while it takes the
+// network's, so that waiting for the peer's here could end in a deadlock; a peer that is locked is in use.
 func (n *Network) forgetUnused(p *peer, now time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p.mu.Lock()
+	if !p.mu.TryLock() {
+		return
+	}
 	defer p.mu.Unlock()
 	if len(p.links) == 0 && !p.dialing && now-p.usedAt > forgetPeerAfter {
 		delete(n.peers, p.instance.ID)
