--- /dev/null
+++ b/cmd/wigeonrelay/serve.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"wigeonshift/internal/modules/wigeonlog"
+	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/routers/wigeongateway"
+	"wigeonshift/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// storeDialTimeout bounds a connect to the store.
+	storeDialTimeout = time.Second
+	// memoryShare is the part of the process's memory that the garbage collector keeps within.
+	memoryShare = 0.6
+)
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	Config string `short:"c" required:"" type:"path" env:"WIGEONSHIFT_CONFIG" help:"Settings file."`
+}
+
+// Run starts the instance, waits for a signal and drains.
+func (c *serveCommand) Run() error {
+	settings, err := wigeonsetting.LoadRelay(c.Config)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(settings.Limits.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMegabytes) * (1 << 20)))
+	out := wigeonlog.NewBounded(os.Stdout)
+	defer out.Close()
+	log, err := wigeonlog.New(settings.Log, out)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	r := &reloader{path: c.Config, settings: settings, log: log}
+	r.start()
+	defer r.stop()
+	gateway := wigeongateway.New(settings, wigeongateway.Platform{
+		Store:   platform.NewStore(settings.Platform.Address, dialStore),
+		Codec:   platform.Codec{},
+		Dialect: platform.Dialect{},
+	}, log)
+	if err := gateway.Start(context.Background()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return gateway.Stop()
+}
+
+// dialStore opens a connection to the store.
+func dialStore(address string) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, storeDialTimeout)
+}
+
+// reloader checks the settings file at SIGHUP. Addresses and limits of a running process stay as they are.
+type reloader struct {
+	path     string
+	settings wigeonsetting.Relay
+	log      logrus.FieldLogger
+	signals  chan os.Signal
+	done     chan struct{}
+}
+
+func (r *reloader) start() {
+	r.signals, r.done = make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(r.signals, syscall.SIGHUP)
+	go r.run()
+}
+
+func (r *reloader) stop() {
+	signal.Stop(r.signals)
+	close(r.signals)
+	<-r.done
+}
+
+func (r *reloader) run() {
+	defer close(r.done)
+	for range r.signals {
+		settings, err := wigeonsetting.LoadRelay(r.path)
+		if err != nil {
+			r.log.WithError(err).Error("settings can't be reloaded; the ones in force stay")
+			continue
+		}
+		changed := settings != r.settings
+		r.log.WithField("changed", changed).Info("settings reloaded; changes take effect at the next start")
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,8 @@
 	ErrOutcomeUnknown = errors.New("outcome unknown")
 	// ErrThrottled reports that a local or remote rate limit refused a call before it had any effect.
 	ErrThrottled = errors.New("rate limit exceeded")
+	// ErrHistoryLost reports changes that the store no longer holds; the table must be listed anew.
+	ErrHistoryLost = errors.New("history no longer held")
 )
 
 // Sentinel errors of endpoints. A dispatch error wraps exactly one of them.
--- a/internal/modules/wigeonsession/counter.go
+++ b/internal/modules/wigeonsession/counter.go
@@ -10,7 +10,7 @@
 var kindNames = []string{
 	"control", "permitAsk", "permitCancel", "attemptNotice", "runningNotice", "permitReply", "notOwner",
 	"ownerNotice", "shardSummary", "configurationPush", "configurationAsk", "configurationSnapshot",
-	"configurationHave", "ownerAsk",
+	"configurationHave", "ownerAsk", "loadNotice",
 }
 
 // kindControl is the index of frames that carry no message.
@@ -45,6 +45,8 @@
 		return 12
 	case wigeonshift.OwnerAsk:
 		return 13
+	case wigeonshift.LoadNotice:
+		return 14
 	default:
 		return kindControl
 	}
--- /dev/null
+++ b/internal/modules/wigeonwire/load.go
@@ -0,0 +1,48 @@
+package wigeonwire
+
+import (
+	"math"
+
+	"wigeonshift"
+)
+
+// loadOut encodes a load notice.
+func loadOut(m wigeonshift.LoadNotice) *LoadNotice {
+	out := &LoadNotice{ConfigurationVersion: m.ConfigurationVersion, Leaving: m.Leaving}
+	for _, e := range m.Endpoints {
+		out.Endpoints = append(out.Endpoints, &EndpointLoad{
+			Endpoint:       e.Endpoint,
+			Running:        countOut(e.Running),
+			PrefillTokens:  countOut(e.PrefillTokens),
+			ReservedTokens: countOut(e.ReservedTokens),
+		})
+	}
+	for _, o := range m.Organisations {
+		out.Organisations = append(out.Organisations, &OrganisationUse{Organisation: o.Organisation, Units: o.Units})
+	}
+	return out
+}
+
+// loadIn decodes a load notice.
+func loadIn(m *LoadNotice) wigeonshift.LoadNotice {
+	out := wigeonshift.LoadNotice{ConfigurationVersion: m.GetConfigurationVersion(), Leaving: m.GetLeaving()}
+	for _, e := range m.GetEndpoints() {
+		out.Endpoints = append(out.Endpoints, wigeonshift.EndpointLoad{
+			Endpoint:       e.GetEndpoint(),
+			Running:        int(e.GetRunning()),
+			PrefillTokens:  int(e.GetPrefillTokens()),
+			ReservedTokens: int(e.GetReservedTokens()),
+		})
+	}
+	for _, o := range m.GetOrganisations() {
+		out.Organisations = append(out.Organisations, wigeonshift.OrganisationUse{
+			Organisation: o.GetOrganisation(), Units: o.GetUnits(),
+		})
+	}
+	return out
+}
+
+// countOut encodes a count, which is never negative.
+func countOut(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxUint32)) //nolint:gosec // The value is within the range.
+}
--- a/internal/modules/wigeonwire/message.go
+++ b/internal/modules/wigeonwire/message.go
@@ -80,6 +80,8 @@
 		return &Frame{Body: &Frame_ConfigurationSnapshot{&ConfigurationSnapshot{
 			Version: m.Version, Document: m.Document,
 		}}}, nil
+	case wigeonshift.LoadNotice:
+		return &Frame{Body: &Frame_LoadNotice{loadOut(m)}}, nil
 	case wigeonshift.ConfigurationHave:
 		return &Frame{Body: &Frame_ConfigurationHave{&ConfigurationHave{Version: m.Version}}}, nil
 	default:
@@ -142,6 +144,8 @@
 		return wigeonshift.ConfigurationSnapshot{
 			Version: b.ConfigurationSnapshot.GetVersion(), Document: b.ConfigurationSnapshot.GetDocument(),
 		}, nil
+	case *Frame_LoadNotice:
+		return loadIn(b.LoadNotice), nil
 	case *Frame_ConfigurationHave:
 		return wigeonshift.ConfigurationHave{Version: b.ConfigurationHave.GetVersion()}, nil
 	default:
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -62,6 +62,14 @@
 		wigeonshift.ConfigurationAsk{Have: 8},
 		wigeonshift.ConfigurationSnapshot{Version: 8, Document: []byte("{}")},
 		wigeonshift.ConfigurationHave{Version: 8},
+		wigeonshift.LoadNotice{
+			ConfigurationVersion: 8,
+			Endpoints: []wigeonshift.EndpointLoad{
+				{Endpoint: "e", Running: 3, PrefillTokens: 900, ReservedTokens: 4000},
+			},
+			Organisations: []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5}},
+			Leaving:       []string{"f"},
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/services/wigeondispatch/attempt.go
@@ -0,0 +1,86 @@
+package wigeondispatch
+
+import "time"
+
+// retryFloor is the least advice to come back later.
+const retryFloor = 200 * time.Millisecond
+
+// end books the end of an attempt and decides what becomes of the request.
+func (s *State) end(ev Ended) {
+	j := s.jobs[ev.Job]
+	if j == nil || j.placed == nil {
+		return
+	}
+	e := j.placed
+	e.end(j)
+	j.placed = nil
+	s.learn(e, j, ev)
+	p := s.pool(j.Service)
+	switch ev.Outcome {
+	case OutcomeDone, OutcomeAbandoned:
+		delete(s.jobs, j.ID)
+	default:
+		s.recover(j, e, ev)
+	}
+	s.fill(p)
+}
+
+// learn takes what an attempt tells of its endpoint.
+func (s *State) learn(e *endpoint, j *Job, ev Ended) {
+	span := s.now - j.sentAt
+	switch ev.Outcome {
+	case OutcomeDone:
+		e.succeeded()
+		if j.firstAfter > 0 {
+			e.learnStep(ev.Events, span-j.firstAfter)
+		}
+		if e.pool.meanTime == 0 {
+			e.pool.meanTime = span
+		}
+		e.pool.meanTime += (span - e.pool.meanTime) / meanTimeSamples
+	case OutcomeAbandoned, OutcomeRejected, OutcomeMisplaced:
+	default:
+		if pause := e.failedAt(s.now); pause > 0 {
+			s.emit(Suspect{EndpointID: e.record.ID, For: pause, Failures: e.failures})
+		}
+	}
+}
+
+// meanTimeSamples is the number of requests over which the mean time in a slot is taken.
+const meanTimeSamples = 32
+
+// recover decides what becomes of a request whose attempt gave no answer.
+func (s *State) recover(j *Job, e *endpoint, ev Ended) {
+	ran := ev.Outcome == OutcomeLost || ev.Outcome == OutcomeFailed
+	if ev.Outcome == OutcomeNotSent {
+		// The endpoint never saw the request.
+		j.attempts--
+	}
+	j.failed = append(j.failed, e.record.ID)
+	again := j.attempts < j.MaxAttempts && j.Deadline-s.now > minTimeout
+	if ran {
+		again = again && j.repeatable() && ev.Answerable
+	}
+	if again && (j.attempts == 0 || s.mayResend(j)) {
+		s.pool(j.Service).queue.add(j)
+		return
+	}
+	switch {
+	case ev.Outcome == OutcomeFailed:
+		s.fail(j, ReasonEndpointFailed)
+	case ran || j.began:
+		s.fail(j, ReasonLost)
+	case j.attempts == 0:
+		s.refuse(j, ReasonNoEndpoint, s.retryAdvice(s.pool(j.Service), j))
+	default:
+		s.refuse(j, ReasonAttempts, s.retryAdvice(s.pool(j.Service), j))
+	}
+}
+
+// retryAdvice is the time after which a refused request may find a place: what waits in front of it has then been
+// placed. Requests of a lower tier come back later.
+func (s *State) retryAdvice(p *pool, j *Job) time.Duration {
+	left := j.Deadline - s.now
+	wait := time.Duration(float64(p.queue.ahead(int(j.Tier))) / s.ownThroughput(p) * float64(time.Second))
+	return min(max(wait, retryFloor), left/4)
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/job.go
@@ -0,0 +1,79 @@
+package wigeondispatch
+
+import (
+	"time"
+
+	"wigeonshift"
+)
+
+// JobID names a request within one instance and is never used twice.
+type JobID uint64
+
+// Job is one request that waits or runs.
+type Job struct {
+	ID JobID
+	// RequestID is the caller's id, for the log only.
+	RequestID string
+	Service   string
+	Tier      wigeonshift.TierRank
+	Kind      wigeonshift.RouteKind
+	// Resumable streams may go on at another endpoint after their last whole event.
+	Resumable    bool
+	Organisation string
+	// Arrived and Deadline are times on the instance's monotonic clock; no answer counts after Deadline.
+	Arrived  time.Duration
+	Deadline time.Duration
+	// Objective is the latency within which the first event, or a plain answer, is on time.
+	Objective time.Duration
+	// MaxAttempts is the largest number of endpoints that the request may be sent to.
+	MaxAttempts int
+	// HasTokens is set for requests to model engines.
+	HasTokens    bool
+	PromptTokens int
+	// AnswerTokens is the bound of the answer.
+	AnswerTokens int
+	// ExpectedAnswerTokens is an estimate that is never above AnswerTokens.
+	ExpectedAnswerTokens int
+	// Units is what the request takes of its organisation's quota.
+	Units float64
+
+	// attempts counts the endpoints that the request was sent to.
+	attempts int
+	// failed lists endpoints that must not get the request again.
+	failed []string
+	// placed is the endpoint of the running attempt, nil while the request waits.
+	placed *endpoint
+	// sentAt is the time of the running attempt's start.
+	sentAt time.Duration
+	// firstAfter is the time from the attempt's start to its first event, zero until then.
+	firstAfter time.Duration
+	// began is set once the caller has a part of the answer.
+	began bool
+	// charged is set while Units are booked on the organisation.
+	charged bool
+}
+
+// repeatable reports whether the request may be sent again after it may have run.
+func (j *Job) repeatable() bool {
+	return j.Kind == wigeonshift.RouteIdempotent || j.Kind == wigeonshift.RouteStreaming && j.Resumable
+}
+
+// hasFailedOn reports whether an endpoint failed the request before.
+func (j *Job) hasFailedOn(id string) bool {
+	for _, f := range j.failed {
+		if f == id {
+			return true
+		}
+	}
+	return false
+}
+
+// footprint is the engine memory that the request may need, in tokens.
+func (j *Job) footprint() int {
+	return j.PromptTokens + j.AnswerTokens
+}
+
+// onTime reports whether a first event at a time is within the objective.
+func (j *Job) onTime(at time.Duration) bool {
+	return j.Objective <= 0 || at-j.Arrived <= j.Objective
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/peer.go
@@ -0,0 +1,124 @@
+package wigeondispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"wigeonshift"
+)
+
+// peer is what another instance told of its load.
+type peer struct {
+	at    time.Duration
+	loads map[string]load
+}
+
+// report takes another instance's figures.
+func (s *State) report(name string, notice wigeonshift.LoadNotice) {
+	p := s.peers[name]
+	if p == nil {
+		p = &peer{}
+		s.peers[name] = p
+		s.shareQuotas()
+	}
+	p.at = s.now
+	fresh := make(map[string]load, len(notice.Endpoints))
+	for _, l := range notice.Endpoints {
+		fresh[l.Endpoint] = load{running: l.Running, prefill: l.PrefillTokens, reserved: l.ReservedTokens}
+	}
+	s.replaceLoads(p, fresh)
+	for _, u := range notice.Organisations {
+		if q := s.quotas[u.Organisation]; q != nil {
+			q.report(name, u.Units, s.now)
+		}
+	}
+	s.fillAll()
+}
+
+// replaceLoads exchanges one instance's part of the endpoints' sums.
+func (s *State) replaceLoads(p *peer, fresh map[string]load) {
+	for id, l := range p.loads {
+		if e := s.endpoints[id]; e != nil {
+			e.others = load{e.others.running - l.running, e.others.prefill - l.prefill, e.others.reserved - l.reserved}
+		}
+	}
+	for id, l := range fresh {
+		if e := s.endpoints[id]; e != nil {
+			e.others = load{e.others.running + l.running, e.others.prefill + l.prefill, e.others.reserved + l.reserved}
+		}
+	}
+	p.loads = fresh
+}
+
+// sumPeers adds all figures up anew after the endpoints have changed.
+func (s *State) sumPeers() {
+	for _, e := range s.endpoints {
+		e.others = load{}
+	}
+	for _, p := range s.peers {
+		loads := p.loads
+		p.loads = nil
+		s.replaceLoads(p, loads)
+	}
+}
+
+// losePeer forgets an instance's load.
+func (s *State) losePeer(name string) {
+	p := s.peers[name]
+	if p == nil {
+		return
+	}
+	s.dropPeer(name, p)
+	s.fillAll()
+}
+
+func (s *State) dropPeer(name string, p *peer) {
+	s.replaceLoads(p, nil)
+	delete(s.peers, name)
+	for _, q := range s.quotas {
+		q.forget(name)
+	}
+	s.shareQuotas()
+}
+
+// shareQuotas gives this instance and those that it hears of their part of the quotas.
+func (s *State) shareQuotas() {
+	share := min(float64(len(s.peers)+1)/float64(s.instances), 1)
+	for _, q := range s.quotas {
+		q.setShare(share, s.now)
+	}
+}
+
+// expirePeers forgets figures that are too old.
+func (s *State) expirePeers() {
+	for name, p := range s.peers {
+		if s.now-p.at > peerReportTimeout {
+			s.dropPeer(name, p)
+		}
+	}
+}
+
+// Load returns what this instance runs and has used, in order of names.
+func (s *State) Load() wigeonshift.LoadNotice {
+	var out wigeonshift.LoadNotice
+	for id, e := range s.endpoints {
+		if e.own.running > 0 {
+			out.Endpoints = append(out.Endpoints, wigeonshift.EndpointLoad{
+				Endpoint: id, Running: e.own.running, PrefillTokens: e.own.prefill, ReservedTokens: e.own.reserved,
+			})
+		}
+	}
+	for name, q := range s.quotas {
+		if q.used > 0 {
+			out.Organisations = append(out.Organisations, wigeonshift.OrganisationUse{Organisation: name, Units: q.used})
+		}
+	}
+	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
+		return strings.Compare(a.Endpoint, b.Endpoint)
+	})
+	slices.SortFunc(out.Organisations, func(a, b wigeonshift.OrganisationUse) int {
+		return strings.Compare(a.Organisation, b.Organisation)
+	})
+	return out
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/pool.go
@@ -0,0 +1,61 @@
+package wigeondispatch
+
+import (
+	"sort"
+	"time"
+
+	"wigeonshift"
+)
+
+// pool is one service with its endpoints and the requests that wait for them.
+type pool struct {
+	name    string
+	profile *wigeonshift.EngineProfile
+	// endpoints are ordered by id, so that equal choices are made alike on every run.
+	endpoints []*endpoint
+	queue     queue
+	// meanTime is a moving average of the time that a request keeps its slot.
+	meanTime time.Duration
+}
+
+// eventTokens is the number of tokens in one event of a stream.
+func (p *pool) eventTokens() int {
+	if p.profile == nil || p.profile.EventTokens <= 0 {
+		return 1
+	}
+	return p.profile.EventTokens
+}
+
+// typicalSpeed returns the mean of the endpoints' speeds.
+func (p *pool) typicalSpeed() (step, prefill, plain time.Duration) {
+	n := time.Duration(len(p.endpoints))
+	if n == 0 {
+		return defaultStepTime, defaultPrefillTime, defaultPlainTime
+	}
+	for _, e := range p.endpoints {
+		step += e.step
+		prefill += e.prefill
+		plain += e.plain
+	}
+	return step / n, prefill / n, plain / n
+}
+
+// sorted puts the endpoints in order.
+func (p *pool) sorted() {
+	sort.Slice(p.endpoints, func(i, k int) bool { return p.endpoints[i].record.ID < p.endpoints[k].record.ID })
+}
+
+// throughput is the number of requests that the pool ends in a second.
+func (p *pool) throughput(at time.Duration) float64 {
+	slots := 0
+	for _, e := range p.endpoints {
+		if e.usable(at) {
+			slots += e.slots()
+		}
+	}
+	mean := p.meanTime
+	if mean <= 0 {
+		mean = defaultPlainTime
+	}
+	return float64(slots) / mean.Seconds()
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/quota.go
@@ -0,0 +1,89 @@
+package wigeondispatch
+
+import (
+	"time"
+
+	"wigeonshift"
+)
+
+// quota is an organisation's allowance as a token bucket over all instances.
+type quota struct {
+	rate, burst float64
+	// level is what is left of the bucket.
+	level float64
+	// filledAt is the time of the last refill.
+	filledAt time.Duration
+	// share is the part of the quota that the instances in contact with this one may use, from 0 to 1.
+	share float64
+	// used is the sum of this instance's own use since its start.
+	used float64
+	// peers holds the last known use of the other instances.
+	peers map[string]float64
+}
+
+func newQuota(o wigeonshift.RoutedOrganisation, at time.Duration) *quota {
+	return &quota{rate: o.UnitsPerSecond, burst: o.Burst, level: o.Burst, filledAt: at, share: 1, peers: map[string]float64{}}
+}
+
+// update takes a new limit over; what was used stays used.
+func (q *quota) update(o wigeonshift.RoutedOrganisation, at time.Duration) {
+	q.refill(at)
+	q.rate, q.burst = o.UnitsPerSecond, o.Burst
+	q.level = min(q.level, q.burst)
+}
+
+func (q *quota) refill(at time.Duration) {
+	if at > q.filledAt {
+		q.level = min(q.burst*q.share, q.level+q.rate*q.share*(at-q.filledAt).Seconds())
+		q.filledAt = at
+	}
+}
+
+// take books units and reports whether the quota allows them.
+func (q *quota) take(units float64, at time.Duration) bool {
+	if q.rate <= 0 {
+		q.used += units
+		return true
+	}
+	q.refill(at)
+	if q.level < units {
+		return false
+	}
+	q.level -= units
+	q.used += units
+	return true
+}
+
+// giveBack returns the units of a request that was refused.
+func (q *quota) giveBack(units float64, at time.Duration) {
+	q.refill(at)
+	q.level = min(q.burst, q.level+units)
+	q.used -= units
+}
+
+// report takes the use of another instance since its start.
+func (q *quota) report(peer string, used float64, at time.Duration) {
+	q.refill(at)
+	before, known := q.peers[peer]
+	q.peers[peer] = used
+	if known && q.rate > 0 {
+		q.level = min(q.burst, q.level-(used-before))
+	}
+}
+
+// setShare sets the part of the quota that the instances in contact may use.
+func (q *quota) setShare(share float64, at time.Duration) {
+	q.refill(at)
+	q.share = share
+}
+
+// forget drops the figures of an instance that is no longer heard of. Its use meanwhile comes from its own share.
+func (q *quota) forget(peer string) { delete(q.peers, peer) }
+
+// waitFor is the time until units are there.
+func (q *quota) waitFor(units float64) time.Duration {
+	if q.rate <= 0 || q.level >= units {
+		return 0
+	}
+	return time.Duration((units - q.level) / q.rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/reducer.go
@@ -0,0 +1,322 @@
+package wigeondispatch
+
+import (
+	"sort"
+	"time"
+
+	"wigeonshift"
+)
+
+// State is what one instance knows of load and endpoints. Its methods must not be called at the same time.
+type State struct {
+	settings  Settings
+	now       time.Duration
+	pools     map[string]*pool
+	endpoints map[string]*endpoint
+	jobs      map[JobID]*Job
+	quotas    map[string]*quota
+	peers     map[string]*peer
+	budgets   map[string]*budget
+	// instances is the number of instances, this one included, at least 1.
+	instances int
+	effects   []Effect
+}
+
+// New returns the state of an instance that knows nothing yet.
+func New(settings Settings) *State {
+	return &State{
+		settings:  settings,
+		pools:     map[string]*pool{},
+		endpoints: map[string]*endpoint{},
+		jobs:      map[JobID]*Job{},
+		quotas:    map[string]*quota{},
+		peers:     map[string]*peer{},
+		budgets:   map[string]*budget{},
+		instances: 1,
+	}
+}
+
+// Reduce takes an event and returns what is to be done about it.
+func (s *State) Reduce(e Event) []Effect {
+	s.effects = nil
+	switch e := e.(type) {
+	case Configured:
+		s.advance(e.At)
+		s.configure(e.Configuration)
+	case EndpointsListed:
+		s.advance(e.At)
+		s.listEndpoints(e.Records)
+	case Arrived:
+		s.advance(e.At)
+		s.arrive(e.Job)
+	case Began:
+		s.advance(e.At)
+		s.begin(e.Job)
+	case Ended:
+		s.advance(e.At)
+		s.end(e)
+	case Left:
+		s.advance(e.At)
+		s.leave(e.Job)
+	case PeerReported:
+		s.advance(e.At)
+		s.report(e.Peer, e.Load)
+	case PeerLost:
+		s.advance(e.At)
+		s.losePeer(e.Peer)
+	case InstancesListed:
+		s.advance(e.At)
+		s.instances = max(e.Count, 1)
+		s.shareQuotas()
+	case Ticked:
+		s.advance(e.At)
+		s.tick()
+	}
+	return s.effects
+}
+
+// advance moves the clock, which never goes back.
+func (s *State) advance(at time.Duration) { s.now = max(s.now, at) }
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// configure takes services and organisations over and keeps what is known of those that stay.
+func (s *State) configure(c *wigeonshift.RoutingConfiguration) {
+	for i := range c.Services {
+		s.pool(c.Services[i].Name).profile = c.Services[i].Engine
+	}
+	for _, o := range c.Organisations {
+		if q := s.quotas[o.Name]; q != nil {
+			q.update(o, s.now)
+		} else {
+			s.quotas[o.Name] = newQuota(o, s.now)
+		}
+	}
+	s.shareQuotas()
+}
+
+// pool returns the pool of a service and makes it when it is new.
+func (s *State) pool(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// listEndpoints replaces the endpoints and keeps what is known of those that stay.
+func (s *State) listEndpoints(records []wigeonshift.EndpointRecord) {
+	listed := map[string]bool{}
+	for _, r := range records {
+		listed[r.ID] = true
+		e := s.endpoints[r.ID]
+		if e != nil && e.record.Born == r.Born && e.record.Service == r.Service {
+			e.record = r
+			continue
+		}
+		p := s.pool(r.Service)
+		fresh := newEndpoint(r, p)
+		if e != nil {
+			s.dropEndpoint(e)
+		}
+		s.endpoints[r.ID] = fresh
+		p.endpoints = append(p.endpoints, fresh)
+		p.sorted()
+	}
+	for id, e := range s.endpoints {
+		if !listed[id] {
+			s.dropEndpoint(e)
+		}
+	}
+	s.sumPeers()
+	s.fillAll()
+}
+
+// dropEndpoint forgets an endpoint; its running requests still hold it until they end.
+func (s *State) dropEndpoint(e *endpoint) {
+	delete(s.endpoints, e.record.ID)
+	e.record.Leaving = true
+	for i, x := range e.pool.endpoints {
+		if x == e {
+			e.pool.endpoints = append(e.pool.endpoints[:i], e.pool.endpoints[i+1:]...)
+			return
+		}
+	}
+}
+
+// arrive takes a new request in: it is placed, waits, or is refused.
+func (s *State) arrive(j *Job) {
+	s.jobs[j.ID] = j
+	s.budget(j.Service).request(s.now)
+	if !s.charge(j) {
+		return
+	}
+	p := s.pool(j.Service)
+	if len(p.endpoints) == 0 {
+		s.refuse(j, ReasonNoEndpoint, endpointFullRetry)
+		return
+	}
+	if s.tooLate(p, j) {
+		s.refuse(j, ReasonOverload, s.retryAdvice(p, j))
+		return
+	}
+	p.queue.add(j)
+	s.fill(p)
+}
+
+// charge books a request on its organisation's quota and refuses it when the quota is used up.
+func (s *State) charge(j *Job) bool {
+	q := s.quotas[j.Organisation]
+	if q == nil {
+		return true
+	}
+	if !q.take(j.Units, s.now) {
+		s.refuse(j, ReasonQuota, q.waitFor(j.Units))
+		return false
+	}
+	j.charged = true
+	return true
+}
+
+// tooLate reports whether a request would wait longer than it may.
+func (s *State) tooLate(p *pool, j *Job) bool {
+	waiting := float64(p.queue.ahead(int(j.Tier)))
+	if waiting == 0 {
+		return false
+	}
+	wait := time.Duration(waiting / s.ownThroughput(p) * float64(time.Second))
+	return wait > s.holdLimit(j)
+}
+
+// ownThroughput is this instance's part of the pool's throughput, in requests a second.
+func (s *State) ownThroughput(p *pool) float64 {
+	own, all := 1, s.instances
+	for _, e := range p.endpoints {
+		own += e.own.running
+		all += e.running()
+	}
+	return max(p.throughput(s.now)*float64(own)/float64(all), 1)
+}
+
+// holdLimit is how long a request may wait.
+func (s *State) holdLimit(j *Job) time.Duration {
+	return time.Duration(holdShare * float64(j.Deadline-j.Arrived))
+}
+
+// fillAll places what waits in every service.
+func (s *State) fillAll() {
+	names := make([]string, 0, len(s.pools))
+	for name := range s.pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		s.fill(s.pools[name])
+	}
+}
+
+// fill places waiting requests, the most valuable first, and refuses those whose time to wait is over.
+func (s *State) fill(p *pool) {
+	if len(p.queue.jobs) == 0 {
+		return
+	}
+	for _, j := range p.queue.ordered(s.now) {
+		if s.now-j.Arrived > s.holdLimit(j) {
+			p.queue.remove(j)
+			s.refuse(j, ReasonDeadline, s.retryAdvice(p, j))
+			continue
+		}
+		if e := s.place(p, j); e != nil {
+			p.queue.remove(j)
+			s.dispatch(e, j)
+		}
+	}
+}
+
+// dispatch sends a request to an endpoint.
+func (s *State) dispatch(e *endpoint, j *Job) {
+	running := e.running()
+	e.start(j)
+	j.placed, j.sentAt, j.firstAfter = e, s.now, 0
+	j.attempts++
+	s.emit(Dispatch{
+		Job:        j.ID,
+		EndpointID: e.record.ID,
+		Address:    e.record.Address,
+		Attempt:    j.attempts,
+		Timeout:    j.Deadline - s.now,
+		Running:    running,
+		Waited:     s.now - j.Arrived,
+	})
+}
+
+// begin books the first event of an attempt.
+func (s *State) begin(id JobID) {
+	j := s.jobs[id]
+	if j == nil || j.placed == nil || j.firstAfter > 0 {
+		return
+	}
+	j.firstAfter = max(s.now-j.sentAt, 1)
+	j.began = true
+	e := j.placed
+	e.began(j)
+	if e.running() <= e.slots() {
+		e.learnFirst(j, j.firstAfter)
+	}
+}
+
+// leave forgets a request whose caller has gone or whose time is up. A running attempt reports its end by itself.
+func (s *State) leave(id JobID) {
+	j := s.jobs[id]
+	if j == nil || j.placed != nil {
+		return
+	}
+	p := s.pool(j.Service)
+	if p.queue.remove(j) {
+		s.giveBack(j)
+	}
+	delete(s.jobs, id)
+}
+
+// refuse answers a request that did not run.
+func (s *State) refuse(j *Job, reason Reason, wait time.Duration) {
+	s.giveBack(j)
+	delete(s.jobs, j.ID)
+	s.emit(Refuse{Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(s.pool(j.Service).queue.jobs)})
+}
+
+// giveBack returns what a request took of its organisation's quota.
+func (s *State) giveBack(j *Job) {
+	if q := s.quotas[j.Organisation]; q != nil && j.charged {
+		q.giveBack(j.Units, s.now)
+		j.charged = false
+	}
+}
+
+// fail answers a request that ran or may have run.
+func (s *State) fail(j *Job, reason Reason) {
+	delete(s.jobs, j.ID)
+	s.emit(Fail{Job: j.ID, Reason: reason})
+}
+
+// tick lets time pass for what waits and for figures that grow old.
+func (s *State) tick() {
+	s.expirePeers()
+	s.fillAll()
+}
+
+// budget returns the resend budget of a service.
+func (s *State) budget(service string) *budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = newBudget(s.settings)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// mayResend books a resend and reports whether it is allowed.
+func (s *State) mayResend(j *Job) bool {
+	return s.budget(j.Service).resend(s.now, s.settings.RetrySlack/float64(s.instances))
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/settings.go
@@ -0,0 +1,41 @@
+package wigeondispatch
+
+import "time"
+
+// Settings are the bounds that the deployment gives.
+type Settings struct {
+	// RetryRatio is the share of requests that may be sent once more, over all instances.
+	RetryRatio float64
+	// RetrySlack is the number of resends allowed in a window besides, over all instances.
+	RetrySlack float64
+	// RetryWindow is the span in which resends are counted.
+	RetryWindow time.Duration
+	// Zone is the availability zone of this instance.
+	Zone string
+}
+
+const (
+	// peerReportTimeout is the age at which another instance's figures are no longer used.
+	peerReportTimeout = 2 * time.Second
+	// endpointFullRetry is the advice when no endpoint is known.
+	endpointFullRetry = 500 * time.Millisecond
+	// lateShare is what an answer after its objective is worth to the caller compared with one on time.
+	lateShare = 0.3
+	// tierShare is what a request is worth compared with one of the next higher tier.
+	tierShare = 0.5
+	// holdShare is the share of a request's time that it may wait for an endpoint.
+	holdShare = 0.45
+	// queueTarget is the largest time that a request waits in an endpoint's own queue by choice.
+	queueTarget = 400 * time.Millisecond
+	// minTimeout is the least time left with which a request is sent.
+	minTimeout = 20 * time.Millisecond
+)
+
+// overshoot is the number of requests beyond its slots that an endpoint may get, by tier: its own queue keeps it busy
+// until instances learn of a free slot. Lower tiers leave that place to higher ones.
+var overshoot = [...]int{2, 1, 0}
+
+// overshootOf returns the entry of a tier.
+func overshootOf(tier int) int {
+	return overshoot[min(max(tier, 0), len(overshoot)-1)]
+}
--- /dev/null
+++ b/internal/services/wigeonfollow/follower.go
@@ -0,0 +1,133 @@
+package wigeonfollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"wigeonshift"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// followWait is how long the store holds a question without changes. It bounds how long a connection that has gone
+	// silent stays unnoticed.
+	followWait = 2500 * time.Millisecond
+	// answerTimeout bounds an answer beyond the wait.
+	answerTimeout = 800 * time.Millisecond
+	// listTimeout bounds an answer with a whole table.
+	listTimeout = 2 * time.Second
+	// retryBase and retryMax bound the pause after a failed call.
+	retryBase = 60 * time.Millisecond
+	retryMax  = 500 * time.Millisecond
+)
+
+// table is what a loop hands its rows to.
+type table interface {
+	// replace takes all rows of the table.
+	replace(rows []wigeonshift.TableRow)
+	// change takes changed rows.
+	change(rows []wigeonshift.TableRow)
+	// lost tells that the store has stopped answering, regained that it answers again.
+	lost()
+	regained()
+}
+
+// follower follows one table.
+type follower struct {
+	store wigeonshift.RoutingStore
+	which wigeonshift.RoutingTable
+	name  string
+	into  table
+	log   logrus.FieldLogger
+
+	listed   bool
+	revision uint64
+	failing  bool
+	failures int
+}
+
+// run follows the table until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			f.succeeded()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, wigeonshift.ErrHistoryLost) {
+			f.log.WithField("table", f.name).Warn("store has dropped its history; the table is listed anew")
+			f.listed = false
+			continue
+		}
+		f.failed(err)
+		sleep(ctx, f.pause())
+	}
+}
+
+// step makes one call.
+func (f *follower) step(ctx context.Context) error {
+	if !f.listed {
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		page, err := f.store.List(call, f.which)
+		if err != nil {
+			return err
+		}
+		f.succeeded()
+		f.into.replace(page.Rows)
+		f.listed, f.revision = true, page.Revision
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, followWait+answerTimeout)
+	defer cancel()
+	page, err := f.store.Follow(call, f.which, f.revision, followWait)
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	if len(page.Rows) > 0 {
+		f.into.change(page.Rows)
+	}
+	f.revision = max(f.revision, page.Revision)
+	return nil
+}
+
+func (f *follower) succeeded() {
+	if f.failing {
+		f.failing = false
+		f.into.regained()
+		f.log.WithFields(logrus.Fields{"table": f.name, "failures": f.failures}).Info("store regained")
+	}
+	f.failures = 0
+}
+
+func (f *follower) failed(err error) {
+	f.failures++
+	if !f.failing {
+		f.failing = true
+		f.into.lost()
+		f.log.WithError(err).WithField("table", f.name).Warn("store lost")
+	}
+}
+
+// pause is the time to the next call after a failure, spread so that instances don't call together.
+func (f *follower) pause() time.Duration {
+	pause := min(retryBase<<min(f.failures-1, 6), retryMax)
+	return pause/2 + rand.N(pause) //nolint:gosec // The draw spreads load and protects nothing.
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/services/wigeonrelay/service.go
@@ -0,0 +1,201 @@
+package wigeonrelay
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeondispatch"
+	"wigeonshift/internal/services/wigeonroute"
+	"wigeonshift/internal/services/wigeonupstream"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+)
+
+// Settings are the limits towards callers.
+type Settings struct {
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int
+	// MaxHeaderBytes bounds a request's line and headers.
+	MaxHeaderBytes int
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// ReadTimeout bounds the time to read one request.
+	ReadTimeout time.Duration
+	// WriteTimeout bounds the time in which a caller takes no byte of an answer.
+	WriteTimeout time.Duration
+	// IdleTimeout bounds the time between two requests of a connection.
+	IdleTimeout time.Duration
+}
+
+// Service relays requests.
+type Service struct {
+	settings   Settings
+	dialect    wigeonshift.WireDialect
+	dispatcher *Dispatcher
+	pool       *wigeonupstream.Pool
+	log        logrus.FieldLogger
+	scope      tally.Scope
+	table      atomic.Pointer[wigeonroute.Table]
+	draining   atomic.Bool
+	server     *fasthttp.Server
+	listener   net.Listener
+	tasks      conc.WaitGroup
+}
+
+// New returns a service that is ready to Start.
+func New(
+	settings Settings, dialect wigeonshift.WireDialect, dispatcher *Dispatcher, pool *wigeonupstream.Pool,
+	log logrus.FieldLogger, scope tally.Scope,
+) *Service {
+	s := &Service{
+		settings:   settings,
+		dialect:    dialect,
+		dispatcher: dispatcher,
+		pool:       pool,
+		log:        log,
+		scope:      scope,
+	}
+	s.server = &fasthttp.Server{
+		Handler:                      s.handle,
+		ReadBufferSize:               settings.MaxHeaderBytes,
+		MaxRequestBodySize:           settings.MaxBodyBytes,
+		Concurrency:                  settings.MaxConnections,
+		ReadTimeout:                  settings.ReadTimeout,
+		IdleTimeout:                  settings.IdleTimeout,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       s.log,
+	}
+	return s
+}
+
+// SetTable puts a configuration in force.
+func (s *Service) SetTable(t *wigeonroute.Table) { s.table.Store(t) }
+
+// Table returns the configuration in force, nil when there is none yet.
+func (s *Service) Table() *wigeonroute.Table { return s.table.Load() }
+
+// Start serves a listener until Stop. It returns at once.
+func (s *Service) Start(l net.Listener) {
+	s.listener = &listener{Listener: l, timeout: s.settings.WriteTimeout}
+	s.tasks.Go(s.run)
+}
+
+func (s *Service) run() {
+	if err := s.server.Serve(s.listener); err != nil {
+		s.log.WithError(err).Error("serving callers ended")
+	}
+}
+
+// Drain lets every answer close its connection.
+func (s *Service) Drain() { s.draining.Store(true) }
+
+// Stop closes the listener and waits for open answers until ctx ends.
+func (s *Service) Stop(ctx context.Context) error {
+	if err := s.server.ShutdownWithContext(ctx); err != nil {
+		return oops.In("relay").Wrapf(err, "stop")
+	}
+	s.tasks.Wait()
+	return nil
+}
+
+// handle serves one request.
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	h := s.dialect.ReadCall(&ctx.Request.Header)
+	table := s.table.Load()
+	if table == nil {
+		s.reject(ctx, h, fasthttp.StatusServiceUnavailable, "noConfiguration", noConfigurationRetry)
+		return
+	}
+	path, _, _ := strings.Cut(string(ctx.Request.Header.RequestURI()), "?")
+	route := table.Route(string(ctx.Request.Header.Host()), path)
+	if route == nil {
+		s.reject(ctx, h, fasthttp.StatusNotFound, "noRoute", 0)
+		return
+	}
+	var organisation *wigeonshift.RoutedOrganisation
+	if table.NeedsKey(route) {
+		organisation = table.Organisation(h.Key)
+		if organisation == nil {
+			s.reject(ctx, h, fasthttp.StatusUnauthorized, "unknownKey", 0)
+			return
+		}
+	}
+	s.newCall(ctx, h, table, route, organisation).run()
+}
+
+// noConfigurationRetry is the advice to callers while the instance knows no configuration.
+const noConfigurationRetry = 300 * time.Millisecond
+
+// reject answers a request that has no route or no caller.
+func (s *Service) reject(
+	ctx *fasthttp.RequestCtx, h wigeonshift.CallHeader, status int, reason string, wait time.Duration,
+) {
+	s.refusal(ctx, h.RequestID, status, wait)
+	version := uint64(0)
+	if t := s.table.Load(); t != nil {
+		version = t.Configuration.Version
+	}
+	s.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+	s.log.WithFields(logrus.Fields{
+		"request": h.RequestID, "status": status, "reason": reason, "version": version,
+	}).Info("request rejected")
+}
+
+// refusal sets an answer of the system's own.
+func (s *Service) refusal(ctx *fasthttp.RequestCtx, requestID string, status int, wait time.Duration) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	s.dialect.WriteRefusal(&ctx.Response.Header, requestID, wait)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// refuse answers a request that did not run.
+func (c *call) refuse(d wigeondispatch.Refuse) {
+	status := fasthttp.StatusServiceUnavailable
+	if d.Reason == wigeondispatch.ReasonQuota {
+		status = fasthttp.StatusTooManyRequests
+	}
+	c.service.refusal(c.http, c.header.RequestID, status, d.RetryAfter)
+	c.service.scope.Tagged(map[string]string{"reason": string(d.Reason)}).Counter("refusals").Inc(1)
+	c.finish("refused", logrus.Fields{
+		"status": status, "reason": string(d.Reason), "retryAfterMs": d.RetryAfter.Milliseconds(), "waiting": d.Waiting,
+		"organisation": c.job.Organisation,
+	})
+}
+
+// fail answers a request that ran or may have run.
+func (c *call) fail(reason wigeondispatch.Reason) {
+	status := fasthttp.StatusBadGateway
+	if c.ctx.Err() != nil {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	c.service.refusal(c.http, c.header.RequestID, status, 0)
+	c.service.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("failures").Inc(1)
+	c.finish("failed", logrus.Fields{"status": status, "reason": string(reason)})
+}
+
+// count books a call's end.
+func (s *Service) count(c *call, outcome string) {
+	tagged := s.scope.Tagged(map[string]string{"outcome": outcome})
+	tagged.Counter("requests").Inc(1)
+	if c.firstAt > 0 {
+		tagged.Histogram("firstSeconds", latencyBuckets).RecordDuration(c.firstAt)
+	}
+}
+
+// latencyBuckets are the bounds of the latency histogram.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
--- a/peer.go
+++ b/peer.go
@@ -92,6 +92,35 @@
 	}
 )
 
+// Messages between instances that decide for themselves.
+type (
+	// EndpointLoad is what the sender runs on one endpoint.
+	EndpointLoad struct {
+		Endpoint string
+		Running  int
+		// PrefillTokens is the sum of the prompts without a first event.
+		PrefillTokens int
+		// ReservedTokens is the memory that the running requests may need.
+		ReservedTokens int
+	}
+	// OrganisationUse is what the sender has used of an organisation's quota since its start.
+	OrganisationUse struct {
+		Organisation string
+		Units        float64
+	}
+	// LoadNotice tells the load that the sender puts on endpoints.
+	LoadNotice struct {
+		// ConfigurationVersion is the version in force at the sender, 0 when it has none.
+		ConfigurationVersion uint64
+		// Endpoints lists every endpoint on which the sender runs requests.
+		Endpoints     []EndpointLoad
+		Organisations []OrganisationUse
+		// Leaving lists endpoints that the sender knows to be leaving or gone.
+		Leaving []string
+	}
+)
+
+func (LoadNotice) peerMessage()            {}
 func (PermitAsk) peerMessage()             {}
 func (PermitCancel) peerMessage()          {}
 func (AttemptNotice) peerMessage()         {}
