Grant part of the quota's tolerance, so that no request within an organisation's limit is refused

Change: 60 % of the overage and 40 % of the slack are granted; the rest covers what instances grant before they hear of each other.

--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -18,6 +18,7 @@
 	Platform RelayPlatform `toml:"platform"`
 	Limits   RelayLimits   `toml:"limits"`
 	Retry    RelayRetry    `toml:"retry"`
+	Quota    RelayQuota    `toml:"quota"`
 	Drain    RelayDrain    `toml:"drain"`
 	Log      Log           `toml:"log"`
 	Metrics  RelayMetrics  `toml:"metrics"`
@@ -69,6 +70,13 @@
 	Window wigeontoml.Duration `toml:"window" validate:"min=1000000"`
 }
 
+// RelayQuota says how far an organisation's use may exceed its quota.
+type RelayQuota struct {
+	// Overage is the share of the quota, Slack the number of units besides.
+	Overage float64 `toml:"overage" validate:"min=0,max=1"`
+	Slack   float64 `toml:"slack" validate:"min=0"`
+}
+
 // RelayDrain holds the settings of a planned stop.
 type RelayDrain struct {
 	// Timeout is the time after which the process is killed.
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -86,10 +86,12 @@
 	}
 	scope := g.metrics.Scope()
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio:  s.Retry.Ratio,
-		RetrySlack:  s.Retry.Slack,
-		RetryWindow: s.Retry.Window.Duration,
-		Zone:        s.Node.Zone,
+		RetryRatio:   s.Retry.Ratio,
+		RetrySlack:   s.Retry.Slack,
+		RetryWindow:  s.Retry.Window.Duration,
+		QuotaOverage: s.Quota.Overage,
+		QuotaSlack:   s.Quota.Slack,
+		Zone:         s.Node.Zone,
 	}, log, scope)
 	g.pool = wigeonupstream.New(p.Dialect)
 	g.relay = wigeonrelay.New(wigeonrelay.Settings{
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -8,7 +8,7 @@
 
 // quota is an organisation's allowance as a token bucket over all instances.
 type quota struct {
-	rate, burst float64
+	limit
 	// level is what is left of the bucket.
 	level float64
 	// filledAt is the time of the last refill.
@@ -21,14 +21,29 @@
 	peers map[string]float64
 }
 
-func newQuota(o wigeonshift.RoutedOrganisation, at time.Duration) *quota {
-	return &quota{rate: o.UnitsPerSecond, burst: o.Burst, level: o.Burst, filledAt: at, share: 1, peers: map[string]float64{}}
+func newQuota(l limit, at time.Duration) *quota {
+	return &quota{limit: l, level: l.burst, filledAt: at, share: 1, peers: map[string]float64{}}
+}
+
+// limit is a rate in units a second and a burst in units.
+type limit struct {
+	rate, burst float64
+}
+
+// limitOf returns an organisation's limit with the part of the tolerance that is granted.
+func (s Settings) limitOf(o wigeonshift.RoutedOrganisation) limit {
+	factor := 1 + s.QuotaOverage*overageShare
+	l := limit{rate: o.UnitsPerSecond * factor, burst: o.Burst * factor}
+	if o.CountsTokens {
+		l.burst += s.QuotaSlack * slackShare
+	}
+	return l
 }
 
 // update takes a new limit over; what was used stays used.
-func (q *quota) update(o wigeonshift.RoutedOrganisation, at time.Duration) {
+func (q *quota) update(l limit, at time.Duration) {
 	q.refill(at)
-	q.rate, q.burst = o.UnitsPerSecond, o.Burst
+	q.limit = l
 	q.level = min(q.level, q.burst)
 }
 
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -87,9 +87,9 @@
 	}
 	for _, o := range c.Organisations {
 		if q := s.quotas[o.Name]; q != nil {
-			q.update(o, s.now)
+			q.update(s.settings.limitOf(o), s.now)
 		} else {
-			s.quotas[o.Name] = newQuota(o, s.now)
+			s.quotas[o.Name] = newQuota(s.settings.limitOf(o), s.now)
 		}
 	}
 	s.shareQuotas()
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -10,6 +10,10 @@
 	RetrySlack float64
 	// RetryWindow is the span in which resends are counted.
 	RetryWindow time.Duration
+	// QuotaOverage is the share by which an organisation's use may exceed its quota in a window.
+	QuotaOverage float64
+	// QuotaSlack is the number of units by which it may do so besides.
+	QuotaSlack float64
 	// Zone is the availability zone of this instance.
 	Zone string
 }
@@ -27,6 +31,10 @@
 	holdShare = 0.45
 	// queueTarget is the largest time that a request waits in an endpoint's own queue by choice.
 	queueTarget = 400 * time.Millisecond
+	// overageShare and slackShare are the parts of the quota's tolerance that are granted; the rest covers what
+	// instances grant before they hear of each other.
+	overageShare = 0.6
+	slackShare   = 0.4
 	// minTimeout is the least time left with which a request is sent.
 	minTimeout = 20 * time.Millisecond
 )
