Share free slots by level over instances; wait no longer than the caller does

Cause: callers of streams leave after max(2 s, 4 objectives, 8 gaps) without an event, but requests waited for 45 % of their deadline; instances raced for freed slots, so engines queued what others had sent. Change: waits are bounded by the caller's patience; instances tell each other what waits by level, yield to higher levels and settle who takes a contested endpoint by rendezvous.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -20,6 +20,13 @@
 	for _, o := range m.Organisations {
 		out.Organisations = append(out.Organisations, &OrganisationUse{Organisation: o.Organisation, Units: o.Units})
 	}
+	for _, w := range m.Services {
+		service := &ServiceWait{Service: w.Service}
+		for _, n := range w.Waiting {
+			service.Waiting = append(service.Waiting, countOut(n))
+		}
+		out.Services = append(out.Services, service)
+	}
 	return out
 }
 
@@ -39,6 +46,13 @@
 			Organisation: o.GetOrganisation(), Units: o.GetUnits(),
 		})
 	}
+	for _, w := range m.GetServices() {
+		service := wigeonshift.ServiceWait{Service: w.GetService()}
+		for _, n := range w.GetWaiting() {
+			service.Waiting = append(service.Waiting, int(n))
+		}
+		out.Services = append(out.Services, service)
+	}
 	return out
 }
 
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -89,6 +89,7 @@
 		RetryRatio:   s.Retry.Ratio,
 		RetrySlack:   s.Retry.Slack,
 		RetryWindow:  s.Retry.Window.Duration,
+		Instance:     g.self.ID,
 		QuotaOverage: s.Quota.Overage,
 		QuotaSlack:   s.Quota.Slack,
 		Zone:         s.Node.Zone,
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -5,6 +5,9 @@
 // retryFloor is the least advice to come back later.
 const retryFloor = 200 * time.Millisecond
 
+// retryShare is the part of the time left, as a divisor, up to which callers follow the advice.
+const retryShare = 4
+
 // end books the end of an attempt and decides what becomes of the request.
 func (s *State) end(ev Ended) {
 	j := s.jobs[ev.Job]
@@ -22,7 +25,7 @@
 	default:
 		s.recover(j, e, ev)
 	}
-	s.fill(p)
+	s.fill(p, e)
 }
 
 // learn takes what an attempt tells of its endpoint.
@@ -81,6 +84,5 @@
 // placed. Requests of a lower tier come back later.
 func (s *State) retryAdvice(p *pool, j *Job) time.Duration {
 	left := j.Deadline - s.now
-	wait := time.Duration(float64(p.queue.ahead(int(j.Tier))) / s.ownThroughput(p) * float64(time.Second))
-	return min(max(wait, retryFloor), left/4)
+	return min(max(s.expectedWait(p, j), retryFloor), left/retryShare)
 }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -25,6 +25,8 @@
 	Deadline time.Duration
 	// Objective is the latency within which the first event, or a plain answer, is on time.
 	Objective time.Duration
+	// Patience is the time after which the caller leaves if nothing has come.
+	Patience time.Duration
 	// MaxAttempts is the largest number of endpoints that the request may be sent to.
 	MaxAttempts int
 	// HasTokens is set for requests to model engines.
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -12,6 +12,8 @@
 type peer struct {
 	at    time.Duration
 	loads map[string]load
+	// waiting counts what waits there, by service.
+	waiting map[string]waits
 }
 
 // report takes another instance's figures.
@@ -28,6 +30,12 @@
 		fresh[l.Endpoint] = load{running: l.Running, prefill: l.PrefillTokens, reserved: l.ReservedTokens}
 	}
 	s.replaceLoads(p, fresh)
+	p.waiting = make(map[string]waits, len(notice.Services))
+	for _, w := range notice.Services {
+		var counts waits
+		copy(counts[:], w.Waiting)
+		p.waiting[w.Service] = counts
+	}
 	for _, u := range notice.Organisations {
 		if q := s.quotas[u.Organisation]; q != nil {
 			q.report(name, u.Units, s.now)
@@ -114,6 +122,13 @@
 			out.Organisations = append(out.Organisations, wigeonshift.OrganisationUse{Organisation: name, Units: q.used})
 		}
 	}
+	for name, p := range s.pools {
+		if len(p.queue.jobs) > 0 {
+			counts := p.queue.waits(s.now)
+			out.Services = append(out.Services, wigeonshift.ServiceWait{Service: name, Waiting: counts[:]})
+		}
+	}
+	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
 	})
@@ -122,3 +137,29 @@
 	})
 	return out
 }
+
+// othersWaiting counts what waits for a service at the other instances.
+func (s *State) othersWaiting(service string) waits {
+	var sum waits
+	for _, p := range s.peers {
+		for level, n := range p.waiting[service] {
+			sum[level] += n
+		}
+	}
+	return sum
+}
+
+// wins reports whether this instance goes first at an endpoint among those where requests wait up to a level. All
+// instances come to the same order, and it differs from endpoint to endpoint.
+func (s *State) wins(e *endpoint, level int) bool {
+	own := wigeonshift.RendezvousScore(e.record.ID, s.settings.Instance)
+	for name, p := range s.peers {
+		if p.waiting[e.pool.name].upTo(level) == 0 {
+			continue
+		}
+		if score := wigeonshift.RendezvousScore(e.record.ID, name); score > own {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -67,14 +67,40 @@
 	return true
 }
 
-// place returns the best endpoint for a request, nil when none fits.
-func (s *State) place(p *pool, j *Job) *endpoint {
+// claim is what the other instances want of a pool when a request is to be placed.
+type claim struct {
+	level int
+	// yield is set when requests before this level wait elsewhere for every free slot.
+	yield bool
+	// contested is set when there are fewer free slots than requests up to this level.
+	contested bool
+}
+
+// claimOf compares a request with what waits at the other instances.
+func (s *State) claimOf(p *pool, j *Job, others waits) claim {
+	c := claim{level: levelOf(j, s.now)}
+	free := p.freeSlots(s.now)
+	c.yield = others.before(c.level) > 0 && others.before(c.level) >= free
+	c.contested = others.upTo(c.level) > 0 && others.upTo(c.level) >= free
+	return c
+}
+
+// place returns the best endpoint for a request, nil when none fits. Of contested endpoints it takes those at which
+// this instance goes first, and the one that an own request has just left.
+func (s *State) place(p *pool, j *Job, freed *endpoint, others waits) *endpoint {
+	c := s.claimOf(p, j, others)
+	if c.yield {
+		return nil
+	}
 	var best *endpoint
 	bestCost := math.Inf(1)
 	for _, e := range p.endpoints {
 		if !s.fits(e, j) {
 			continue
 		}
+		if c.contested && e != freed && !s.wins(e, c.level) {
+			continue
+		}
 		if c := s.estimate(e, j).cost; c < bestCost {
 			best, bestCost = e, c
 		}
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -45,6 +45,17 @@
 	sort.Slice(p.endpoints, func(i, k int) bool { return p.endpoints[i].record.ID < p.endpoints[k].record.ID })
 }
 
+// freeSlots is the number of requests that would run at once.
+func (p *pool) freeSlots(at time.Duration) int {
+	n := 0
+	for _, e := range p.endpoints {
+		if e.usable(at) {
+			n += max(e.slots()-e.running(), 0)
+		}
+	}
+	return n
+}
+
 // throughput is the number of requests that the pool ends in a second.
 func (p *pool) throughput(at time.Duration) float64 {
 	slots := 0
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -1,10 +1,43 @@
 package wigeondispatch
 
 import (
-	"math"
+	"sort"
 	"time"
 )
 
+// Levels order what waits: a higher tier goes before a lower one, and an answer that can be on time before one that is
+// late. A late request of a tier goes after the next lower tier on time and before the one below that.
+const (
+	levelsPerTier = 2
+	lateLevels    = 3
+	// levels is the number of levels that instances tell each other; deeper ones count as the last.
+	levels = 10
+)
+
+// levelOf returns the level of a request that starts now.
+func levelOf(j *Job, at time.Duration) int {
+	level := levelsPerTier * int(j.Tier)
+	if !j.onTime(at) {
+		level += lateLevels
+	}
+	return min(max(level, 0), levels-1)
+}
+
+// waits counts waiting requests by level.
+type waits [levels]int
+
+// upTo is the number of requests at a level and before it.
+func (w waits) upTo(level int) int {
+	n := 0
+	for _, x := range w[:level+1] {
+		n += x
+	}
+	return n
+}
+
+// before is the number of requests before a level.
+func (w waits) before(level int) int { return w.upTo(level) - w[level] }
+
 // queue holds the requests of one service that wait for an endpoint, in order of arrival.
 type queue struct {
 	jobs []*Job
@@ -23,35 +56,19 @@
 	return false
 }
 
-// value is what starting a request now is worth. A higher tier counts more, an answer that will be late counts less.
-func value(j *Job, at time.Duration) float64 {
-	v := math.Pow(tierShare, float64(j.Tier))
-	if !j.onTime(at) {
-		v *= lateShare
-	}
-	return v
-}
-
-// ordered returns the waiting requests, most valuable first, equal ones in order of arrival.
+// ordered returns the waiting requests by level, those of one level in order of arrival.
 func (q *queue) ordered(at time.Duration) []*Job {
 	out := make([]*Job, len(q.jobs))
 	copy(out, q.jobs)
-	// Insertion sort keeps equal ones in order, and the queue is short and nearly sorted.
-	for i := 1; i < len(out); i++ {
-		for k := i; k > 0 && value(out[k], at) > value(out[k-1], at); k-- {
-			out[k], out[k-1] = out[k-1], out[k]
-		}
-	}
+	sort.SliceStable(out, func(i, k int) bool { return levelOf(out[i], at) < levelOf(out[k], at) })
 	return out
 }
 
-// ahead counts the waiting requests that go before one of a tier.
-func (q *queue) ahead(tier int) int {
-	n := 0
+// waits counts the waiting requests by level.
+func (q *queue) waits(at time.Duration) waits {
+	var w waits
 	for _, j := range q.jobs {
-		if int(j.Tier) <= tier {
-			n++
-		}
+		w[levelOf(j, at)]++
 	}
-	return n
+	return w
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -162,7 +162,7 @@
 		return
 	}
 	p.queue.add(j)
-	s.fill(p)
+	s.fill(p, nil)
 }
 
 // charge books a request on its organisation's quota and refuses it when the quota is used up.
@@ -181,27 +181,22 @@
 
 // tooLate reports whether a request would wait longer than it may.
 func (s *State) tooLate(p *pool, j *Job) bool {
-	waiting := float64(p.queue.ahead(int(j.Tier)))
-	if waiting == 0 {
-		return false
-	}
-	wait := time.Duration(waiting / s.ownThroughput(p) * float64(time.Second))
-	return wait > s.holdLimit(j)
+	return s.expectedWait(p, j) > s.holdLimit(j)
 }
 
-// ownThroughput is this instance's part of the pool's throughput, in requests a second.
-func (s *State) ownThroughput(p *pool) float64 {
-	own, all := 1, s.instances
-	for _, e := range p.endpoints {
-		own += e.own.running
-		all += e.running()
+// expectedWait is the time until a slot is free for a request, by what waits before it at all instances.
+func (s *State) expectedWait(p *pool, j *Job) time.Duration {
+	level := levelOf(j, s.now)
+	ahead := p.queue.waits(s.now).upTo(level) + s.othersWaiting(p.name).upTo(level) - p.freeSlots(s.now)
+	if ahead <= 0 {
+		return 0
 	}
-	return max(p.throughput(s.now)*float64(own)/float64(all), 1)
+	return time.Duration(float64(ahead) / max(p.throughput(s.now), 1) * float64(time.Second))
 }
 
 // holdLimit is how long a request may wait.
 func (s *State) holdLimit(j *Job) time.Duration {
-	return time.Duration(holdShare * float64(j.Deadline-j.Arrived))
+	return time.Duration(holdShare * float64(min(j.Patience, j.Deadline-j.Arrived)))
 }
 
 // fillAll places what waits in every service.
@@ -212,22 +207,24 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		s.fill(s.pools[name])
+		s.fill(s.pools[name], nil)
 	}
 }
 
-// fill places waiting requests, the most valuable first, and refuses those whose time to wait is over.
-func (s *State) fill(p *pool) {
+// fill places waiting requests in the order of their levels, and refuses those whose time to wait is over. freed is the
+// endpoint that an own request has just left, nil when there is none.
+func (s *State) fill(p *pool, freed *endpoint) {
 	if len(p.queue.jobs) == 0 {
 		return
 	}
+	others := s.othersWaiting(p.name)
 	for _, j := range p.queue.ordered(s.now) {
 		if s.now-j.Arrived > s.holdLimit(j) {
 			p.queue.remove(j)
 			s.refuse(j, ReasonDeadline, s.retryAdvice(p, j))
 			continue
 		}
-		if e := s.place(p, j); e != nil {
+		if e := s.place(p, j, freed, others); e != nil {
 			p.queue.remove(j)
 			s.dispatch(e, j)
 		}
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -14,6 +14,8 @@
 	QuotaOverage float64
 	// QuotaSlack is the number of units by which it may do so besides.
 	QuotaSlack float64
+	// Instance is the name by which the other instances know this one.
+	Instance string
 	// Zone is the availability zone of this instance.
 	Zone string
 }
@@ -23,10 +25,6 @@
 	peerReportTimeout = 2 * time.Second
 	// endpointFullRetry is the advice when no endpoint is known.
 	endpointFullRetry = 500 * time.Millisecond
-	// lateShare is what an answer after its objective is worth to the caller compared with one on time.
-	lateShare = 0.3
-	// tierShare is what a request is worth compared with one of the next higher tier.
-	tierShare = 0.5
 	// holdShare is the share of a request's time that it may wait for an endpoint.
 	holdShare = 0.45
 	// queueTarget is the largest time that a request waits in an endpoint's own queue by choice.
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -101,6 +101,7 @@
 		Arrived:              now,
 		Deadline:             now + timeout,
 		Objective:            r.Objective,
+		Patience:             patience(r, timeout),
 		MaxAttempts:          r.MaxAttempts,
 		HasTokens:            h.HasTokens,
 		PromptTokens:         h.PromptTokens,
@@ -127,6 +128,22 @@
 	return j
 }
 
+// Callers of a stream leave after a gap of minPatience, of this many objectives or of this many allowed gaps, whichever
+// is longest.
+const (
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+)
+
+// patience is the time after which a caller leaves if nothing has come.
+func patience(r *wigeonshift.Route, timeout time.Duration) time.Duration {
+	if r.Kind != wigeonshift.RouteStreaming {
+		return timeout
+	}
+	return min(timeout, max(minPatience, patienceObjectives*r.Objective, patienceGaps*r.MaxGap))
+}
+
 func (c *call) timeUp() { c.cancel(errTimeUp) }
 
 func (c *call) callerGone() { c.cancel(errCallerGone) }
--- a/peer.go
+++ b/peer.go
@@ -108,6 +108,12 @@
 		Organisation string
 		Units        float64
 	}
+	// ServiceWait is what waits at the sender for one service.
+	ServiceWait struct {
+		Service string
+		// Waiting counts the requests by level; level 0 goes first.
+		Waiting []int
+	}
 	// LoadNotice tells the load that the sender puts on endpoints.
 	LoadNotice struct {
 		// ConfigurationVersion is the version in force at the sender, 0 when it has none.
@@ -115,6 +121,8 @@
 		// Endpoints lists every endpoint on which the sender runs requests.
 		Endpoints     []EndpointLoad
 		Organisations []OrganisationUse
+		// Services lists every service for which requests wait.
+		Services []ServiceWait
 		// Leaving lists endpoints that the sender knows to be leaving or gone.
 		Leaving []string
 	}
