Order what waits by whether it can still be on time; callers that return go before lower tiers

Cause: under overload requests were started just before their objective ended, so that most were served late, and callers that had been turned away once competed as fresh ones or were turned away again. Change: a request is late from its latest start on (objective less expected first event); a late one behind others is refused at once with the longest advice that callers follow, spread; a shorter timeout than usual marks a return.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -6,7 +6,7 @@
 const retryFloor = 200 * time.Millisecond
 
 // retryShare is the part of the time left, as a divisor, up to which callers follow the advice.
-const retryShare = 4
+const retryShare = 3.2
 
 // end books the end of an attempt and decides what becomes of the request.
 func (s *State) end(ev Ended) {
@@ -80,9 +80,20 @@
 	}
 }
 
-// retryAdvice is the time after which a refused request may find a place: what waits in front of it has then been
-// placed. Requests of a lower tier come back later.
+// retryAdvice is the time after which a refused request may find a place. It is the longest that callers follow when the
+// service is overloaded, spread so that they don't come back together: those in front of the queue first.
 func (s *State) retryAdvice(p *pool, j *Job) time.Duration {
-	left := j.Deadline - s.now
-	return min(max(s.expectedWait(p, j), retryFloor), left/retryShare)
+	longest := time.Duration(float64(j.Deadline-s.now) / retryShare)
+	wait := s.expectedWait(p, j)
+	if wait > 0 {
+		spread := retrySpread * float64(j.ID%retrySteps) / retrySteps
+		wait = time.Duration(float64(longest) * (1 - retrySpread + spread))
+	}
+	return min(max(wait, retryFloor), longest)
 }
+
+// retrySpread is the part of the advice that differs between callers, in retrySteps steps.
+const (
+	retrySpread = 0.5
+	retrySteps  = 16
+)
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -25,6 +25,8 @@
 	Deadline time.Duration
 	// Objective is the latency within which the first event, or a plain answer, is on time.
 	Objective time.Duration
+	// Elapsed is the time that the caller had already spent on the request before it arrived here.
+	Elapsed time.Duration
 	// Patience is the time after which the caller leaves if nothing has come.
 	Patience time.Duration
 	// MaxAttempts is the largest number of endpoints that the request may be sent to.
@@ -75,7 +77,12 @@
 	return j.PromptTokens + j.AnswerTokens
 }
 
-// onTime reports whether a first event at a time is within the objective.
-func (j *Job) onTime(at time.Duration) bool {
-	return j.Objective <= 0 || at-j.Arrived <= j.Objective
+// returned reports whether the caller was here or at another instance before.
+func (j *Job) returned() bool { return j.Elapsed > 0 }
+
+// latestStart is the time by which the request must be sent for an answer on time, given the expected time to its first
+// event. A request that takes most of its objective by itself gets a share of it to wait all the same.
+func (j *Job) latestStart(first time.Duration) time.Duration {
+	left := max(j.Objective-first, time.Duration(minWaitShare*float64(j.Objective)))
+	return j.Arrived - j.Elapsed + left
 }
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -124,7 +124,7 @@
 	}
 	for name, p := range s.pools {
 		if len(p.queue.jobs) > 0 {
-			counts := p.queue.waits(s.now)
+			counts := p.waits(s.now)
 			out.Services = append(out.Services, wigeonshift.ServiceWait{Service: name, Waiting: counts[:]})
 		}
 	}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -78,7 +78,7 @@
 
 // claimOf compares a request with what waits at the other instances.
 func (s *State) claimOf(p *pool, j *Job, others waits) claim {
-	c := claim{level: levelOf(j, s.now)}
+	c := claim{level: p.levelOf(j, s.now)}
 	free := p.freeSlots(s.now)
 	c.yield = others.before(c.level) > 0 && others.before(c.level) >= free
 	c.contested = others.upTo(c.level) > 0 && others.upTo(c.level) >= free
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -40,6 +40,18 @@
 	return step / n, prefill / n, plain / n
 }
 
+// typicalFirst is the time to the first event of a request on a busy endpoint of the usual speed.
+func (p *pool) typicalFirst(j *Job) time.Duration {
+	step, prefill, plain := p.typicalSpeed()
+	if !j.HasTokens {
+		return plain
+	}
+	return busyPrefill*prefill*time.Duration(j.PromptTokens) + step*time.Duration(p.eventTokens())
+}
+
+// busyPrefill is how much longer a prompt takes beside the prompts and tokens of other requests.
+const busyPrefill = 2
+
 // sorted puts the endpoints in order.
 func (p *pool) sorted() {
 	sort.Slice(p.endpoints, func(i, k int) bool { return p.endpoints[i].record.ID < p.endpoints[k].record.ID })
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -6,18 +6,23 @@
 )
 
 // Levels order what waits: a higher tier goes before a lower one, and an answer that can be on time before one that is
-// late. A late request of a tier goes after the next lower tier on time and before the one below that.
+// late. A caller that was turned away before goes right after those of its tier that can be on time. A late request of a
+// tier goes after the next lower tier on time and before the one below that.
 const (
-	levelsPerTier = 2
-	lateLevels    = 3
+	levelsPerTier  = 2
+	returnedLevels = 1
+	lateLevels     = 3
 	// levels is the number of levels that instances tell each other; deeper ones count as the last.
 	levels = 10
 )
 
 // levelOf returns the level of a request that starts now.
-func levelOf(j *Job, at time.Duration) int {
+func (p *pool) levelOf(j *Job, at time.Duration) int {
 	level := levelsPerTier * int(j.Tier)
-	if !j.onTime(at) {
+	switch {
+	case j.returned():
+		level += returnedLevels
+	case j.Objective > 0 && at > j.latestStart(p.typicalFirst(j)):
 		level += lateLevels
 	}
 	return min(max(level, 0), levels-1)
@@ -57,18 +62,18 @@
 }
 
 // ordered returns the waiting requests by level, those of one level in order of arrival.
-func (q *queue) ordered(at time.Duration) []*Job {
-	out := make([]*Job, len(q.jobs))
-	copy(out, q.jobs)
-	sort.SliceStable(out, func(i, k int) bool { return levelOf(out[i], at) < levelOf(out[k], at) })
+func (p *pool) ordered(at time.Duration) []*Job {
+	out := make([]*Job, len(p.queue.jobs))
+	copy(out, p.queue.jobs)
+	sort.SliceStable(out, func(i, k int) bool { return p.levelOf(out[i], at) < p.levelOf(out[k], at) })
 	return out
 }
 
 // waits counts the waiting requests by level.
-func (q *queue) waits(at time.Duration) waits {
+func (p *pool) waits(at time.Duration) waits {
 	var w waits
-	for _, j := range q.jobs {
-		w[levelOf(j, at)]++
+	for _, j := range p.queue.jobs {
+		w[p.levelOf(j, at)]++
 	}
 	return w
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -186,14 +186,22 @@
 
 // expectedWait is the time until a slot is free for a request, by what waits before it at all instances.
 func (s *State) expectedWait(p *pool, j *Job) time.Duration {
-	level := levelOf(j, s.now)
-	ahead := p.queue.waits(s.now).upTo(level) + s.othersWaiting(p.name).upTo(level) - p.freeSlots(s.now)
+	level := p.levelOf(j, s.now)
+	ahead := p.waits(s.now).upTo(level) + s.othersWaiting(p.name).upTo(level) - p.freeSlots(s.now)
 	if ahead <= 0 {
 		return 0
 	}
 	return time.Duration(float64(ahead) / max(p.throughput(s.now), 1) * float64(time.Second))
 }
 
+// hopeless reports whether a request that will be late stands behind so many others that it had better come back.
+func (s *State) hopeless(p *pool, j *Job) bool {
+	if j.Objective <= 0 || s.now <= j.latestStart(p.typicalFirst(j)) {
+		return false
+	}
+	return s.expectedWait(p, j) > lateHold
+}
+
 // holdLimit is how long a request may wait.
 func (s *State) holdLimit(j *Job) time.Duration {
 	return time.Duration(holdShare * float64(min(j.Patience, j.Deadline-j.Arrived)))
@@ -218,8 +226,8 @@
 		return
 	}
 	others := s.othersWaiting(p.name)
-	for _, j := range p.queue.ordered(s.now) {
-		if s.now-j.Arrived > s.holdLimit(j) {
+	for _, j := range p.ordered(s.now) {
+		if s.now-j.Arrived > s.holdLimit(j) || s.hopeless(p, j) {
 			p.queue.remove(j)
 			s.refuse(j, ReasonDeadline, s.retryAdvice(p, j))
 			continue
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -25,6 +25,10 @@
 	peerReportTimeout = 2 * time.Second
 	// endpointFullRetry is the advice when no endpoint is known.
 	endpointFullRetry = 500 * time.Millisecond
+	// minWaitShare is the share of its objective that any request may wait and still go before late ones.
+	minWaitShare = 0.4
+	// lateHold is how long a request that will be late waits behind others before it is refused.
+	lateHold = 200 * time.Millisecond
 	// holdShare is the share of a request's time that it may wait for an endpoint.
 	holdShare = 0.45
 	// queueTarget is the largest time that a request waits in an endpoint's own queue by choice.
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -83,6 +83,7 @@
 	}
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.target, now, timeout)
+	c.job.Elapsed = s.usual.elapsed(r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.timer = time.AfterFunc(timeout+timeUpMargin, c.timeUp)
 	return c
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -45,6 +45,7 @@
 	scope      tally.Scope
 	table      atomic.Pointer[wigeonroute.Table]
 	draining   atomic.Bool
+	usual      usualTimeouts
 	server     *fasthttp.Server
 	listener   net.Listener
 	tasks      conc.WaitGroup
