Rank requests of one organisation's tier by their route; no queue of two at endpoints

Cause: an organisation's tier goes before the route's, and all organisations here have the same one, so that every request had the same rank. Endpoints' own queues of two let waiting requests be late behind others.

--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -49,8 +49,8 @@
 		// Waiting is the number of requests that wait in the service.
 		Waiting int
 	}
-	// Fail answers a request that ran or may have run.
-	Fail struct {
+	// Failure answers a request that ran or may have run.
+	Failure struct {
 		Job    JobID
 		Reason Reason
 	}
@@ -68,6 +68,6 @@
 
 func (Dispatch) effect() {}
 func (Refuse) effect()   {}
-func (Fail) effect()     {}
+func (Failure) effect()  {}
 func (Abandon) effect()  {}
 func (Suspect) effect()  {}
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -15,7 +15,10 @@
 	// RequestID is the caller's id, for the log only.
 	RequestID string
 	Service   string
-	Tier      wigeonshift.TierRank
+	// Tier is the rank of the organisation, or of the route where the organisation has none.
+	Tier wigeonshift.TierRank
+	// RouteTier orders the requests of one tier.
+	RouteTier wigeonshift.TierRank
 	Kind      wigeonshift.RouteKind
 	// Resumable streams may go on at another endpoint after their last whole event.
 	Resumable    bool
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -125,7 +125,7 @@
 	for name, p := range s.pools {
 		if len(p.queue.jobs) > 0 {
 			counts := p.waits(s.now)
-			out.Services = append(out.Services, wigeonshift.ServiceWait{Service: name, Waiting: counts[:]})
+			out.Services = append(out.Services, wigeonshift.ServiceWait{Service: name, Waiting: counts.trimmed()})
 		}
 	}
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -7,7 +7,7 @@
 
 const (
 	// decodeShare is the weight of the decode time against the time to the first event.
-	decodeShare = 0.3
+	decodeShare = 1
 	// failurePenalty is what a failure costs in the choice of an endpoint.
 	failurePenalty = 3 * time.Second
 	// foreignZoneTime is the cost of an endpoint in another availability zone.
@@ -55,7 +55,7 @@
 	if !e.usable(s.now) || j.hasFailedOn(e.record.ID) {
 		return false
 	}
-	if e.running() >= e.slots()+overshootOf(int(j.Tier)) {
+	if e.running() >= e.slots()+overshootOf(int(j.RouteTier)) {
 		return false
 	}
 	if e.running() >= e.slots() && e.queueWait() > queueTarget {
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -5,20 +5,23 @@
 	"time"
 )
 
-// Levels order what waits: a higher tier goes before a lower one, and an answer that can be on time before one that is
-// late. A caller that was turned away before goes right after those of its tier that can be on time. A late request of a
-// tier goes after the next lower tier on time and before the one below that.
+// Levels order what waits: a higher rank goes before a lower one, and an answer that can be on time before one that is
+// late. A caller that was turned away before goes right after those of its rank that can be on time. A late request goes
+// after those of the next lower rank that can be on time and before the rank below that.
 const (
-	levelsPerTier  = 2
+	levelsPerRank  = 2
 	returnedLevels = 1
 	lateLevels     = 3
 	// levels is the number of levels that instances tell each other; deeper ones count as the last.
-	levels = 10
+	levels = 2*ranks + lateLevels
+	// ranks and ranksPerTier bound what is told apart.
+	ranks        = 16
+	ranksPerTier = 4
 )
 
 // levelOf returns the level of a request that starts now.
 func (p *pool) levelOf(j *Job, at time.Duration) int {
-	level := levelsPerTier * int(j.Tier)
+	level := levelsPerRank * j.rank()
 	switch {
 	case j.returned():
 		level += returnedLevels
@@ -28,6 +31,12 @@
 	return min(max(level, 0), levels-1)
 }
 
+// rank orders requests by the tier of their organisation and by that of their route within it.
+func (j *Job) rank() int {
+	within := min(max(int(j.RouteTier), 0), ranksPerTier-1)
+	return min(max(int(j.Tier), 0)*ranksPerTier+within, ranks-1)
+}
+
 // waits counts waiting requests by level.
 type waits [levels]int
 
@@ -43,6 +52,15 @@
 // before is the number of requests before a level.
 func (w waits) before(level int) int { return w.upTo(level) - w[level] }
 
+// trimmed returns the counts without the zeros at the end.
+func (w waits) trimmed() []int {
+	n := len(w)
+	for n > 0 && w[n-1] == 0 {
+		n--
+	}
+	return append([]int(nil), w[:n]...)
+}
+
 // queue holds the requests of one service that wait for an endpoint, in order of arrival.
 type queue struct {
 	jobs []*Job
@@ -65,7 +83,13 @@
 func (p *pool) ordered(at time.Duration) []*Job {
 	out := make([]*Job, len(p.queue.jobs))
 	copy(out, p.queue.jobs)
-	sort.SliceStable(out, func(i, k int) bool { return p.levelOf(out[i], at) < p.levelOf(out[k], at) })
+	sort.SliceStable(out, func(i, k int) bool {
+		a, b := p.levelOf(out[i], at), p.levelOf(out[k], at)
+		if a != b {
+			return a < b
+		}
+		return out[i].PromptTokens+10*out[i].ExpectedAnswerTokens < out[k].PromptTokens+10*out[k].ExpectedAnswerTokens
+	})
 	return out
 }
 
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -302,7 +302,7 @@
 // fail answers a request that ran or may have run.
 func (s *State) fail(j *Job, reason Reason) {
 	delete(s.jobs, j.ID)
-	s.emit(Fail{Job: j.ID, Reason: reason})
+	s.emit(Failure{Job: j.ID, Reason: reason})
 }
 
 // tick lets time pass for what waits and for figures that grow old.
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -28,7 +28,7 @@
 	// minWaitShare is the share of its objective that any request may wait and still go before late ones.
 	minWaitShare = 0.4
 	// lateHold is how long a request that will be late waits behind others before it is refused.
-	lateHold = 200 * time.Millisecond
+	lateHold = 50 * time.Millisecond
 	// holdShare is the share of a request's time that it may wait for an endpoint.
 	holdShare = 0.45
 	// queueTarget is the largest time that a request waits in an endpoint's own queue by choice.
@@ -41,9 +41,9 @@
 	minTimeout = 20 * time.Millisecond
 )
 
-// overshoot is the number of requests beyond its slots that an endpoint may get, by tier: its own queue keeps it busy
+// overshoot is the number of requests beyond its slots that an endpoint may get, by the route's tier: its own queue keeps it busy
 // until instances learn of a free slot. Lower tiers leave that place to higher ones.
-var overshoot = [...]int{2, 1, 0}
+var overshoot = [...]int{1, 1, 0}
 
 // overshootOf returns the entry of a tier.
 func overshootOf(tier int) int {
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -117,7 +117,7 @@
 	c.ended(wigeondispatch.OutcomeFailed, 0, true)
 	select {
 	case d := <-c.decisions:
-		if f, ok := d.(wigeondispatch.Fail); ok && f.Reason == wigeondispatch.ReasonEndpointFailed {
+		if f, ok := d.(wigeondispatch.Failure); ok && f.Reason == wigeondispatch.ReasonEndpointFailed {
 			c.pass(a, body)
 			return true
 		}
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -97,6 +97,7 @@
 		RequestID:            h.RequestID,
 		Service:              target,
 		Tier:                 r.Tier,
+		RouteTier:            r.Tier,
 		Kind:                 r.Kind,
 		Resumable:            r.Resumable,
 		Arrived:              now,
@@ -184,7 +185,7 @@
 		return c.attempt(d)
 	case wigeondispatch.Refuse:
 		c.refuse(d)
-	case wigeondispatch.Fail:
+	case wigeondispatch.Failure:
 		c.fail(d.Reason)
 	}
 	return true
@@ -225,6 +226,7 @@
 		"route":    c.route.Name,
 		"service":  c.target,
 		"tier":     int(c.job.Tier),
+		"rank":     int(c.job.RouteTier),
 		"version":  c.version,
 		"attempts": c.attempts,
 		"endpoint": c.endpoint,
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -129,7 +129,7 @@
 			d.deliver(x.Job, x)
 		case wigeondispatch.Refuse:
 			d.deliver(x.Job, x)
-		case wigeondispatch.Fail:
+		case wigeondispatch.Failure:
 			d.deliver(x.Job, x)
 		case wigeondispatch.Abandon:
 			if c := d.waiting[x.Job]; c != nil {
