Order what waits by its worth for the endpoint's time

Cause: strict order by route refuses short requests that cost an endpoint a tenth of a long one's time; order of arrival served half of the most urgent kind late. Change: within an organisation's tier, level by worth (rank, on time, returned, late) over the route's mean cost.

--- a/internal/services/wigeondispatch/fleet_test.go
+++ b/internal/services/wigeondispatch/fleet_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"time"
 
 	"wigeonshift"
@@ -210,7 +211,7 @@
 	r.tries++
 	elapsed := f.at - r.born
 	j := &Job{
-		ID: f.nextJob, Service: "model", Tier: 1, RouteTier: wigeonshift.TierRank(kind.tier), Kind: wigeonshift.RouteStreaming,
+		ID: f.nextJob, Service: "model", Route: strconv.Itoa(r.kind), Tier: 1, RouteTier: wigeonshift.TierRank(kind.tier), Kind: wigeonshift.RouteStreaming,
 		Arrived: f.at, Deadline: f.at + kind.timeout - elapsed, Elapsed: elapsed, Objective: kind.objective,
 		Patience: kind.patience, MaxAttempts: 1, HasTokens: true, PromptTokens: r.prompt, AnswerTokens: r.answer,
 		ExpectedAnswerTokens: r.answer,
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -15,6 +15,8 @@
 	// RequestID is the caller's id, for the log only.
 	RequestID string
 	Service   string
+	// Route names the kind of request.
+	Route string
 	// Tier is the rank of the organisation, or of the route where the organisation has none.
 	Tier wigeonshift.TierRank
 	// RouteTier orders the requests of one tier.
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -16,6 +16,8 @@
 	queue     queue
 	// meanTime is a moving average of the time that a request keeps its slot.
 	meanTime time.Duration
+	// costs holds the mean cost of the requests of each route.
+	costs map[string]time.Duration
 }
 
 // eventTokens is the number of tokens in one event of a stream.
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -1,40 +1,87 @@
 package wigeondispatch
 
 import (
+	"math"
 	"sort"
 	"time"
 )
 
-// Levels order what waits: a higher rank goes before a lower one, and an answer that can be on time before one that is
-// late. A caller that was turned away before goes right after those of its rank that can be on time. A late request goes
-// after those of the next lower rank that can be on time and before the rank below that.
+// Levels order what waits. A higher tier of organisations goes before a lower one. Within a tier, requests go by what
+// they are worth for the time that they take of an endpoint, so that as much as possible is served when not all fits.
 const (
-	levelsPerRank  = 2
-	returnedLevels = 1
-	lateLevels     = 3
-	// levels is the number of levels that instances tell each other; deeper ones count as the last.
-	levels = 2*ranks + lateLevels
-	// ranks and ranksPerTier bound what is told apart.
-	ranks        = 16
-	ranksPerTier = 4
+	// levels is the number of levels that instances tell each other.
+	levels = tiers * levelsPerTier
+	// tiers and levelsPerTier bound what is told apart.
+	tiers         = 4
+	levelsPerTier = 16
+	// levelRatio is the ratio of worth to time between two levels.
+	levelRatio = 1.3
+	// middleDensity is the worth in a second of an endpoint's time that stands in the middle of a tier's levels.
+	middleDensity = 2.5
 )
 
-// levelOf returns the level of a request that starts now.
+// What a request is worth compared with one of the highest rank that can be on time.
+const (
+	// rankWorth is the ratio from one rank of routes to the next.
+	rankWorth = 0.3
+	// returnedWorth is the share of a request whose caller was turned away before; it will be late, and turning it away
+	// again would have cost the caller its whole time for nothing.
+	returnedWorth = 0.6
+	// lateWorth is the share of a request that will be late.
+	lateWorth = 0.3
+)
+
+// levelOf returns the level of a request that starts now; level 0 goes first.
 func (p *pool) levelOf(j *Job, at time.Duration) int {
-	level := levelsPerRank * j.rank()
+	worth := math.Pow(rankWorth, float64(max(j.RouteTier, 0)))
 	switch {
 	case j.returned():
-		level += returnedLevels
+		worth *= returnedWorth
 	case j.Objective > 0 && at > j.latestStart(p.typicalFirst(j)):
-		level += lateLevels
+		worth *= lateWorth
 	}
-	return min(max(level, 0), levels-1)
+	density := worth / p.routeCost(j).Seconds()
+	within := levelsPerTier/2 - int(math.Round(math.Log(density/middleDensity)/math.Log(levelRatio)))
+	within = min(max(within, 0), levelsPerTier-1)
+	return min(max(int(j.Tier), 0), tiers-1)*levelsPerTier + within
 }
 
-// rank orders requests by the tier of their organisation and by that of their route within it.
-func (j *Job) rank() int {
-	within := min(max(int(j.RouteTier), 0), ranksPerTier-1)
-	return min(max(int(j.Tier), 0)*ranksPerTier+within, ranks-1)
+// cost is the time that a request takes of an endpoint of the usual speed whose slots are all in use.
+func (p *pool) cost(j *Job) time.Duration {
+	step, prefill, plain := p.typicalSpeed()
+	if !j.HasTokens {
+		return max(plain, minCost)
+	}
+	slots := 1
+	if p.profile != nil {
+		slots = max(p.profile.Slots, 1)
+	}
+	return max(prefill*time.Duration(j.PromptTokens)+step*time.Duration(j.ExpectedAnswerTokens)/time.Duration(slots), minCost)
+}
+
+const (
+	// minCost keeps requests without any work comparable.
+	minCost = time.Millisecond
+	// costSamples is the number of requests over which a route's cost is taken.
+	costSamples = 64
+)
+
+// learnCost takes a request into the mean cost of its route.
+func (p *pool) learnCost(j *Job) {
+	cost := p.cost(j)
+	mean, known := p.costs[j.Route]
+	if !known {
+		mean = cost
+	}
+	p.costs[j.Route] = mean + (cost-mean)/costSamples
+}
+
+// routeCost is the mean cost of a request's route: sizes within a route don't matter for the order.
+func (p *pool) routeCost(j *Job) time.Duration {
+	if mean, known := p.costs[j.Route]; known {
+		return mean
+	}
+	return p.cost(j)
 }
 
 // waits counts waiting requests by level.
@@ -85,10 +132,7 @@
 	copy(out, p.queue.jobs)
 	sort.SliceStable(out, func(i, k int) bool {
 		a, b := p.levelOf(out[i], at), p.levelOf(out[k], at)
-		if a != b {
-			return a < b
-		}
-		return out[i].PromptTokens+10*out[i].ExpectedAnswerTokens < out[k].PromptTokens+10*out[k].ExpectedAnswerTokens
+		return a < b
 	})
 	return out
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -99,7 +99,7 @@
 func (s *State) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name}
+		p = &pool{name: name, costs: map[string]time.Duration{}}
 		s.pools[name] = p
 	}
 	return p
@@ -153,6 +153,7 @@
 		return
 	}
 	p := s.pool(j.Service)
+	p.learnCost(j)
 	if len(p.endpoints) == 0 {
 		s.refuse(j, ReasonNoEndpoint, endpointFullRetry)
 		return
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -96,6 +96,7 @@
 	j := &wigeondispatch.Job{
 		RequestID:            h.RequestID,
 		Service:              target,
+		Route:                r.Name,
 		Tier:                 r.Tier,
 		RouteTier:            r.Tier,
 		Kind:                 r.Kind,
