Divide large fleets into groups that tell each other every change; fewer calls to the store

Change: groups of about eight within a zone, endpoints of divided services belong to one group first, others when they are not busy; changes gather 0.4 s; instances keep their row over restarts.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -63,7 +63,8 @@
 	mu sync.Mutex
 	// document is the row of the configuration in force.
 	document []byte
-	peers    []wigeonshift.Instance
+	// near are the other instances of the group, far those of other groups.
+	near, far []wigeonshift.Instance
 
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
@@ -196,23 +197,32 @@
 
 // setInstances takes the other instances.
 func (g *Gateway) setInstances(instances []wigeonshift.Instance) {
-	peers := make([]wigeonshift.Instance, 0, len(instances))
+	all := []wigeonshift.Instance{g.self}
 	for _, i := range instances {
 		if i.Address != g.self.Address {
-			peers = append(peers, i)
+			all = append(all, i)
+		}
+	}
+	groups := wigeondispatch.NewGroups(all)
+	var near, far []wigeonshift.Instance
+	for _, i := range all[1:] {
+		if groups.Together(i.ID, g.self.ID) {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
 		}
 	}
 	g.mu.Lock()
-	g.peers = peers
+	g.near, g.far = near, far
 	g.mu.Unlock()
-	g.dispatcher.SetInstances(len(peers) + 1)
+	g.dispatcher.SetInstances(all)
 }
 
-// peerList returns the other instances.
-func (g *Gateway) peerList() []wigeonshift.Instance {
+// peers returns the other instances of the group and those of other groups.
+func (g *Gateway) peers() (near, far []wigeonshift.Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers
+	return g.near, g.far
 }
 
 // row is the instance's own row in the store.
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -16,6 +16,8 @@
 	noticePeriod = 50 * time.Millisecond
 	// quietNoticePeriod is the time after which a notice goes out without a change.
 	quietNoticePeriod = 500 * time.Millisecond
+	// farNoticePeriod is the time between two notices to instances of other groups.
+	farNoticePeriod = 2 * time.Second
 	// prunePeriod is the time between two looks at idle connections.
 	prunePeriod = time.Second
 	// registerTimeout bounds a write of the instance's row, registerPause the pause after a failed one.
@@ -49,27 +51,32 @@
 	t := time.NewTicker(noticePeriod)
 	defer t.Stop()
 	var told uint64
-	var toldAt time.Time
+	var nearAt, farAt time.Time
 	for {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
-		if g.dispatcher.Changes() == told && time.Since(toldAt) < quietNoticePeriod {
+		if g.dispatcher.Changes() == told && time.Since(nearAt) < quietNoticePeriod {
 			continue
 		}
 		notice, changes := g.dispatcher.Load()
-		told, toldAt = changes, time.Now()
-		g.sendNotice(ctx, notice)
+		if table := g.relay.Table(); table != nil {
+			notice.ConfigurationVersion = table.Configuration.Version
+		}
+		told, nearAt = changes, time.Now()
+		near, far := g.peers()
+		g.sendNotice(ctx, near, notice)
+		if len(far) > 0 && time.Since(farAt) >= farNoticePeriod {
+			farAt = nearAt
+			g.sendNotice(ctx, far, notice)
+		}
 	}
 }
 
-func (g *Gateway) sendNotice(ctx context.Context, notice wigeonshift.LoadNotice) {
-	if table := g.relay.Table(); table != nil {
-		notice.ConfigurationVersion = table.Configuration.Version
-	}
-	for _, p := range g.peerList() {
+func (g *Gateway) sendNotice(ctx context.Context, peers []wigeonshift.Instance, notice wigeonshift.LoadNotice) {
+	for _, p := range peers {
 		// A peer that can't be reached is reported by the network.
 		_ = g.network.Send(ctx, p, notice)
 	}
--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -12,8 +12,6 @@
 const (
 	// exitMargin is kept of the drain's time for the process to end by itself.
 	exitMargin = 500 * time.Millisecond
-	// dropTimeout bounds the removal of the instance's row.
-	dropTimeout = time.Second
 	// drainPeriod is the time between two looks at the requests in flight.
 	drainPeriod = 50 * time.Millisecond
 )
@@ -27,7 +25,6 @@
 	g.log.WithField("inFlight", g.dispatcher.InFlight()).Info("instance stopping")
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(g.settings.Drain.Timeout.Duration-exitMargin))
 	defer cancel()
-	g.unregister()
 	waitUntil(ctx, started.Add(g.settings.Drain.Notice.Duration))
 	g.relay.Refuse()
 	// Open calls to the store end by their own timeouts, while the requests in flight are waited for.
@@ -59,15 +56,6 @@
 	}
 }
 
-// unregister removes the instance's row.
-func (g *Gateway) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
-	defer cancel()
-	if err := g.platform.Store.DropInstance(ctx, g.settings.Node.Name); err != nil {
-		g.log.WithError(err).Warn("instance's row was not removed")
-	}
-}
-
 // awaitRequests waits until no request is in flight or ctx ends.
 func (g *Gateway) awaitRequests(ctx context.Context) {
 	t := time.NewTicker(drainPeriod)
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -50,6 +50,8 @@
 	failures int
 	// suspectUntil is the end of the time without work.
 	suspectUntil time.Duration
+	// foreign is set for endpoints that another group of instances uses first.
+	foreign bool
 	// probing is set while one request tries a suspect endpoint.
 	probing bool
 }
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -87,10 +87,10 @@
 		At   time.Duration
 		Peer string
 	}
-	// InstancesListed tells how many instances there are, this one included.
+	// InstancesListed replaces the instances, this one included.
 	InstancesListed struct {
-		At    time.Duration
-		Count int
+		At        time.Duration
+		Instances []wigeonshift.Instance
 	}
 	// Ticked lets time pass.
 	Ticked struct {
--- a/internal/services/wigeondispatch/fleet_test.go
+++ b/internal/services/wigeondispatch/fleet_test.go
@@ -124,6 +124,10 @@
 		f.ordered = append(f.ordered, e)
 		records = append(records, wigeonshift.EndpointRecord{ID: e.id, Service: "model", Address: e.id, Slots: slots, Zone: "z"})
 	}
+	var all []wigeonshift.Instance
+	for i := range instances {
+		all = append(all, wigeonshift.Instance{ID: fmt.Sprintf("instance-%d", i), Address: fmt.Sprintf("10.0.0.%d", i), Zone: "z"})
+	}
 	for i := range instances {
 		x := &fleetInstance{name: fmt.Sprintf("instance-%d", i)}
 		x.state = New(Settings{
@@ -131,7 +135,7 @@
 		})
 		x.state.Reduce(Configured{Configuration: configuration})
 		x.state.Reduce(EndpointsListed{Records: records})
-		x.state.Reduce(InstancesListed{Count: instances})
+		x.state.Reduce(InstancesListed{Instances: all})
 		f.instances = append(f.instances, x)
 	}
 	return f
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -101,7 +101,11 @@
 // expirePeers forgets figures that are too old.
 func (s *State) expirePeers() {
 	for name, p := range s.peers {
-		if s.now-p.at > peerReportTimeout {
+		timeout := peerReportTimeout
+		if !s.groups.Together(name, s.settings.Instance) {
+			timeout = groupReportTimeout
+		}
+		if s.now-p.at > timeout {
 			s.dropPeer(name, p)
 		}
 	}
@@ -138,10 +142,13 @@
 	return out
 }
 
-// othersWaiting counts what waits for a service at the other instances.
+// othersWaiting counts what waits for a service at the other instances of the group.
 func (s *State) othersWaiting(service string) waits {
 	var sum waits
-	for _, p := range s.peers {
+	for name, p := range s.peers {
+		if !s.groups.Together(name, s.settings.Instance) {
+			continue
+		}
 		for level, n := range p.waiting[service] {
 			sum[level] += n
 		}
@@ -154,7 +161,7 @@
 func (s *State) wins(e *endpoint, level int) bool {
 	own := wigeonshift.RendezvousScore(e.record.ID, s.settings.Instance)
 	for name, p := range s.peers {
-		if p.waiting[e.pool.name].upTo(level) == 0 {
+		if p.waiting[e.pool.name].upTo(level) == 0 || !s.groups.Together(name, s.settings.Instance) {
 			continue
 		}
 		if score := wigeonshift.RendezvousScore(e.record.ID, name); score > own {
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
+
+	"wigeonshift"
 )
 
 const (
@@ -112,7 +115,7 @@
 	var best *endpoint
 	bestCost := math.Inf(1)
 	for _, e := range p.endpoints {
-		if !s.fits(e, j, extra) {
+		if e.foreign || !s.fits(e, j, extra) {
 			continue
 		}
 		if c.contested && e != t.freed && !s.wins(e, c.level) {
@@ -122,5 +125,25 @@
 			best, bestCost = e, c
 		}
 	}
+	if best == nil {
+		return s.placeForeign(p, j)
+	}
+	return best
+}
+
+// placeForeign returns an endpoint of another group that was not busy when last heard of. The choice differs from request
+// to request, since many instances see the same old figures.
+func (s *State) placeForeign(p *pool, j *Job) *endpoint {
+	var best *endpoint
+	bestScore := uint64(0)
+	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
+	for _, e := range p.endpoints {
+		if !e.foreign || float64(e.running()) >= foreignShare*float64(e.slots()) || !s.fits(e, j, 0) {
+			continue
+		}
+		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
 	return best
 }
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -61,22 +61,22 @@
 	sort.Slice(p.endpoints, func(i, k int) bool { return p.endpoints[i].record.ID < p.endpoints[k].record.ID })
 }
 
-// freeSlots is the number of requests that would run at once.
+// freeSlots is the number of requests that would run at once on the endpoints of the own group.
 func (p *pool) freeSlots(at time.Duration) int {
 	n := 0
 	for _, e := range p.endpoints {
-		if e.usable(at) {
+		if e.usable(at) && !e.foreign {
 			n += max(e.slots()-e.running(), 0)
 		}
 	}
 	return n
 }
 
-// throughput is the number of requests that the pool ends in a second.
+// throughput is the number of requests that the endpoints of the own group end in a second.
 func (p *pool) throughput(at time.Duration) float64 {
 	slots := 0
 	for _, e := range p.endpoints {
-		if e.usable(at) {
+		if e.usable(at) && !e.foreign {
 			slots += e.slots()
 		}
 	}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -19,6 +19,7 @@
 	budgets   map[string]*budget
 	// instances is the number of instances, this one included, at least 1.
 	instances int
+	groups    *Groups
 	effects   []Effect
 }
 
@@ -33,6 +34,7 @@
 		peers:     map[string]*peer{},
 		budgets:   map[string]*budget{},
 		instances: 1,
+		groups:    NewGroups(nil),
 	}
 }
 
@@ -69,8 +71,7 @@
 		s.losePeer(e.Peer)
 	case InstancesListed:
 		s.advance(e.At)
-		s.instances = max(e.Count, 1)
-		s.shareQuotas()
+		s.group(e.Instances)
 	case Ticked:
 		s.advance(e.At)
 		s.tick()
@@ -132,6 +133,7 @@
 			s.dropEndpoint(e)
 		}
 	}
+	s.markForeign()
 	s.sumPeers()
 	s.fillAll()
 }
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -209,7 +209,7 @@
 	It("counts the use of other instances and keeps to its share when it hears of none", func() {
 		l := newLab(record("a"))
 		q := l.state.quotas["limited"]
-		l.state.Reduce(InstancesListed{Count: 2})
+		l.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "own"}, {ID: "other"}}})
 		l.at = time.Second
 		Expect(q.take(60, l.at)).To(BeFalse(), "half of the quota is the other instance's")
 		use := func(units float64) wigeonshift.LoadNotice {
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -21,8 +21,12 @@
 }
 
 const (
-	// peerReportTimeout is the age at which another instance's figures are no longer used.
-	peerReportTimeout = 2 * time.Second
+	// peerReportTimeout is the age at which the figures of an instance of the own group are no longer used,
+	// groupReportTimeout that of other groups.
+	peerReportTimeout  = 2 * time.Second
+	groupReportTimeout = 8 * time.Second
+	// foreignShare is the share of its slots up to which an endpoint of another group may be used.
+	foreignShare = 0.75
 	// endpointFullRetry is the advice when no endpoint is known.
 	endpointFullRetry = 500 * time.Millisecond
 	// minWaitShare is the share of its objective that any request may wait and still go before late ones.
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -14,7 +14,7 @@
 const (
 	// followWait is how long the store holds a question without changes. It bounds how long a connection that has gone
 	// silent stays unnoticed.
-	followWait = 2500 * time.Millisecond
+	followWait = 3500 * time.Millisecond
 	// answerTimeout bounds an answer beyond the wait.
 	answerTimeout = 800 * time.Millisecond
 	// listTimeout bounds an answer with a whole table.
@@ -42,6 +42,8 @@
 	name  string
 	into  table
 	log   logrus.FieldLogger
+	// settle is the pause after a change, in which further changes gather.
+	settle time.Duration
 
 	listed   bool
 	revision uint64
@@ -91,10 +93,11 @@
 		return err
 	}
 	f.succeeded()
+	f.revision = max(f.revision, page.Revision)
 	if len(page.Rows) > 0 {
 		f.into.change(page.Rows)
+		sleep(ctx, f.settle)
 	}
-	f.revision = max(f.revision, page.Revision)
 	return nil
 }
 
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"wigeonshift"
 
@@ -47,13 +48,21 @@
 // Start begins to follow the tables.
 func (s *Service) Start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.follow(ctx, wigeonshift.TableConfiguration, "configuration", s.configuration)
-	s.follow(ctx, wigeonshift.TableEndpoints, "endpoints", s.endpoints)
-	s.follow(ctx, wigeonshift.TableInstances, "instances", s.instances)
+	s.follow(ctx, wigeonshift.TableConfiguration, "configuration", s.configuration, 0)
+	s.follow(ctx, wigeonshift.TableEndpoints, "endpoints", s.endpoints, endpointsSettle)
+	s.follow(ctx, wigeonshift.TableInstances, "instances", s.instances, instancesSettle)
 }
 
-func (s *Service) follow(ctx context.Context, which wigeonshift.RoutingTable, name string, into table) {
-	f := &follower{store: s.store, which: which, name: name, into: into, log: s.log}
+// Pauses after a change, in which further changes gather.
+const (
+	endpointsSettle = 400 * time.Millisecond
+	instancesSettle = time.Second
+)
+
+func (s *Service) follow(
+	ctx context.Context, which wigeonshift.RoutingTable, name string, into table, settle time.Duration,
+) {
+	f := &follower{store: s.store, which: which, name: name, into: into, log: s.log, settle: settle}
 	s.tasks.Go(func() { f.run(ctx) })
 }
 
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -53,9 +53,9 @@
 	d.reduce(wigeondispatch.EndpointsListed{At: d.Now(), Records: records})
 }
 
-// SetInstances sets the number of instances, this one included.
-func (d *Dispatcher) SetInstances(count int) {
-	d.reduce(wigeondispatch.InstancesListed{At: d.Now(), Count: count})
+// SetInstances replaces the instances, this one included.
+func (d *Dispatcher) SetInstances(instances []wigeonshift.Instance) {
+	d.reduce(wigeondispatch.InstancesListed{At: d.Now(), Instances: instances})
 }
 
 // ReportPeer takes another instance's load.
--- a/routing.go
+++ b/routing.go
@@ -148,8 +148,6 @@
 	Follow(ctx context.Context, table RoutingTable, after uint64, wait time.Duration) (TablePage, error)
 	// PutInstance writes the row by which other instances find this one.
 	PutInstance(ctx context.Context, key string, value []byte) error
-	// DropInstance removes such a row; a missing one is no error.
-	DropInstance(ctx context.Context, key string) error
 }
 
 // RoutingTable names a table of the routing store.
