--- /dev/null
+++ b/internal/modules/wigeonlog/bounded_test.go
@@ -0,0 +1,55 @@
+package wigeonlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+
+	"wigeonshift/internal/modules/wigeonlog"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonlog")
+}
+
+// stuck is a writer that blocks until it is let go.
+type stuck struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(b)
+}
+
+var _ = Describe("Bounded", func() {
+	It("writes lines in order", func() {
+		var out stuck
+		b := wigeonlog.NewBounded(&out)
+		for i := range 100 {
+			fmt.Fprintln(b, i)
+		}
+		b.Flush()
+		Expect(out.out.String()).To(HavePrefix("0\n1\n2\n"))
+		Expect(out.out.String()).To(HaveSuffix("99\n"))
+	})
+
+	It("never blocks, and counts what it drops", func() {
+		var out stuck
+		out.mu.Lock()
+		b := wigeonlog.NewBounded(&out)
+		for range 20_000 {
+			fmt.Fprintln(b, "line")
+		}
+		out.mu.Unlock()
+		b.Flush()
+		Expect(out.out.String()).To(MatchRegexp(`log lines dropped","count":1[0-9]{4}`))
+	})
+})
--- /dev/null
+++ b/internal/modules/wigeonsetting/relay_test.go
@@ -0,0 +1,40 @@
+package wigeonsetting_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+
+	"wigeonshift/internal/modules/wigeonsetting"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Relay settings", func() {
+	It("takes the deploy template once it is filled in", func() {
+		text, err := os.ReadFile("../../../deploy/relay.toml.tmpl")
+		Expect(err).NotTo(HaveOccurred())
+		values := strings.NewReplacer("{{node}}", "n", "{{zone}}", "z", "{{region}}", "r", "{{listen.front}}", "192.0.2.1:1",
+			"{{listen.ready}}", "192.0.2.1:2", "{{ip}}", "192.0.2.1", "{{internal_ports.0}}", "3", "{{internal_ports.1}}", "4",
+			"{{platform.address}}", "192.0.2.9:5")
+		filled := regexp.MustCompile(`\{\{[a-z_.]+\}\}`).ReplaceAllString(values.Replace(string(text)), "64")
+		filled = strings.Replace(strings.Replace(filled, "overage = 64", "overage = 0.1", 1), "ratio = 64", "ratio = 0.2", 1)
+		filled = strings.Replace(filled, "files = 64", "files = 4100", 1)
+		s, err := wigeonsetting.ParseRelay("relay.toml", []byte(filled))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Peer.Listen).To(Equal("192.0.2.1:3"))
+		Expect(s.Limits.MemoryMegabytes).To(Equal(64))
+	})
+
+	DescribeTable("names key and place of a fault", func(text, want string) {
+		_, err := wigeonsetting.ParseRelay("relay.toml", []byte(text))
+		Expect(err).To(MatchError(wigeonsetting.ErrInvalid))
+		Expect(err).To(MatchError(ContainSubstring(want)))
+	},
+		Entry("unknown key", "[node]\nnam = \"x\"\n", "relay.toml:2:1: node.nam: unknown key"),
+		Entry("bad address", "[caller]\nlisten = \"x\"\n", "relay.toml:2: caller.listen"),
+		Entry("bad range", "[retry]\nratio = 2.0\n", "relay.toml:2: retry.ratio: 2 is above"),
+		Entry("missing store", "", "platform.address: must be set"),
+	)
+})
