--- a/cmd/wigeonrelay/main.go
+++ b/cmd/wigeonrelay/main.go
@@ -10,8 +10,9 @@
 
 // cli is the grammar of the command line.
 type cli struct {
-	Serve serveCommand `cmd:"" help:"Run one instance until a signal stops it."`
-	Check checkCommand `cmd:"" help:"Check a settings file and exit."`
+	Serve   serveCommand   `cmd:"" help:"Run one instance until a signal stops it."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file and exit."`
+	Explain explainCommand `cmd:"" help:"Print what the logs say of one request, over all instances."`
 }
 
 func main() {
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -15,6 +15,8 @@
 	// followWait is how long the store holds a question without changes. It bounds how long a connection that has gone
 	// silent stays unnoticed.
 	followWait = 3500 * time.Millisecond
+	// instancesWait is the same for the list of instances, whose changes are less urgent.
+	instancesWait = 15 * time.Second
 	// answerTimeout bounds an answer beyond the wait.
 	answerTimeout = 800 * time.Millisecond
 	// listTimeout bounds an answer with a whole table.
@@ -42,8 +44,10 @@
 	name  string
 	into  table
 	log   logrus.FieldLogger
-	// settle is the pause after a change, in which further changes gather.
-	settle time.Duration
+	// wait is how long the store holds a question without changes.
+	wait time.Duration
+	// settle returns the pause after a change, in which further changes gather.
+	settle func() time.Duration
 
 	listed   bool
 	revision uint64
@@ -86,9 +90,9 @@
 		f.listed, f.revision = true, page.Revision
 		return nil
 	}
-	call, cancel := context.WithTimeout(ctx, followWait+answerTimeout)
+	call, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
 	defer cancel()
-	page, err := f.store.Follow(call, f.which, f.revision, followWait)
+	page, err := f.store.Follow(call, f.which, f.revision, f.wait)
 	if err != nil {
 		return err
 	}
@@ -96,7 +100,7 @@
 	f.revision = max(f.revision, page.Revision)
 	if len(page.Rows) > 0 {
 		f.into.change(page.Rows)
-		sleep(ctx, f.settle)
+		sleep(ctx, f.settle())
 	}
 	return nil
 }
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -52,5 +52,12 @@
 	t.sink(out)
 }
 
+// count returns the number of instances.
+func (t *instanceTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.known)
+}
+
 func (t *instanceTable) lost()     {}
 func (t *instanceTable) regained() {}
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -48,21 +48,34 @@
 // Start begins to follow the tables.
 func (s *Service) Start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.follow(ctx, wigeonshift.TableConfiguration, "configuration", s.configuration, 0)
-	s.follow(ctx, wigeonshift.TableEndpoints, "endpoints", s.endpoints, endpointsSettle)
-	s.follow(ctx, wigeonshift.TableInstances, "instances", s.instances, instancesSettle)
+	s.follow(ctx, &follower{
+		which: wigeonshift.TableConfiguration, name: "configuration", into: s.configuration, wait: followWait,
+		settle: func() time.Duration { return 0 },
+	})
+	s.follow(ctx, &follower{
+		which: wigeonshift.TableEndpoints, name: "endpoints", into: s.endpoints, wait: followWait, settle: s.endpointsSettle,
+	})
+	s.follow(ctx, &follower{
+		which: wigeonshift.TableInstances, name: "instances", into: s.instances, wait: instancesWait,
+		settle: func() time.Duration { return instancesSettle },
+	})
 }
 
-// Pauses after a change, in which further changes gather.
+// Pauses after a change, in which further changes gather. That of the endpoints grows with the number of instances, since
+// all of them ask.
 const (
-	endpointsSettle = 400 * time.Millisecond
-	instancesSettle = time.Second
+	endpointsSettleBase     = 300 * time.Millisecond
+	endpointsSettleInstance = 15 * time.Millisecond
+	endpointsSettleMax      = time.Second
+	instancesSettle         = time.Second
 )
 
-func (s *Service) follow(
-	ctx context.Context, which wigeonshift.RoutingTable, name string, into table, settle time.Duration,
-) {
-	f := &follower{store: s.store, which: which, name: name, into: into, log: s.log, settle: settle}
+func (s *Service) endpointsSettle() time.Duration {
+	return min(endpointsSettleBase+time.Duration(s.instances.count())*endpointsSettleInstance, endpointsSettleMax)
+}
+
+func (s *Service) follow(ctx context.Context, f *follower) {
+	f.store, f.log = s.store, s.log
 	s.tasks.Go(func() { f.run(ctx) })
 }
 
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -40,8 +40,8 @@
 
 	pool *Pool
 	conn *connection
-	// written delivers the result of writing the request.
-	written chan error
+	// written tells whether the request was written whole.
+	written chan bool
 	unwatch func() bool
 	whole   bool
 }
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, class(ErrNotSent, t, err)
 	}
-	a := &Answer{pool: p, conn: conn, written: make(chan error, 1)}
+	a := &Answer{pool: p, conn: conn, written: make(chan bool, 1)}
 	a.unwatch = context.AfterFunc(ctx, conn.close)
 	if len(request.Body()) > directBodyBytes {
 		w := &writer{answer: a, request: request}
@@ -78,12 +78,11 @@
 // writing; the request's memory is free once Close returns.
 func (a *Answer) writtenWhole() bool {
 	select {
-	case err := <-a.written:
-		return err == nil
+	case whole := <-a.written:
+		return whole
 	default:
 		a.conn.close()
-		// The result of a write on the closed connection tells nothing.
-		_ = <-a.written
+		<-a.written
 		return false
 	}
 }
@@ -100,12 +99,10 @@
 
 func (w *writer) run() { w.answer.written <- write(w.answer.conn, w.request) }
 
-func write(conn *connection, request *fasthttp.Request) error {
+// write reports whether the request was written whole. What went wrong shows when the answer is read.
+func write(conn *connection, request *fasthttp.Request) bool {
 	w := bufio.NewWriterSize(conn, directBodyBytes)
-	if err := request.Write(w); err != nil {
-		return err
-	}
-	return w.Flush()
+	return request.Write(w) == nil && w.Flush() == nil
 }
 
 // readHeader reads the header of the answer to the request and skips late answers to earlier ones.
