--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -19,8 +19,8 @@
 
 // estimate is the expected course of a request on an endpoint.
 type estimate struct {
-	// first is the time to the first event, or to a plain answer.
-	first time.Duration
+	// first is the time to the first event, or to a plain answer; whole is the time to the end of the answer.
+	first, whole time.Duration
 	// cost orders the endpoints.
 	cost float64
 }
@@ -32,9 +32,12 @@
 	if j.HasTokens {
 		pending := e.own.prefill + e.others.prefill + j.PromptTokens
 		out.first = wait + time.Duration(pending)*e.prefill + time.Duration(e.pool.eventTokens())*e.step
-		out.cost = float64(out.first) + decodeShare*float64(time.Duration(j.ExpectedAnswerTokens)*e.step)
+		decode := time.Duration(j.ExpectedAnswerTokens) * e.step
+		out.whole = out.first + decode
+		out.cost = float64(out.first) + decodeShare*float64(decode)
 	} else {
 		out.first = wait + e.plain
+		out.whole = out.first
 		out.cost = float64(out.first) * (1 + float64(e.running())/float64(e.slots()))
 	}
 	out.cost += e.failureRate * float64(failurePenalty)
@@ -114,8 +117,9 @@
 	}
 	var best *endpoint
 	bestCost := math.Inf(1)
+	ends := s.endsInTime(p, j)
 	for _, e := range p.endpoints {
-		if e.foreign || !s.fits(e, j, extra) {
+		if e.foreign || !s.fits(e, j, extra) || ends && s.estimate(e, j).whole > j.Deadline-s.now {
 			continue
 		}
 		if c.contested && e != t.freed && !s.wins(e, c.level) {
@@ -131,6 +135,18 @@
 	return best
 }
 
+// endsInTime reports whether some endpoint is quick enough to end a request by its deadline, busy or not. If so, the request
+// rather waits for such a one than to break off on a slow one.
+func (s *State) endsInTime(p *pool, j *Job) bool {
+	for _, e := range p.endpoints {
+		decode := time.Duration(j.ExpectedAnswerTokens) * e.step
+		if !e.foreign && e.usable(s.now) && decode+time.Duration(j.PromptTokens)*e.prefill < j.Deadline-s.now {
+			return true
+		}
+	}
+	return false
+}
+
 // placeForeign returns an endpoint of another group that was not busy when last heard of. The choice differs from request
 // to request, since many instances see the same old figures.
 func (s *State) placeForeign(p *pool, j *Job) *endpoint {
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -121,6 +121,18 @@
 		Expect(l.state.Load().Endpoints).To(HaveLen(1))
 	})
 
+	It("keeps a long answer from an endpoint that is too slow to end it, if another one can", func() {
+		l := newLab(record("a"), record("b"))
+		l.state.endpoints["a"].step = 20 * time.Millisecond
+		l.state.endpoints["b"].step = 60 * time.Millisecond
+		l.state.endpoints["a"].own.running = 2
+		j := l.job()
+		j.AnswerTokens, j.ExpectedAnswerTokens = 400, 400
+		Expect(l.arrive(j)).To(BeEmpty(), "it waits for the quicker one")
+		short := l.job()
+		Expect(endpointOf(l.arrive(short))).To(Equal("b"))
+	})
+
 	It("forgets what it knew of an endpoint that starts again under its id", func() {
 		l := newLab(record("a"))
 		l.fill(2)
