Bound what a large fleet grants of a quota before its instances have heard of each other

Cause: instances of other groups tell their use every 2 s; in between each granted as if they used nothing, so that an organisation at six times its limit could get more than its window allows. Change: the use of others is taken to go on at its rate between reports; an instance of a grouped fleet uses at most three times its equal part.

--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -93,8 +93,12 @@
 // shareQuotas gives this instance and those that it hears of their part of the quotas.
 func (s *State) shareQuotas() {
 	share := min(float64(len(s.peers)+1)/float64(s.instances), 1)
+	ownShare := 1.0
+	if s.instances > ungrouped {
+		ownShare = min(ownShareFactor/float64(s.instances), 1)
+	}
 	for _, q := range s.quotas {
-		q.setShare(share, s.now)
+		q.setShares(share, ownShare, s.now)
 	}
 }
 
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -18,11 +18,35 @@
 	// used is the sum of this instance's own use since its start.
 	used float64
 	// peers holds the last known use of the other instances.
-	peers map[string]float64
+	peers map[string]*peerUse
+	// ownShare bounds the part of the quota that this instance may use alone, 1 when it may use all of it. It limits what
+	// a large fleet grants before its instances have heard of each other.
+	ownShare float64
+	// ownLevel is what is left of that part.
+	ownLevel float64
 }
 
+// peerUse is what another instance has used.
+type peerUse struct {
+	used float64
+	at   time.Duration
+	// rate is its use in a second between its latest two reports.
+	rate float64
+	// predicted is the use since its latest report that is already taken off the level.
+	predicted float64
+}
+
+const (
+	// predictionTime is how long the use of another instance is taken to go on at its rate without a report.
+	predictionTime = 4 * time.Second
+	// minRateTime is the least time between two reports that tells a rate.
+	minRateTime = 100 * time.Millisecond
+	// ownShareFactor is how much more than its equal part an instance of a large fleet may use.
+	ownShareFactor = 3
+)
+
 func newQuota(l limit, at time.Duration) *quota {
-	return &quota{limit: l, level: l.burst, filledAt: at, share: 1, peers: map[string]float64{}}
+	return &quota{limit: l, level: l.burst, filledAt: at, share: 1, ownShare: 1, ownLevel: l.burst, peers: map[string]*peerUse{}}
 }
 
 // limit is a rate in units a second and a burst in units.
@@ -49,11 +73,26 @@
 
 func (q *quota) refill(at time.Duration) {
 	if at > q.filledAt {
-		q.level = min(q.burst*q.share, q.level+q.rate*q.share*(at-q.filledAt).Seconds())
+		seconds := (at - q.filledAt).Seconds()
+		q.level = min(q.burst*q.share, q.level+q.rate*q.share*seconds-q.predict(at))
+		q.ownLevel = min(q.burst*q.ownShare, q.ownLevel+q.rate*q.ownShare*seconds)
 		q.filledAt = at
 	}
 }
 
+// predict returns what the other instances will have used since it was last called, by their latest reports.
+func (q *quota) predict(at time.Duration) float64 {
+	sum := 0.0
+	for _, p := range q.peers {
+		span := min(at-p.at, predictionTime).Seconds()
+		if use := p.rate*span - p.predicted; use > 0 {
+			sum += use
+			p.predicted += use
+		}
+	}
+	return sum
+}
+
 // take books units and reports whether the quota allows them.
 func (q *quota) take(units float64, at time.Duration) bool {
 	if q.rate <= 0 {
@@ -61,10 +100,11 @@
 		return true
 	}
 	q.refill(at)
-	if q.level < units {
+	if q.level < units || q.ownShare < 1 && q.ownLevel <= 0 {
 		return false
 	}
 	q.level -= units
+	q.ownLevel -= units
 	q.used += units
 	return true
 }
@@ -73,23 +113,34 @@
 func (q *quota) giveBack(units float64, at time.Duration) {
 	q.refill(at)
 	q.level = min(q.burst, q.level+units)
+	q.ownLevel += units
 	q.used -= units
 }
 
 // report takes the use of another instance since its start.
 func (q *quota) report(peer string, used float64, at time.Duration) {
 	q.refill(at)
-	before, known := q.peers[peer]
-	q.peers[peer] = used
-	if known && q.rate > 0 {
-		q.level = min(q.burst, q.level-(used-before))
+	p := q.peers[peer]
+	if p == nil {
+		q.peers[peer] = &peerUse{used: used, at: at}
+		return
+	}
+	if q.rate > 0 {
+		q.level = min(q.burst, q.level-(used-p.used)+p.predicted)
+	}
+	if span := at - p.at; span >= minRateTime {
+		p.rate = max(used-p.used, 0) / span.Seconds()
+		p.used, p.at, p.predicted = used, at, 0
+		return
 	}
+	// Reports in quick succession are taken together with the next one for the rate.
+	p.predicted = used - p.used
 }
 
-// setShare sets the part of the quota that the instances in contact may use.
-func (q *quota) setShare(share float64, at time.Duration) {
+// setShares sets the part of the quota that the instances in contact may use, and the part that this one may use alone.
+func (q *quota) setShares(share, ownShare float64, at time.Duration) {
 	q.refill(at)
-	q.share = share
+	q.share, q.ownShare = share, ownShare
 }
 
 // forget drops the figures of an instance that is no longer heard of. Its use meanwhile comes from its own share.
