--- a/internal/modules/wigeonsetting/relay_test.go
+++ b/internal/modules/wigeonsetting/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pelletier/go-toml/v2"
 )
 
 var _ = Describe("Relay settings", func() {
@@ -27,6 +29,19 @@
 		Expect(s.Limits.MemoryMegabytes).To(Equal(64))
 	})
 
+	It("documents every key with its default in the example file", func() {
+		text, err := os.ReadFile("../../../docs/wigeonrelay.example.toml")
+		Expect(err).NotTo(HaveOccurred())
+		loaded, err := wigeonsetting.ParseRelay("example", text)
+		Expect(err).NotTo(HaveOccurred())
+		want := wigeonsetting.DefaultRelay()
+		want.Node, want.Caller, want.Peer, want.Platform = loaded.Node, loaded.Caller, loaded.Peer, loaded.Platform
+		Expect(loaded).To(Equal(want))
+		var keys map[string]any
+		Expect(toml.Unmarshal(text, &keys)).To(Succeed())
+		expectKeys(reflect.TypeFor[wigeonsetting.Relay](), keys, "")
+	})
+
 	DescribeTable("names key and place of a fault", func(text, want string) {
 		_, err := wigeonsetting.ParseRelay("relay.toml", []byte(text))
 		Expect(err).To(MatchError(wigeonsetting.ErrInvalid))
