Don't refuse a request as not run after an earlier endpoint may have run it; forget organisations and routes that are gone

Cause: an idempotent request whose first endpoint broke off and whose second one turned it away was answered 503, which says that it did not run. Quotas and costs of removed organisations and routes were kept for ever. Tests: reducer_test.go, both failed first.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -103,6 +103,7 @@
 // recover decides what becomes of a request whose attempt gave no answer.
 func (s *State) recover(j *Job, e *endpoint, ev Ended) {
 	ran := ev.Outcome == OutcomeLost || ev.Outcome == OutcomeFailed
+	j.mayHaveRun = j.mayHaveRun || ran
 	if ev.Outcome == OutcomeNotSent {
 		// The endpoint never saw the request.
 		j.attempts--
@@ -124,7 +125,7 @@
 	switch {
 	case ev.Outcome == OutcomeFailed:
 		s.fail(j, ReasonEndpointFailed)
-	case ran || j.began:
+	case j.mayHaveRun || j.began:
 		s.fail(j, ReasonLost)
 	case j.attempts == 0:
 		s.refuse(j, ReasonNoEndpoint, s.retryAdvice(s.pool(j.Service), j))
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -58,6 +58,8 @@
 	firstAfter time.Duration
 	// began is set once the caller has a part of the answer.
 	began bool
+	// mayHaveRun is set once an endpoint may have run the request.
+	mayHaveRun bool
 	// moved is set once the request goes on at another endpoint after it ran at one.
 	moved bool
 	// resendBooked is set when the resend is already in the budget.
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -84,8 +85,19 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// configure takes services and organisations over and keeps what is known of those that stay.
+// configure takes services and organisations over, keeps what is known of those that stay and forgets the others.
 func (s *State) configure(c *wigeonshift.RoutingConfiguration) {
+	organisations, routes := map[string]bool{}, map[string]bool{}
+	for i := range c.Organisations {
+		organisations[c.Organisations[i].Name] = true
+	}
+	for i := range c.Routes {
+		routes[c.Routes[i].Name] = true
+	}
+	maps.DeleteFunc(s.quotas, func(name string, _ *quota) bool { return !organisations[name] })
+	for _, p := range s.pools {
+		maps.DeleteFunc(p.costs, func(route string, _ time.Duration) bool { return !routes[route] })
+	}
 	for i := range c.Services {
 		s.pool(c.Services[i].Name).profile = c.Services[i].Engine
 	}
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -143,6 +143,17 @@
 	})
 })
 
+var _ = Describe("Configuration", func() {
+	It("forgets organisations and routes that are gone", func() {
+		l := newLab(record("a"))
+		l.arrive(l.job())
+		Expect(l.state.pool("model").costs).To(HaveKey("r"))
+		l.state.Reduce(Configured{Configuration: &wigeonshift.RoutingConfiguration{}})
+		Expect(l.state.pool("model").costs).To(BeEmpty())
+		Expect(l.state.quotas).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Order", func() {
 	It("puts a higher tier of organisations before a lower one, whatever the route", func() {
 		l := newLab(record("a"))
@@ -295,6 +306,15 @@
 		Expect(refusalOf(l.end(j, OutcomeRejected, true)).Reason).To(Equal(ReasonAttempts))
 	})
 
+	It("doesn't say that a request did not run after an earlier endpoint may have run it", func() {
+		l := newLab(record("a"), record("b"))
+		j := l.job()
+		j.Kind = wigeonshift.RouteIdempotent
+		l.arrive(j)
+		endpointOf(l.end(j, OutcomeLost, true))
+		Expect(l.end(j, OutcomeRejected, true)).To(ConsistOf(Failure{Job: j.ID, Reason: ReasonLost}))
+	})
+
 	It("doesn't count an endpoint that the request never reached", func() {
 		l := newLab(record("a"), record("b"))
 		j := l.job()
