Answer a caller that has closed only its sending half with a failure

Cause: a closed sending half counts as a caller that has gone; the handler returned without an answer, and the HTTP library sent an empty 200 of its own. Found while tracing a soak run under load. Test: relay_test.go, failed first. Soak: the reason for a missing answer is reported.

--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -226,6 +226,8 @@
 // endWithoutAnswer ends a call that was not sent to any endpoint, or whose attempt is over.
 func (c *call) endWithoutAnswer() {
 	if errors.Is(context.Cause(c.ctx), errCallerGone) {
+		// A caller that closed only its sending half still reads.
+		c.service.refusal(c.http, c.header.RequestID, fasthttp.StatusBadGateway, 0)
 		c.http.SetConnectionClose()
 		c.finish("callerGone", logrus.Fields{})
 		return
--- a/internal/services/wigeonrelay/relay_test.go
+++ b/internal/services/wigeonrelay/relay_test.go
@@ -286,6 +286,17 @@
 		Eventually(r.dispatcher.InFlight).Should(BeZero())
 	})
 
+	It("makes no success of a request whose caller has closed its sending half", func() {
+		silent := newEngine(func(net.Conn, *http.Request, []byte) { time.Sleep(time.Second) })
+		c, reader := newRelay(silent).dial()
+		write(c, request("POST", "/unsafe/", "", "x"))
+		time.Sleep(20 * time.Millisecond)
+		Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(502))
+	})
+
 	It("answers when the time of a request is over", func() {
 		silent := newEngine(func(net.Conn, *http.Request, []byte) { time.Sleep(3 * time.Second) })
 		started := time.Now()
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -270,7 +270,7 @@
 	}
 	for _, p := range s.relays {
 		s.g.Expect(p.isReady()).To(BeTrue(), p.name)
-		s.g.Expect(c.request(fmt.Sprintf("/v%d/", s.version), p)).To(Equal(http.StatusOK), "%s has the newest version", p.name)
+		s.g.Expect(c.request(fmt.Sprintf("/v%d/", s.version), p)).To(Equal(http.StatusOK), "%s has the newest version: %v", p.name, c.err)
 	}
 	t.Logf("faults %v, outcomes %v, served after the faults %d of 40", s.faults, s.outcomes, served)
 	s.g.Expect(served).To(BeNumerically(">=", 36))
@@ -280,7 +280,9 @@
 
 // caller sends one request after the other, on kept connections.
 type caller struct {
-	soak   *soak
+	soak *soak
+	// err is why the latest request got no answer.
+	err    error
 	random *rand.Rand
 	stop   chan struct{}
 	conn   net.Conn
@@ -344,6 +346,7 @@
 	if c.conn == nil || c.at != p {
 		conn, err := net.DialTimeout("tcp", p.address, time.Second)
 		if err != nil {
+			c.err = err
 			return 0, "", false, false
 		}
 		if c.conn != nil {
@@ -355,6 +358,7 @@
 	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: 4\r\n\r\nbody", path, id)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
+		c.err = err
 		c.drop()
 		return 0, "", false, false
 	}
