--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -22,6 +22,9 @@
 	store    *proxy
 	log      *os.File
 
+	// restarting is held from the signal that ends the process to its next start.
+	restarting sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// disturbedAt is the time of the latest signal or start but for planned stops, stoppedAt that of the latest planned stop.
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -65,7 +65,11 @@
 		first = n
 	}
 	binary := filepath.Join(t.TempDir(), "wigeonrelay")
-	out, err := exec.Command("go", "build", "-o", binary, "wigeonshift/cmd/wigeonrelay").CombinedOutput()
+	arguments := []string{"build", "-o", binary}
+	if os.Getenv("WIGEONSHIFT_SOAK_RACE") != "" {
+		arguments = append(arguments, "-race")
+	}
+	out, err := exec.Command("go", append(arguments, "wigeonshift/cmd/wigeonrelay")...).CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -195,7 +199,11 @@
 	case 1:
 		return func() { s.restart(p, syscall.SIGTERM) }, "stop"
 	case 2:
-		return func() { p.signal(syscall.SIGSTOP); time.Sleep(span); p.signal(syscall.SIGCONT) }, "pause"
+		return func() {
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(span)
+			p.signal(syscall.SIGCONT)
+		}, "pause"
 	case 3:
 		return func() { s.store.trouble(true, 0); time.Sleep(span); s.store.trouble(false, 0) }, "storeDown"
 	case 4:
@@ -230,22 +238,18 @@
 
 // restart ends a relay by a signal and starts it again.
 func (s *soak) restart(p *process, how syscall.Signal) {
-	ended := p.ended()
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	p.signal(how)
 	select {
-	case <-ended:
+	case <-p.ended():
 	case <-time.After(8 * time.Second):
 		s.report("%s did not end within 8 s after %v", p.name, how)
 		p.signal(syscall.SIGKILL)
-		<-ended
+		<-p.ended()
 	}
-	select {
-	case <-p.ended():
-		// Another fault may have started it in the meantime.
-		if err := p.start(); err != nil {
-			s.report("%s: %v", p.name, err)
-		}
-	default:
+	if err := p.start(); err != nil {
+		s.report("%s: %v", p.name, err)
 	}
 }
 
@@ -275,6 +279,11 @@
 	t.Logf("faults %v, outcomes %v, served after the faults %d of 40", s.faults, s.outcomes, served)
 	s.g.Expect(served).To(BeNumerically(">=", 36))
 	s.g.Expect(s.wrong).To(BeEmpty())
+	for _, p := range s.relays {
+		text, err := os.ReadFile(p.log.Name())
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(string(text)).NotTo(MatchRegexp("DATA RACE|panic:|fatal error:"), p.name)
+	}
 	s.g.Expect(s.runs.late).To(BeEmpty(), "requests that reached a leaving endpoint")
 }
 
