--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -31,6 +31,8 @@
 	rows     map[wigeonshift.RoutingTable]map[string]wigeonshift.TableRow
 	changes  map[wigeonshift.RoutingTable][]wigeonshift.TableRow
 	down     bool
+	// silent calls get no answer, also when the silence ends before their caller gives up.
+	silent bool
 	// forgotten is the revision up to which the history is gone.
 	forgotten uint64
 	calls     int
@@ -87,6 +89,13 @@
 ) (wigeonshift.TablePage, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return wigeonshift.TablePage{}, wigeonshift.ErrOutcomeUnknown
+	}
 	for {
 		s.mu.Lock()
 		s.calls++
@@ -265,6 +274,21 @@
 		})
 	})
 
+	// Polls that were sent just before the end of a silence were waited for until 4.3 s later: CONFIG, apme-lima,
+	// deploy/days/silent-store-and-stops.toml --vary --seed 43077432480.
+	It("has the newest version two seconds after a silence of the store, whenever that ends", func() {
+		for end := 6 * time.Second; end < 10*time.Second; end += 500 * time.Millisecond {
+			inVirtualTime(func(g Gomega, s *store, f *follower) {
+				s.set(func(s *store) { s.silent = true })
+				pass(end)
+				s.put(config, "config", `{"version":5}`)
+				s.set(func(s *store) { s.silent = false })
+				pass(2 * time.Second)
+				g.Expect(f.seen()).To(ContainElement(uint64(5)), "silence of %v", end)
+			})
+		}
+	})
+
 	It("calls a store that is down a few times a second at most", func() {
 		inVirtualTime(func(g Gomega, s *store, f *follower) {
 			s.set(func(s *store) { s.down, s.calls = true, 0 })
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -21,6 +21,9 @@
 	answerTimeout = 800 * time.Millisecond
 	// listTimeout bounds an answer with a whole table.
 	listTimeout = 2 * time.Second
+	// probeStep is by how much a call to a store that fails may take longer after each failure: one that is only slow
+	// must get through in the end.
+	probeStep = 200 * time.Millisecond
 	// retryBase and retryMax bound the pause after a failed call.
 	retryBase = 60 * time.Millisecond
 	retryMax  = 500 * time.Millisecond
@@ -76,11 +79,24 @@
 	}
 }
 
+// times returns how long the store may hold a question, and how long to wait for the answer. While the store fails it
+// holds none, so that the end of the failure is noticed soon.
+func (f *follower) times() (wait, timeout time.Duration) {
+	if f.failing {
+		return 0, min(answerTimeout+time.Duration(f.failures)*probeStep, listTimeout)
+	}
+	if !f.listed {
+		return 0, listTimeout
+	}
+	return f.wait, f.wait + answerTimeout
+}
+
 // step makes one call.
 func (f *follower) step(ctx context.Context) error {
+	wait, timeout := f.times()
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if !f.listed {
-		call, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
 		page, err := f.store.List(call, f.which)
 		if err != nil {
 			return err
@@ -90,9 +106,7 @@
 		f.listed, f.revision = true, page.Revision
 		return nil
 	}
-	call, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
-	defer cancel()
-	page, err := f.store.Follow(call, f.which, f.revision, f.wait)
+	page, err := f.store.Follow(call, f.which, f.revision, wait)
 	if err != nil {
 		return err
 	}
