--- /dev/null
+++ b/internal/services/wigeondispatch/group_test.go
@@ -0,0 +1,98 @@
+package wigeondispatch
+
+import (
+	"fmt"
+	"slices"
+
+	"wigeonshift"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// instancesOf returns instances over some zones; the first is the reducer's own.
+func instancesOf(n, zones int) []wigeonshift.Instance {
+	out := []wigeonshift.Instance{{ID: "own", Address: "10.0.0.0:1", Zone: "z0"}}
+	for i := 1; i < n; i++ {
+		out = append(out, wigeonshift.Instance{
+			ID: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: fmt.Sprintf("z%d", i%zones),
+		})
+	}
+	return out
+}
+
+var _ = Describe("Groups", func() {
+	It("are one for a small fleet", func() {
+		g := NewGroups(instancesOf(ungrouped, 3))
+		Expect(g.Count()).To(Equal(1))
+		Expect(g.Together("own", "i5")).To(BeTrue())
+	})
+
+	It("lie within zones, are alike everywhere and of about one size", func() {
+		instances := instancesOf(59, 4)
+		g := NewGroups(instances)
+		turned := slices.Clone(instances)
+		slices.Reverse(turned)
+		other := NewGroups(turned)
+		sizes := map[string]int{}
+		for _, i := range instances {
+			Expect(other.members[i.ID]).To(Equal(g.members[i.ID]))
+			Expect(g.members[i.ID]).To(HavePrefix(i.Zone + "/"))
+			sizes[g.members[i.ID]]++
+		}
+		for name, n := range sizes {
+			Expect(n).To(BeNumerically("~", groupSize, 1), name)
+		}
+	})
+
+	It("give every endpoint of a divided service to one group of its zone", func() {
+		g := NewGroups(instancesOf(59, 4))
+		used := map[string]int{}
+		for k := range 140 {
+			r := wigeonshift.EndpointRecord{ID: fmt.Sprintf("e%d", k), Zone: fmt.Sprintf("z%d", k%4)}
+			Expect(g.ofEndpoint(r)).To(HavePrefix(r.Zone + "/"))
+			used[g.ofEndpoint(r)]++
+		}
+		Expect(used).To(HaveLen(g.Count()))
+	})
+
+	It("use endpoints of other groups only when their own are full and those are not busy", func() {
+		var records []wigeonshift.EndpointRecord
+		for k := range 40 {
+			r := record(fmt.Sprintf("e%02d", k))
+			r.Zone = fmt.Sprintf("z%d", k%4)
+			r.Slots = 4
+			records = append(records, r)
+		}
+		l := newLab(records...)
+		l.state.Reduce(InstancesListed{Instances: instancesOf(59, 4)})
+		p := l.state.pool("model")
+		own := 0
+		for _, e := range p.endpoints {
+			if !e.foreign {
+				own += e.slots()
+			}
+		}
+		Expect(own).To(BeNumerically(">", 0))
+		for range own {
+			e := l.state.endpoints[endpointOf(l.arrive(l.job()))]
+			Expect(e.foreign).To(BeFalse())
+		}
+		for range len(p.endpoints) {
+			l.arrive(l.job())
+		}
+		for _, e := range p.endpoints {
+			if e.foreign {
+				Expect(e.running()).To(BeNumerically("<=", 3))
+			}
+		}
+	})
+
+	It("leave a service with few endpoints to all", func() {
+		l := newLab(record("a"), record("b"))
+		l.state.Reduce(InstancesListed{Instances: instancesOf(59, 4)})
+		for _, e := range l.state.pool("model").endpoints {
+			Expect(e.foreign).To(BeFalse())
+		}
+	})
+})
--- /dev/null
+++ b/internal/services/wigeonroute/table_test.go
@@ -0,0 +1,57 @@
+package wigeonroute_test
+
+import (
+	"testing"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonroute"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wigeonroute")
+}
+
+var _ = Describe("Table", func() {
+	table := wigeonroute.New(&wigeonshift.RoutingConfiguration{
+		Routes: []wigeonshift.Route{
+			{Name: "short", Host: "h.example", Prefix: "/a/"},
+			{Name: "long", Host: "h.example", Prefix: "/a/b/"},
+			{Name: "other", Host: "o.example", Prefix: "/", Public: true},
+		},
+		Organisations: []wigeonshift.RoutedOrganisation{{Name: "org", Keys: []string{"k1", "k2"}}},
+	})
+
+	DescribeTable("finds the route with the longest prefix", func(host, path, want string) {
+		name := ""
+		if r := table.Route(host, path); r != nil {
+			name = r.Name
+		}
+		Expect(name).To(Equal(want))
+	},
+		Entry("longest", "h.example", "/a/b/c", "long"), Entry("shorter", "h.example", "/a/bc", "short"),
+		Entry("port and case", "H.example:80", "/a/x", "short"), Entry("no prefix", "h.example", "/b/", ""),
+		Entry("another host", "o.example", "/a/b/", "other"), Entry("unknown host", "x.example", "/a/", ""),
+	)
+
+	It("knows keys and routes that need none", func() {
+		Expect(table.Organisation("k2").Name).To(Equal("org"))
+		Expect(table.Organisation("")).To(BeNil())
+		Expect(table.Organisation("k3")).To(BeNil())
+		Expect(table.NeedsKey(table.Route("o.example", "/"))).To(BeFalse())
+		Expect(table.NeedsKey(table.Route("h.example", "/a/"))).To(BeTrue())
+	})
+
+	It("draws services by weight and never one without", func() {
+		r := &wigeonshift.Route{Targets: []wigeonshift.RouteTarget{{Service: "a", Weight: 9}, {Service: "b"}, {Service: "c", Weight: 1}}}
+		counts := map[string]int{}
+		for range 2000 {
+			counts[wigeonroute.Pick(r)]++
+		}
+		Expect(counts).NotTo(HaveKey("b"))
+		Expect(counts["a"]).To(BeNumerically(">", counts["c"]))
+	})
+})
