Keep to the equal part of a quota until the others' use is known as a rate

Change: an instance counts as heard of from its second report on; the own part is 1.5 times the equal one.

--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -10,8 +10,10 @@
 
 // peer is what another instance told of its load.
 type peer struct {
-	at    time.Duration
-	loads map[string]load
+	at time.Duration
+	// reports counts the reports; the second one tells a rate.
+	reports int
+	loads   map[string]load
 	// waiting counts what waits there, by service.
 	waiting map[string]waits
 }
@@ -22,9 +24,12 @@
 	if p == nil {
 		p = &peer{}
 		s.peers[name] = p
-		s.shareQuotas()
 	}
 	p.at = s.now
+	p.reports++
+	if p.reports <= rateReports {
+		s.shareQuotas()
+	}
 	fresh := make(map[string]load, len(notice.Endpoints))
 	for _, l := range notice.Endpoints {
 		fresh[l.Endpoint] = load{running: l.Running, prefill: l.PrefillTokens, reserved: l.ReservedTokens}
@@ -90,9 +95,18 @@
 	s.shareQuotas()
 }
 
+// rateReports is the number of reports from which an instance's use is known as a rate.
+const rateReports = 2
+
 // shareQuotas gives this instance and those that it hears of their part of the quotas.
 func (s *State) shareQuotas() {
-	share := min(float64(len(s.peers)+1)/float64(s.instances), 1)
+	heard := 1
+	for _, p := range s.peers {
+		if p.reports >= rateReports {
+			heard++
+		}
+	}
+	share := min(float64(heard)/float64(s.instances), 1)
 	ownShare := 1.0
 	if s.instances > ungrouped {
 		ownShare = min(ownShareFactor/float64(s.instances), 1)
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -42,7 +42,7 @@
 	// minRateTime is the least time between two reports that tells a rate.
 	minRateTime = 100 * time.Millisecond
 	// ownShareFactor is how much more than its equal part an instance of a large fleet may use.
-	ownShareFactor = 3
+	ownShareFactor = 1.5
 )
 
 // newQuota returns an empty bucket: an instance that has just started doesn't know what was used before.
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -240,10 +240,14 @@
 			return wigeonshift.LoadNotice{Organisations: []wigeonshift.OrganisationUse{{Organisation: "limited", Units: units}}}
 		}
 		l.state.Reduce(PeerReported{At: l.at, Peer: "other", Load: use(1000)})
+		Expect(q.share).To(Equal(0.5), "its rate is not known yet")
 		l.at += 2 * time.Second
 		l.state.Reduce(PeerReported{At: l.at, Peer: "other", Load: use(1080)})
-		Expect(q.take(30, l.at)).To(BeFalse())
-		Expect(q.take(20, l.at)).To(BeTrue())
+		Expect(q.share).To(Equal(1.0))
+		Expect(q.level).To(BeNumerically("~", -30, 1), "the half that was kept to, less the other's 80")
+		l.at += 800 * time.Millisecond
+		Expect(q.take(30, l.at)).To(BeFalse(), "the other goes on with 40 units a second")
+		Expect(q.take(15, l.at)).To(BeTrue())
 	})
 })
 
