Log the content's fingerprint and check endpoints after lost attempts

Every line about a request now carries the fingerprint of its content (organisation, method, path, body), explain takes a fingerprint in place of an id, and an endpoint is checked once after a lost attempt: an open idle connection shows that it runs, else a dial that is refused shows that it ended. No decision reads the result yet.

--- a/cmd/wigeonrelay/explain.go
+++ b/cmd/wigeonrelay/explain.go
@@ -13,9 +13,9 @@
 // maxLineBytes limits the length of a log line.
 const maxLineBytes = 1 << 20
 
-// explainCommand prints the log lines of one request from the logs of all instances.
+// explainCommand prints the log lines of one request, or of all requests with one content, from the logs of all instances.
 type explainCommand struct {
-	Request string   `arg:"" help:"ID of the request."`
+	Request string   `arg:"" help:"ID of the request, or the fingerprint of its content."`
 	Logs    []string `arg:"" optional:"" type:"existingfile" help:"Log files; standard input if none are given."`
 }
 
@@ -23,7 +23,9 @@
 type logLine struct {
 	Time    string `json:"time"`
 	Request string `json:"request"`
-	Message string `json:"msg"`
+	// Fingerprint identifies the content of the request, which is the same for every resend by the caller.
+	Fingerprint string `json:"fingerprint"`
+	Message     string `json:"msg"`
 	// Reason and Outcome are set on lines that report the end of a request.
 	Reason  string `json:"reason"`
 	Outcome string `json:"outcome"`
@@ -31,6 +33,11 @@
 	raw string
 }
 
+// concerns reports whether the line is about a request, given by its ID or its fingerprint.
+func (l logLine) concerns(request string) bool {
+	return l.Request == request || l.Fingerprint == request
+}
+
 // Run reads the logs and prints the lines of the request in chronological order.
 func (c *explainCommand) Run() error {
 	var found []logLine
@@ -69,7 +76,7 @@
 		}
 		_, object, isObject := strings.Cut(text, "{")
 		var line logLine
-		if !isObject || json.Unmarshal([]byte("{"+object), &line) != nil || line.Request != c.Request {
+		if !isObject || json.Unmarshal([]byte("{"+object), &line) != nil || !line.concerns(c.Request) {
 			continue
 		}
 		line.raw = text
--- a/cmd/wigeonrelay/explain_test.go
+++ b/cmd/wigeonrelay/explain_test.go
@@ -25,3 +25,16 @@
 	g.Expect(lines[0]).To(ContainSubstring("dispatched"))
 	g.Expect(c.printLines(&out, nil)).To(MatchError(ContainSubstring("r1")))
 }
+
+// Each resend by the caller has its own ID, so only the fingerprint leads from one to the others.
+func TestExplainFingerprint(t *testing.T) {
+	g := NewWithT(t)
+	c := explainCommand{Request: "9c41"}
+	found, err := c.readLines(strings.NewReader(strings.Join([]string{
+		`1.2 node-a {"time":"1","request":"r1","fingerprint":"9c41","msg":"request dispatched"}`,
+		`1.5 node-b {"time":"2","request":"r2","fingerprint":"9c41","msg":"request dispatched"}`,
+		`1.6 node-b {"time":"3","request":"r3","fingerprint":"77ab","msg":"request dispatched"}`,
+	}, "\n")))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found).To(HaveLen(2))
+}
--- a/internal/load/wigeonload/ledger.go
+++ b/internal/load/wigeonload/ledger.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"wigeonshift/internal/standin/wigeonengine"
-	"wigeonshift/internal/standin/wigeonledger"
 
 	"github.com/valyala/fasthttp"
 )
@@ -115,7 +114,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for content, counts := range r.sendsByContent {
-		executed := executions[wigeonledger.FormatFingerprint(content)]
+		executed := executions[content.String()]
 		allowed := counts.sends - counts.provenNotRun
 		switch {
 		case executed > 0 && allowed == 0:
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -25,6 +25,9 @@
 	e.endAttempt(j)
 	j.assignedEndpoint = nil
 	s.recordOutcome(e, j, ev)
+	if ev.Outcome == OutcomeLost && j.Fingerprint != 0 {
+		s.requestCheck(e)
+	}
 	p := s.pool(j.Service)
 	switch ev.Outcome {
 	case OutcomeDone, OutcomeAbandoned:
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -69,6 +69,14 @@
 	Abandon struct {
 		Job JobID
 	}
+	// CheckEndpoint checks whether the process of an endpoint still runs, after an attempt on it was lost. An
+	// EndpointChecked event must follow.
+	CheckEndpoint struct {
+		EndpointID string
+		Address    string
+		// StartedAtMillis tells the incarnations of the endpoint apart; see wigeonshift.EndpointRecord.
+		StartedAtMillis int64
+	}
 	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly.
 	Suspect struct {
 		EndpointID string
@@ -77,8 +85,9 @@
 	}
 )
 
-func (Dispatch) effect() {}
-func (Refuse) effect()   {}
-func (Failure) effect()  {}
-func (Abandon) effect()  {}
-func (Suspect) effect()  {}
+func (Dispatch) effect()      {}
+func (Refuse) effect()        {}
+func (Failure) effect()       {}
+func (Abandon) effect()       {}
+func (Suspect) effect()       {}
+func (CheckEndpoint) effect() {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -75,6 +75,14 @@
 		// answer or the stream can be resumed.
 		Answerable bool
 	}
+	// EndpointChecked reports the result of a CheckEndpoint effect.
+	EndpointChecked struct {
+		At         time.Duration
+		EndpointID string
+		// StartedAtMillis is that of the effect.
+		StartedAtMillis int64
+		Liveness        wigeonshift.Liveness
+	}
 	// RequestWithdrawn withdraws a request whose caller has disconnected or whose deadline has passed.
 	RequestWithdrawn struct {
 		At  time.Duration
@@ -108,6 +116,7 @@
 func (e FirstEventReceived) at() time.Duration   { return e.At }
 func (e AttemptStalled) at() time.Duration       { return e.At }
 func (e AttemptEnded) at() time.Duration         { return e.At }
+func (e EndpointChecked) at() time.Duration      { return e.At }
 func (e RequestWithdrawn) at() time.Duration     { return e.At }
 func (e PeerReported) at() time.Duration         { return e.At }
 func (e PeerLost) at() time.Duration             { return e.At }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -14,7 +14,10 @@
 	ID JobID
 	// RequestID is the caller's ID of the request. It is used only in logs.
 	RequestID string
-	Service   string
+	// Fingerprint identifies the content of the request. It is the same for every resend by the caller, each of which has
+	// its own RequestID; zero if unknown.
+	Fingerprint wigeonshift.Fingerprint
+	Service     string
 	// Route is the name of the route that the request matched.
 	Route string
 	// Tier is the rank of the organisation, or of the route if the organisation has none.
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -58,6 +58,8 @@
 		s.handleStall(e.Job)
 	case AttemptEnded:
 		s.endAttempt(e)
+	case EndpointChecked:
+		s.handleEndpointChecked(e)
 	case RequestWithdrawn:
 		s.withdrawWaiting(e.Job)
 	case PeerReported:
--- a/internal/services/wigeonowner/quarantine.go
+++ b/internal/services/wigeonowner/quarantine.go
@@ -56,7 +56,7 @@
 
 // add collects a fingerprint for the next write. It never replaces a pending row with a smaller crash count.
 func (w *quarantineWriter) add(id wigeonshift.ShardID, f wigeonshift.Fingerprint, crashes int) {
-	key := quarantinePrefix(id) + strconv.FormatUint(uint64(f), 16)
+	key := quarantinePrefix(id) + f.String()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.pending[key].Crashes <= crashes {
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonprompt"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonroute"
 
@@ -91,6 +93,7 @@
 	}
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.targetService, now, timeout)
+	c.job.Fingerprint = c.fingerprint()
 	c.job.Elapsed = s.callerTimeouts.elapsed(r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.deadlineTimer = time.AfterFunc(timeout+deadlineMargin, c.onDeadline)
@@ -142,6 +145,14 @@
 	return j
 }
 
+// fingerprint returns a hash of the organisation, method, path and body of the request. It leaves out the headers and the
+// query, because a caller may change them when it sends the same request again.
+func (c *call) fingerprint() wigeonshift.Fingerprint {
+	r := &c.httpCtx.Request
+	path, _, _ := strings.Cut(string(r.Header.RequestURI()), "?")
+	return wigeonprompt.Fingerprint(c.job.Organisation, string(r.Header.Method()), path, string(r.Body()))
+}
+
 // A caller of a stream is expected to disconnect when nothing arrives for minPatience, for patienceObjectiveFactor
 // times the route's objective or for patienceGapFactor times its allowed gap, whichever is longest.
 const (
@@ -272,17 +283,18 @@
 // logEntry returns a log entry with the call's identity, its times and fields.
 func (c *call) logEntry(fields logrus.Fields) *logrus.Entry {
 	entry := c.service.log.WithFields(logrus.Fields{
-		"request":  c.header.RequestID,
-		"route":    c.route.Name,
-		"service":  c.targetService,
-		"tier":     int(c.job.Tier),
-		"rank":     int(c.job.RouteTier),
-		"version":  c.version,
-		"attempts": c.attempts,
-		"endpoint": c.endpoint,
-		"waitedMs": c.queueTime.Milliseconds(),
-		"firstMs":  c.firstByteLatency.Milliseconds(),
-		"tookMs":   (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
+		"request":     c.header.RequestID,
+		"fingerprint": c.job.Fingerprint.String(),
+		"route":       c.route.Name,
+		"service":     c.targetService,
+		"tier":        int(c.job.Tier),
+		"rank":        int(c.job.RouteTier),
+		"version":     c.version,
+		"attempts":    c.attempts,
+		"endpoint":    c.endpoint,
+		"waitedMs":    c.queueTime.Milliseconds(),
+		"firstMs":     c.firstByteLatency.Milliseconds(),
+		"tookMs":      (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
 	})
 	return entry.WithFields(fields)
 }
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -27,6 +27,8 @@
 	// calls holds the calls that are queued or running.
 	calls  map[wigeondispatch.JobID]*call
 	lastID wigeondispatch.JobID
+	// startCheck starts a check of an endpoint; its result must come back as an EndpointChecked event. It must not block.
+	startCheck func(x wigeondispatch.CheckEndpoint)
 	// loadChanges counts events that may have changed the load of this instance.
 	loadChanges uint64
 }
@@ -143,6 +145,8 @@
 			if c := d.calls[x.Job]; c != nil {
 				c.abandonAttempt()
 			}
+		case wigeondispatch.CheckEndpoint:
+			d.startCheck(x)
 		case wigeondispatch.Suspect:
 			d.scope.Counter("suspects").Inc(1)
 			d.log.WithFields(logrus.Fields{
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -49,6 +49,7 @@
 		log:        log,
 		scope:      scope,
 	}
+	dispatcher.startCheck = s.startCheck
 	s.server = &fasthttp.Server{
 		Handler:                      s.handle,
 		ReadBufferSize:               limits.MaxHeaderBytes,
--- a/internal/services/wigeonupstream/pool.go
+++ b/internal/services/wigeonupstream/pool.go
@@ -110,6 +110,11 @@
 // timeout that the endpoint announced, zero if none.
 func (p *Pool) release(c *connection, idle time.Duration) {
 	c.markIdle(idle)
+	p.addIdle(c)
+}
+
+// addIdle adds a connection to the idle ones, or closes it if the pool is closed.
+func (p *Pool) addIdle(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/internal/standin/wigeonledger/ledger.go
+++ b/internal/standin/wigeonledger/ledger.go
@@ -3,8 +3,6 @@
 package wigeonledger
 
 import (
-	"strconv"
-
 	"wigeonshift"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,16 +50,11 @@
 	return duplicate
 }
 
-// Contents returns the number of executions of each content, by the Key of its fingerprint.
+// Contents returns the number of executions of each content, by the hexadecimal form of its fingerprint.
 func (l *Ledger) Contents() map[string]int {
 	contents := make(map[string]int, len(l.contents))
 	for content, count := range l.contents {
-		contents[FormatFingerprint(content)] = count
+		contents[content.String()] = count
 	}
 	return contents
 }
-
-// FormatFingerprint returns the hexadecimal form of a content's fingerprint, which is its key in Contents.
-func FormatFingerprint(content wigeonshift.Fingerprint) string {
-	return strconv.FormatUint(uint64(content), 16)
-}
--- a/internal/standin/wigeonplain/service.go
+++ b/internal/standin/wigeonplain/service.go
@@ -136,7 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes.Add(token, content)
-	return Receipt{Content: wigeonledger.FormatFingerprint(content), Serial: s.writes.Executions}
+	return Receipt{Content: content.String(), Serial: s.writes.Executions}
 }
 
 // shouldRefuse reports whether to refuse the current call, and counts it if so.
@@ -164,7 +164,7 @@
 	record := Record{Path: path}
 	for i := range entriesPerRecord {
 		hash := wigeonprompt.Fingerprint(path, fmt.Sprint(i))
-		record.Entries = append(record.Entries, wigeonledger.FormatFingerprint(hash))
+		record.Entries = append(record.Entries, hash.String())
 	}
 	// Marshalling strings can't fail.
 	document, _ := json.Marshal(record)
@@ -185,5 +185,5 @@
 func IsReceipt(text, path, body string) bool {
 	var receipt Receipt
 	err := json.Unmarshal([]byte(text), &receipt)
-	return err == nil && receipt.Content == wigeonledger.FormatFingerprint(CallFingerprint(path, body))
+	return err == nil && receipt.Content == CallFingerprint(path, body).String()
 }
--- a/request.go
+++ b/request.go
@@ -1,6 +1,9 @@
 package wigeonshift
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // TierRank is the priority of a tier: 0 is the highest, and requests with a smaller rank may preempt those with a
 // larger one.
@@ -15,6 +18,9 @@
 // Fingerprint identifies the content of a request; it is the same for every resend.
 type Fingerprint uint64
 
+// String returns the hexadecimal form, which logs and row keys use.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // BlockHash identifies a prompt prefix that ends at a block boundary. It covers all blocks up to that boundary.
 type BlockHash uint64
 
