--- /dev/null
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -0,0 +1,194 @@
+package wigeonsoak_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// poisonBody is the body of a request that crashes every endpoint that begins to run it.
+	poisonBody = "poison"
+	// poisonPath is the path of that request. Its route allows two attempts.
+	poisonPath = "/safe/"
+	// poisonIDPrefix begins the ID of every try of that request.
+	poisonIDPrefix = "poison-"
+	// endpointDowntime is how long a crashed endpoint refuses connections.
+	endpointDowntime = 2 * time.Second
+	// crashesToQuarantine is the number of crashed endpoints after which the request may reach only maxLateArrivals more
+	// endpoints, except within quarantineTime after the last of these crashes.
+	crashesToQuarantine = 3
+	quarantineTime      = 3 * time.Second
+	maxLateArrivals     = 3
+)
+
+// poisonLog records when the request that crashes endpoints reached one.
+type poisonLog struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+func (p *poisonLog) recordArrival() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrivals = append(p.arrivals, time.Now())
+}
+
+// arrivalCount returns the number of arrivals, each of which crashed an endpoint.
+func (p *poisonLog) arrivalCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.arrivals)
+}
+
+// lateArrivals returns the number of arrivals later than quarantineTime after crashesToQuarantine endpoints had crashed.
+func (p *poisonLog) lateArrivals() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := 0
+	for i, at := range p.arrivals {
+		if i >= crashesToQuarantine && at.Sub(p.arrivals[crashesToQuarantine-1]) > quarantineTime {
+			late++
+		}
+	}
+	return late
+}
+
+// crash ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime.
+func (e *engine) crash() {
+	if !e.proxy.shutDown() {
+		return
+	}
+	time.AfterFunc(endpointDowntime, func() {
+		e.mu.Lock()
+		e.startedAt = time.Now()
+		e.mu.Unlock()
+		if err := e.proxy.open(); err != nil {
+			panic(err)
+		}
+		e.announce(e)
+	})
+}
+
+// poisonCaller sends the request that crashes endpoints again and again, each time with a new ID, to relays that have had
+// no fault for quarantineTime.
+type poisonCaller struct {
+	caller
+	name string
+}
+
+// resendInterval is the time between two tries of a poisonCaller.
+const resendInterval = 100 * time.Millisecond
+
+func (c *poisonCaller) run() {
+	for n := 0; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(resendInterval):
+		}
+		p := c.soak.relays[c.random.IntN(len(c.soak.relays))]
+		if !p.stableFor(quarantineTime) || !p.storeProxy.forwardingFor(quarantineTime) || !c.soak.store.healthyFor(quarantineTime) {
+			continue
+		}
+		c.roundTrip(poisonPath, fmt.Sprintf("%s%s-%d", poisonIDPrefix, c.name, n), poisonBody, p)
+	}
+}
+
+// TestPoisonRequest guards against a request that crashes every endpoint and is sent on without limit, because each try of
+// its caller has a new ID and may reach another relay, a restarted one, or one that was cut off from the store.
+func TestPoisonRequest(t *testing.T) {
+	binary := buildRelay(t)
+	for _, scenario := range []struct {
+		name   string
+		faults func(s *soakRun)
+	}{
+		{"relays without faults", func(*soakRun) {}},
+		{"relays that restart or are cut off", func(s *soakRun) {
+			s.restart(s.relays[0], syscall.SIGKILL)
+			s.relays[1].storeProxy.setMode(modeStall)
+			time.Sleep(time.Second)
+			s.relays[1].storeProxy.setMode(modeForward)
+			s.restart(s.relays[2], syscall.SIGTERM)
+		}},
+		{"all relays are killed", func(s *soakRun) {
+			for _, p := range s.relays {
+				p.signal(syscall.SIGKILL)
+			}
+			for _, p := range s.relays {
+				s.restart(p, syscall.SIGKILL)
+			}
+		}},
+		{"store returns from an older copy", func(s *soakRun) {
+			s.store.restore(s.versionBeforeRun)
+			time.Sleep(time.Second)
+			s.restart(s.relays[0], syscall.SIGKILL)
+		}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			skipIfKnownRed(t)
+			s := newSoakRun(t, 1, binary)
+			s.runWithPoison(scenario.faults)
+			s.checkPoison(t)
+		})
+	}
+}
+
+// runWithPoison sends ordinary requests and the one that crashes endpoints. It injects the faults once the request should
+// be refused.
+func (s *soakRun) runWithPoison(faults func(s *soakRun)) {
+	s.versionBeforeRun = s.store.currentVersion()
+	time.Sleep(quarantineTime)
+	stop := make(chan struct{})
+	var tasks sync.WaitGroup
+	for i := range 4 {
+		c := &caller{soak: s, random: rand.New(rand.NewPCG(uint64(i), 2)), stop: stop}
+		tasks.Go(c.run)
+	}
+	for i := range 2 {
+		c := &poisonCaller{name: fmt.Sprint(i), caller: caller{soak: s, random: rand.New(rand.NewPCG(uint64(i), 3)), stop: stop}}
+		tasks.Go(c.run)
+	}
+	s.g.Eventually(s.poison.arrivalCount).WithTimeout(10 * time.Second).Should(BeNumerically(">=", crashesToQuarantine))
+	time.Sleep(quarantineTime / 2)
+	faults(s)
+	time.Sleep(2*quarantineTime + endpointDowntime)
+	close(stop)
+	tasks.Wait()
+}
+
+// checkPoison checks that the request no longer reached endpoints and that no other request was taken for it.
+func (s *soakRun) checkPoison(t *testing.T) {
+	t.Logf("%d endpoints crashed, %d of them late; responses by status %v", s.poison.arrivalCount(), s.poison.lateArrivals(), s.outcomes)
+	s.g.Expect(s.poison.lateArrivals()).To(BeNumerically("<=", maxLateArrivals))
+	for _, p := range s.relays {
+		text, err := os.ReadFile(p.logFile.Name())
+		s.g.Expect(err).NotTo(HaveOccurred())
+		for line := range bytes.Lines(text) {
+			if bytes.Contains(line, []byte(`"reason":"quarantined"`)) {
+				s.g.Expect(string(line)).To(ContainSubstring(poisonIDPrefix), "an innocent request was refused")
+			}
+		}
+	}
+}
+
+// skipIfKnownRed skips a test that KNOWN-RED.txt lists and prints its entry.
+func skipIfKnownRed(t *testing.T) {
+	list, err := os.ReadFile("../../../KNOWN-RED.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(list)) {
+		if strings.HasPrefix(line, "wigeonsoak: "+t.Name()+" ") {
+			t.Skip("known failure: " + line)
+		}
+	}
+}
--- a/internal/soak/wigeonsoak/proxy_test.go
+++ b/internal/soak/wigeonsoak/proxy_test.go
@@ -27,27 +27,56 @@
 
 // proxy forwards TCP connections from relays to a target, and simulates network faults.
 type proxy struct {
-	listener net.Listener
-	target   string
+	listenAddress string
+	target        string
 
-	mu   sync.Mutex
-	mode proxyMode
+	mu sync.Mutex
+	// listener is nil while the proxy refuses connections.
+	listener net.Listener
+	mode     proxyMode
 	// changedAt is the time of the latest change of mode.
 	changedAt time.Time
 	conns     map[net.Conn]bool
 }
 
 func newProxy(target string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	p := &proxy{listenAddress: freeAddress(), target: target, conns: map[net.Conn]bool{}}
+	if err := p.open(); err != nil {
 		panic(err)
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	go p.run()
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
+
+// open accepts connections, for the first time or after shutDown.
+func (p *proxy) open() error {
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener, p.changedAt = l, time.Now()
+	p.mu.Unlock()
+	go p.run(l)
+	return nil
+}
+
+// shutDown resets all connections and refuses new ones until open, like a process that ends. It reports false if the
+// proxy is shut down already.
+func (p *proxy) shutDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return false
+	}
+	p.listener.Close()
+	p.listener, p.changedAt = nil, time.Now()
+	for c := range p.conns {
+		resetConnection(c)
+	}
+	return true
+}
 
 // setMode changes the mode, and resets the open connections if it is modeReset.
 func (p *proxy) setMode(m proxyMode) {
@@ -71,7 +100,7 @@
 func (p *proxy) forwardingFor(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode == modeForward && time.Since(p.changedAt) > d
+	return p.mode == modeForward && p.listener != nil && time.Since(p.changedAt) > d
 }
 
 // resetConnection closes a connection with a TCP reset.
@@ -82,9 +111,9 @@
 	c.Close()
 }
 
-func (p *proxy) run() {
+func (p *proxy) run(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -36,10 +36,13 @@
 
 // soakRun is one run of the soak with one seed.
 type soakRun struct {
-	g                    *WithT
-	random               *rand.Rand
-	store                *store
-	executions           *executionLog
+	g          *WithT
+	random     *rand.Rand
+	store      *store
+	executions *executionLog
+	poison     poisonLog
+	// versionBeforeRun is the version of the store before the first request.
+	versionBeforeRun     uint64
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
@@ -60,15 +63,7 @@
 func TestSoak(t *testing.T) {
 	seeds, seconds := environmentInt("WIGEONSHIFT_SOAK_SEEDS", 2), environmentInt("WIGEONSHIFT_SOAK_SECONDS", 6)
 	first := environmentInt("WIGEONSHIFT_SOAK_FIRST", 2)
-	binary := filepath.Join(t.TempDir(), "wigeonrelay")
-	arguments := []string{"build", "-o", binary}
-	if os.Getenv("WIGEONSHIFT_SOAK_RACE") != "" {
-		arguments = append(arguments, "-race")
-	}
-	out, err := exec.Command("go", append(arguments, "wigeonshift/cmd/wigeonrelay")...).CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := buildRelay(t)
 	allSeeds := append([]int(nil), regressionSeeds...)
 	for seed := first; seed < first+seeds; seed++ {
 		allSeeds = append(allSeeds, seed)
@@ -82,6 +77,20 @@
 	}
 }
 
+// buildRelay builds the relay program and returns its path.
+func buildRelay(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "wigeonrelay")
+	arguments := []string{"build", "-o", binary}
+	if os.Getenv("WIGEONSHIFT_SOAK_RACE") != "" {
+		arguments = append(arguments, "-race")
+	}
+	out, err := exec.Command("go", append(arguments, "wigeonshift/cmd/wigeonrelay")...).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
 func newSoakRun(t *testing.T, seed uint64, binary string) *soakRun {
 	s := &soakRun{
 		g: NewWithT(t), random: rand.New(rand.NewPCG(seed, 1)), store: newStore(), executions: &executionLog{countByID: map[string]int{}},
@@ -151,11 +160,11 @@
 }
 
 func (s *soakRun) addEngine() {
-	e := newEngine(fmt.Sprintf("engine-%d", len(s.engines)), uint64(len(s.engines)), s.executions, s.stable)
+	e := newEngine(fmt.Sprintf("engine-%d", len(s.engines)), uint64(len(s.engines)), s)
 	s.mu.Lock()
 	s.engines = append(s.engines, e)
 	s.mu.Unlock()
-	s.store.put("servers", e.id, e.row("ready"))
+	e.announce(e)
 }
 
 // runWithFaults sends requests and injects faults for a duration, and then waits until both have ended.
@@ -344,7 +353,7 @@
 	s.requestCount++
 	id := fmt.Sprintf("q%d", s.requestCount)
 	s.mu.Unlock()
-	status, body, complete, signed := c.roundTrip(path, id, p)
+	status, body, complete, signed := c.roundTrip(path, id, "body of "+id, p)
 	s.mu.Lock()
 	s.outcomes[status]++
 	s.mu.Unlock()
@@ -372,7 +381,8 @@
 	return status
 }
 
-func (c *caller) roundTrip(path, id string, p *relayProcess) (status int, body string, complete, signed bool) {
+// roundTrip sends a request and reads the response. status is 0 if there is none.
+func (c *caller) roundTrip(path, id, body string, p *relayProcess) (status int, text string, complete, signed bool) {
 	if c.conn == nil || c.relay != p {
 		conn, err := net.DialTimeout("tcp", p.callerAddress, time.Second)
 		if err != nil {
@@ -385,19 +395,19 @@
 		c.conn, c.reader, c.relay = conn, bufio.NewReader(conn), p
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
-	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: 4\r\n\r\nbody", path, id)
+	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		c.lastError = err
 		c.closeConnection()
 		return 0, "", false, false
 	}
-	text, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(response.Body)
 	response.Body.Close()
 	if err != nil || response.Close {
 		c.closeConnection()
 	}
-	return response.StatusCode, string(text), err == nil, response.Header.Get("Server-Signature") != ""
+	return response.StatusCode, string(content), err == nil, response.Header.Get("Server-Signature") != ""
 }
 
 func (c *caller) closeConnection() {
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	version uint64
+	// era counts the returns from an older copy.
+	era     int
 	rows    map[string]map[string]storeRow
 	log     []storeRow
 	changed chan struct{}
@@ -93,12 +95,51 @@
 	unavailable, responseDelay := s.unavailable, s.responseDelay
 	s.mu.Unlock()
 	time.Sleep(responseDelay)
+	w.Header().Set("Store-Era", strconv.Itoa(s.currentEra()))
 	if unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	return !unavailable
 }
 
+func (s *store) currentEra() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// restore returns the store to an older copy: the state after the version at the given time ago. The operator's and the
+// endpoints' rows are written again, as their owners would do, and the rows of the relays are lost.
+func (s *store) restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kept, rewritten []storeRow
+	for _, row := range s.log {
+		if row.Version <= version {
+			kept = append(kept, row)
+		} else if row.Table == "op" || row.Table == "servers" {
+			rewritten = append(rewritten, row)
+		}
+	}
+	s.era++
+	s.version, s.log, s.rows, s.faultChangedAt = min(version, s.version), nil, map[string]map[string]storeRow{}, time.Now()
+	for _, row := range kept {
+		s.applyRow(row)
+	}
+	for _, row := range rewritten {
+		s.version++
+		row.Version = s.version
+		s.applyRow(row)
+	}
+}
+
+// currentVersion returns the version of the latest change.
+func (s *store) currentVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w) {
 		return
@@ -131,6 +172,12 @@
 		}
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
+		// The store may have returned from an older copy during the wait.
+		w.Header().Set("Store-Era", strconv.Itoa(s.currentEra()))
+		if after > version {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(rows) > 0 || timedOut {
 			_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version})
 			return
@@ -151,6 +198,7 @@
 	}
 	var tx struct {
 		Writes []storeRow `json:"writes"`
+		Remove []storeRow `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -158,6 +206,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, row := range tx.Remove {
+		row.Deleted = true
+		tx.Writes = append(tx.Writes, row)
+	}
 	for _, row := range tx.Writes {
 		s.version++
 		row.Version = s.version
@@ -172,6 +224,9 @@
 	server     *httptest.Server
 	proxy      *proxy
 	executions *executionLog
+	poison     *poisonLog
+	// announce writes the endpoint's row to the store.
+	announce func(e *engine)
 	// stable reports whether the store and the relays have had no fault for long enough that every relay must know that
 	// the endpoint is draining.
 	stable func() bool
@@ -181,6 +236,8 @@
 	// faultRatio is the ratio of requests that fail; faultChangedAt is the time at which it last changed.
 	faultRatio     float64
 	faultChangedAt time.Time
+	// startedAt is the start time that the endpoint's row tells.
+	startedAt time.Time
 	// drainingSince is the time at which the endpoint was announced as draining, or zero.
 	drainingSince time.Time
 }
@@ -205,15 +262,22 @@
 	return b.countByID[id]
 }
 
-func newEngine(id string, seed uint64, executions *executionLog, stable func() bool) *engine {
-	e := &engine{id: id, executions: executions, stable: stable, random: rand.New(rand.NewPCG(seed, 3))}
+func newEngine(id string, seed uint64, s *soakRun) *engine {
+	e := &engine{
+		id: id, executions: s.executions, poison: &s.poison, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
+		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.id, e.row("ready")) },
+	}
 	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
 	e.proxy = newProxy(e.server.Listener.Addr().String())
 	return e
 }
 
 func (e *engine) row(state string) map[string]any {
-	return map[string]any{"service": "s", "address": e.proxy.address(), "zone": "z", "slots": 8, "state": state, "born": 1}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{
+		"service": "s", "address": e.proxy.address(), "zone": "z", "slots": 8, "state": state, "born": e.startedAt.UnixMilli(),
+	}
 }
 
 func (e *engine) setFaultRatio(ratio float64) {
@@ -236,7 +300,7 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.ReadAll(r.Body)
+	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if r.Header.Get("Expect-Instance") != e.id {
@@ -259,6 +323,11 @@
 		e.executions.mu.Unlock()
 	}
 	e.executions.record(id)
+	if string(body) == poisonBody {
+		e.poison.recordArrival()
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if faulty && faultDraw < 0.5 {
 		panic(http.ErrAbortHandler)
 	}
