List the tables again when the store returns from an older copy

The users' store may lose its last seconds in a drill, with Store-Era one higher and versions given out again. A follower kept the highest revision that it had seen.

The adapter reads the era of every answer, a page of another era makes the follower list the table, and a listing sets the revision to continue from instead of raising it. Endpoints whose rows were lost with the last seconds have two seconds to write them again, as after an outage. A listing follows a lost history after 30 ms, so that no store can cause a loop.

--- /dev/null
+++ b/crash.go
@@ -0,0 +1,21 @@
+package wigeonshift
+
+import "time"
+
+// Crash reports that an endpoint crashed while it had a request, which may have caused the crash.
+type Crash struct {
+	// Fingerprint is that of the request.
+	Fingerprint Fingerprint
+	// Endpoint identifies the endpoint and its incarnation, so that each crash of an endpoint counts once.
+	Endpoint string
+	// At is the time of the crash by the clock of the instance that noticed it.
+	At time.Time
+}
+
+// CrashRecorder shares crashes with the other instances. Its methods must not block.
+type CrashRecorder interface {
+	// ReportCrash adds a crash.
+	ReportCrash(c Crash)
+	// ClearCrashes removes all crashes of a request that has run to its end and is thus not their cause.
+	ClearCrashes(f Fingerprint)
+}
--- a/internal/services/wigeonfollow/endpoint.go
+++ b/internal/services/wigeonfollow/endpoint.go
@@ -172,6 +172,9 @@
 	t.resetGraceTimer()
 }
 
+// handleStoreRestored starts the grace period, too: endpoints whose rows are missing in the older copy write them again.
+func (t *endpointTable) handleStoreRestored() { t.handleStoreRecovery() }
+
 // resetGraceTimer schedules the removal of missing endpoints at the end of the grace period. While the store is down it
 // schedules nothing, because the grace period starts only with the recovery.
 func (t *endpointTable) resetGraceTimer() {
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -36,8 +37,10 @@
 	silent bool
 	// compactedRevision is the revision up to which the change history has been dropped.
 	compactedRevision uint64
-	calls             int
-	changed           chan struct{}
+	// era counts the returns of the store from an older copy.
+	era     uint64
+	calls   int
+	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
@@ -72,14 +75,42 @@
 	change(s)
 }
 
+// restore returns the store to an older copy after a short outage: it drops the changes after a revision, whose numbers
+// are given out again.
+func (s *fakeStore) restore(revision uint64) {
+	s.update(func(s *fakeStore) {
+		s.down = true
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+	advance(200 * time.Millisecond)
+	s.update(func(s *fakeStore) {
+		s.down, s.revision = false, revision
+		s.era++
+		for table, changes := range s.changes {
+			s.changes[table] = slices.DeleteFunc(changes, func(r wigeonshift.TableRow) bool { return r.Revision > revision })
+			s.rows[table] = map[string]wigeonshift.TableRow{}
+			for _, r := range s.changes[table] {
+				s.rows[table][r.Key] = r
+				if r.Deleted {
+					delete(s.rows[table], r.Key)
+				}
+			}
+		}
+	})
+}
+
 func (s *fakeStore) List(_ context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.era > 0 {
+		time.Sleep(time.Millisecond) // Lets the fake clock advance if calls never stop.
+	}
 	if s.down {
 		return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 	}
-	page := wigeonshift.TablePage{Revision: s.revision}
+	page := wigeonshift.TablePage{Revision: s.revision, Era: s.era}
 	for _, r := range s.rows[table] {
 		page.Rows = append(page.Rows, r)
 	}
@@ -105,11 +136,11 @@
 			s.mu.Unlock()
 			return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 		}
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
 			return wigeonshift.TablePage{}, wigeonshift.ErrHistoryLost
 		}
-		page := wigeonshift.TablePage{Revision: s.revision}
+		page := wigeonshift.TablePage{Revision: s.revision, Era: s.era}
 		for _, r := range s.changes[table] {
 			if r.Revision > after {
 				page.Rows = append(page.Rows, r)
@@ -302,6 +333,53 @@
 
 	// Guards against waiting for a poll that was sent just before the store stopped hanging, which delayed the new version
 	// by up to 4.3 s. Seen as CONFIG on apme-lima with deploy/days/silent-store-and-stops.toml --vary --seed 43077432480.
+	// The store may lose the last seconds and give their revisions out again. A follower that continues from the revision
+	// that it knows then misses the changes that were made up to there.
+	It("has all endpoints four seconds after the store has returned from an older copy", func() {
+		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+			copied := s.revision
+			for _, id := range []string{"c", "d", "e"} {
+				s.put(endpoints, id, ready)
+			}
+			advance(time.Second)
+			g.Expect(f.readyIDs()).To(Equal([]string{"a", "b", "c", "d", "e"}))
+			s.restore(copied)
+			s.put(endpoints, "a", leaving)
+			for _, id := range []string{"c", "d", "f", "g"} {
+				s.put(endpoints, id, ready)
+			}
+			advance(4 * time.Second)
+			g.Expect(f.readyIDs()).To(Equal([]string{"b", "c", "d", "f", "g"}))
+		})
+	})
+
+	It("keeps endpoints for two seconds whose rows were lost with the store's last seconds", func() {
+		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+			copied := s.revision
+			s.put(endpoints, "c", ready)
+			advance(time.Second)
+			s.restore(copied)
+			advance(time.Second)
+			g.Expect(f.readyIDs()).To(Equal([]string{"a", "b", "c"}))
+			advance(3 * time.Second)
+			g.Expect(f.readyIDs()).To(Equal([]string{"a", "b"}))
+		})
+	})
+
+	It("calls a store that has returned from an older copy only a few times a second", func() {
+		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+			copied := s.revision
+			for range 20 {
+				s.put(endpoints, "c", ready)
+			}
+			advance(time.Second)
+			s.restore(copied)
+			s.update(func(s *fakeStore) { s.calls = 0 })
+			advance(10 * time.Second)
+			g.Expect(s.calls).To(BeNumerically("<", 3*10*5))
+		})
+	})
+
 	It("has the newest version two seconds after the store stops hanging, whenever that happens", func() {
 		for end := 6 * time.Second; end < 10*time.Second; end += 500 * time.Millisecond {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -32,6 +32,8 @@
 	// retryBaseDelay and retryMaxDelay bound the backoff after a failed call.
 	retryBaseDelay = 60 * time.Millisecond
 	retryMaxDelay  = 500 * time.Millisecond
+	// relistDelay is the pause before a table is listed again. It bounds the calls to a store that drops its changes at once.
+	relistDelay = 30 * time.Millisecond
 )
 
 // rowHandler processes the rows of one table.
@@ -44,6 +46,9 @@
 	handleStoreFailure()
 	// handleStoreRecovery is called at the first successful call after a failure.
 	handleStoreRecovery()
+	// handleStoreRestored is called before replaceRows if the store has returned from an older copy, in which the latest
+	// rows are missing.
+	handleStoreRestored()
 }
 
 // follower keeps one table up to date: it lists the table once and then long-polls the store for changes.
@@ -62,8 +67,11 @@
 	// repollRequests holds a pending request to cancel the running poll and to poll again.
 	repollRequests chan struct{}
 
-	// listed is set once the table has been listed.
+	// listed is set while the table needs no new listing.
 	listed bool
+	// era is the store's era at the latest listing; everListed is set once there was one.
+	era        uint64
+	everListed bool
 	// knownRevision is the store revision up to which all changes are known, newestRowRevision the highest revision of
 	// any row.
 	knownRevision, newestRowRevision atomic.Uint64
@@ -76,9 +84,12 @@
 // errRepoll reports that a poll was cancelled in favour of a new one.
 var errRepoll = errors.New("poll cancelled by a repoll request")
 
+// errStoreRestored reports that the store has returned from an older copy since the table was listed.
+var errStoreRestored = errors.New("store has returned from an older copy")
+
 // run calls the store until ctx ends. After a failure it waits before the next call. It calls again at once if the poll
-// was only cancelled for a new one, or if the store has dropped the changes since the last poll; the table must then be
-// listed again.
+// was only cancelled for a new one. If the store has dropped the changes since the last poll or has returned from an older
+// copy, the table must be listed again.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.callStore(ctx)
@@ -94,9 +105,10 @@
 			f.pollImmediately = true
 			continue
 		}
-		if errors.Is(err, wigeonshift.ErrHistoryLost) {
-			f.log.WithField("table", f.name).Warn("store has dropped the change history; listing the whole table again")
+		if errors.Is(err, wigeonshift.ErrHistoryLost) || errors.Is(err, errStoreRestored) {
+			f.log.WithField("table", f.name).WithError(err).Warn("listing the whole table again")
 			f.listed = false
+			wigeonclock.Sleep(ctx, relistDelay)
 			continue
 		}
 		f.recordFailure(err)
@@ -142,15 +154,16 @@
 			return err
 		}
 		f.recordSuccess()
-		f.handler.replaceRows(page.Rows)
-		f.listed = true
-		f.recordRevisions(page)
+		f.applyListing(page)
 		return nil
 	}
 	page, err := f.poll(callCtx, wait)
 	if err != nil {
 		return err
 	}
+	if page.Era != f.era {
+		return errStoreRestored
+	}
 	f.recordSuccess()
 	f.recordRevisions(page)
 	if len(page.Rows) > 0 {
@@ -160,6 +173,21 @@
 	return nil
 }
 
+// applyListing replaces all rows. The next poll continues from the listing's revision, even if a higher one was known:
+// after a return from an older copy the store's revisions are lower than before.
+func (f *follower) applyListing(page wigeonshift.TablePage) {
+	if f.everListed && page.Era != f.era {
+		f.log.WithFields(logrus.Fields{"table": f.name, "era": page.Era, "before": f.era}).
+			Warn("store has returned from an older copy")
+		f.newestRowRevision.Store(0)
+		f.handler.handleStoreRestored()
+	}
+	f.handler.replaceRows(page.Rows)
+	f.listed, f.everListed, f.era = true, true, page.Era
+	f.knownRevision.Store(page.Revision)
+	f.recordRevisions(page)
+}
+
 // recordRevisions raises the known revisions to those of a page. The next poll asks for changes after knownRevision.
 func (f *follower) recordRevisions(page wigeonshift.TablePage) {
 	f.knownRevision.Store(max(f.knownRevision.Load(), page.Revision))
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -66,3 +66,4 @@
 
 func (t *instanceTable) handleStoreFailure()  {}
 func (t *instanceTable) handleStoreRecovery() {}
+func (t *instanceTable) handleStoreRestored() {}
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -181,6 +181,7 @@
 
 func (t *configurationTable) handleStoreFailure()  {}
 func (t *configurationTable) handleStoreRecovery() {}
+func (t *configurationTable) handleStoreRestored() {}
 
 func (t *configurationTable) offer(document []byte) {
 	t.apply(wigeonshift.TableRow{Key: ConfigurationRowKey, Value: document}, "peer")
--- /dev/null
+++ b/internal/services/wigeonquarantine/record.go
@@ -0,0 +1,117 @@
+package wigeonquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonshift"
+)
+
+const (
+	// suspectLifetime is the time after its last crash for which a request stays suspected.
+	suspectLifetime = 30 * time.Minute
+	// quarantineLifetime is the time after its last crash for which a request is refused. It is long because each try after
+	// it costs as many endpoints as the first ones did.
+	quarantineLifetime = 24 * time.Hour
+	// maxFingerprints bounds the number of requests in a record.
+	maxFingerprints = 65536
+)
+
+// Record holds the crashes of each fingerprint. It is not safe for concurrent use.
+type Record struct {
+	limit   int
+	crashes map[wigeonshift.Fingerprint][]wigeonshift.Crash
+}
+
+// NewRecord returns an empty record in which a request is quarantined from limit crashes on.
+func NewRecord(limit int) *Record {
+	return &Record{limit: limit, crashes: map[wigeonshift.Fingerprint][]wigeonshift.Crash{}}
+}
+
+// Add adds a crash and reports whether it is new. It ignores requests without a fingerprint, further crashes of a
+// quarantined request, and new requests once the record is full.
+func (r *Record) Add(c wigeonshift.Crash) bool {
+	known, exists := r.crashes[c.Fingerprint]
+	if c.Fingerprint == 0 || len(known) >= r.limit || !exists && len(r.crashes) >= maxFingerprints {
+		return false
+	}
+	if slices.ContainsFunc(known, func(k wigeonshift.Crash) bool { return k.Endpoint == c.Endpoint }) {
+		return false
+	}
+	r.crashes[c.Fingerprint] = append(known, c)
+	return true
+}
+
+// Crashes returns the crashes of a request.
+func (r *Record) Crashes(f wigeonshift.Fingerprint) []wigeonshift.Crash { return r.crashes[f] }
+
+// Suspected reports whether a request was there at some crash, but at too few for the quarantine.
+func (r *Record) Suspected(f wigeonshift.Fingerprint) bool {
+	return len(r.crashes) > 0 && len(r.crashes[f]) > 0 && !r.Quarantined(f)
+}
+
+// Quarantined reports whether a request must be refused.
+func (r *Record) Quarantined(f wigeonshift.Fingerprint) bool {
+	return len(r.crashes) > 0 && len(r.crashes[f]) >= r.limit
+}
+
+// ExpiresAt returns the time at which a request is forgotten.
+func (r *Record) ExpiresAt(f wigeonshift.Fingerprint) time.Time {
+	var last time.Time
+	for _, c := range r.crashes[f] {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	if r.Quarantined(f) {
+		return last.Add(quarantineLifetime)
+	}
+	return last.Add(suspectLifetime)
+}
+
+// Remove removes a request with all its crashes.
+func (r *Record) Remove(f wigeonshift.Fingerprint) { delete(r.crashes, f) }
+
+// RemoveSuspects removes a crash of an endpoint from all suspected requests.
+func (r *Record) RemoveSuspects(endpoint string) {
+	for f, known := range r.crashes {
+		if r.Quarantined(f) {
+			continue
+		}
+		r.set(f, slices.DeleteFunc(known, func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
+	}
+}
+
+// RemoveCrash removes one crash of a request.
+func (r *Record) RemoveCrash(f wigeonshift.Fingerprint, endpoint string) {
+	r.set(f, slices.DeleteFunc(r.crashes[f], func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
+}
+
+func (r *Record) set(f wigeonshift.Fingerprint, crashes []wigeonshift.Crash) {
+	if len(crashes) == 0 {
+		delete(r.crashes, f)
+		return
+	}
+	r.crashes[f] = crashes
+}
+
+// Expire removes the requests whose time is over and returns their crashes.
+func (r *Record) Expire(now time.Time) []wigeonshift.Crash {
+	var expired []wigeonshift.Crash
+	for f, known := range r.crashes {
+		if now.After(r.ExpiresAt(f)) {
+			expired = append(expired, known...)
+			delete(r.crashes, f)
+		}
+	}
+	return expired
+}
+
+// All returns all crashes, sorted by fingerprint.
+func (r *Record) All() []wigeonshift.Crash {
+	all := slices.Concat(slices.Collect(maps.Values(r.crashes))...)
+	slices.SortStableFunc(all, func(a, b wigeonshift.Crash) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return all
+}
--- a/internal/services/wigeonrelay/check.go
+++ b/internal/services/wigeonrelay/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeonshift/internal/modules/wigeonclock"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonupstream"
 
@@ -28,7 +29,7 @@
 
 // run checks the endpoint and reports the result to the reducer. The pool limits the time of a check.
 func (k *endpointCheck) run() {
-	time.Sleep(endpointCheckDelay)
+	wigeonclock.Sleep(context.Background(), endpointCheckDelay)
 	target := wigeonupstream.Target{ID: k.effect.EndpointID, Address: k.effect.Address}
 	liveness := k.service.pool.Check(context.Background(), target)
 	k.service.scope.Tagged(map[string]string{"liveness": liveness.String()}).Counter("endpointChecks").Inc(1)
--- a/routing.go
+++ b/routing.go
@@ -138,6 +138,9 @@
 	Rows []TableRow
 	// Revision is the store revision to continue from.
 	Revision uint64
+	// Era rises each time the store returns from an older copy. The changes of the seconds before are then lost and their
+	// revisions are given out again; zero if the store tells no era.
+	Era uint64
 }
 
 // RoutingStore reads and watches the tables that routing depends on.
