Write an instance's row again when the store has lost it

A store that returns from an older copy may have lost the rows of instances that started in its last seconds; nobody wrote them again, so that others did not know these instances until their next start.

RoutingStore.PutInstance becomes WriteRows, which changes rows of any table of ours.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,10 @@
 	// configurationRequests and endpointsRequests limit how often newer data that peers report is fetched.
 	configurationRequests, endpointsRequests peerRequestThrottle
 	membership                               *membership
+	// registered is set once this instance's row has been written.
+	registered atomic.Bool
+	// registerRequests holds a pending request to write this instance's row again.
+	registerRequests chan struct{}
 
 	mu sync.Mutex
 	// document is the row value that the configuration in force was decoded from.
@@ -88,6 +93,7 @@
 		},
 	}
 	g.membership = &membership{self: g.self}
+	g.registerRequests = make(chan struct{}, 1)
 	scope := g.metrics.Scope()
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
 		RetryRatio:   s.Retry.Ratio,
@@ -199,8 +205,13 @@
 	g.hasEndpoints.Store(true)
 }
 
-// setInstances replaces the other instances with those that the store lists.
+// setInstances replaces the other instances with those that the store lists. It writes this instance's row again if the
+// store lacks it, for example after the store has returned from an older copy.
 func (g *Gateway) setInstances(instances []wigeonshift.Instance) {
+	listed := slices.ContainsFunc(instances, func(i wigeonshift.Instance) bool { return i.Address == g.self.Address })
+	if !listed && g.registered.Load() {
+		g.requestRegistration()
+	}
 	g.dispatcher.SetInstances(g.membership.replace(instances, time.Now()))
 }
 
--- a/internal/routers/wigeongateway/gateway_test.go
+++ b/internal/routers/wigeongateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	RunSpecs(t, "wigeongateway")
 }
 
-// blockingStore answers List and PutInstance at once and holds every Follow call for a fixed time, even if its context
+// blockingStore answers List and WriteRows at once and holds every Follow call for a fixed time, even if its context
 // ends.
 type blockingStore struct {
 	holdDuration time.Duration
@@ -43,31 +44,40 @@
 	return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 }
 
-func (s *blockingStore) PutInstance(context.Context, string, []byte) error { return nil }
+func (s *blockingStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
+	return nil
+}
+
+// maxPollHold is the longest time for which a staticStore holds a poll.
+const maxPollHold = 300 * time.Millisecond
 
 // staticStore lists fixed rows and has no changes. Without rows it is unavailable.
 type staticStore struct {
 	rows map[wigeonshift.RoutingTable][]wigeonshift.TableRow
+	// era is the era that all pages tell; writes counts the calls of WriteRows.
+	era    atomic.Uint64
+	writes atomic.Int32
 }
 
 func (s *staticStore) List(_ context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
 	if s.rows == nil {
 		return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 	}
-	return wigeonshift.TablePage{Rows: s.rows[table], Revision: 9}, nil
+	return wigeonshift.TablePage{Rows: s.rows[table], Revision: 9, Era: s.era.Load()}, nil
 }
 
 func (s *staticStore) Follow(
 	ctx context.Context, _ wigeonshift.RoutingTable, after uint64, wait time.Duration,
 ) (wigeonshift.TablePage, error) {
 	select {
-	case <-time.After(wait):
+	case <-time.After(min(wait, maxPollHold)):
 	case <-ctx.Done():
 	}
-	return wigeonshift.TablePage{Revision: after}, nil
+	return wigeonshift.TablePage{Revision: after, Era: s.era.Load()}, nil
 }
 
-func (s *staticStore) PutInstance(context.Context, string, []byte) error {
+func (s *staticStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
+	s.writes.Add(1)
 	if s.rows == nil {
 		return wigeonshift.ErrUnavailable
 	}
@@ -109,6 +119,23 @@
 	})
 })
 
+var _ = Describe("Return of the store from an older copy", func() {
+	It("writes the instance's row again, which was lost", func() {
+		store := &staticStore{rows: map[wigeonshift.RoutingTable][]wigeonshift.TableRow{}}
+		g := newGateway("n", freeAddress(), store)
+		Expect(g.Start(context.Background())).To(Succeed())
+		DeferCleanup(g.Stop)
+		Eventually(store.writes.Load).Should(BeNumerically(">", 0))
+		Consistently(store.writes.Load, reregisterMaxDelay).Should(BeNumerically("<=", 2), "no loop while the row is missing")
+		written := store.writes.Load()
+		store.era.Add(1)
+		Eventually(store.writes.Load).WithTimeout(10 * time.Second).Should(BeNumerically(">", written))
+	})
+})
+
+// reregisterMaxDelay is a little more than the longest delay before an instance writes its row again.
+const reregisterMaxDelay = 1200 * time.Millisecond
+
 var _ = Describe("Start while the store is down", func() {
 	// Guards against restarted instances that can't serve while the store is down. All instances were restarted one after
 	// the other while the store didn't respond, and none served until it was back (inrap-lofts, mix --seed 514354062682).
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"wigeonshift"
@@ -25,6 +26,8 @@
 	registerTimeout = 2 * time.Second
 	// registerRetryDelay is the delay after a failed write.
 	registerRetryDelay = 500 * time.Millisecond
+	// reregisterMaxDelay bounds the random delay before the row is written again.
+	reregisterMaxDelay = time.Second
 )
 
 // startLoops starts the background tasks.
@@ -110,18 +113,33 @@
 	}
 }
 
-// runRegister writes the instance's row to the store and retries until a write succeeds.
+// runRegister writes the instance's row to the store, and again whenever the store's list lacks it.
 func (g *Gateway) runRegister(ctx context.Context) {
 	value, err := g.instanceRow()
 	if err != nil {
 		g.log.WithError(err).Error("failed to encode the instance's row")
 		return
 	}
+	row := []wigeonshift.Write{{Key: g.settings.Node.Name, Value: value}}
+	for ctx.Err() == nil {
+		g.register(ctx, row)
+		select {
+		case <-g.registerRequests:
+			// The jitter spreads the writes of all instances over time.
+			wigeonclock.Sleep(ctx, rand.N(reregisterMaxDelay)) //nolint:gosec // The jitter needs no cryptographic randomness.
+		case <-ctx.Done():
+		}
+	}
+}
+
+// register writes the instance's row and retries until a write succeeds.
+func (g *Gateway) register(ctx context.Context, row []wigeonshift.Write) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := g.platform.Store.PutInstance(callCtx, g.settings.Node.Name, value)
+		err := g.platform.Store.WriteRows(callCtx, wigeonshift.TableInstances, row)
 		cancel()
 		if err == nil {
+			g.registered.Store(true)
 			g.log.WithField("instance", g.self.ID).Info("instance registered")
 			return
 		}
@@ -129,3 +147,11 @@
 		wigeonclock.Sleep(ctx, registerRetryDelay)
 	}
 }
+
+// requestRegistration makes runRegister write the instance's row again. It drops the request if one is pending already.
+func (g *Gateway) requestRegistration() {
+	select {
+	case g.registerRequests <- struct{}{}:
+	default:
+	}
+}
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -161,7 +161,9 @@
 	}
 }
 
-func (s *fakeStore) PutInstance(context.Context, string, []byte) error { return nil }
+func (s *fakeStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
+	return nil
+}
 
 // testFollower is a Service together with what it passed to its sinks.
 type testFollower struct {
--- a/routing.go
+++ b/routing.go
@@ -150,8 +150,8 @@
 	// Follow waits for changes after a revision, for at most wait. Its error wraps ErrHistoryLost if the store no longer
 	// has the changes.
 	Follow(ctx context.Context, table RoutingTable, after uint64, wait time.Duration) (TablePage, error)
-	// PutInstance writes the row through which other instances discover this one.
-	PutInstance(ctx context.Context, key string, value []byte) error
+	// WriteRows changes rows of a table in one transaction without conditions.
+	WriteRows(ctx context.Context, table RoutingTable, writes []Write) error
 }
 
 // RoutingTable identifies a table of the routing store.
