Move the record of crashes and its writer into wigeonquarantine

The relay needs what the shards' owners have: which requests were there when endpoints crashed, kept in rows of a table. It moves out of wigeonscheduler and wigeonowner instead of being written a second time.

Rows and refused fingerprints end after 24 hours, suspects after 30 minutes as before; nothing removed them.

--- a/internal/policy/wigeonbench/checker_test.go
+++ b/internal/policy/wigeonbench/checker_test.go
@@ -193,8 +193,10 @@
 	case wigeonscheduler.DrainStarted:
 		c.draining = true
 	case wigeonscheduler.QuarantineLoaded:
-		for _, f := range b.Fingerprints {
-			c.quarantined[f] = true
+		crashes := map[wigeonshift.Fingerprint]int{}
+		for _, crash := range b.Crashes {
+			crashes[crash.Fingerprint]++
+			c.quarantined[crash.Fingerprint] = c.quarantined[crash.Fingerprint] || crashes[crash.Fingerprint] >= 2
 		}
 	}
 }
--- a/internal/policy/wigeonbench/property_test.go
+++ b/internal/policy/wigeonbench/property_test.go
@@ -265,7 +265,9 @@
 	case 6:
 		c.send(wigeonscheduler.ProbeAnswered{Endpoint: name, Healthy: true})
 	case 7:
-		c.send(wigeonscheduler.QuarantineLoaded{Fingerprints: []wigeonshift.Fingerprint{4}})
+		c.send(wigeonscheduler.QuarantineLoaded{Crashes: []wigeonshift.Crash{
+			{Fingerprint: 4, Endpoint: "x", At: c.now}, {Fingerprint: 4, Endpoint: "y", At: c.now},
+		}})
 	case 8:
 		c.send(wigeonscheduler.SummaryReceived{Summary: wigeonshift.ShardSummary{Shard: "product/service/region/1", FreeSlots: 1, LowestPriorityRunning: 3}})
 	case 9:
--- a/internal/services/wigeonowner/effect.go
+++ b/internal/services/wigeonowner/effect.go
@@ -30,8 +30,8 @@
 		s.startTask(weightTask{s, e})
 	case wigeonscheduler.ProbeEndpoint:
 		s.startTask(probeTask{s, e})
-	case wigeonscheduler.StoreQuarantine:
-		s.manager.quarantine.add(s.id, e.Fingerprint, e.Crashes)
+	case wigeonscheduler.StoreCrash:
+		s.storeCrash(e.Crash)
 	case wigeonscheduler.PublishSummary:
 		s.manager.publishSummary(e.Summary)
 	case wigeonscheduler.WakeAt:
--- a/internal/services/wigeonowner/manager.go
+++ b/internal/services/wigeonowner/manager.go
@@ -12,6 +12,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonlease"
+	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonscheduler"
 
 	"github.com/sirupsen/logrus"
@@ -49,7 +50,7 @@
 	rebuildTimeout time.Duration
 
 	leases     *wigeonlease.Store
-	quarantine *quarantineWriter
+	quarantine *wigeonquarantine.Writer
 	counters   *counters
 	ctx        context.Context //nolint:containedctx // Lives from Start to Stop.
 	cancel     context.CancelFunc
@@ -86,7 +87,7 @@
 		opt(m)
 	}
 	m.counters = newCounters(m.scope)
-	m.quarantine = newQuarantineWriter(table, m.log, m.counters)
+	m.quarantine = m.newQuarantineWriter()
 	network.Subscribe(m.handleMessage)
 	network.SubscribePeerLost(m.handleSessionLost)
 	return m
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -15,8 +15,9 @@
 	// quarantineLifetime is the time after its last crash for which a request is refused. It is long because each try after
 	// it costs as many endpoints as the first ones did.
 	quarantineLifetime = 24 * time.Hour
-	// maxFingerprints bounds the number of requests in a record.
+	// maxFingerprints bounds the number of requests in a record, maxCrashes the crashes of each.
 	maxFingerprints = 65536
+	maxCrashes      = 32
 )
 
 // Record holds the crashes of each fingerprint. It is not safe for concurrent use.
@@ -30,20 +31,25 @@
 	return &Record{limit: limit, crashes: map[wigeonshift.Fingerprint][]wigeonshift.Crash{}}
 }
 
-// Add adds a crash and reports whether it is new. It ignores requests without a fingerprint, further crashes of a
-// quarantined request, and new requests once the record is full.
+// Add adds a crash and reports whether it is new. It ignores requests without a fingerprint, and everything beyond the
+// bounds of the record.
 func (r *Record) Add(c wigeonshift.Crash) bool {
 	known, exists := r.crashes[c.Fingerprint]
-	if c.Fingerprint == 0 || len(known) >= r.limit || !exists && len(r.crashes) >= maxFingerprints {
+	if c.Fingerprint == 0 || len(known) >= maxCrashes || !exists && len(r.crashes) >= maxFingerprints {
 		return false
 	}
-	if slices.ContainsFunc(known, func(k wigeonshift.Crash) bool { return k.Endpoint == c.Endpoint }) {
+	if r.Has(c) {
 		return false
 	}
 	r.crashes[c.Fingerprint] = append(known, c)
 	return true
 }
 
+// Has reports whether the record has a crash.
+func (r *Record) Has(c wigeonshift.Crash) bool {
+	return slices.ContainsFunc(r.crashes[c.Fingerprint], func(k wigeonshift.Crash) bool { return k.Endpoint == c.Endpoint })
+}
+
 // Crashes returns the crashes of a request.
 func (r *Record) Crashes(f wigeonshift.Fingerprint) []wigeonshift.Crash { return r.crashes[f] }
 
--- a/internal/services/wigeonquarantine/writer.go
+++ b/internal/services/wigeonquarantine/writer.go
@@ -8,17 +8,22 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonclock"
 
 	"github.com/sirupsen/logrus"
 )
 
 const (
-	// writeInterval is the interval between writes of collected rows.
-	writeInterval = 200 * time.Millisecond
+	// batchDelay is the time for which changes are collected before they are written together.
+	batchDelay = 50 * time.Millisecond
 	// batchRows is the largest number of rows in one transaction.
 	batchRows = 64
 	// writeTimeout limits one write.
 	writeTimeout = 2 * time.Second
+	// lastWriteTimeout limits the write at a stop, which must not wait for a store that is down.
+	lastWriteTimeout = 300 * time.Millisecond
+	// retryDelay is the delay after a failed write.
+	retryDelay = 500 * time.Millisecond
 )
 
 // CommitFunc writes rows in one transaction.
@@ -31,6 +36,10 @@
 	log    logrus.FieldLogger
 	// onFailure is called after each failed write.
 	onFailure func()
+	// failing is set while writes fail.
+	failing bool
+	// added holds a signal that there are pending changes.
+	added chan struct{}
 
 	mu sync.Mutex
 	// pending holds the latest change of each row that has not been written.
@@ -39,56 +48,64 @@
 
 // NewWriter returns a writer without pending changes.
 func NewWriter(commit CommitFunc, log logrus.FieldLogger, onFailure func()) *Writer {
-	return &Writer{commit: commit, log: log, onFailure: onFailure, pending: map[string]*wigeonshift.Write{}}
+	return &Writer{
+		commit: commit, log: log, onFailure: onFailure, added: make(chan struct{}, 1), pending: map[string]*wigeonshift.Write{},
+	}
 }
 
 // Add collects a change for the next write, in place of an earlier change of the same row.
 func (w *Writer) Add(change wigeonshift.Write) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.pending[change.Key] = &change
-}
-
-// Pending reports whether a change of a row has not been written.
-func (w *Writer) Pending(key string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.pending[key] != nil
+	w.mu.Unlock()
+	select {
+	case w.added <- struct{}{}:
+	default:
+	}
 }
 
 // Run writes collected changes until ctx is done, and then once more, so that a planned stop loses none.
 func (w *Writer) Run(ctx context.Context) {
-	ticker := time.NewTicker(writeInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			w.flush(context.WithoutCancel(ctx))
+			w.flush(context.WithoutCancel(ctx), lastWriteTimeout)
 			return
-		case <-ticker.C:
-			w.flush(ctx)
+		case <-w.added:
+		}
+		wigeonclock.Sleep(ctx, batchDelay)
+		for w.flush(ctx, writeTimeout) && ctx.Err() == nil {
+			if w.failing {
+				wigeonclock.Sleep(ctx, retryDelay)
+			}
 		}
 	}
 }
 
-// flush writes one batch. Changes that could not be written stay pending.
-func (w *Writer) flush(ctx context.Context) {
+// flush writes one batch and reports whether there was one. Changes that could not be written stay pending.
+func (w *Writer) flush(ctx context.Context, timeout time.Duration) bool {
 	batch := w.nextBatch()
 	if len(batch) == 0 {
-		return
+		return false
 	}
 	writes := make([]wigeonshift.Write, 0, len(batch))
 	for _, change := range batch {
 		writes = append(writes, *change)
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := w.commit(ctx, writes); err != nil {
+	err := w.commit(ctx, writes)
+	if err == nil {
+		w.removeWritten(batch)
+		w.log.WithField("rows", len(writes)).Info("crash rows written")
+	} else {
 		w.onFailure()
-		w.log.WithError(err).WithField("rows", len(writes)).Warn("failed to write crash rows; retrying")
-		return
+		if !w.failing {
+			w.log.WithError(err).Warn("failed to write crash rows; retrying")
+		}
 	}
-	w.removeWritten(batch)
+	w.failing = err != nil
+	return true
 }
 
 // nextBatch returns the first pending changes in the order of their keys.
--- a/internal/services/wigeonscheduler/admission.go
+++ b/internal/services/wigeonscheduler/admission.go
@@ -333,7 +333,7 @@
 // laneKeyOf returns the key of the lane that a job belongs to.
 func (s *Shard) laneKeyOf(j *job) laneKey {
 	longest := s.lookupPrefix(j)
-	return laneKey{model: j.request.Model, longPrompt: s.isLongPrefill(j.request.PromptTokens - longest), runsAlone: s.suspects.isSuspect(j.request.Fingerprint)}
+	return laneKey{model: j.request.Model, longPrompt: s.isLongPrefill(j.request.PromptTokens - longest), runsAlone: s.suspects.Suspected(j.request.Fingerprint)}
 }
 
 // admitOrganisation refuses a request that exceeds its organisation's token rate, with the time until the rate allows
--- a/internal/services/wigeonscheduler/effect.go
+++ b/internal/services/wigeonscheduler/effect.go
@@ -36,11 +36,9 @@
 		Endpoint string
 		Address  string
 	}
-	// StoreQuarantine writes a fingerprint to the quarantine table without waiting for the result.
-	StoreQuarantine struct {
-		Fingerprint wigeonshift.Fingerprint
-		// Crashes is 1 for a suspect, which may run once more on its own, and 2 for a fingerprint that is refused.
-		Crashes int
+	// StoreCrash writes a crash to the quarantine table without waiting for the result.
+	StoreCrash struct {
+		Crash wigeonshift.Crash
 	}
 	// PublishSummary sends the shard's summary to the other shards of the pool.
 	PublishSummary struct {
@@ -63,7 +61,7 @@
 func (SendOrder) effect()         {}
 func (ReserveWeightSlot) effect() {}
 func (ProbeEndpoint) effect()     {}
-func (StoreQuarantine) effect()   {}
+func (StoreCrash) effect()        {}
 func (PublishSummary) effect()    {}
 func (WakeAt) effect()            {}
 func (Count) effect()             {}
--- a/internal/services/wigeonscheduler/event.go
+++ b/internal/services/wigeonscheduler/event.go
@@ -83,11 +83,9 @@
 	LeaseExpired struct{}
 	// DrainStarted stops granting before a hand-over to another owner.
 	DrainStarted struct{}
-	// QuarantineLoaded carries fingerprints read from the quarantine table.
+	// QuarantineLoaded carries the crashes read from the quarantine table.
 	QuarantineLoaded struct {
-		Fingerprints []wigeonshift.Fingerprint
-		// Suspects were in flight at one crash.
-		Suspects []wigeonshift.Fingerprint
+		Crashes []wigeonshift.Crash
 	}
 	// SummaryReceived carries the state of another shard of the pool.
 	SummaryReceived struct {
--- a/internal/services/wigeonscheduler/placement.go
+++ b/internal/services/wigeonscheduler/placement.go
@@ -148,7 +148,7 @@
 }
 
 // eligible reports whether an endpoint may serve a job at all, whether or not it has a free slot. It excludes the
-// endpoints that the request avoids. While maxCrashes endpoints run requests with the same fingerprint (a hash of the
+// endpoints that the request avoids. While MaxCrashes endpoints run requests with the same fingerprint (a hash of the
 // request content), it excludes all others, so that the request cannot crash more.
 func (pc *placementContext) eligible(j *job, e *endpoint) bool {
 	return e.acceptsWork() && e.serves(j.request.Model) && !slices.Contains(j.request.Avoid, e.name) && pc.inFlight.allows(e)
--- a/internal/services/wigeonscheduler/quarantine.go
+++ b/internal/services/wigeonscheduler/quarantine.go
@@ -1,58 +1,38 @@
 package wigeonscheduler
 
 import (
+	"strconv"
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquarantine"
 )
 
-// Limits of the record of requests that may crash endpoints. The loss of an attempt counts as a crash of its endpoint.
-const (
-	// maxCrashes is the number of crashes after which a fingerprint is refused. It also bounds the endpoints on which one
-	// fingerprint is in flight at the same time, so that it cannot crash more.
-	maxCrashes = 2
-	// suspectLifetime is the time after which a suspect without a second crash is removed.
-	suspectLifetime = 30 * time.Minute
-	// maxFingerprints bounds the number of suspects and, separately, of refused fingerprints.
-	maxFingerprints = 65536
-)
-
-// suspectRecord counts the crashes at which a fingerprint was in flight.
-type suspectRecord struct {
-	crashes int
-	// lastEndpoint, lastCrashCount (the endpoint's crashCount then) and lastCrashAt describe the last crash.
-	lastEndpoint   string
-	lastCrashCount int
-	lastCrashAt    time.Time
-}
+// MaxCrashes is the number of crashes after which a fingerprint is refused. It also bounds the endpoints on which one
+// fingerprint is in flight at the same time, so that it cannot crash more. The loss of an attempt counts as a crash of its
+// endpoint.
+const MaxCrashes = 2
 
-// inFlightJobs counts the jobs in flight with one fingerprint by endpoint. At most maxCrashes endpoints run such jobs at
+// inFlightJobs counts the jobs in flight with one fingerprint by endpoint. At most MaxCrashes endpoints run such jobs at
 // the same time.
 type inFlightJobs struct {
-	endpoints [maxCrashes]*endpoint
-	jobCounts [maxCrashes]int
+	endpoints [MaxCrashes]*endpoint
+	jobCounts [MaxCrashes]int
 }
 
 // suspects is the shard's record of crashes and jobs in flight by fingerprint, a hash of the request's content. A
 // suspect is a fingerprint that was in flight at one crash of an endpoint, which it may have caused.
 type suspects struct {
-	records map[wigeonshift.Fingerprint]*suspectRecord
-	// refused holds the fingerprints that were in flight at maxCrashes crashes.
-	refused map[wigeonshift.Fingerprint]bool
+	*wigeonquarantine.Record
 	// inFlight counts the jobs in flight.
 	inFlight map[wigeonshift.Fingerprint]*inFlightJobs
 }
 
-// init creates the maps.
-func (s *suspects) init() {
-	s.records = map[wigeonshift.Fingerprint]*suspectRecord{}
-	s.refused = map[wigeonshift.Fingerprint]bool{}
-	s.inFlight = map[wigeonshift.Fingerprint]*inFlightJobs{}
-}
-
-// isSuspect reports whether a fingerprint is suspected of a crash and so has to run alone.
-func (s *suspects) isSuspect(f wigeonshift.Fingerprint) bool {
-	return f != 0 && len(s.records) > 0 && s.records[f] != nil
+func newSuspects() suspects {
+	return suspects{
+		Record:   wigeonquarantine.NewRecord(MaxCrashes),
+		inFlight: map[wigeonshift.Fingerprint]*inFlightJobs{},
+	}
 }
 
 // addJob counts a job as in flight at its endpoint, so that allows can bound the endpoints that run the same
@@ -102,7 +82,7 @@
 }
 
 // allows reports whether a job with the fingerprint may start on an endpoint, given those already in flight. At most
-// maxCrashes endpoints run one fingerprint at once, so that it cannot crash more.
+// MaxCrashes endpoints run one fingerprint at once, so that it cannot crash more.
 func (fl *inFlightJobs) allows(e *endpoint) bool {
 	if fl == nil {
 		return true
@@ -117,7 +97,14 @@
 
 // clearSuspect removes the suspicion from the fingerprint of a job that ran alone to its end.
 func (s *suspects) clearSuspect(j *job) {
-	delete(s.records, j.request.Fingerprint)
+	if s.Suspected(j.request.Fingerprint) {
+		s.Remove(j.request.Fingerprint)
+	}
+}
+
+// crashName identifies the endpoint's last assumed crash.
+func (e *endpoint) crashName() string {
+	return e.name + "@" + strconv.FormatInt(e.crashedAt.UnixMilli(), 10)
 }
 
 // clearFalseCrash removes the suspects of an endpoint's last assumed crash. It is called when the endpoint still reports
@@ -126,27 +113,14 @@
 	if !takenAt.After(e.crashedAt) {
 		return
 	}
-	for f, r := range s.suspects.records {
-		if r.lastEndpoint == e.name && r.lastCrashCount == e.crashCount && r.crashes == 1 {
-			delete(s.suspects.records, f)
-		}
-	}
+	s.suspects.RemoveSuspects(e.crashName())
 	e.crashedIncarnation = ""
 	s.requeueSuspects()
 }
 
-// expire removes suspects whose last crash is longer ago than suspectLifetime.
-func (s *suspects) expire(now time.Time) {
-	for f, r := range s.records {
-		if now.Sub(r.lastCrashAt) > suspectLifetime {
-			delete(s.records, f)
-		}
-	}
-}
-
 // admitFingerprint refuses a request whose fingerprint is quarantined.
 func (s *Shard) admitFingerprint(j *job) *wigeonshift.Refusal {
-	if s.suspects.refused[j.request.Fingerprint] && j.request.Fingerprint != 0 {
+	if s.suspects.Quarantined(j.request.Fingerprint) {
 		return s.refusal(wigeonshift.ReasonQuarantined, 0)
 	}
 	return nil
@@ -172,53 +146,27 @@
 }
 
 // recordCrash adds the endpoint's last crash to the record of a job's fingerprint, once for each crash, and refuses the
-// fingerprint from maxCrashes on. It skips a job whose permit expired without a start, because it did not run.
+// fingerprint from MaxCrashes on. It skips a job whose permit expired without a start, because it did not run.
 func (s *Shard) recordCrash(j *job) {
-	f, e := j.request.Fingerprint, j.endpoint
-	if f == 0 || !j.started && s.now.After(j.grantExpiresAt) {
+	if !j.started && s.now.After(j.grantExpiresAt) {
 		return
 	}
-	r := s.suspects.records[f]
-	if r == nil {
-		if len(s.suspects.records) >= maxFingerprints {
-			return
-		}
-		r = &suspectRecord{}
-		s.suspects.records[f] = r
-	}
-	if r.lastEndpoint == e.name && r.lastCrashCount == e.crashCount {
+	c := wigeonshift.Crash{Fingerprint: j.request.Fingerprint, Endpoint: j.endpoint.crashName(), At: s.now}
+	wasQuarantined := s.suspects.Quarantined(c.Fingerprint)
+	if !s.suspects.Add(c) {
 		return
 	}
-	r.crashes++
-	r.lastEndpoint, r.lastCrashCount, r.lastCrashAt = e.name, e.crashCount, s.now
-	s.emit(StoreQuarantine{Fingerprint: f, Crashes: r.crashes})
-	if r.crashes >= maxCrashes {
-		s.quarantine(f)
+	s.emit(StoreCrash{Crash: c})
+	if s.suspects.Quarantined(c.Fingerprint) && !wasQuarantined {
+		s.count("quarantined", "")
 	}
 }
 
-// quarantine refuses all further requests with a fingerprint, because it was in flight at maxCrashes crashes. The
-// number of refused fingerprints is bounded to limit the record's size.
-func (s *Shard) quarantine(f wigeonshift.Fingerprint) {
-	delete(s.suspects.records, f)
-	if len(s.suspects.refused) >= maxFingerprints || s.suspects.refused[f] {
-		return
-	}
-	s.suspects.refused[f] = true
-	s.count("quarantined", "")
-}
-
-// handleQuarantineLoaded adds the refused fingerprints and suspects that were read from the quarantine table, so that
-// they apply to requests already queued here too.
+// handleQuarantineLoaded adds the crashes that were read from the quarantine table, so that they apply to requests
+// already queued here too.
 func (s *Shard) handleQuarantineLoaded(b QuarantineLoaded) {
-	for _, f := range b.Fingerprints {
-		delete(s.suspects.records, f)
-		s.suspects.refused[f] = true
-	}
-	for _, f := range b.Suspects {
-		if s.suspects.records[f] == nil && !s.suspects.refused[f] {
-			s.suspects.records[f] = &suspectRecord{crashes: 1, lastCrashAt: s.now}
-		}
+	for _, c := range b.Crashes {
+		s.suspects.Add(c)
 	}
 	s.requeueSuspects()
 }
@@ -234,9 +182,9 @@
 		}
 		f := j.request.Fingerprint
 		switch {
-		case f != 0 && s.suspects.refused[f]:
+		case s.suspects.Quarantined(f):
 			s.refuseQueued(j, wigeonshift.ReasonQuarantined)
-		case s.suspects.isSuspect(f) != j.lane.key.runsAlone:
+		case s.suspects.Suspected(f) != j.lane.key.runsAlone:
 			s.dropReservation(j)
 			s.dequeue(j)
 			s.enqueue(j)
--- a/internal/services/wigeonscheduler/rebuild.go
+++ b/internal/services/wigeonscheduler/rebuild.go
@@ -127,7 +127,7 @@
 			delete(s.organisations, name)
 		}
 	}
-	s.suspects.expire(s.now)
+	s.suspects.Expire(s.now)
 }
 
 // expireTier refuses queued jobs that can no longer meet their limits, unless preempting lower tiers still lets them
--- a/internal/services/wigeonscheduler/shard.go
+++ b/internal/services/wigeonscheduler/shard.go
@@ -69,7 +69,7 @@
 		o(&s.settings)
 	}
 	s.closed.init(s.settings.ClosedRequests)
-	s.suspects.init()
+	s.suspects = newSuspects()
 	return s
 }
 
