Refuse requests under which three endpoints have crashed, on all relays

Cause: the relay kept no record of it. Each try of a caller has an id of its own and may reach any relay; an entry knew the failed endpoints of one try only. The owners' quarantine was switched off on the platform and never replaced (docs/decisions/platform.md, open points).

Why this works: a lost attempt makes the relay check its endpoint; if it has ended, the crash counts for the content of every request that was lost there, by fingerprint. Crashes go to a row of the store's table each (other relays get them by its feed, restarted ones by its listing) and, until the store shows the row, to other relays with the load notices. From three crashes on the request is refused (503 if it never ran, with the true Retry-After) or fails. An answer that is whole proves that the request is innocent and removes its crashes everywhere. A store that returns from an older copy gets lost rows again from relays that know them.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"wigeonshift"
 )
@@ -30,6 +31,11 @@
 		}
 		out.Services = append(out.Services, service)
 	}
+	for _, c := range m.Crashes {
+		out.Crashes = append(out.Crashes, &Crash{
+			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(),
+		})
+	}
 	return out
 }
 
@@ -58,6 +64,11 @@
 		}
 		out.Services = append(out.Services, service)
 	}
+	for _, c := range m.GetCrashes() {
+		out.Crashes = append(out.Crashes, wigeonshift.Crash{
+			Fingerprint: wigeonshift.Fingerprint(c.GetFingerprint()), Endpoint: c.GetEndpoint(), At: time.UnixMilli(c.GetAtMs()),
+		})
+	}
 	return out
 }
 
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -16,6 +16,7 @@
 	"wigeonshift/internal/modules/wigeonsetting"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonfollow"
+	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonrelay"
 	"wigeonshift/internal/services/wigeonroute"
 	"wigeonshift/internal/services/wigeonupstream"
@@ -57,6 +58,7 @@
 	pool       *wigeonupstream.Pool
 	relay      *wigeonrelay.Service
 	follower   *wigeonfollow.Service
+	quarantine *wigeonquarantine.Service
 	network    *wigeonsession.Network
 	readiness  *fasthttp.Server
 
@@ -95,6 +97,7 @@
 	g.membership = &membership{self: g.self}
 	g.registerRequests = make(chan struct{}, 1)
 	scope := g.metrics.Scope()
+	g.quarantine = wigeonquarantine.NewService(g.writeCrashRows, g.setCrashes, log, scope)
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
 		RetryRatio:   s.Retry.Ratio,
 		RetrySlack:   s.Retry.Slack,
@@ -103,7 +106,7 @@
 		QuotaOverage: s.Quota.Overage,
 		QuotaSlack:   s.Quota.Slack,
 		Zone:         s.Node.Zone,
-	}, log, scope)
+	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.pool = wigeonupstream.New(p.Dialect)
 	g.relay = wigeonrelay.New(wigeonshift.ConnectionLimits{
 		MaxBodyBytes:   maxBodyBytes,
@@ -117,6 +120,7 @@
 		Configuration: g.setConfiguration,
 		Endpoints:     g.setEndpoints,
 		Instances:     g.setInstances,
+		Quarantine:    g.quarantine,
 	}, log)
 	g.network = wigeonsession.New(g.self, wigeonsession.WithLogger(log), wigeonsession.WithScope(scope))
 	g.network.Subscribe(g.handleMessage)
@@ -149,6 +153,7 @@
 	g.relay.Start(callers)
 	rs := &readinessServer{server: g.readiness, listener: readiness, log: g.log}
 	g.tasks.Go(rs.run)
+	g.quarantine.Start(ctx)
 	g.follower.Start(ctx)
 	g.startLoops(ctx)
 	g.log.WithFields(logrus.Fields{
@@ -215,6 +220,14 @@
 	g.dispatcher.SetInstances(g.membership.replace(instances, time.Now()))
 }
 
+// setCrashes passes the crashes that the instances know of to the dispatcher.
+func (g *Gateway) setCrashes(crashes []wigeonshift.Crash) { g.dispatcher.SetCrashes(crashes) }
+
+// writeCrashRows changes rows of the quarantine table.
+func (g *Gateway) writeCrashRows(ctx context.Context, writes []wigeonshift.Write) error {
+	return g.platform.Store.WriteRows(ctx, wigeonshift.TableQuarantine, writes)
+}
+
 // instanceRow encodes the row under which other instances find this one in the store.
 func (g *Gateway) instanceRow() ([]byte, error) {
 	return json.Marshal(g.self)
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -89,6 +89,7 @@
 		loadNotice.ConfigurationVersion = table.Configuration.Version
 	}
 	loadNotice.EndpointsRevision, _ = g.follower.EndpointsRevision()
+	loadNotice.Crashes = g.quarantine.Unstored()
 	return loadNotice, changes
 }
 
--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -35,6 +35,7 @@
 	g.waitForRequests(ctx)
 	unfinished := g.dispatcher.InFlight()
 	err := g.relay.Stop(ctx)
+	g.quarantine.Stop()
 	g.cancel()
 	err = errors.Join(err, g.readiness.ShutdownWithContext(ctx))
 	err = errors.Join(err, g.network.Stop(ctx))
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -25,9 +25,6 @@
 	e.endAttempt(j)
 	j.assignedEndpoint = nil
 	s.recordOutcome(e, j, ev)
-	if ev.Outcome == OutcomeLost && j.Fingerprint != 0 {
-		s.requestCheck(e)
-	}
 	p := s.pool(j.Service)
 	switch ev.Outcome {
 	case OutcomeDone, OutcomeAbandoned:
@@ -46,6 +43,7 @@
 	elapsed := s.now - j.dispatchedAt
 	switch ev.Outcome {
 	case OutcomeDone:
+		s.clearCrashes(j.Fingerprint)
 		e.recordSuccess()
 		if j.firstEventLatency > 0 {
 			e.recordStreamEnd(ev.Events, elapsed-j.firstEventLatency)
@@ -59,11 +57,21 @@
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
 			return
 		}
-		fallthrough
+		s.recordLoss(e, j, true)
+		s.recordFailure(e)
+	case OutcomeLost:
+		// handleStall counts the resend when it abandons the attempt on a silent endpoint.
+		s.recordLoss(e, j, j.resendCounted)
+		s.recordFailure(e)
 	default:
-		if pause := e.recordFailure(s.now); pause > 0 {
-			s.emit(Suspect{EndpointID: e.record.ID, Duration: pause, Failures: e.consecutiveFailures})
-		}
+		s.recordFailure(e)
+	}
+}
+
+// recordFailure counts a failure of an endpoint and reports it if the endpoint is paused.
+func (s *State) recordFailure(e *endpoint) {
+	if pause := e.recordFailure(s.now); pause > 0 {
+		s.emit(Suspect{EndpointID: e.record.ID, Duration: pause, Failures: e.consecutiveFailures})
 	}
 }
 
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -1,21 +1,196 @@
 package wigeondispatch
 
-// requestCheck checks whether an endpoint still runs, unless a check is already under way.
-func (s *State) requestCheck(e *endpoint) {
-	if e.checking {
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquarantine"
+)
+
+// lossMemory is how long a lost attempt is kept while its cause isn't known. A crashed endpoint is back under its old ID,
+// or gone from the list, within this time.
+const lossMemory = 15 * time.Second
+
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	endpointID      string
+	startedAtMillis int64
+}
+
+// String returns the name of the incarnation in crash records.
+func (i incarnation) String() string {
+	return i.endpointID + "@" + strconv.FormatInt(i.startedAtMillis, 10)
+}
+
+func (e *endpoint) incarnation() incarnation {
+	return incarnation{endpointID: e.record.ID, startedAtMillis: e.record.StartedAtMillis}
+}
+
+// losses are the attempts that were lost on one incarnation of an endpoint, which may have crashed.
+type losses struct {
+	// fingerprints holds the requests of the attempts.
+	fingerprints map[wigeonshift.Fingerprint]bool
+	// latestAt is the time of the latest loss.
+	latestAt time.Duration
+	// checking is set while a CheckEndpoint effect waits for its result.
+	checking bool
+	// silent is set if the endpoint sent nothing, so that an open connection doesn't show that it runs.
+	silent bool
+	// liveness is the result of the latest check.
+	liveness wigeonshift.Liveness
+	// crashed is set once the loss is known to be a crash.
+	crashed bool
+}
+
+// recordLoss records a lost attempt. Whether the endpoint crashed is not known yet: a connection may break for other
+// reasons. Thus the endpoint is checked, unless it is known to have crashed already.
+func (s *State) recordLoss(e *endpoint, j *Job, silent bool) {
+	if j.Fingerprint == 0 {
+		return
+	}
+	i := e.incarnation()
+	l := s.losses[i]
+	if l == nil {
+		l = &losses{fingerprints: map[wigeonshift.Fingerprint]bool{}}
+		s.losses[i] = l
+	}
+	l.fingerprints[j.Fingerprint] = true
+	l.latestAt = s.now
+	l.silent = l.silent || silent
+	if l.crashed {
+		s.recordCrash(i, l)
 		return
 	}
-	e.checking = true
-	s.emit(CheckEndpoint{
-		EndpointID: e.record.ID, Address: e.record.Address, StartedAtMillis: e.record.StartedAtMillis,
-	})
+	if !l.checking {
+		l.checking = true
+		s.emit(CheckEndpoint{EndpointID: i.endpointID, Address: e.record.Address, StartedAtMillis: i.startedAtMillis})
+	}
 }
 
-// handleEndpointChecked ends a check. It ignores the result for an earlier incarnation of the endpoint.
+// handleEndpointChecked records the crash of an endpoint that has ended. Requests that waited for the result may now be
+// dispatched or refused. The losses on an endpoint that runs are kept for a while, because it may have crashed and
+// started again before the check.
 func (s *State) handleEndpointChecked(ev EndpointChecked) {
-	e := s.endpoints[ev.EndpointID]
-	if e == nil || e.record.StartedAtMillis != ev.StartedAtMillis {
+	i := incarnation{endpointID: ev.EndpointID, startedAtMillis: ev.StartedAtMillis}
+	l := s.losses[i]
+	if l == nil {
 		return
 	}
-	e.checking = false
+	l.checking, l.liveness = false, ev.Liveness
+	if ev.Liveness == wigeonshift.LivenessEnded {
+		s.recordCrash(i, l)
+	}
+	s.dispatchAllWaiting()
 }
+
+// recordCrash counts the crash of an endpoint for every request that it lost.
+func (s *State) recordCrash(i incarnation, l *losses) {
+	l.crashed = true
+	for _, f := range slices.Sorted(maps.Keys(l.fingerprints)) {
+		c := wigeonshift.Crash{Fingerprint: f, Endpoint: i.String(), At: s.wallClock()}
+		if !s.crashes.Add(c) {
+			continue
+		}
+		s.emit(ReportCrash{Crash: c, Crashes: len(s.crashes.Crashes(f)), Quarantined: s.crashes.Quarantined(f)})
+	}
+}
+
+// recordRestart counts a crash for the attempts that were lost on an endpoint that has started again under its ID, as its
+// new record shows.
+func (s *State) recordRestart(e *endpoint, r wigeonshift.EndpointRecord) {
+	l := s.losses[e.incarnation()]
+	if l != nil && r.StartedAtMillis != e.record.StartedAtMillis {
+		s.recordCrash(e.incarnation(), l)
+	}
+}
+
+// recordRemoval counts a crash for the attempts that were lost on an endpoint that has disappeared from the list. An
+// endpoint that a check found running may only have left without notice.
+func (s *State) recordRemoval(e *endpoint) {
+	l := s.losses[e.incarnation()]
+	if l != nil && !e.record.Leaving && (l.silent || l.liveness == wigeonshift.LivenessUnknown) {
+		s.recordCrash(e.incarnation(), l)
+	}
+}
+
+// clearCrashes removes the crashes of a request that has run to its end, which shows that it doesn't cause them.
+func (s *State) clearCrashes(f wigeonshift.Fingerprint) {
+	for _, l := range s.losses {
+		delete(l.fingerprints, f)
+	}
+	if len(s.crashes.Crashes(f)) == 0 {
+		return
+	}
+	s.crashes.Remove(f)
+	s.emit(ClearCrashes{Fingerprint: f})
+}
+
+// replaceCrashes replaces the crash record by all crashes that the instances know of, and refuses queued requests that
+// are quarantined now.
+func (s *State) replaceCrashes(crashes []wigeonshift.Crash) {
+	s.crashes = wigeonquarantine.NewRecord(wigeonquarantine.Limit)
+	for _, c := range crashes {
+		s.crashes.Add(c)
+	}
+	s.dispatchAllWaiting()
+}
+
+// expireLosses forgets lost attempts whose time is over.
+func (s *State) expireLosses() {
+	for i, l := range s.losses {
+		if s.now-l.latestAt > lossMemory {
+			delete(s.losses, i)
+		}
+	}
+}
+
+// uncheckedLosses returns the number of endpoints that lost an attempt of a request and are still being checked.
+func (s *State) uncheckedLosses(f wigeonshift.Fingerprint) int {
+	n := 0
+	for _, l := range s.losses {
+		if l.checking && l.fingerprints[f] {
+			n++
+		}
+	}
+	return n
+}
+
+// mayBeQuarantined reports whether a request will be quarantined if the endpoints that are being checked have crashed. It
+// waits for the results, at most as long as a check takes.
+func (s *State) mayBeQuarantined(j *Job) bool {
+	return len(s.losses) > 0 && len(s.crashes.Crashes(j.Fingerprint))+s.uncheckedLosses(j.Fingerprint) >= wigeonquarantine.Limit
+}
+
+// suspected reports whether a request was there when an endpoint crashed, or may have been.
+func (s *State) suspected(j *Job) bool {
+	return j.Fingerprint != 0 && (s.crashes.Suspected(j.Fingerprint) || len(s.losses) > 0 && s.uncheckedLosses(j.Fingerprint) > 0)
+}
+
+// endpointsWithSuspects returns the endpoints on which this instance runs another suspected request. If a suspected
+// request were sent there as well, a crash would count for both.
+func (s *State) endpointsWithSuspects(f wigeonshift.Fingerprint) map[*endpoint]bool {
+	endpoints := map[*endpoint]bool{}
+	for _, j := range s.jobs {
+		if j.assignedEndpoint != nil && j.Fingerprint != f && s.suspected(j) {
+			endpoints[j.assignedEndpoint] = true
+		}
+	}
+	return endpoints
+}
+
+// refuseQuarantined ends a request that is quarantined. It reports that the request did not run only if it was never sent
+// to an endpoint that may have run it.
+func (s *State) refuseQuarantined(j *Job) {
+	if j.mayHaveRun || j.answerStarted {
+		s.fail(j, ReasonQuarantined)
+		return
+	}
+	s.refuse(j, ReasonQuarantined, s.crashes.ExpiresAt(j.Fingerprint).Sub(s.wallClock()))
+}
+
+// wallClock returns the wall clock time that belongs to the state's monotonic time. Crashes carry it because instances
+// share them.
+func (s *State) wallClock() time.Time { return s.settings.StartedAt.Add(s.now) }
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -1,6 +1,10 @@
 package wigeondispatch
 
-import "time"
+import (
+	"time"
+
+	"wigeonshift"
+)
 
 // Effect is an action that the caller of State.Reduce must carry out.
 type Effect interface{ effect() }
@@ -8,7 +12,7 @@
 // Reason says why a request got no answer from an endpoint.
 type Reason string
 
-// Reasons of refusals. All but ReasonLost and ReasonEndpointFailed mean that the request did not run.
+// Reasons of refusals and failures. A refusal means that the request did not run.
 const (
 	// ReasonQuota means that the organisation has used up its quota.
 	ReasonQuota Reason = "quota"
@@ -20,6 +24,9 @@
 	ReasonAttempts Reason = "attempts"
 	// ReasonDeadline means that the request ran out of time while it was queued.
 	ReasonDeadline Reason = "deadline"
+	// ReasonQuarantined means that the request was there when several endpoints crashed. It is refused, or fails if it may
+	// have run.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonEndpointFailed means that the endpoint ran the request and failed.
 	ReasonEndpointFailed Reason = "endpointFailed"
 	// ReasonLost means that the request may have run and its answer was lost.
@@ -59,6 +66,8 @@
 		// are refused while it is zero or less. QuotaGroupFairShare is the group's equal share of the quota. It is 1 in a
 		// small fleet, which has no limit per group.
 		QuotaGroupLeft, QuotaGroupFairShare float64
+		// Crashes holds the crashes at which the request was there.
+		Crashes []wigeonshift.Crash
 	}
 	// Failure answers a request that ran or may have run.
 	Failure struct {
@@ -77,6 +86,17 @@
 		// StartedAtMillis tells the incarnations of the endpoint apart; see wigeonshift.EndpointRecord.
 		StartedAtMillis int64
 	}
+	// ReportCrash reports that a request was there when an endpoint crashed, so that the other instances learn of it.
+	ReportCrash struct {
+		Crash wigeonshift.Crash
+		// Crashes is the number of crashes of the request so far; Quarantined is set if it is refused from now on.
+		Crashes     int
+		Quarantined bool
+	}
+	// ClearCrashes reports that a request has run to its end and thus did not cause the crashes reported for it.
+	ClearCrashes struct {
+		Fingerprint wigeonshift.Fingerprint
+	}
 	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly.
 	Suspect struct {
 		EndpointID string
@@ -91,3 +111,5 @@
 func (Abandon) effect()       {}
 func (Suspect) effect()       {}
 func (CheckEndpoint) effect() {}
+func (ReportCrash) effect()   {}
+func (ClearCrashes) effect()  {}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -78,8 +78,6 @@
 	otherGroup bool
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
-	// checking is set while a CheckEndpoint effect waits for its result.
-	checking bool
 }
 
 // newEndpoint returns an endpoint whose initial timings are the mean of the other endpoints of its pool, because
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -83,6 +83,11 @@
 		StartedAtMillis int64
 		Liveness        wigeonshift.Liveness
 	}
+	// CrashesListed replaces the crashes that the instances know of.
+	CrashesListed struct {
+		At      time.Duration
+		Crashes []wigeonshift.Crash
+	}
 	// RequestWithdrawn withdraws a request whose caller has disconnected or whose deadline has passed.
 	RequestWithdrawn struct {
 		At  time.Duration
@@ -117,6 +122,7 @@
 func (e AttemptStalled) at() time.Duration       { return e.At }
 func (e AttemptEnded) at() time.Duration         { return e.At }
 func (e EndpointChecked) at() time.Duration      { return e.At }
+func (e CrashesListed) at() time.Duration        { return e.At }
 func (e RequestWithdrawn) at() time.Duration     { return e.At }
 func (e PeerReported) at() time.Duration         { return e.At }
 func (e PeerLost) at() time.Duration             { return e.At }
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -15,6 +15,9 @@
 	failureCost = 3 * time.Second
 	// crossZoneCost is the additional cost of an endpoint in another availability zone.
 	crossZoneCost = 2 * time.Millisecond
+	// sharedSuspicionCost is the additional cost, in nanoseconds, of an endpoint that runs another request suspected of a
+	// crash, for a suspected one. It outweighs all other costs.
+	sharedSuspicionCost = float64(time.Hour)
 )
 
 // estimate holds the expected times and the cost of running a request on an endpoint.
@@ -129,9 +132,13 @@
 	if j.failedOver {
 		c, queueLimit = contention{level: c.level}, maxFailoverEndpointQueue
 	}
-	if c.yield {
+	if c.yield || s.mayBeQuarantined(j) {
 		return nil
 	}
+	var withSuspects map[*endpoint]bool
+	if s.suspected(j) {
+		withSuspects = s.endpointsWithSuspects(j.Fingerprint)
+	}
 	var best *endpoint
 	bestCost := math.Inf(1)
 	canMeetDeadline := s.deadlineFeasible(p, j)
@@ -146,6 +153,9 @@
 		if c.contested && e != round.freedEndpoint && !s.hasPrecedence(e, c.level) {
 			continue
 		}
+		if withSuspects[e] {
+			est.cost += sharedSuspicionCost
+		}
 		if est.cost < bestCost {
 			best, bestCost = e, est.cost
 		}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquarantine"
 )
 
 // State is the scheduling state of one instance: endpoints, requests, quotas and the load of the other instances. Its
@@ -19,6 +20,10 @@
 	quotas       map[string]*quota
 	peers        map[string]*peer
 	retryBudgets map[string]*retryBudget
+	// crashes holds the crashes that all instances know of.
+	crashes *wigeonquarantine.Record
+	// losses holds the attempts that this instance lost recently, by incarnation of the endpoint.
+	losses map[incarnation]*losses
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
@@ -35,6 +40,8 @@
 		quotas:       map[string]*quota{},
 		peers:        map[string]*peer{},
 		retryBudgets: map[string]*retryBudget{},
+		crashes:      wigeonquarantine.NewRecord(wigeonquarantine.Limit),
+		losses:       map[incarnation]*losses{},
 		instances:    1,
 		groups:       NewGroups(nil),
 	}
@@ -60,6 +67,8 @@
 		s.endAttempt(e)
 	case EndpointChecked:
 		s.handleEndpointChecked(e)
+	case CrashesListed:
+		s.replaceCrashes(e.Crashes)
 	case RequestWithdrawn:
 		s.withdrawWaiting(e.Job)
 	case PeerReported:
@@ -132,6 +141,7 @@
 		p := s.pool(r.Service)
 		fresh := newEndpoint(r, p)
 		if e != nil {
+			s.recordRestart(e, r)
 			s.removeEndpoint(e)
 		}
 		s.endpoints[r.ID] = fresh
@@ -139,6 +149,7 @@
 	}
 	for id, e := range s.endpoints {
 		if !listed[id] {
+			s.recordRemoval(e)
 			s.removeEndpoint(e)
 		}
 	}
@@ -160,6 +171,10 @@
 // refused later.
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
+	if s.crashes.Quarantined(j.Fingerprint) {
+		s.refuseQuarantined(j)
+		return
+	}
 	s.retryBudget(j.Service).countRequest(s.now)
 	if !s.chargeQuota(j) {
 		return
@@ -255,6 +270,11 @@
 	jobsByPriority, own := p.jobsByPriority(s.now)
 	round := placementRound{freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}}
 	for _, j := range jobsByPriority {
+		if s.crashes.Quarantined(j.Fingerprint) {
+			s.dequeue(p, j, &round)
+			s.refuseQuarantined(j)
+			continue
+		}
 		if !j.failedOver && (s.now-j.Arrived > s.maxWait(j) || s.shouldShedLate(p, j, round.backlog)) {
 			s.dequeue(p, j, &round)
 			s.refuse(j, ReasonDeadline, s.retryAfter(p, j, round.backlog))
@@ -338,6 +358,7 @@
 	p := s.pool(j.Service)
 	refuse := Refuse{
 		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
+		Crashes: s.crashes.Crashes(j.Fingerprint),
 	}
 	if q := s.quotas[j.Organisation]; q != nil {
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
@@ -365,6 +386,7 @@
 // not only on other events.
 func (s *State) handleTick() {
 	s.expirePeers()
+	s.expireLosses()
 	s.dispatchAllWaiting()
 }
 
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -20,8 +20,29 @@
 	Endpoints func(records []wigeonshift.EndpointRecord)
 	// Instances receives all known instances.
 	Instances func(instances []wigeonshift.Instance)
+	// Quarantine receives the rows of the quarantine table; nil if it isn't followed.
+	Quarantine RowSink
 }
 
+// RowSink receives the rows of a table as they are.
+type RowSink interface {
+	// HandleStoreRestored is called before ReplaceRows if the store has returned from an older copy.
+	HandleStoreRestored()
+	// ReplaceRows replaces all rows.
+	ReplaceRows(rows []wigeonshift.TableRow)
+	// ApplyChanges applies changed and deleted rows.
+	ApplyChanges(rows []wigeonshift.TableRow)
+}
+
+// rowTable passes the rows of a table to a sink.
+type rowTable struct{ sink RowSink }
+
+func (t rowTable) replaceRows(rows []wigeonshift.TableRow)  { t.sink.ReplaceRows(rows) }
+func (t rowTable) applyChanges(rows []wigeonshift.TableRow) { t.sink.ApplyChanges(rows) }
+func (t rowTable) handleStoreFailure()                      {}
+func (t rowTable) handleStoreRecovery()                     {}
+func (t rowTable) handleStoreRestored()                     { t.sink.HandleStoreRestored() }
+
 // Service watches all tables.
 type Service struct {
 	configuration *configurationTable
@@ -68,6 +89,13 @@
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
 	}
+	if sinks.Quarantine != nil {
+		s.followers = append(s.followers, &follower{
+			table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
+			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
+			batchDelay: s.endpointsBatchDelay,
+		})
+	}
 	for _, f := range s.followers {
 		f.store, f.log = store, log
 		f.repollRequests = make(chan struct{}, 1)
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -27,21 +27,46 @@
 	// calls holds the calls that are queued or running.
 	calls  map[wigeondispatch.JobID]*call
 	lastID wigeondispatch.JobID
+	// crashes shares crashes with the other instances.
+	crashes wigeonshift.CrashRecorder
 	// startCheck starts a check of an endpoint; its result must come back as an EndpointChecked event. It must not block.
 	startCheck func(x wigeondispatch.CheckEndpoint)
 	// loadChanges counts events that may have changed the load of this instance.
 	loadChanges uint64
 }
 
+// DispatcherOption configures a Dispatcher.
+type DispatcherOption func(*Dispatcher)
+
+// WithCrashRecorder shares the crashes that the dispatcher notices with the other instances.
+func WithCrashRecorder(r wigeonshift.CrashRecorder) DispatcherOption {
+	return func(d *Dispatcher) { d.crashes = r }
+}
+
+// noCrashRecorder is the CrashRecorder of an instance without others.
+type noCrashRecorder struct{}
+
+func (noCrashRecorder) ReportCrash(wigeonshift.Crash) {}
+
+func (noCrashRecorder) ClearCrashes(wigeonshift.Fingerprint) {}
+
 // NewDispatcher returns a dispatcher without endpoints.
-func NewDispatcher(settings wigeondispatch.Settings, log logrus.FieldLogger, scope tally.Scope) *Dispatcher {
-	return &Dispatcher{
-		log:   log,
-		scope: scope,
-		start: time.Now(),
-		state: wigeondispatch.New(settings),
-		calls: map[wigeondispatch.JobID]*call{},
+func NewDispatcher(
+	settings wigeondispatch.Settings, log logrus.FieldLogger, scope tally.Scope, opts ...DispatcherOption,
+) *Dispatcher {
+	d := &Dispatcher{
+		log:     log,
+		scope:   scope,
+		start:   time.Now(),
+		calls:   map[wigeondispatch.JobID]*call{},
+		crashes: noCrashRecorder{},
+	}
+	settings.StartedAt = d.start
+	d.state = wigeondispatch.New(settings)
+	for _, opt := range opts {
+		opt(d)
 	}
+	return d
 }
 
 // Now returns the monotonic time since the dispatcher was created.
@@ -72,6 +97,11 @@
 	d.reduce(wigeondispatch.PeerLost{At: d.Now(), Peer: peer})
 }
 
+// SetCrashes replaces the crashes that the instances know of.
+func (d *Dispatcher) SetCrashes(crashes []wigeonshift.Crash) {
+	d.reduce(wigeondispatch.CrashesListed{At: d.Now(), Crashes: crashes})
+}
+
 // Tick makes the reducer act on the current time.
 func (d *Dispatcher) Tick() { d.reduce(wigeondispatch.Tick{At: d.Now()}) }
 
@@ -147,6 +177,10 @@
 			}
 		case wigeondispatch.CheckEndpoint:
 			d.startCheck(x)
+		case wigeondispatch.ReportCrash:
+			d.reportCrash(x)
+		case wigeondispatch.ClearCrashes:
+			d.clearCrashes(x)
 		case wigeondispatch.Suspect:
 			d.scope.Counter("suspects").Inc(1)
 			d.log.WithFields(logrus.Fields{
@@ -156,6 +190,26 @@
 	}
 }
 
+// reportCrash logs the crash of an endpoint under a request and shares it with the other instances.
+func (d *Dispatcher) reportCrash(x wigeondispatch.ReportCrash) {
+	d.scope.Counter("crashes").Inc(1)
+	if x.Quarantined {
+		d.scope.Counter("quarantined").Inc(1)
+	}
+	d.log.WithFields(logrus.Fields{
+		"fingerprint": x.Crash.Fingerprint.String(), "endpoint": x.Crash.Endpoint, "crashes": x.Crashes,
+		"quarantined": x.Quarantined,
+	}).Warn("endpoint crashed under a request")
+	d.crashes.ReportCrash(x.Crash)
+}
+
+// clearCrashes logs that a request did not cause the crashes that were reported for it, and removes them.
+func (d *Dispatcher) clearCrashes(x wigeondispatch.ClearCrashes) {
+	d.scope.Counter("crashesCleared").Inc(1)
+	d.log.WithField("fingerprint", x.Fingerprint.String()).Info("request ran to its end and is cleared of crashes")
+	d.crashes.ClearCrashes(x.Fingerprint)
+}
+
 // deliver passes a decision to its call and drops it if the call has ended. It doesn't block while mu is held, because
 // the channel has room for all decisions that a call can have pending.
 func (d *Dispatcher) deliver(id wigeondispatch.JobID, x decision) {
--- a/internal/services/wigeonrelay/fake_endpoint_test.go
+++ b/internal/services/wigeonrelay/fake_endpoint_test.go
@@ -29,7 +29,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	e := &fakeEndpoint{listener: l, respond: respond}
 	go e.run()
-	DeferCleanup(l.Close)
+	DeferCleanup(func() { _ = l.Close() }) // A test may have closed it.
 	return e
 }
 
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -174,11 +174,24 @@
 	}
 	c.service.setRefusal(c.httpCtx, c.header.RequestID, status, d.RetryAfter)
 	c.service.scope.Tagged(map[string]string{"reason": string(d.Reason)}).Counter("refusals").Inc(1)
-	c.finish("refused", logrus.Fields{
+	fields := logrus.Fields{
 		"status": status, "reason": string(d.Reason), "retryAfterMs": d.RetryAfter.Milliseconds(), "waiting": d.Waiting,
 		"freeSlots": d.FreeSlots, "organisation": c.job.Organisation, "units": c.job.Units, "quotaLeft": d.QuotaLeft,
 		"quotaShare": d.QuotaShare, "quotaGroupLeft": d.QuotaGroupLeft, "quotaGroupPart": d.QuotaGroupFairShare,
-	})
+	}
+	if d.Reason == wigeondispatch.ReasonQuarantined {
+		fields["crashed"] = crashedEndpoints(d.Crashes)
+	}
+	c.finish("refused", fields)
+}
+
+// crashedEndpoints returns the endpoints of crashes.
+func crashedEndpoints(crashes []wigeonshift.Crash) []string {
+	var endpoints []string
+	for _, c := range crashes {
+		endpoints = append(endpoints, c.Endpoint)
+	}
+	return endpoints
 }
 
 // fail responds to a request that ran or may have run, without Retry-After, which is only for requests that did not
--- a/routing.go
+++ b/routing.go
@@ -165,6 +165,8 @@
 	TableEndpoints
 	// TableInstances holds the instance rows.
 	TableInstances
+	// TableQuarantine holds the crashes of endpoints by request.
+	TableQuarantine
 )
 
 // RoutingCodec decodes rows of the routing store.
