Leave the fixed allowance of resends unused in an instance's first window

An instance that restarts forgot what its predecessor had resent and took its full share of the fixed allowance again within the same window.

An instance has no share of the fixed allowance until it has run for one window; the ratio of its own requests holds from the start.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -99,13 +99,14 @@
 	scope := g.metrics.Scope()
 	g.quarantine = wigeonquarantine.NewService(g.writeCrashRows, g.setCrashes, log, scope)
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio:   s.Retry.Ratio,
-		RetrySlack:   s.Retry.Slack,
-		RetryWindow:  s.Retry.Window.Duration,
-		Instance:     g.self.ID,
-		QuotaOverage: s.Quota.Overage,
-		QuotaSlack:   s.Quota.Slack,
-		Zone:         s.Node.Zone,
+		RetryRatio:      s.Retry.Ratio,
+		RetrySlack:      s.Retry.Slack,
+		RetrySlackDelay: s.Retry.Window.Duration,
+		RetryWindow:     s.Retry.Window.Duration,
+		Instance:        g.self.ID,
+		QuotaOverage:    s.Quota.Overage,
+		QuotaSlack:      s.Quota.Slack,
+		Zone:            s.Node.Zone,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.pool = wigeonupstream.New(p.Dialect)
 	g.relay = wigeonrelay.New(wigeonshift.ConnectionLimits{
--- a/internal/services/wigeondispatch/budget.go
+++ b/internal/services/wigeondispatch/budget.go
@@ -10,6 +10,8 @@
 type retryBudget struct {
 	window time.Duration
 	ratio  float64
+	// slackFrom is the time from which slack may be used.
+	slackFrom time.Duration
 	// bucket is the number of the current bucket, counted from time zero.
 	bucket int64
 	// requests and resends hold the counts of each bucket.
@@ -17,8 +19,9 @@
 	resends  [budgetBuckets]int
 }
 
-func newRetryBudget(s Settings) *retryBudget {
-	return &retryBudget{window: s.RetryWindow, ratio: s.RetryRatio}
+// newRetryBudget returns the budget of an instance that started at a time.
+func newRetryBudget(s Settings, startedAt time.Duration) *retryBudget {
+	return &retryBudget{window: s.RetryWindow, ratio: s.RetryRatio, slackFrom: startedAt + s.RetrySlackDelay}
 }
 
 // currentBucket clears the buckets that are older than the window and returns the index of the current one. After a
@@ -40,8 +43,12 @@
 
 // tryResend reports whether a resend is allowed, and counts it if so. The resends in the window are limited to a ratio
 // of the requests in it plus slack. slack is this instance's share of the resends that are allowed regardless of the
-// number of requests, so that all instances together stay within the limit of the deployment.
+// number of requests, so that all instances together stay within the limit of the deployment. It doesn't count before
+// slackFrom.
 func (b *retryBudget) tryResend(at time.Duration, slack float64) bool {
+	if at < b.slackFrom {
+		slack = 0
+	}
 	i := b.currentBucket(at)
 	requests, resends := 0, 0
 	for k := range b.requests {
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -395,7 +395,7 @@
 func (s *State) retryBudget(service string) *retryBudget {
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = newRetryBudget(s.settings)
+		b = newRetryBudget(s.settings, 0)
 		s.retryBudgets[service] = b
 	}
 	return b
