Let the soak crash endpoints, restore the store and send a request that crashes endpoints

The random runs now also end endpoints for two seconds, return the store to a copy up to four seconds old, and send the request of TestPoisonRequest to relays in touch. The new faults draw from a random source of their own, so that the other faults of a seed stay as they were.

--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -49,6 +49,13 @@
 	return len(p.arrivals)
 }
 
+// firstArrival returns the time of the first arrival.
+func (p *poisonLog) firstArrival() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.arrivals[0]
+}
+
 // lateArrivals returns the number of arrivals later than quarantineTime after crashesToQuarantine endpoints had crashed.
 func (p *poisonLog) lateArrivals() int {
 	p.mu.Lock()
@@ -62,14 +69,15 @@
 	return late
 }
 
-// crash ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime.
+// crash ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime. It is
+// ready then, even if it was draining before.
 func (e *engine) crash() {
 	if !e.proxy.shutDown() {
 		return
 	}
 	time.AfterFunc(endpointDowntime, func() {
 		e.mu.Lock()
-		e.startedAt = time.Now()
+		e.startedAt, e.drainingSince = time.Now(), time.Time{}
 		e.mu.Unlock()
 		if err := e.proxy.open(); err != nil {
 			panic(err)
@@ -128,7 +136,7 @@
 			}
 		}},
 		{"store returns from an older copy", func(s *soakRun) {
-			s.store.restore(s.versionBeforeRun)
+			s.store.restore(time.Since(s.poison.firstArrival()))
 			time.Sleep(time.Second)
 			s.restart(s.relays[0], syscall.SIGKILL)
 		}},
@@ -145,7 +153,6 @@
 // runWithPoison sends ordinary requests and the one that crashes endpoints. It injects the faults once the request should
 // be refused.
 func (s *soakRun) runWithPoison(faults func(s *soakRun)) {
-	s.versionBeforeRun = s.store.currentVersion()
 	time.Sleep(quarantineTime)
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
@@ -165,6 +172,29 @@
 	tasks.Wait()
 }
 
+// runEndpointFaults crashes endpoints and returns the store to an older copy from time to time. It has a random source of
+// its own, so that the other faults of a seed stay the same.
+func (s *soakRun) runEndpointFaults(seed uint64, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(1000+random.IntN(3000)) * time.Millisecond):
+		}
+		if random.IntN(3) == 0 {
+			s.countFault("storeRestored")
+			s.store.restore(time.Duration(random.IntN(4000)) * time.Millisecond)
+			continue
+		}
+		s.countFault("endpointCrash")
+		s.mu.Lock()
+		e := s.engines[len(s.engines)-1-random.IntN(min(engineCount, len(s.engines)))]
+		s.mu.Unlock()
+		e.crash()
+	}
+}
+
 // checkPoison checks that the request no longer reached endpoints and that no other request was taken for it.
 func (s *soakRun) checkPoison(t *testing.T) {
 	t.Logf("%d endpoints crashed, %d of them late; responses by status %v", s.poison.arrivalCount(), s.poison.lateArrivals(), s.outcomes)
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -36,13 +36,12 @@
 
 // soakRun is one run of the soak with one seed.
 type soakRun struct {
-	g          *WithT
-	random     *rand.Rand
-	store      *store
-	executions *executionLog
-	poison     poisonLog
-	// versionBeforeRun is the version of the store before the first request.
-	versionBeforeRun     uint64
+	g                    *WithT
+	seed                 uint64
+	random               *rand.Rand
+	store                *store
+	executions           *executionLog
+	poison               poisonLog
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
@@ -93,7 +92,7 @@
 
 func newSoakRun(t *testing.T, seed uint64, binary string) *soakRun {
 	s := &soakRun{
-		g: NewWithT(t), random: rand.New(rand.NewPCG(seed, 1)), store: newStore(), executions: &executionLog{countByID: map[string]int{}},
+		g: NewWithT(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: newStore(), executions: &executionLog{countByID: map[string]int{}},
 		faults: map[string]int{}, outcomes: map[int]int{},
 	}
 	dir := t.TempDir()
@@ -176,12 +175,13 @@
 		c := &caller{soak: s, random: rand.New(rand.NewPCG(uint64(i), s.random.Uint64())), stop: stop}
 		go func() { defer tasks.Done(); c.run() }()
 	}
+	tasks.Go(func() { s.runEndpointFaults(s.seed, stop) })
+	poisonCaller := &poisonCaller{name: "0", caller: caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 3)), stop: stop}}
+	tasks.Go(poisonCaller.run)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		tasks.Add(1)
 		fault, name := s.randomFault()
-		s.mu.Lock()
-		s.faults[name]++
-		s.mu.Unlock()
+		s.countFault(name)
 		go func() { defer tasks.Done(); fault() }()
 		time.Sleep(time.Duration(200+s.random.IntN(800)) * time.Millisecond)
 	}
@@ -189,6 +189,12 @@
 	tasks.Wait()
 }
 
+func (s *soakRun) countFault(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[name]++
+}
+
 // stable reports whether the store, the relays and the paths between them have had no fault for settleTime.
 func (s *soakRun) stable() bool {
 	for _, p := range s.relays {
@@ -307,6 +313,7 @@
 		s.g.Expect(c.request(fmt.Sprintf("/v%d/", s.configurationVersion), p)).To(Equal(http.StatusOK), "%s does not use the newest version: %v", p.name, c.lastError)
 	}
 	t.Logf("faults %v, responses by status %v, %d of 40 requests succeeded after the faults", s.faults, s.outcomes, succeeded)
+	s.checkPoison(t)
 	s.g.Expect(succeeded).To(BeNumerically(">=", 36))
 	s.g.Expect(s.violations).To(BeEmpty())
 	for _, p := range s.relays {
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -38,6 +38,8 @@
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"ver"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// writtenAt is the time of the change.
+	writtenAt time.Time
 }
 
 func newStore() *store {
@@ -66,6 +68,9 @@
 	if s.rows[r.Table] == nil {
 		s.rows[r.Table] = map[string]storeRow{}
 	}
+	if r.writtenAt.IsZero() {
+		r.writtenAt = time.Now()
+	}
 	s.rows[r.Table][r.Key] = r
 	if r.Deleted {
 		delete(s.rows[r.Table], r.Key)
@@ -108,21 +113,23 @@
 	return s.era
 }
 
-// restore returns the store to an older copy: the state after the version at the given time ago. The operator's and the
-// endpoints' rows are written again, as their owners would do, and the rows of the relays are lost.
-func (s *store) restore(version uint64) {
+// restore returns the store to its state some time ago. The operator's and the endpoints' rows are written again, as
+// their owners would do, and the later rows of the relays are lost.
+func (s *store) restore(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var kept, rewritten []storeRow
+	version := uint64(0)
 	for _, row := range s.log {
-		if row.Version <= version {
+		if time.Since(row.writtenAt) >= age {
 			kept = append(kept, row)
+			version = row.Version
 		} else if row.Table == "op" || row.Table == "servers" {
 			rewritten = append(rewritten, row)
 		}
 	}
 	s.era++
-	s.version, s.log, s.rows, s.faultChangedAt = min(version, s.version), nil, map[string]map[string]storeRow{}, time.Now()
+	s.version, s.log, s.rows, s.faultChangedAt = version, nil, map[string]map[string]storeRow{}, time.Now()
 	for _, row := range kept {
 		s.applyRow(row)
 	}
@@ -133,13 +140,6 @@
 	}
 }
 
-// currentVersion returns the version of the latest change.
-func (s *store) currentVersion() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version
-}
-
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w) {
 		return
