Report the first event of a resumed attempt to the reducer

Found while reading which attempts were lost in crashes: for an attempt that resumed a stream the reducer was never told that the endpoint had begun. Its prompt counted as pending prefill work until the end of the stream, so that other requests were kept away from the endpoint, and whether it had run for long could not be told. The number of events of an attempt no longer includes those of earlier attempts.

--- a/internal/services/wigeonrelay/relay_test.go
+++ b/internal/services/wigeonrelay/relay_test.go
@@ -270,6 +270,32 @@
 		Expect(body).To(Equal("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"))
 	})
 
+	// The prompt of a resumed stream counted as pending prefill work until the end of the stream, which kept other requests
+	// away from its endpoint.
+	It("counts the prompt of a resumed stream as processed from its first event on", func() {
+		finish := make(chan struct{})
+		respond := func(c net.Conn, r *http.Request, _ []byte) {
+			if r.Header.Get("Last-Event-Id") == "1" {
+				writeText(c, signedHead(r)+chunkedHead+eventChunk(2))
+				<-finish
+				writeText(c, "0\r\n\r\n")
+				return
+			}
+			writeText(c, signedHead(r)+chunkedHead+eventChunk(1)+"8\r\nid: 2\nda\r\n")
+			c.Close()
+		}
+		r := newTestRelay(newFakeEndpoint(respond), newFakeEndpoint(respond))
+		c, reader := r.dial()
+		writeText(c, requestText("POST", "/resume/", "Token-Usage: 500,20\r\n", "x"))
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(response.Body, make([]byte, len("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n")))
+		Expect(err).NotTo(HaveOccurred())
+		load, _ := r.dispatcher.Load()
+		Expect(load.Endpoints).To(ConsistOf(And(HaveField("Running", 1), HaveField("PrefillTokens", 0))))
+		close(finish)
+	})
+
 	It("cancels the request at the endpoint when the caller disconnects", func() {
 		ended := make(chan struct{})
 		e := newFakeEndpoint(func(c net.Conn, r *http.Request, _ []byte) {
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -18,6 +18,9 @@
 	call     *call
 	response *wigeonupstream.Response
 	events   eventTracker
+	// began is set once the running attempt has sent something; eventsBefore is the number of events of earlier attempts.
+	began        bool
+	eventsBefore int
 	// pending holds bytes from the endpoint that Read has not returned yet.
 	pending []byte
 	buffer  []byte
@@ -65,7 +68,8 @@
 		n, err := st.response.Body().Read(st.buffer)
 		if n > 0 {
 			st.call.resetStallTimer()
-			if st.events.count == 0 && st.events.partialBytes == 0 {
+			if !st.began {
+				st.began = true
 				st.call.reportBegan()
 			}
 			st.pending = st.events.consume(st.buffer[:n])
@@ -110,7 +114,7 @@
 	resumable := c.route.Resumable && st.events.lastID != "" && c.ctx.Err() == nil
 	st.response.Close()
 	st.response = nil
-	c.endAttemptWithError(c.interruptedOutcome(), st.events.count, resumable, st.err)
+	c.endAttemptWithError(c.interruptedOutcome(), st.attemptEvents(), resumable, st.err)
 	for resumable {
 		select {
 		case d := <-c.decisions:
@@ -148,10 +152,14 @@
 		return false
 	}
 	st.response, st.err = r, nil
+	st.began, st.eventsBefore = false, st.events.count
 	st.events.dropPartial()
 	return true
 }
 
+// attemptEvents returns the number of events of the running attempt.
+func (st *streamBody) attemptEvents() int { return st.events.count - st.eventsBefore }
+
 // Close ends the call, whether or not the stream is complete. It reports the end of the attempt only if resume has not
 // done so already, in which case response is nil. The attempt on an incomplete stream counts as abandoned, because
 // forwarding ended before the endpoint's response did.
@@ -165,9 +173,9 @@
 		}
 		st.response.Close()
 		if complete {
-			c.endAttempt(wigeondispatch.OutcomeDone, st.events.count, false)
+			c.endAttempt(wigeondispatch.OutcomeDone, st.attemptEvents(), false)
 		} else {
-			c.endAttempt(wigeondispatch.OutcomeAbandoned, st.events.count, false)
+			c.endAttempt(wigeondispatch.OutcomeAbandoned, st.attemptEvents(), false)
 		}
 	}
 	if !complete {
