Count a crash in the middle of a run half, and none for a request sent after it

Innocent requests must not be refused.

A request that crashes endpoints does so when it begins to run. So a crash counts half if the attempt's first event was half a second old, and not at all for an attempt that was sent after another one had been lost there.

--- a/crash.go
+++ b/crash.go
@@ -8,6 +8,9 @@
 	Fingerprint Fingerprint
 	// Endpoint identifies the endpoint and its incarnation, so that each crash of an endpoint counts once.
 	Endpoint string
+	// MidRun is set if the endpoint had run the request for some time, which makes the request an unlikely cause. It counts
+	// half.
+	MidRun bool
 	// At is the time of the crash by the clock of the instance that noticed it.
 	At time.Time
 }
--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -33,7 +33,7 @@
 	}
 	for _, c := range m.Crashes {
 		out.Crashes = append(out.Crashes, &Crash{
-			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(),
+			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(), MidRun: c.MidRun,
 		})
 	}
 	return out
@@ -66,7 +66,10 @@
 	}
 	for _, c := range m.GetCrashes() {
 		out.Crashes = append(out.Crashes, wigeonshift.Crash{
-			Fingerprint: wigeonshift.Fingerprint(c.GetFingerprint()), Endpoint: c.GetEndpoint(), At: time.UnixMilli(c.GetAtMs()),
+			Fingerprint: wigeonshift.Fingerprint(c.GetFingerprint()),
+			Endpoint:    c.GetEndpoint(),
+			MidRun:      c.GetMidRun(),
+			At:          time.UnixMilli(c.GetAtMs()),
 		})
 	}
 	return out
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -10,6 +10,9 @@
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
+// midRunTime is the time from the first event of an attempt after which a crash counts as in the middle of its run.
+const midRunTime = 500 * time.Millisecond
+
 // lossMemory is how long a lost attempt is kept while its cause isn't known. A crashed endpoint is back under its old ID,
 // or gone from the list, within this time.
 const lossMemory = 15 * time.Second
@@ -29,12 +32,18 @@
 	return incarnation{endpointID: e.record.ID, startedAtMillis: e.record.StartedAtMillis}
 }
 
+// loss is an attempt that was lost on an endpoint.
+type loss struct {
+	dispatchedAt time.Duration
+	midRun       bool
+}
+
 // losses are the attempts that were lost on one incarnation of an endpoint, which may have crashed.
 type losses struct {
-	// fingerprints holds the requests of the attempts.
-	fingerprints map[wigeonshift.Fingerprint]bool
-	// latestAt is the time of the latest loss.
-	latestAt time.Duration
+	// byFingerprint holds the first lost attempt of each request.
+	byFingerprint map[wigeonshift.Fingerprint]loss
+	// firstAt is the time of the first loss, latestAt that of the latest.
+	firstAt, latestAt time.Duration
 	// checking is set while a CheckEndpoint effect waits for its result.
 	checking bool
 	// silent is set if the endpoint sent nothing, so that an open connection doesn't show that it runs.
@@ -54,10 +63,12 @@
 	i := e.incarnation()
 	l := s.losses[i]
 	if l == nil {
-		l = &losses{fingerprints: map[wigeonshift.Fingerprint]bool{}}
+		l = &losses{byFingerprint: map[wigeonshift.Fingerprint]loss{}, firstAt: s.now}
 		s.losses[i] = l
 	}
-	l.fingerprints[j.Fingerprint] = true
+	if _, exists := l.byFingerprint[j.Fingerprint]; !exists {
+		l.byFingerprint[j.Fingerprint] = loss{dispatchedAt: j.dispatchedAt, midRun: j.isMidRun(s.now)}
+	}
 	l.latestAt = s.now
 	l.silent = l.silent || silent
 	if l.crashed {
@@ -70,9 +81,9 @@
 	}
 }
 
-// handleEndpointChecked records the crash of an endpoint that has ended. Requests that waited for the result may now be
-// dispatched or refused. The losses on an endpoint that runs are kept for a while, because it may have crashed and
-// started again before the check.
+// handleEndpointChecked records the crash of an endpoint that has ended, and forgets what was lost on one that runs. The
+// losses on a silent endpoint are kept until the list of endpoints shows what happened to it. Requests that waited for the
+// result may now be dispatched or refused.
 func (s *State) handleEndpointChecked(ev EndpointChecked) {
 	i := incarnation{endpointID: ev.EndpointID, startedAtMillis: ev.StartedAtMillis}
 	l := s.losses[i]
@@ -80,18 +91,28 @@
 		return
 	}
 	l.checking, l.liveness = false, ev.Liveness
-	if ev.Liveness == wigeonshift.LivenessEnded {
+	switch {
+	case ev.Liveness == wigeonshift.LivenessEnded:
 		s.recordCrash(i, l)
+	case ev.Liveness == wigeonshift.LivenessRunning && !l.silent:
+		delete(s.losses, i)
 	}
 	s.dispatchAllWaiting()
 }
 
-// recordCrash counts the crash of an endpoint for every request that it lost.
+// isMidRun reports whether the running attempt had its first event some time ago.
+func (j *Job) isMidRun(at time.Duration) bool {
+	return j.firstEventLatency > 0 && at-j.dispatchedAt-j.firstEventLatency >= midRunTime
+}
+
+// recordCrash counts the crash of an endpoint for every request that it lost. A request that was sent after the first loss
+// came too late to be the cause: it was written to a connection that had already been broken.
 func (s *State) recordCrash(i incarnation, l *losses) {
 	l.crashed = true
-	for _, f := range slices.Sorted(maps.Keys(l.fingerprints)) {
-		c := wigeonshift.Crash{Fingerprint: f, Endpoint: i.String(), At: s.wallClock()}
-		if !s.crashes.Add(c) {
+	for _, f := range slices.Sorted(maps.Keys(l.byFingerprint)) {
+		lost := l.byFingerprint[f]
+		c := wigeonshift.Crash{Fingerprint: f, Endpoint: i.String(), MidRun: lost.midRun, At: s.wallClock()}
+		if lost.dispatchedAt > l.firstAt || !s.crashes.Add(c) {
 			continue
 		}
 		s.emit(ReportCrash{Crash: c, Crashes: len(s.crashes.Crashes(f)), Quarantined: s.crashes.Quarantined(f)})
@@ -119,7 +140,7 @@
 // clearCrashes removes the crashes of a request that has run to its end, which shows that it doesn't cause them.
 func (s *State) clearCrashes(f wigeonshift.Fingerprint) {
 	for _, l := range s.losses {
-		delete(l.fingerprints, f)
+		delete(l.byFingerprint, f)
 	}
 	if len(s.crashes.Crashes(f)) == 0 {
 		return
@@ -151,7 +172,7 @@
 func (s *State) uncheckedLosses(f wigeonshift.Fingerprint) int {
 	n := 0
 	for _, l := range s.losses {
-		if l.checking && l.fingerprints[f] {
+		if _, lost := l.byFingerprint[f]; l.checking && lost {
 			n++
 		}
 	}
@@ -161,7 +182,7 @@
 // mayBeQuarantined reports whether a request will be quarantined if the endpoints that are being checked have crashed. It
 // waits for the results, at most as long as a check takes.
 func (s *State) mayBeQuarantined(j *Job) bool {
-	return len(s.losses) > 0 && len(s.crashes.Crashes(j.Fingerprint))+s.uncheckedLosses(j.Fingerprint) >= wigeonquarantine.Limit
+	return len(s.losses) > 0 && s.crashes.QuarantinedAfter(j.Fingerprint, s.uncheckedLosses(j.Fingerprint))
 }
 
 // suspected reports whether a request was there when an endpoint crashed, or may have been.
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -18,10 +18,15 @@
 	// maxFingerprints bounds the number of requests in a record, maxCrashes the crashes of each.
 	maxFingerprints = 65536
 	maxCrashes      = 32
+	// Weights of crashes. A crash in the middle of a run counts less, because a request that crashes endpoints does so when
+	// it begins to run.
+	crashWeight       = 2
+	midRunCrashWeight = 1
 )
 
 // Record holds the crashes of each fingerprint. It is not safe for concurrent use.
 type Record struct {
+	// limit is the number of crashes from which a request is quarantined; those in the middle of a run count half.
 	limit   int
 	crashes map[wigeonshift.Fingerprint][]wigeonshift.Crash
 }
@@ -60,7 +65,20 @@
 
 // Quarantined reports whether a request must be refused.
 func (r *Record) Quarantined(f wigeonshift.Fingerprint) bool {
-	return len(r.crashes) > 0 && len(r.crashes[f]) >= r.limit
+	return r.QuarantinedAfter(f, 0)
+}
+
+// QuarantinedAfter reports whether a request must be refused after a number of further crashes.
+func (r *Record) QuarantinedAfter(f wigeonshift.Fingerprint, further int) bool {
+	weight := further * crashWeight
+	for _, c := range r.crashes[f] {
+		if c.MidRun {
+			weight += midRunCrashWeight
+		} else {
+			weight += crashWeight
+		}
+	}
+	return weight >= r.limit*crashWeight
 }
 
 // ExpiresAt returns the time at which a request is forgotten.
--- a/internal/services/wigeonquarantine/row.go
+++ b/internal/services/wigeonquarantine/row.go
@@ -16,7 +16,8 @@
 // rowValue is the value of a crash row. The key holds the fingerprint and the endpoint: instances that notice the same
 // crash write the same row, and rows of different crashes never conflict.
 type rowValue struct {
-	At time.Time `json:"at"`
+	At     time.Time `json:"at"`
+	MidRun bool      `json:"midRun,omitempty"`
 }
 
 // keySeparator stands between the fingerprint and the endpoint in a row key.
@@ -26,7 +27,9 @@
 func RowKey(c wigeonshift.Crash) string { return c.Fingerprint.String() + keySeparator + c.Endpoint }
 
 // EncodeRow returns the value of the row for a crash.
-func EncodeRow(c wigeonshift.Crash) ([]byte, error) { return json.Marshal(rowValue{At: c.At.UTC()}) }
+func EncodeRow(c wigeonshift.Crash) ([]byte, error) {
+	return json.Marshal(rowValue{At: c.At.UTC(), MidRun: c.MidRun})
+}
 
 // DecodeKey returns the fingerprint and the endpoint of a row key. Its error wraps ErrMalformedRow.
 func DecodeKey(key string) (f wigeonshift.Fingerprint, endpoint string, err error) {
@@ -48,5 +51,5 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return wigeonshift.Crash{}, errors.Join(ErrMalformedRow, err)
 	}
-	return wigeonshift.Crash{Fingerprint: f, Endpoint: endpoint, At: v.At}, nil
+	return wigeonshift.Crash{Fingerprint: f, Endpoint: endpoint, MidRun: v.MidRun, At: v.At}, nil
 }
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -198,7 +198,7 @@
 	}
 	d.log.WithFields(logrus.Fields{
 		"fingerprint": x.Crash.Fingerprint.String(), "endpoint": x.Crash.Endpoint, "crashes": x.Crashes,
-		"quarantined": x.Quarantined,
+		"quarantined": x.Quarantined, "midRun": x.Crash.MidRun,
 	}).Warn("endpoint crashed under a request")
 	d.crashes.ReportCrash(x.Crash)
 }
