--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -17,8 +18,6 @@
 const (
 	// poisonBody is the body of a request that crashes every endpoint that begins to run it.
 	poisonBody = "poison"
-	// poisonPath is the path of that request. Its route allows two attempts.
-	poisonPath = "/safe/"
 	// poisonIDPrefix begins the ID of every try of that request.
 	poisonIDPrefix = "poison-"
 	// endpointDowntime is how long a crashed endpoint refuses connections.
@@ -90,7 +89,9 @@
 // no fault for quarantineTime.
 type poisonCaller struct {
 	caller
-	name string
+	name, path string
+	// anyRelay makes the caller also send to relays with a fault.
+	anyRelay bool
 }
 
 // resendInterval is the time between two tries of a poisonCaller.
@@ -104,30 +105,42 @@
 		case <-time.After(resendInterval):
 		}
 		p := c.soak.relays[c.random.IntN(len(c.soak.relays))]
-		if !p.stableFor(quarantineTime) || !p.storeProxy.forwardingFor(quarantineTime) || !c.soak.store.healthyFor(quarantineTime) {
-			continue
+		if c.anyRelay || c.soak.inTouch(p) {
+			c.send(fmt.Sprintf("%s%s-%d", poisonIDPrefix, c.name, n), p)
 		}
-		c.roundTrip(poisonPath, fmt.Sprintf("%s%s-%d", poisonIDPrefix, c.name, n), poisonBody, p)
 	}
 }
 
+// send sends the request and checks that a refusal, which promises that it did not run, is true.
+func (c *poisonCaller) send(id string, p *relayProcess) {
+	status, _, _, _ := c.roundTrip(c.path, id, poisonBody, p)
+	if status == http.StatusServiceUnavailable && c.soak.executions.count(id) > 0 {
+		c.soak.reportViolation("%s: refused with a status that promises no execution, but executed", id)
+	}
+}
+
+// inTouch reports whether a relay, the store and the path between them have had no fault for quarantineTime.
+func (s *soakRun) inTouch(p *relayProcess) bool {
+	return p.stableFor(quarantineTime) && p.storeProxy.forwardingFor(quarantineTime) && s.store.healthyFor(quarantineTime)
+}
+
 // TestPoisonRequest guards against a request that crashes every endpoint and is sent on without limit, because each try of
 // its caller has a new ID and may reach another relay, a restarted one, or one that was cut off from the store.
 func TestPoisonRequest(t *testing.T) {
 	binary := buildRelay(t)
 	for _, scenario := range []struct {
-		name   string
-		faults func(s *soakRun)
+		name, path string
+		faults     func(s *soakRun)
 	}{
-		{"relays without faults", func(*soakRun) {}},
-		{"relays that restart or are cut off", func(s *soakRun) {
+		{"relays without faults", "/unsafe/", func(*soakRun) {}},
+		{"relays that restart or are cut off", "/safe/", func(s *soakRun) {
 			s.restart(s.relays[0], syscall.SIGKILL)
 			s.relays[1].storeProxy.setMode(modeStall)
 			time.Sleep(time.Second)
 			s.relays[1].storeProxy.setMode(modeForward)
 			s.restart(s.relays[2], syscall.SIGTERM)
 		}},
-		{"all relays are killed", func(s *soakRun) {
+		{"all relays are killed", "/stream/", func(s *soakRun) {
 			for _, p := range s.relays {
 				p.signal(syscall.SIGKILL)
 			}
@@ -135,7 +148,7 @@
 				s.restart(p, syscall.SIGKILL)
 			}
 		}},
-		{"store returns from an older copy", func(s *soakRun) {
+		{"store returns from an older copy", "/safe/", func(s *soakRun) {
 			s.store.restore(time.Since(s.poison.firstArrival()))
 			time.Sleep(time.Second)
 			s.restart(s.relays[0], syscall.SIGKILL)
@@ -144,16 +157,25 @@
 		t.Run(scenario.name, func(t *testing.T) {
 			skipIfKnownRed(t)
 			s := newSoakRun(t, 1, binary)
-			s.runWithPoison(scenario.faults)
+			time.Sleep(quarantineTime)
+			s.runWithPoison(scenario.path, false, scenario.faults)
 			s.checkPoison(t)
 		})
 	}
+	// Without the store, the relays learn of crashes from each other only.
+	t.Run("store is down", func(t *testing.T) {
+		skipIfKnownRed(t)
+		s := newSoakRun(t, 1, binary)
+		s.store.setFault(true, 0)
+		s.runWithPoison("/safe/", true, func(*soakRun) {})
+		s.g.Expect(s.poison.arrivalCount()).To(BeNumerically("<=", crashesToQuarantine+maxLateArrivals))
+		s.checkPoison(t)
+	})
 }
 
 // runWithPoison sends ordinary requests and the one that crashes endpoints. It injects the faults once the request should
 // be refused.
-func (s *soakRun) runWithPoison(faults func(s *soakRun)) {
-	time.Sleep(quarantineTime)
+func (s *soakRun) runWithPoison(path string, anyRelay bool, faults func(s *soakRun)) {
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
 	for i := range 4 {
@@ -161,7 +183,8 @@
 		tasks.Go(c.run)
 	}
 	for i := range 2 {
-		c := &poisonCaller{name: fmt.Sprint(i), caller: caller{soak: s, random: rand.New(rand.NewPCG(uint64(i), 3)), stop: stop}}
+		c := s.newPoisonCaller(uint64(i), path, stop)
+		c.anyRelay = anyRelay
 		tasks.Go(c.run)
 	}
 	s.g.Eventually(s.poison.arrivalCount).WithTimeout(10 * time.Second).Should(BeNumerically(">=", crashesToQuarantine))
@@ -172,6 +195,12 @@
 	tasks.Wait()
 }
 
+func (s *soakRun) newPoisonCaller(seed uint64, path string, stop chan struct{}) *poisonCaller {
+	return &poisonCaller{
+		name: fmt.Sprint(seed), path: path, caller: caller{soak: s, random: rand.New(rand.NewPCG(seed, 3)), stop: stop},
+	}
+}
+
 // runEndpointFaults crashes endpoints and returns the store to an older copy from time to time. It has a random source of
 // its own, so that the other faults of a seed stay the same.
 func (s *soakRun) runEndpointFaults(seed uint64, stop <-chan struct{}) {
@@ -199,6 +228,7 @@
 func (s *soakRun) checkPoison(t *testing.T) {
 	t.Logf("%d endpoints crashed, %d of them late; responses by status %v", s.poison.arrivalCount(), s.poison.lateArrivals(), s.outcomes)
 	s.g.Expect(s.poison.lateArrivals()).To(BeNumerically("<=", maxLateArrivals))
+	s.g.Expect(s.violations).To(BeEmpty())
 	for _, p := range s.relays {
 		text, err := os.ReadFile(p.logFile.Name())
 		s.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -176,8 +176,7 @@
 		go func() { defer tasks.Done(); c.run() }()
 	}
 	tasks.Go(func() { s.runEndpointFaults(s.seed, stop) })
-	poisonCaller := &poisonCaller{name: "0", caller: caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 3)), stop: stop}}
-	tasks.Go(poisonCaller.run)
+	tasks.Go(s.newPoisonCaller(s.seed, "/safe/", stop).run)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		tasks.Add(1)
 		fault, name := s.randomFault()
