Share the first crash of a request only if it isn't cleared within a second

So the first crash of a request is shared after a second unless an answer clears it, at most five of them a second and instance; from the second crash on all are shared at once, in 50 ms. Notices carry at most eight crashes, twice a second while the store doesn't show them.

--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -16,6 +16,8 @@
 	minNoticeInterval = 50 * time.Millisecond
 	// maxNoticeInterval is the time after which a notice is sent even if the load has not changed.
 	maxNoticeInterval = 500 * time.Millisecond
+	// crashNoticeInterval is the shortest time between two notices with crashes, which are repeated while the store is down.
+	crashNoticeInterval = 500 * time.Millisecond
 	// otherGroupNoticeInterval is the time between two notices to instances of other groups.
 	otherGroupNoticeInterval = 2 * time.Second
 	// newInstanceNoticeInterval replaces otherGroupNoticeInterval while the sender or the receiver is new.
@@ -57,7 +59,7 @@
 	t := time.NewTicker(minNoticeInterval)
 	defer t.Stop()
 	var reportedChanges uint64
-	var sameGroupSentAt, otherGroupsSentAt, newInstancesSentAt time.Time
+	var sameGroupSentAt, otherGroupsSentAt, newInstancesSentAt, crashesSentAt time.Time
 	for {
 		select {
 		case <-t.C:
@@ -69,6 +71,10 @@
 		}
 		loadNotice, changes := g.loadNotice()
 		reportedChanges, sameGroupSentAt = changes, time.Now()
+		if time.Since(crashesSentAt) >= crashNoticeInterval {
+			crashesSentAt = sameGroupSentAt
+			loadNotice.Crashes = g.quarantine.Unstored()
+		}
 		sameGroup, otherGroups := g.membership.peers()
 		g.sendLoadNotice(ctx, sameGroup, loadNotice)
 		switch {
@@ -89,7 +95,6 @@
 		loadNotice.ConfigurationVersion = table.Configuration.Version
 	}
 	loadNotice.EndpointsRevision, _ = g.follower.EndpointsRevision()
-	loadNotice.Crashes = g.quarantine.Unstored()
 	return loadNotice, changes
 }
 
--- /dev/null
+++ b/internal/services/wigeonquarantine/bench_test.go
@@ -0,0 +1,53 @@
+package wigeonquarantine
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"wigeonshift"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// benchCrashes returns n crashes, three for each request, with IDs as long as those of real endpoints.
+func benchCrashes(n int) []wigeonshift.Crash {
+	crashes := make([]wigeonshift.Crash, 0, n)
+	for i := range n {
+		crashes = append(crashes, wigeonshift.Crash{
+			Fingerprint: wigeonshift.Fingerprint(i/3+1) << 40, Endpoint: "i-" + strconv.Itoa(1_000_000_000+i) + "@1796358708000",
+			At: time.Now(),
+		})
+	}
+	return crashes
+}
+
+// BenchmarkServiceHeap measures the heap of a service for each crash that it keeps.
+func BenchmarkServiceHeap(b *testing.B) {
+	const crashes = 30_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := NewService(nil, func([]wigeonshift.Crash) {}, discardLog(), tally.NoopScope)
+		s.Offer(benchCrashes(crashes))
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/crashes, "B/crash")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkQuarantined measures the check of each arriving request.
+func BenchmarkQuarantined(b *testing.B) {
+	r := NewRecord(Limit)
+	for _, c := range benchCrashes(30_000) {
+		r.Add(c)
+	}
+	f := wigeonshift.Fingerprint(0)
+	for b.Loop() {
+		f++
+		r.Quarantined(f)
+	}
+}
--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -19,13 +19,19 @@
 const (
 	// sweepInterval is the interval between checks for expired crashes and due writes.
 	sweepInterval = 500 * time.Millisecond
+	// shareDelay is the delay before the first crash of a request is shared. Most requests that were there at a crash run to
+	// their end elsewhere within this time, and then nobody needs to know of it.
+	shareDelay = time.Second
+	// maxFirstCrashes bounds the first crashes that an instance shares in each shareDelay. When many endpoints crash at
+	// once, hardly any request is the cause, and all instances would have to read all rows.
+	maxFirstCrashes = 5
 	// maxRewriteDelay and maxExpiryDelay bound the random delays before an instance writes a row again that the store has
 	// lost, and before it removes the row of an expired crash. Usually another instance is first, and the rest need not
 	// write.
 	maxRewriteDelay = 1500 * time.Millisecond
 	maxExpiryDelay  = 10 * time.Minute
 	// maxUnstored bounds the crashes that Unstored returns.
-	maxUnstored = 32
+	maxUnstored = 8
 )
 
 // Service shares crashes with the other instances through a table of the store. It implements wigeonshift.CrashRecorder.
@@ -49,6 +55,17 @@
 	restored bool
 	// deferred holds writes that other instances may do first, by row key.
 	deferred map[string]deferredWrite
+	// dueShares holds first crashes of requests that will be shared, by row key.
+	dueShares map[string]dueShare
+	// firstCrashes counts the first crashes of requests since firstCrashesSince.
+	firstCrashes      int
+	firstCrashesSince time.Time
+}
+
+// dueShare is a crash that will be shared at a time.
+type dueShare struct {
+	at    time.Time
+	crash wigeonshift.Crash
 }
 
 // rowState tells whether the store has the row of a crash.
@@ -57,7 +74,9 @@
 const (
 	// rowFromPeer means that another instance writes the row.
 	rowFromPeer rowState = iota
-	// rowUnstored means that this instance noticed the crash and the store has not shown the row yet.
+	// rowLocal means that this instance noticed the crash and does not share it yet.
+	rowLocal
+	// rowUnstored means that this instance shares the crash and the store has not shown the row yet.
 	rowUnstored
 	// rowStored means that the store has shown the row.
 	rowStored
@@ -79,6 +98,7 @@
 		writer: NewWriter(commit, log, func() { scope.Counter("quarantineWritesFailed").Inc(1) }),
 		log:    log, scope: scope, publish: publish, changed: make(chan struct{}, 1),
 		record: NewRecord(Limit), states: map[string]rowState{}, deferred: map[string]deferredWrite{},
+		dueShares: map[string]dueShare{},
 	}
 }
 
@@ -118,15 +138,47 @@
 	return s.record.All()
 }
 
-// ReportCrash adds a crash that this instance noticed and writes its row.
+// ReportCrash adds a crash that this instance noticed. It shares the first crash of a request after shareDelay, unless the
+// request is cleared until then, and all crashes of a request at once from the second on.
 func (s *Service) ReportCrash(c wigeonshift.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.record.Add(c) {
-		s.states[RowKey(c)] = rowUnstored
-		s.writeLocked(c)
-		s.requestPublish()
+	if !s.record.Add(c) {
+		return
+	}
+	s.states[RowKey(c)] = rowLocal
+	known := s.record.Crashes(c.Fingerprint)
+	if len(known) == 1 {
+		s.deferShareLocked(c)
+		return
+	}
+	for _, k := range known {
+		if s.states[RowKey(k)] == rowLocal {
+			s.shareLocked(k)
+		}
+	}
+	s.requestPublish()
+}
+
+// deferShareLocked shares the first crash of a request later. Beyond maxFirstCrashes the crash stays with this instance.
+func (s *Service) deferShareLocked(c wigeonshift.Crash) {
+	now := time.Now()
+	if now.Sub(s.firstCrashesSince) > shareDelay {
+		s.firstCrashesSince, s.firstCrashes = now, 0
 	}
+	s.firstCrashes++
+	if s.firstCrashes > maxFirstCrashes {
+		s.scope.Counter("crashesNotShared").Inc(1)
+		return
+	}
+	s.dueShares[RowKey(c)] = dueShare{at: now.Add(shareDelay), crash: c}
+}
+
+// shareLocked writes the row of a crash that this instance noticed.
+func (s *Service) shareLocked(c wigeonshift.Crash) {
+	delete(s.dueShares, RowKey(c))
+	s.states[RowKey(c)] = rowUnstored
+	s.writeLocked(c)
 }
 
 // ClearCrashes removes all crashes of a request and their rows.
@@ -135,15 +187,17 @@
 	defer s.mu.Unlock()
 	for _, c := range s.record.Crashes(f) {
 		key := RowKey(c)
+		if s.states[key] != rowLocal {
+			s.writer.Add(wigeonshift.Write{Key: key, Delete: true})
+		}
 		s.forgetLocked(key)
-		s.writer.Add(wigeonshift.Write{Key: key, Delete: true})
 	}
 	s.record.Remove(f)
 	s.requestPublish()
 }
 
-// Unstored returns crashes that this instance noticed and that the store has not shown yet. The caller sends them to
-// other instances, so that these learn of them also while the store is down.
+// Unstored returns crashes that this instance shares and that the store has not shown yet. The caller sends them to other
+// instances, so that these learn of them also while the store is down.
 func (s *Service) Unstored() []wigeonshift.Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,6 +266,7 @@
 func (s *Service) applyLocked(rows []wigeonshift.TableRow) {
 	for _, row := range rows {
 		delete(s.deferred, row.Key)
+		delete(s.dueShares, row.Key)
 		if row.Deleted {
 			s.removeLocked(row.Key)
 			continue
@@ -235,15 +290,23 @@
 	s.requestPublish()
 }
 
-// sweep forgets expired crashes, removes their rows and does the deferred writes that are due.
+// sweep forgets expired crashes, removes their rows and does the writes that are due.
 func (s *Service) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.record.Expire(now) {
-		s.forgetLocked(RowKey(c))
-		s.deferRemovalLocked(RowKey(c))
+		key := RowKey(c)
+		if s.states[key] != rowLocal {
+			s.deferRemovalLocked(key)
+		}
+		s.forgetLocked(key)
 		s.requestPublish()
 	}
+	for _, d := range s.dueShares {
+		if now.After(d.at) {
+			s.shareLocked(d.crash)
+		}
+	}
 	for key, d := range s.deferred {
 		if now.After(d.at) {
 			delete(s.deferred, key)
@@ -291,9 +354,10 @@
 	s.requestPublish()
 }
 
+// forgetLocked forgets the state of a row.
 func (s *Service) forgetLocked(key string) {
 	delete(s.states, key)
-	delete(s.deferred, key)
+	delete(s.dueShares, key)
 }
 
 func (s *Service) logLearned(c wigeonshift.Crash, source string) {
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -44,19 +44,55 @@
 }
 
 var _ = Describe("Service", func() {
-	It("writes a crash that it noticed and offers it to other instances until the store shows it", func() {
+	It("writes crashes that it noticed and offers them to other instances until the store shows them", func() {
 		runService(func(g Gomega, s *testService) {
-			c := freshCrash(7, "a@1")
+			first, second := freshCrash(7, "a@1"), freshCrash(7, "b@1")
 			s.table.down = true
-			s.ReportCrash(c)
+			s.ReportCrash(first)
+			s.ReportCrash(second)
 			advance(time.Second)
-			g.Expect(s.Unstored()).To(ConsistOf(c))
+			g.Expect(s.Unstored()).To(ConsistOf(first, second))
 			s.table.down = false
 			advance(time.Second)
+			g.Expect(s.table.written).To(Equal([]string{"7/a@1", "7/b@1"}))
+			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, first)})
+			g.Expect(s.Unstored()).To(ConsistOf(second))
+			g.Expect(s.Crashes()).To(ConsistOf(first, second))
+		})
+	})
+
+	It("shares the second crash of a request within a tenth of a second", func() {
+		runService(func(g Gomega, s *testService) {
+			s.Offer([]wigeonshift.Crash{freshCrash(7, "a@1")})
+			s.ReportCrash(freshCrash(7, "b@1"))
+			advance(100 * time.Millisecond)
+			g.Expect(s.table.written).To(Equal([]string{"7/b@1"}))
+		})
+	})
+
+	// Each crash of an endpoint is the first one of every request that was there. All but one are innocent and run to their
+	// end elsewhere, mostly within a second.
+	It("shares the first crash of a request only if the request isn't cleared, within two seconds", func() {
+		runService(func(g Gomega, s *testService) {
+			s.ReportCrash(freshCrash(7, "a@1"))
+			s.ReportCrash(freshCrash(8, "a@1"))
+			advance(shareDelay / 2)
+			s.ClearCrashes(8)
+			advance(2*time.Second - shareDelay/2)
 			g.Expect(s.table.written).To(Equal([]string{"7/a@1"}))
-			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, c)})
-			g.Expect(s.Unstored()).To(BeEmpty())
-			g.Expect(s.Crashes()).To(ConsistOf(c))
+		})
+	})
+
+	It("shares few of the first crashes when many endpoints crash at once", func() {
+		runService(func(g Gomega, s *testService) {
+			for f := range wigeonshift.Fingerprint(1000) {
+				s.ReportCrash(freshCrash(f+1, "a@1"))
+			}
+			advance(10 * time.Second)
+			g.Expect(s.table.written).To(HaveLen(maxFirstCrashes))
+			s.ReportCrash(freshCrash(900, "b@1"))
+			advance(time.Second)
+			g.Expect(s.table.written).To(ContainElements("384/a@1", "384/b@1"), "the second crash shares the first as well")
 		})
 	})
 
@@ -89,6 +125,7 @@
 			stored, own, offered := freshCrash(7, "a@1"), freshCrash(8, "a@1"), freshCrash(9, "a@1")
 			s.ReplaceRows([]wigeonshift.TableRow{rowOf(g, stored)})
 			s.ReportCrash(own)
+			advance(2 * shareDelay)
 			s.Offer([]wigeonshift.Crash{offered})
 			s.ReplaceRows(nil)
 			g.Expect(s.Crashes()).To(ConsistOf(own, offered))
