Keep all instances that are discovered at the same time

membership.add released its lock between reading the list and replacing it, so that of two peers discovered at the same time one could be lost until the store listed it. The new spec failed before (7 of 8 instances).

--- a/internal/routers/wigeongateway/membership.go
+++ b/internal/routers/wigeongateway/membership.go
@@ -30,18 +30,25 @@
 // instance that starts while the store is down and its peers find each other.
 func (m *membership) add(i wigeonshift.Instance, at time.Time) ([]wigeonshift.Instance, bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	others := slices.Concat(m.sameGroup, m.otherGroups)
-	m.mu.Unlock()
 	if i.Address == m.self.Address || slices.ContainsFunc(others, func(o wigeonshift.Instance) bool { return o.ID == i.ID }) {
 		return nil, false
 	}
 	others = slices.DeleteFunc(others, func(o wigeonshift.Instance) bool { return o.Address == i.Address })
-	return m.replace(append(others, i), at), true
+	return m.replaceLocked(append(others, i), at), true
 }
 
 // replace replaces the other instances and returns all instances, this one first. It skips every instance with this
 // instance's address, such as its own row.
 func (m *membership) replace(instances []wigeonshift.Instance, at time.Time) []wigeonshift.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replaceLocked(instances, at)
+}
+
+// replaceLocked does the work of replace. The caller must hold mu.
+func (m *membership) replaceLocked(instances []wigeonshift.Instance, at time.Time) []wigeonshift.Instance {
 	all := []wigeonshift.Instance{m.self}
 	for _, i := range instances {
 		if i.Address != m.self.Address {
@@ -49,8 +56,6 @@
 		}
 	}
 	groups := wigeondispatch.NewGroups(all)
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.firstSetAt.IsZero() {
 		m.firstSetAt = at
 	}
--- a/internal/routers/wigeongateway/membership_test.go
+++ b/internal/routers/wigeongateway/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"wigeonshift"
@@ -35,6 +36,20 @@
 		Expect(otherGroups).To(HaveLen(24))
 	})
 
+	// Two peers that were discovered at the same time each replaced the list without the other.
+	It("keeps all instances that are added at the same time", func() {
+		for range 200 {
+			m := &membership{self: fleet(32)[0]}
+			var tasks sync.WaitGroup
+			for _, i := range fleet(32)[1:9] {
+				tasks.Go(func() { m.add(i, start) })
+			}
+			tasks.Wait()
+			sameGroup, otherGroups := m.peers()
+			Expect(len(sameGroup) + len(otherGroups)).To(Equal(8))
+		}
+	})
+
 	It("counts all other groups' instances as new while this instance is new, and later only restarted ones", func() {
 		m := &membership{self: fleet(32)[0]}
 		m.replace(fleet(32), start)
