Raise the follower's revisions atomically

The rows of another instance are recorded while the follower records those of the store; a load and a store could lower the revision in between.

--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -190,9 +190,19 @@
 
 // recordRevisions raises the known revisions to those of a page. The next poll asks for changes after knownRevision.
 func (f *follower) recordRevisions(page wigeonshift.TablePage) {
-	f.knownRevision.Store(max(f.knownRevision.Load(), page.Revision))
+	raise(&f.knownRevision, page.Revision)
 	for _, row := range page.Rows {
-		f.newestRowRevision.Store(max(f.newestRowRevision.Load(), row.Revision))
+		raise(&f.newestRowRevision, row.Revision)
+	}
+}
+
+// raise sets a value to a higher one. Other instances' rows are recorded concurrently with those of the store.
+func raise(value *atomic.Uint64, to uint64) {
+	for {
+		current := value.Load()
+		if to <= current || value.CompareAndSwap(current, to) {
+			return
+		}
 	}
 }
 
