Split the dispatch reducer and the quarantine by task; share first crashes at a stop

The quarantine's service is split into the service, what is shared when, and the store's rows. Code moved unchanged.

--- /dev/null
+++ b/internal/services/wigeondispatch/admission.go
@@ -0,0 +1,131 @@
+package wigeondispatch
+
+import (
+	"time"
+)
+
+// handleArrival dispatches, queues or refuses a new request. It refuses at once if the quota is used up, if there is
+// no endpoint, or if the expected wait is longer than the request may be queued, because the request would only be
+// refused later.
+func (s *State) handleArrival(j *Job) {
+	s.jobs[j.ID] = j
+	if s.crashes.Quarantined(j.Fingerprint) {
+		s.refuseQuarantined(j)
+		return
+	}
+	s.retryBudget(j.Service).countRequest(s.now)
+	if !s.chargeQuota(j) {
+		return
+	}
+	p := s.pool(j.Service)
+	p.recordCost(j)
+	if len(p.endpoints) == 0 {
+		s.refuse(j, ReasonNoEndpoint, noEndpointRetryAfter)
+		return
+	}
+	if b := s.backlog(p); s.expectedWait(p, j, b) > s.maxWait(j) {
+		s.refuse(j, ReasonOverload, s.retryAfter(p, j, b))
+		return
+	}
+	p.queue.add(j)
+	s.dispatchWaiting(p, nil)
+}
+
+// chargeQuota charges a request to its organisation's quota. If the quota doesn't allow it, chargeQuota refuses the
+// request and returns false. The charge is remembered, so that it can be refunded if the request doesn't run. Requests
+// of an organisation without a quota are always allowed.
+func (s *State) chargeQuota(j *Job) bool {
+	q := s.quotas[j.Organisation]
+	if q == nil {
+		return true
+	}
+	if !q.tryConsume(j.Units, s.now) {
+		s.refuse(j, ReasonQuota, q.waitFor(j.Units, s.now))
+		return false
+	}
+	j.quotaCharged = true
+	return true
+}
+
+// backlog counts the requests that are queued for a service, at this instance and at the other instances of the group.
+type backlog struct{ own, peers waitingCounts }
+
+// backlog returns the current backlog of a service.
+func (s *State) backlog(p *pool) backlog {
+	return backlog{own: p.waitingCounts(s.now), peers: s.peerWaiting(p.name)}
+}
+
+// expectedWait returns the expected time until a slot is free for a request, given the requests of the same or a
+// higher priority that are queued here and at the other instances of the group. A request with too long a wait is
+// refused instead of queued.
+func (s *State) expectedWait(p *pool, j *Job, b backlog) time.Duration {
+	level := p.priorityLevel(j, s.now)
+	ahead := b.own.countUpTo(level) + b.peers.countUpTo(level) - p.freeSlots(s.now)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / max(p.throughput(s.now), 1) * float64(time.Second))
+}
+
+// shouldShedLate reports whether a request will miss its latency objective and has so many others queued before it
+// that its caller should rather retry later. A late request loses priority and would be queued behind most others,
+// while the caller's retry gets a higher priority than a late request. A request that may still meet its objective
+// isn't shed for this reason.
+func (s *State) shouldShedLate(p *pool, j *Job, b backlog) bool {
+	if j.LatencyObjective <= 0 || s.now <= j.latestStart(p.typicalFirstEvent(j)) {
+		return false
+	}
+	return s.expectedWait(p, j, b) > maxLateWait
+}
+
+// maxWait returns how long a request may be queued: a share of the time until its deadline or, if shorter, of the time
+// after which its caller disconnects.
+func (s *State) maxWait(j *Job) time.Duration {
+	return time.Duration(maxWaitShare * float64(min(j.CallerPatience, j.Deadline-j.Arrived)))
+}
+
+// withdrawWaiting removes a queued request whose caller has disconnected or whose deadline has passed. It ignores running
+// requests, because the end of their attempt is reported by an AttemptEnded event.
+func (s *State) withdrawWaiting(id JobID) {
+	j := s.jobs[id]
+	if j == nil || j.assignedEndpoint != nil {
+		return
+	}
+	p := s.pool(j.Service)
+	if p.queue.remove(j) {
+		s.refund(j)
+	}
+	delete(s.jobs, id)
+}
+
+// refuse answers a request that did not run and refunds its quota. It reports the queue, the free slots and the quota
+// with the refusal.
+func (s *State) refuse(j *Job, reason Reason, wait time.Duration) {
+	s.refund(j)
+	delete(s.jobs, j.ID)
+	p := s.pool(j.Service)
+	refuse := Refuse{
+		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
+		Crashes: s.crashes.Crashes(j.Fingerprint),
+	}
+	if q := s.quotas[j.Organisation]; q != nil {
+		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
+		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = q.groupBalance, q.groupFairShare
+	}
+	s.emit(refuse)
+}
+
+// refund returns the charged units of a request to its organisation's quota, because a request that did not run
+// doesn't count. It does so only once.
+func (s *State) refund(j *Job) {
+	if q := s.quotas[j.Organisation]; q != nil && j.quotaCharged {
+		q.refund(j.Units, s.now)
+		j.quotaCharged = false
+	}
+}
+
+// fail answers a request that ran or may have run.
+func (s *State) fail(j *Job, reason Reason) {
+	delete(s.jobs, j.ID)
+	s.emit(Failure{Job: j.ID, Reason: reason})
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -0,0 +1,95 @@
+package wigeondispatch
+
+import (
+	"sort"
+)
+
+// dispatchAllWaiting dispatches the queued requests of all services. It is called when free slots may appear in any
+// service. The services are sorted by name, so that the order of the effects doesn't depend on the map.
+func (s *State) dispatchAllWaiting() {
+	names := make([]string, 0, len(s.pools))
+	for name := range s.pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		s.dispatchWaiting(s.pools[name], nil)
+	}
+}
+
+// dispatchWaiting dispatches queued requests of a service in order of priority, and refuses those that have been
+// queued for too long or that should rather be retried later. It never refuses a request that failed over (moved from
+// an endpoint that may have run it), because a refusal says that the request did not run. freedEndpoint is the
+// endpoint on which a request of this instance has just ended, or nil.
+func (s *State) dispatchWaiting(p *pool, freedEndpoint *endpoint) {
+	if len(p.queue.jobs) == 0 {
+		return
+	}
+	jobsByPriority, own := p.jobsByPriority(s.now)
+	round := placementRound{freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}}
+	for _, j := range jobsByPriority {
+		if s.crashes.Quarantined(j.Fingerprint) {
+			s.dequeue(p, j, &round)
+			s.refuseQuarantined(j)
+			continue
+		}
+		if !j.failedOver && (s.now-j.Arrived > s.maxWait(j) || s.shouldShedLate(p, j, round.backlog)) {
+			s.dequeue(p, j, &round)
+			s.refuse(j, ReasonDeadline, s.retryAfter(p, j, round.backlog))
+			continue
+		}
+		e := s.chooseEndpoint(p, j, round)
+		if e == nil {
+			round.skippedJob = true
+			continue
+		}
+		s.dequeue(p, j, &round)
+		s.dispatch(e, j)
+	}
+}
+
+// dequeue removes a request from the queue and from the backlog of the round.
+func (s *State) dequeue(p *pool, j *Job, round *placementRound) {
+	p.queue.remove(j)
+	round.own[p.priorityLevel(j, s.now)]--
+}
+
+// dispatch sends a request to an endpoint. A request that can't be sent to another endpoint gets no stall timeout (the
+// time after which a silent endpoint is reported), because nothing could be done about its silence.
+func (s *State) dispatch(e *endpoint, j *Job) {
+	running := e.running()
+	stall := s.stallTimeout(e, j)
+	e.startAttempt(j)
+	j.assignedEndpoint, j.dispatchedAt, j.firstEventLatency = e, s.now, 0
+	j.attempts++
+	if !j.canFailOver() {
+		stall = 0
+	}
+	s.emit(Dispatch{
+		StallTimeout: stall,
+		Job:          j.ID,
+		EndpointID:   e.record.ID,
+		Address:      e.record.Address,
+		Attempt:      j.attempts,
+		Timeout:      j.Deadline - s.now,
+		Running:      running,
+		QueueTime:    s.now - j.Arrived,
+	})
+}
+
+// handleFirstEvent records the first event of an attempt. It updates the endpoint's timings only if the endpoint runs
+// no more requests than it has slots, because the time to the event may otherwise include a wait in the endpoint's own
+// queue.
+func (s *State) handleFirstEvent(id JobID) {
+	j := s.jobs[id]
+	if j == nil || j.assignedEndpoint == nil || j.firstEventLatency > 0 {
+		return
+	}
+	j.firstEventLatency = max(s.now-j.dispatchedAt, 1)
+	j.answerStarted = true
+	e := j.assignedEndpoint
+	e.answerStarted(j)
+	if e.running() <= e.slots() {
+		e.recordFirstEvent(j, j.firstEventLatency)
+	}
+}
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -83,6 +83,14 @@
 		})
 	})
 
+	It("shares the first crash of a request at a planned stop", func() {
+		runService(func(g Gomega, s *testService) {
+			s.ReportCrash(freshCrash(7, "a@1"))
+			s.Stop()
+			g.Expect(s.table.written).To(Equal([]string{"7/a@1"}))
+		})
+	})
+
 	It("shares few of the first crashes when many endpoints crash at once", func() {
 		runService(func(g Gomega, s *testService) {
 			for f := range wigeonshift.Fingerprint(1000) {
--- /dev/null
+++ b/internal/services/wigeonquarantine/table.go
@@ -0,0 +1,90 @@
+package wigeonquarantine
+
+import (
+	"wigeonshift"
+
+	"github.com/sirupsen/logrus"
+)
+
+// HandleStoreRestored is called before ReplaceRows if the store has returned from an older copy.
+func (s *Service) HandleStoreRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restored = true
+}
+
+// ReplaceRows replaces what the store has shown by a listing. Crashes whose rows are gone were removed by another
+// instance, unless the store has lost them by its return from an older copy; then they are written again. Crashes that
+// the store has not shown yet stay.
+func (s *Service) ReplaceRows(rows []wigeonshift.TableRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[string]bool{}
+	for _, row := range rows {
+		listed[row.Key] = true
+	}
+	for _, c := range s.record.All() {
+		key := RowKey(c)
+		switch {
+		case listed[key]:
+		case s.states[key] == rowUnstored:
+			s.writeLocked(c)
+		case s.states[key] == rowStored && s.restored:
+			s.deferWriteLocked(c)
+		case s.states[key] == rowStored:
+			s.removeLocked(key)
+		}
+	}
+	s.restored = false
+	s.applyLocked(rows)
+}
+
+// ApplyChanges applies changed and removed rows.
+func (s *Service) ApplyChanges(rows []wigeonshift.TableRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyLocked(rows)
+}
+
+func (s *Service) applyLocked(rows []wigeonshift.TableRow) {
+	for _, row := range rows {
+		delete(s.deferred, row.Key)
+		delete(s.dueShares, row.Key)
+		if row.Deleted {
+			s.removeLocked(row.Key)
+			continue
+		}
+		c, err := DecodeRow(row.Key, row.Value)
+		if err != nil {
+			s.deferRemovalLocked(row.Key)
+			s.scope.Counter("quarantineRowsMalformed").Inc(1)
+			s.log.WithError(err).WithField("row", row.Key).Warn("failed to decode a crash row")
+			continue
+		}
+		if s.record.Add(c) {
+			s.logLearned(c, "store")
+		}
+		if !s.record.Has(c) {
+			s.deferRemovalLocked(row.Key)
+			continue
+		}
+		s.states[row.Key] = rowStored
+	}
+	s.requestPublish()
+}
+
+// removeLocked forgets the crash of a row that the store no longer has.
+func (s *Service) removeLocked(key string) {
+	if f, endpoint, err := DecodeKey(key); err == nil {
+		s.record.RemoveCrash(f, endpoint)
+	}
+	s.forgetLocked(key)
+	s.requestPublish()
+}
+
+func (s *Service) logLearned(c wigeonshift.Crash, source string) {
+	s.log.WithFields(logrus.Fields{
+		"fingerprint": c.Fingerprint.String(), "endpoint": c.Endpoint, "crashes": len(s.record.Crashes(c.Fingerprint)),
+		"quarantined": s.record.Quarantined(c.Fingerprint), "source": source,
+	}).Info("crash learned")
+}
