Hash request bodies without a copy

The fingerprint of a request copied its body, up to 4 MB, which counts for the peak memory of an instance.

--- a/internal/modules/wigeonprompt/bench_test.go
+++ b/internal/modules/wigeonprompt/bench_test.go
@@ -1,14 +1,15 @@
 package wigeonprompt
 
 import (
-	"strings"
+	"bytes"
 	"testing"
 )
 
-// BenchmarkFingerprint hashes a body as long as that of a full prompt.
-func BenchmarkFingerprint(b *testing.B) {
-	body := strings.Repeat("x", 32<<10)
+// BenchmarkBodyFingerprint hashes a body as long as that of a full prompt.
+func BenchmarkBodyFingerprint(b *testing.B) {
+	body := bytes.Repeat([]byte("x"), 32<<10)
+	b.ReportAllocs()
 	for b.Loop() {
-		Fingerprint("organisation", "POST", "/v1/completions/", body)
+		BodyFingerprint(body, "organisation", "POST", "/v1/completions/")
 	}
 }
--- a/internal/modules/wigeonprompt/prompt.go
+++ b/internal/modules/wigeonprompt/prompt.go
@@ -50,9 +50,25 @@
 	return wigeonshift.Fingerprint(digest.Sum64())
 }
 
+// BodyFingerprint returns the Fingerprint of several parts and a body as the last one, without a copy of the body.
+func BodyFingerprint(body []byte, parts ...string) wigeonshift.Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range parts {
+		writeLengthPrefixed(&digest, part)
+	}
+	writeLength(&digest, len(body))
+	_, _ = digest.Write(body)
+	return wigeonshift.Fingerprint(digest.Sum64())
+}
+
 func writeLengthPrefixed(digest *xxhash.Digest, part string) {
+	writeLength(digest, len(part))
+	_, _ = digest.WriteString(part)
+}
+
+func writeLength(digest *xxhash.Digest, n int) {
 	var length [8]byte
-	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	binary.LittleEndian.PutUint64(length[:], uint64(n))
 	_, _ = digest.Write(length[:])
-	_, _ = digest.WriteString(part)
 }
--- a/internal/modules/wigeonprompt/prompt_test.go
+++ b/internal/modules/wigeonprompt/prompt_test.go
@@ -42,6 +42,10 @@
 		Expect(wigeonprompt.Fingerprint("ab", "c")).NotTo(Equal(wigeonprompt.Fingerprint("a", "bc")))
 	})
 
+	It("are the same whether the last part is a text or a body", func() {
+		Expect(wigeonprompt.BodyFingerprint([]byte("c"), "a", "b")).To(Equal(wigeonprompt.Fingerprint("a", "b", "c")))
+	})
+
 	It("round up to whole tokens, with at least one token per prompt", func() {
 		Expect(wigeonprompt.Tokens("")).To(Equal(1))
 		Expect(wigeonprompt.Tokens("knot")).To(Equal(1))
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -150,7 +150,7 @@
 func (c *call) fingerprint() wigeonshift.Fingerprint {
 	r := &c.httpCtx.Request
 	path, _, _ := strings.Cut(string(r.Header.RequestURI()), "?")
-	return wigeonprompt.Fingerprint(c.job.Organisation, string(r.Header.Method()), path, string(r.Body()))
+	return wigeonprompt.BodyFingerprint(r.Body(), c.job.Organisation, string(r.Header.Method()), path)
 }
 
 // A caller of a stream is expected to disconnect when nothing arrives for minPatience, for patienceObjectiveFactor
