Bound the quarantine by the memory and the store's rates of 1,500 instances

After a change of the table an instance waits up to 1.5 s before it asks again, so that a crash causes at most 1,000 reads a second of 2,000 at 1,500 instances, and a crash still reaches all within three seconds.

--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -81,7 +81,7 @@
 		},
 		{
 			table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.pollWaitFunc(2),
-			batchDelay: s.endpointsBatchDelay,
+			batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
 		},
 		{
 			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
@@ -93,7 +93,7 @@
 		s.followers = append(s.followers, &follower{
 			table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
 			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
-			batchDelay: s.endpointsBatchDelay,
+			batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
 		})
 	}
 	for _, f := range s.followers {
@@ -161,19 +161,20 @@
 // endpointsFollowerIndex is the index of the endpoints table in Service.followers.
 const endpointsFollowerIndex = 1
 
-// Pauses after a change, which batch further changes. The pause for endpoints grows with the number of instances
-// because all of them poll the store.
+// Pauses after a change, which batch further changes. The pauses for endpoints and crashes grow with the number of
+// instances because all of them poll the store.
 const (
-	endpointsBatchBaseDelay        = 300 * time.Millisecond
-	endpointsBatchDelayPerInstance = 15 * time.Millisecond
-	endpointsBatchMaxDelay         = time.Second
-	instancesBatchDelay            = time.Second
+	batchBaseDelay          = 300 * time.Millisecond
+	batchDelayPerInstance   = 15 * time.Millisecond
+	endpointsBatchMaxDelay  = time.Second
+	quarantineBatchMaxDelay = 1500 * time.Millisecond
+	instancesBatchDelay     = time.Second
 )
 
-// endpointsBatchDelay returns the pause after a change of endpoints. It is longer in a larger fleet, because every
-// instance polls the store again after the pause.
-func (s *Service) endpointsBatchDelay() time.Duration {
-	return min(endpointsBatchBaseDelay+time.Duration(s.instances.count())*endpointsBatchDelayPerInstance, endpointsBatchMaxDelay)
+// batchDelay returns the pause after a change. It is longer in a larger fleet, because every instance polls the store
+// again after the pause.
+func (s *Service) batchDelay(longest time.Duration) time.Duration {
+	return min(batchBaseDelay+time.Duration(s.instances.count())*batchDelayPerInstance, longest)
 }
 
 // Stop stops watching and waits for the followers to end.
--- a/internal/services/wigeonquarantine/bench_test.go
+++ b/internal/services/wigeonquarantine/bench_test.go
@@ -23,7 +23,7 @@
 	return crashes
 }
 
-// BenchmarkServiceHeap measures the heap of a service for each crash that it keeps.
+// BenchmarkServiceHeap measures the heap for each crash that a service keeps, with the copy that it publishes.
 func BenchmarkServiceHeap(b *testing.B) {
 	const crashes = 30_000
 	for b.Loop() {
@@ -32,10 +32,15 @@
 		runtime.ReadMemStats(&before)
 		s := NewService(nil, func([]wigeonshift.Crash) {}, discardLog(), tally.NoopScope)
 		s.Offer(benchCrashes(crashes))
+		published := NewRecord(Limit)
+		for _, c := range s.Crashes() {
+			published.Add(c)
+		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/crashes, "B/crash")
 		runtime.KeepAlive(s)
+		runtime.KeepAlive(published)
 	}
 }
 
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -16,8 +16,8 @@
 	// it costs as many endpoints as the first ones did.
 	quarantineLifetime = 24 * time.Hour
 	// maxFingerprints bounds the number of requests in a record, maxCrashes the crashes of each.
-	maxFingerprints = 65536
-	maxCrashes      = 32
+	maxFingerprints = 16384
+	maxCrashes      = 8
 	// Weights of crashes. A crash in the middle of a run counts less, because a request that crashes endpoints does so when
 	// it begins to run.
 	crashWeight       = 2
