Tell other instances the quarantine's revision

A connection to the store may go silent for good; in a large fleet a poll that hangs on it is given up after up to 15.8 s, while the instance counts as in touch after three seconds.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -10,6 +10,7 @@
 func encodeLoadNotice(m wigeonshift.LoadNotice) *LoadNotice {
 	out := &LoadNotice{
 		ConfigurationVersion: m.ConfigurationVersion, EndpointsRevision: m.EndpointsRevision, Leaving: m.Leaving,
+		QuarantineRevision: m.QuarantineRevision,
 	}
 	for _, e := range m.Endpoints {
 		out.Endpoints = append(out.Endpoints, &EndpointLoad{
@@ -42,7 +43,7 @@
 func decodeLoadNotice(m *LoadNotice) wigeonshift.LoadNotice {
 	out := wigeonshift.LoadNotice{
 		ConfigurationVersion: m.GetConfigurationVersion(), EndpointsRevision: m.GetEndpointsRevision(),
-		Leaving: m.GetLeaving(),
+		Leaving: m.GetLeaving(), QuarantineRevision: m.GetQuarantineRevision(),
 	}
 	for _, e := range m.GetEndpoints() {
 		out.Endpoints = append(out.Endpoints, wigeonshift.EndpointLoad{
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -73,10 +73,11 @@
 			Endpoints: []wigeonshift.EndpointLoad{
 				{Endpoint: "e", Running: 3, PrefillTokens: 900, ReservedTokens: 4000},
 			},
-			Organisations: []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
-			Services:      []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
-			Leaving:       []string{"f"},
-			Crashes:       []wigeonshift.Crash{{Fingerprint: 1 << 63, Endpoint: "e@7", MidRun: true, At: time.UnixMilli(12)}},
+			Organisations:      []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
+			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
+			Leaving:            []string{"f"},
+			QuarantineRevision: 6,
+			Crashes:            []wigeonshift.Crash{{Fingerprint: 1 << 63, Endpoint: "e@7", MidRun: true, At: time.UnixMilli(12)}},
 		},
 	}
 }
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -64,8 +64,8 @@
 
 	hasConfiguration, hasEndpoints, draining atomic.Bool
 	// configurationRequests and endpointsRequests limit how often newer data that peers report is fetched.
-	configurationRequests, endpointsRequests peerRequestThrottle
-	membership                               *membership
+	configurationRequests, endpointsRequests, quarantineRequests peerRequestThrottle
+	membership                                                   *membership
 	// registered is set once this instance's row has been written.
 	registered atomic.Bool
 	// registerRequests holds a pending request to write this instance's row again.
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -95,6 +95,7 @@
 		loadNotice.ConfigurationVersion = table.Configuration.Version
 	}
 	loadNotice.EndpointsRevision, _ = g.follower.EndpointsRevision()
+	loadNotice.QuarantineRevision, _ = g.follower.QuarantineRevision()
 	return loadNotice, changes
 }
 
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -15,6 +15,7 @@
 	case wigeonshift.LoadNotice:
 		g.dispatcher.SetPeerLoad(from.ID, m)
 		g.quarantine.Offer(m.Crashes)
+		g.fetchNewerQuarantine(from, m.QuarantineRevision)
 		g.requestNewerConfiguration(from, m.ConfigurationVersion)
 		g.fetchNewerEndpoints(from, m.EndpointsRevision)
 	case wigeonshift.ConfigurationAsk:
@@ -66,6 +67,18 @@
 	}
 }
 
+// fetchNewerQuarantine queries the store for crashes again if a peer knows of a change that the store has not delivered
+// here.
+func (g *Gateway) fetchNewerQuarantine(from wigeonshift.Instance, peerRevision uint64) {
+	_, localRevision := g.follower.QuarantineRevision()
+	if !g.quarantineRequests.shouldRequest(peerRevision, localRevision, time.Now()) {
+		return
+	}
+	g.log.WithFields(logrus.Fields{"from": from.ID, "revision": peerRevision, "own": localRevision}).
+		Info("a peer has newer crashes; checking the store")
+	g.follower.RepollQuarantine()
+}
+
 // sendEndpoints sends the endpoints to a peer that requested them, unless the peer already has this or a newer revision.
 func (g *Gateway) sendEndpoints(from wigeonshift.Instance, peerRevision uint64) {
 	snapshot := g.follower.EndpointsSnapshot()
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -165,9 +165,33 @@
 	return nil
 }
 
+// crashSink counts the rows of the quarantine that it has.
+type crashSink struct {
+	mu   sync.Mutex
+	rows map[string]bool
+}
+
+func (c *crashSink) HandleStoreRestored() {}
+
+func (c *crashSink) ReplaceRows(rows []wigeonshift.TableRow) {
+	c.mu.Lock()
+	c.rows = map[string]bool{}
+	c.mu.Unlock()
+	c.ApplyChanges(rows)
+}
+
+func (c *crashSink) ApplyChanges(rows []wigeonshift.TableRow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range rows {
+		c.rows[r.Key] = !r.Deleted
+	}
+}
+
 // testFollower is a Service together with what it passed to its sinks.
 type testFollower struct {
 	*wigeonfollow.Service
+	crashes   crashSink
 	mu        sync.Mutex
 	versions  []uint64
 	endpoints []wigeonshift.EndpointRecord
@@ -202,6 +226,7 @@
 			defer f.mu.Unlock()
 			f.versions = append(f.versions, c.Version)
 		},
+		Quarantine: &f.crashes,
 		Endpoints: func(records []wigeonshift.EndpointRecord) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -413,6 +438,22 @@
 			})
 		})
 
+		It("polls again for crashes on request while a poll gets no response", func() {
+			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+				addInstances(s)
+				s.update(func(s *fakeStore) { s.silent = true })
+				advance(15 * time.Second)
+				s.update(func(s *fakeStore) { s.silent = false })
+				s.put(wigeonshift.TableQuarantine, "7/a@1", "{}")
+				f.RepollQuarantine()
+				advance(time.Second)
+				g.Expect(f.crashes.rows).To(HaveKeyWithValue("7/a@1", true))
+				newestRow, known := f.QuarantineRevision()
+				g.Expect(newestRow).To(Equal(s.revision))
+				g.Expect(known).To(Equal(s.revision))
+			})
+		})
+
 		It("polls again for endpoints on request while a poll gets no response", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
 				addInstances(s)
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -20,7 +20,7 @@
 	Endpoints func(records []wigeonshift.EndpointRecord)
 	// Instances receives all known instances.
 	Instances func(instances []wigeonshift.Instance)
-	// Quarantine receives the rows of the quarantine table; nil if it isn't followed.
+	// Quarantine receives the rows of the quarantine table.
 	Quarantine RowSink
 }
 
@@ -88,13 +88,11 @@
 			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
-	}
-	if sinks.Quarantine != nil {
-		s.followers = append(s.followers, &follower{
+		{
 			table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
 			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
 			batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
-		})
+		},
 	}
 	for _, f := range s.followers {
 		f.store, f.log = store, log
@@ -158,9 +156,21 @@
 // change that the running poll has not delivered.
 func (s *Service) RepollEndpoints() { s.followers[endpointsFollowerIndex].requestRepoll() }
 
+// QuarantineRevision returns the highest revision of a quarantine row and the revision up to which all changes are known.
+func (s *Service) QuarantineRevision() (newestRow, known uint64) {
+	f := s.followers[quarantineFollowerIndex]
+	return f.newestRowRevision.Load(), f.knownRevision.Load()
+}
+
+// RepollQuarantine does for the quarantine what RepollEndpoints does for endpoints.
+func (s *Service) RepollQuarantine() { s.followers[quarantineFollowerIndex].requestRepoll() }
+
 // endpointsFollowerIndex is the index of the endpoints table in Service.followers.
 const endpointsFollowerIndex = 1
 
+// quarantineFollowerIndex is the index of the quarantine table in Service.followers.
+const quarantineFollowerIndex = 3
+
 // Pauses after a change, which batch further changes. The pauses for endpoints and crashes grow with the number of
 // instances because all of them poll the store.
 const (
--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -162,6 +162,18 @@
 			s.checkPoison(t)
 		})
 	}
+	// Only a timeout shows that an open connection is silent, and the store holds a poll for up to 15 s in a large fleet.
+	t.Run("connections to the store are silent", func(t *testing.T) {
+		skipIfKnownRed(t)
+		s := newSoakRun(t, 3, binary)
+		time.Sleep(time.Second)
+		for _, p := range s.relays {
+			p.storeProxy.silenceOpen()
+		}
+		time.Sleep(quarantineTime)
+		s.runWithPoison("/unsafe/", false, func(*soakRun) {})
+		s.checkPoison(t)
+	})
 	// Without the store, the relays learn of crashes from each other only.
 	t.Run("store is down", func(t *testing.T) {
 		skipIfKnownRed(t)
--- a/internal/soak/wigeonsoak/proxy_test.go
+++ b/internal/soak/wigeonsoak/proxy_test.go
@@ -36,7 +36,8 @@
 	mode     proxyMode
 	// changedAt is the time of the latest change of mode.
 	changedAt time.Time
-	conns     map[net.Conn]bool
+	// conns holds the open connections. Those that are silenced have the value true.
+	conns map[net.Conn]bool
 }
 
 func newProxy(target string) *proxy {
@@ -90,6 +91,22 @@
 	}
 }
 
+// silenceOpen makes the connections that are open now silent for good. New ones work.
+func (p *proxy) silenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changedAt = time.Now()
+	for c := range p.conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *proxy) isSilenced(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
 func (p *proxy) currentMode() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,7 +145,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[source], p.conns[destination] = true, true
+	p.conns[source], p.conns[destination] = false, false
 	p.mu.Unlock()
 	var directions sync.WaitGroup
 	directions.Add(2)
@@ -151,6 +168,9 @@
 			time.Sleep(20 * time.Millisecond)
 			mode = p.currentMode()
 		}
+		if err == nil && p.isSilenced(from) {
+			continue
+		}
 		if mode == modeDelay {
 			time.Sleep(proxyDelay)
 		}
--- a/peer.go
+++ b/peer.go
@@ -141,6 +141,8 @@
 		Services []ServiceWait
 		// Leaving lists the endpoints that the sender knows to be leaving or removed.
 		Leaving []string
+		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
+		QuarantineRevision uint64
 		// Crashes lists crashes that the sender noticed and that the store does not have yet.
 		Crashes []Crash
 	}
