Count crashes by the losses since the latest check, and none of leaving endpoints

Read in the diff, each with a spec that failed before. A request that was sent to an endpoint after an unexplained silence there never counted when the endpoint crashed under it, since the earlier loss was taken for the crash. And an endpoint that left as planned, ending while requests still ran, counted as crashed under them.

--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -42,7 +42,7 @@
 type losses struct {
 	// byFingerprint holds the first lost attempt of each request.
 	byFingerprint map[wigeonshift.Fingerprint]loss
-	// firstAt is the time of the first loss, latestAt that of the latest.
+	// firstAt is the time of the first loss since the latest check, latestAt that of the latest loss.
 	firstAt, latestAt time.Duration
 	// checking is set while a CheckEndpoint effect waits for its result.
 	checking bool
@@ -55,17 +55,20 @@
 }
 
 // recordLoss records a lost attempt. Whether the endpoint crashed is not known yet: a connection may break for other
-// reasons. Thus the endpoint is checked, unless it is known to have crashed already.
+// reasons. Thus the endpoint is checked, unless it is known to have crashed already. A leaving endpoint ends anyway.
 func (s *State) recordLoss(e *endpoint, j *Job, silent bool) {
-	if j.Fingerprint == 0 {
+	if j.Fingerprint == 0 || e.record.Leaving {
 		return
 	}
 	i := e.incarnation()
 	l := s.losses[i]
 	if l == nil {
-		l = &losses{byFingerprint: map[wigeonshift.Fingerprint]loss{}, firstAt: s.now}
+		l = &losses{byFingerprint: map[wigeonshift.Fingerprint]loss{}}
 		s.losses[i] = l
 	}
+	if !l.crashed && !l.checking {
+		l.firstAt = s.now
+	}
 	if _, exists := l.byFingerprint[j.Fingerprint]; !exists {
 		l.byFingerprint[j.Fingerprint] = loss{dispatchedAt: j.dispatchedAt, midRun: j.isMidRun(s.now)}
 	}
--- a/internal/services/wigeondispatch/crash_test.go
+++ b/internal/services/wigeondispatch/crash_test.go
@@ -215,6 +215,31 @@
 		Expect(h.state.crashes.Crashes(content)).To(HaveLen(1))
 	})
 
+	// An endpoint that leaves ends after a while, whatever it still runs.
+	It("don't count for an endpoint that was leaving", func() {
+		h = newHarness(crashRecords("a")...)
+		j := h.newIdempotentJob(content)
+		h.arrive(j)
+		leaving := crashRecords("a")
+		leaving[0].Leaving = true
+		h.state.Reduce(EndpointsListed{At: h.at, Records: leaving})
+		Expect(effectsOf[CheckEndpoint](h.end(j, OutcomeLost, true))).To(BeEmpty())
+	})
+
+	It("count for a request that was sent after a loss for which the endpoint gave no answer", func() {
+		h = newHarness(crashRecords("a")...)
+		silent := h.newIdempotentJob(content + 1)
+		silent.MaxAttempts = 1
+		h.arrive(silent)
+		h.at = time.Second
+		Expect(effectsOf[ReportCrash](h.lose(silent, wigeonshift.LivenessUnknown))).To(BeEmpty())
+		h.at += time.Second
+		j := h.newIdempotentJob(content)
+		h.arrive(j)
+		h.at += time.Second
+		Expect(effectsOf[ReportCrash](h.lose(j, wigeonshift.LivenessEnded))).To(ContainElement(HaveField("Crash.Fingerprint", content)))
+	})
+
 	It("forget lost attempts after a while", func() {
 		j := h.newIdempotentJob(content)
 		h.arrive(j)
