Bound first crashes by the fleet and share them when another instance reports one

The bound of five first crashes a second and instance is needed before 1,500 instances only; with six instances a crash of a third of the endpoints is 5.4 requests for each instance (computed, not seen), so that some would have been kept back. It is now a bound of the whole fleet.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -218,7 +218,13 @@
 	if !listed && g.registered.Load() {
 		g.requestRegistration()
 	}
-	g.dispatcher.SetInstances(g.membership.replace(instances, time.Now()))
+	g.applyInstances(g.membership.replace(instances, time.Now()))
+}
+
+// applyInstances passes the known instances to the parts that depend on them.
+func (g *Gateway) applyInstances(instances []wigeonshift.Instance) {
+	g.dispatcher.SetInstances(instances)
+	g.quarantine.SetInstanceCount(len(instances))
 }
 
 // setCrashes passes the crashes that the instances know of to the dispatcher.
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -113,7 +113,7 @@
 		return
 	}
 	g.log.WithFields(logrus.Fields{"instance": i.ID, "address": i.Address, "zone": i.Zone}).Info("peer discovered")
-	g.dispatcher.SetInstances(instances)
+	g.applyInstances(instances)
 }
 
 // handlePeerLost discards the load of an instance whose session ended.
--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -21,9 +21,9 @@
 	// shareDelay is the delay before the first crash of a request is shared. Most requests that were there at a crash run to
 	// their end elsewhere within this time, and then nobody needs to know of it.
 	shareDelay = time.Second
-	// maxFirstCrashes bounds the first crashes that an instance shares in each shareDelay. When many endpoints crash at
-	// once, hardly any request is the cause, and all instances would have to read all rows.
-	maxFirstCrashes = 5
+	// maxFleetFirstCrashes bounds the first crashes that all instances together share in each shareDelay. When many
+	// endpoints crash at once, hardly any request is the cause, and all instances would have to read all rows.
+	maxFleetFirstCrashes = 7500
 	// maxRewriteDelay and maxExpiryDelay bound the random delays before an instance writes a row again that the store has
 	// lost, and before it removes the row of an expired crash. Usually another instance is first, and the rest need not
 	// write.
@@ -56,6 +56,8 @@
 	deferred map[string]deferredWrite
 	// dueShares holds first crashes of requests that will be shared, by row key.
 	dueShares map[string]dueShare
+	// instances is the number of instances, this one included.
+	instances int
 	// firstCrashes counts the first crashes of requests since firstCrashesSince.
 	firstCrashes      int
 	firstCrashesSince time.Time
@@ -85,10 +87,17 @@
 		writer: NewWriter(commit, log, func() { scope.Counter("quarantineWritesFailed").Inc(1) }),
 		log:    log, scope: scope, publish: publish, changed: make(chan struct{}, 1),
 		record: NewRecord(Limit), states: map[string]rowState{}, deferred: map[string]deferredWrite{},
-		dueShares: map[string]dueShare{},
+		dueShares: map[string]dueShare{}, instances: 1,
 	}
 }
 
+// SetInstanceCount sets the number of instances, this one included.
+func (s *Service) SetInstanceCount(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = max(n, 1)
+}
+
 // Start writes and publishes changes until Stop.
 func (s *Service) Start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -91,13 +91,23 @@
 		})
 	})
 
-	It("shares few of the first crashes when many endpoints crash at once", func() {
+	It("shares a first crash at once when another instance reports a crash of the request", func() {
 		runService(func(g Gomega, s *testService) {
+			s.ReportCrash(freshCrash(7, "a@1"))
+			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, freshCrash(7, "b@1"))})
+			advance(100 * time.Millisecond)
+			g.Expect(s.table.written).To(Equal([]string{"7/a@1"}))
+		})
+	})
+
+	It("shares few of the first crashes when many endpoints crash at once before a large fleet", func() {
+		runService(func(g Gomega, s *testService) {
+			s.SetInstanceCount(1500)
 			for f := range wigeonshift.Fingerprint(1000) {
 				s.ReportCrash(freshCrash(f+1, "a@1"))
 			}
 			advance(10 * time.Second)
-			g.Expect(s.table.written).To(HaveLen(maxFirstCrashes))
+			g.Expect(s.table.written).To(HaveLen(5))
 			s.ReportCrash(freshCrash(900, "b@1"))
 			advance(time.Second)
 			g.Expect(s.table.written).To(ContainElements("384/a@1", "384/b@1"), "the second crash shares the first as well")
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -28,27 +28,32 @@
 		return
 	}
 	s.states[RowKey(c)] = rowLocal
-	known := s.record.Crashes(c.Fingerprint)
-	if len(known) == 1 {
+	if len(s.record.Crashes(c.Fingerprint)) == 1 {
 		s.deferShareLocked(c)
 		return
 	}
-	for _, k := range known {
-		if s.states[RowKey(k)] == rowLocal {
-			s.shareLocked(k)
+	s.shareAllLocked(c.Fingerprint)
+	s.requestPublish()
+}
+
+// shareAllLocked shares all crashes of a request that only this instance knows.
+func (s *Service) shareAllLocked(f wigeonshift.Fingerprint) {
+	for _, c := range s.record.Crashes(f) {
+		if s.states[RowKey(c)] == rowLocal {
+			s.shareLocked(c)
 		}
 	}
-	s.requestPublish()
 }
 
-// deferShareLocked shares the first crash of a request later. Beyond maxFirstCrashes the crash stays with this instance.
+// deferShareLocked shares the first crash of a request later. Beyond this instance's part of maxFleetFirstCrashes the crash
+// stays with this instance.
 func (s *Service) deferShareLocked(c wigeonshift.Crash) {
 	now := time.Now()
 	if now.Sub(s.firstCrashesSince) > shareDelay {
 		s.firstCrashesSince, s.firstCrashes = now, 0
 	}
 	s.firstCrashes++
-	if s.firstCrashes > maxFirstCrashes {
+	if s.firstCrashes > max(maxFleetFirstCrashes/s.instances, 1) {
 		s.scope.Counter("crashesNotShared").Inc(1)
 		return
 	}
@@ -83,6 +88,7 @@
 	for _, c := range crashes {
 		if s.record.Add(c) {
 			s.states[RowKey(c)] = rowFromPeer
+			s.shareAllLocked(c.Fingerprint)
 			s.logLearned(c, "peer")
 			s.requestPublish()
 		}
--- a/internal/services/wigeonquarantine/table.go
+++ b/internal/services/wigeonquarantine/table.go
@@ -62,6 +62,7 @@
 			continue
 		}
 		if s.record.Add(c) {
+			s.shareAllLocked(c.Fingerprint)
 			s.logLearned(c, "store")
 		}
 		if !s.record.Has(c) {
