Share what the HTTP servers of a node and of the stand-ins repeated

The acceptor stood in wigeoncaller and wigeonoperator, the interface for faults and counts in both stand-ins. A malformed fault now gets 400 without a body from the engine as well; no test or trial reads one.

--- a/internal/routers/wigeoncaller/server.go
+++ b/internal/routers/wigeoncaller/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonhttp"
 	"wigeonshift/internal/services/wigeonentry"
 
 	"github.com/gofiber/fiber/v3"
@@ -104,9 +105,9 @@
 
 // Start serves connections from a listener until Stop is called. It does not block.
 func (s *Server) Start(_ context.Context, l net.Listener) error {
-	a := &acceptor{app: s.app, log: s.log, listener: &writeTimeoutListener{Listener: l, timeout: s.settings.WriteTimeout}}
+	a := &wigeonhttp.Acceptor{Name: "caller API", App: s.app, Log: s.log, Listener: &writeTimeoutListener{Listener: l, timeout: s.settings.WriteTimeout}}
 	s.tasks.Go(s.watcher.run)
-	s.tasks.Go(a.run)
+	s.tasks.Go(a.Run)
 	return nil
 }
 
@@ -120,16 +121,3 @@
 	s.tasks.Wait()
 	return nil
 }
-
-// acceptor serves the app on a listener.
-type acceptor struct {
-	app      *fiber.App
-	log      logrus.FieldLogger
-	listener net.Listener
-}
-
-func (a *acceptor) run() {
-	if err := a.app.Listener(a.listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-		a.log.WithError(err).Error("caller API server failed")
-	}
-}
--- a/internal/routers/wigeonoperator/server.go
+++ b/internal/routers/wigeonoperator/server.go
@@ -8,6 +8,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/models/wigeonconfig"
+	"wigeonshift/internal/modules/wigeonhttp"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/samber/oops"
@@ -105,8 +106,8 @@
 
 // Start serves connections from a listener until Stop is called. It does not block.
 func (s *Server) Start(_ context.Context, l net.Listener) error {
-	a := &acceptor{app: s.app, log: s.log, listener: l}
-	s.tasks.Go(a.run)
+	a := &wigeonhttp.Acceptor{Name: "operator API", App: s.app, Log: s.log, Listener: l}
+	s.tasks.Go(a.Run)
 	return nil
 }
 
@@ -118,16 +119,3 @@
 	s.tasks.Wait()
 	return nil
 }
-
-// acceptor serves the app on a listener.
-type acceptor struct {
-	app      *fiber.App
-	log      logrus.FieldLogger
-	listener net.Listener
-}
-
-func (a *acceptor) run() {
-	if err := a.app.Listener(a.listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
-		a.log.WithError(err).Error("operator API server failed")
-	}
-}
--- a/internal/standin/wigeonengine/http.go
+++ b/internal/standin/wigeonengine/http.go
@@ -69,13 +69,17 @@
 	app.Get("/v1/cache/events", e.getCacheEvents)
 	app.Post("/v1/orders", e.postOrder)
 	app.Get("/health", e.getHealth)
-	app.Get("/standin/stats", e.getStats)
-	app.Get("/standin/contents", e.getContents)
-	app.Get("/standin/faults", e.getFaults)
-	app.Post("/standin/faults", e.postFaults)
+	e.control().Register(app)
 	return app
 }
 
+// control returns the interface for trials.
+func (e *Engine) control() *wigeonfault.Control {
+	return &wigeonfault.Control{
+		Server: e.server, Faults: e.faults, SetFaults: e.SetFaults, Stats: func() any { return e.Stats() }, Contents: e.Contents,
+	}
+}
+
 func (e *Engine) postGenerate(c fiber.Ctx) error {
 	var r wigeonshift.GenerateRequest
 	if err := json.Unmarshal(c.Body(), &r); err != nil || r.Token == "" {
@@ -149,30 +153,6 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
-func (e *Engine) getStats(c fiber.Ctx) error {
-	return c.JSON(e.Stats())
-}
-
-func (e *Engine) getContents(c fiber.Ctx) error {
-	return c.JSON(e.Contents())
-}
-
-func (e *Engine) getFaults(c fiber.Ctx) error {
-	return c.JSON(e.faults.Get())
-}
-
-func (e *Engine) postFaults(c fiber.Ctx) error {
-	f, err := wigeonfault.Parse(c.Body())
-	if err != nil {
-		return failBadRequest.send(c)
-	}
-	e.SetFaults(f)
-	if f.Silence == wigeonfault.SilenceConnections {
-		e.server.SilenceOpenConnections(c.RequestCtx().Conn())
-	}
-	return c.SendStatus(fiber.StatusNoContent)
-}
-
 // sendNoContent responds with status 204, or with the failure if there is one.
 func sendNoContent(c fiber.Ctx, f *failure) error {
 	if f != nil {
--- a/internal/standin/wigeonplain/http.go
+++ b/internal/standin/wigeonplain/http.go
@@ -20,10 +20,7 @@
 // newApp returns the HTTP application. The routes before injectFaults work without faults.
 func (s *Service) newApp() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: maxBodyBytes, IdleTimeout: idleTimeout})
-	app.Get("/standin/stats", s.getStats)
-	app.Get("/standin/contents", s.getContents)
-	app.Get("/standin/faults", s.getFaults)
-	app.Post("/standin/faults", s.postFaults)
+	s.control().Register(app)
 	app.Get("/health", func(c fiber.Ctx) error { return c.SendStatus(fiber.StatusNoContent) })
 	app.Use(s.injectFaults)
 	app.Post("/issues", s.handleWrite)
@@ -32,6 +29,13 @@
 	return app
 }
 
+// control returns the interface for trials.
+func (s *Service) control() *wigeonfault.Control {
+	return &wigeonfault.Control{
+		Server: s.server, Faults: s.faults, SetFaults: s.SetFaults, Stats: func() any { return s.Stats() }, Contents: s.Contents,
+	}
+}
+
 // injectFaults applies the active faults before and after a call.
 func (s *Service) injectFaults(c fiber.Ctx) error {
 	token := c.Get(wigeonprotocol.HeaderAttempt)
@@ -109,27 +113,3 @@
 	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 	return c.SendString(ReadResponse(c.OriginalURL()))
 }
-
-func (s *Service) getStats(c fiber.Ctx) error {
-	return c.JSON(s.Stats())
-}
-
-func (s *Service) getContents(c fiber.Ctx) error {
-	return c.JSON(s.Contents())
-}
-
-func (s *Service) getFaults(c fiber.Ctx) error {
-	return c.JSON(s.faults.Get())
-}
-
-func (s *Service) postFaults(c fiber.Ctx) error {
-	f, err := wigeonfault.Parse(c.Body())
-	if err != nil {
-		return c.SendStatus(fiber.StatusBadRequest)
-	}
-	s.SetFaults(f)
-	if f.Silence == wigeonfault.SilenceConnections {
-		s.server.SilenceOpenConnections(c.RequestCtx().Conn())
-	}
-	return c.SendStatus(fiber.StatusNoContent)
-}
