--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -18,8 +18,9 @@
 const (
 	// poisonBody is the body of a request that crashes every endpoint that begins to run it.
 	poisonBody = "poison"
-	// poisonIDPrefix begins the ID of every try of that request.
+	// poisonIDPrefix begins the ID of every try of that request, inTouchSuffix ends it if the relay was in touch.
 	poisonIDPrefix = "poison-"
+	inTouchSuffix  = "-inTouch"
 	// endpointDowntime is how long a crashed endpoint refuses connections.
 	endpointDowntime = 2 * time.Second
 	// crashesToQuarantine is the number of crashed endpoints after which the request may reach only maxLateArrivals more
@@ -32,13 +33,20 @@
 // poisonLog records when the request that crashes endpoints reached one.
 type poisonLog struct {
 	mu       sync.Mutex
-	arrivals []time.Time
+	arrivals []poisonArrival
 }
 
-func (p *poisonLog) recordArrival() {
+// poisonArrival is one arrival of the request at an endpoint.
+type poisonArrival struct {
+	at time.Time
+	// inTouch is set if the relay that sent it was in touch.
+	inTouch bool
+}
+
+func (p *poisonLog) recordArrival(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.arrivals = append(p.arrivals, time.Now())
+	p.arrivals = append(p.arrivals, poisonArrival{at: time.Now(), inTouch: strings.HasSuffix(id, inTouchSuffix)})
 }
 
 // arrivalCount returns the number of arrivals, each of which crashed an endpoint.
@@ -52,16 +60,17 @@
 func (p *poisonLog) firstArrival() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.arrivals[0]
+	return p.arrivals[0].at
 }
 
-// lateArrivals returns the number of arrivals later than quarantineTime after crashesToQuarantine endpoints had crashed.
+// lateArrivals returns the number of arrivals, sent by relays in touch, later than quarantineTime after crashesToQuarantine
+// endpoints had crashed.
 func (p *poisonLog) lateArrivals() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	late := 0
-	for i, at := range p.arrivals {
-		if i >= crashesToQuarantine && at.Sub(p.arrivals[crashesToQuarantine-1]) > quarantineTime {
+	for i, a := range p.arrivals {
+		if i >= crashesToQuarantine && a.inTouch && a.at.Sub(p.arrivals[crashesToQuarantine-1].at) > quarantineTime {
 			late++
 		}
 	}
@@ -85,13 +94,10 @@
 	})
 }
 
-// poisonCaller sends the request that crashes endpoints again and again, each time with a new ID, to relays that have had
-// no fault for quarantineTime.
+// poisonCaller sends the request that crashes endpoints again and again, each time with a new ID, to any relay.
 type poisonCaller struct {
 	caller
 	name, path string
-	// anyRelay makes the caller also send to relays with a fault.
-	anyRelay bool
 }
 
 // resendInterval is the time between two tries of a poisonCaller.
@@ -105,9 +111,11 @@
 		case <-time.After(resendInterval):
 		}
 		p := c.soak.relays[c.random.IntN(len(c.soak.relays))]
-		if c.anyRelay || c.soak.inTouch(p) {
-			c.send(fmt.Sprintf("%s%s-%d", poisonIDPrefix, c.name, n), p)
+		id := fmt.Sprintf("%s%s-%d", poisonIDPrefix, c.name, n)
+		if c.soak.inTouch(p) {
+			id += inTouchSuffix
 		}
+		c.send(id, p)
 	}
 }
 
@@ -158,7 +166,7 @@
 			skipIfKnownRed(t)
 			s := newSoakRun(t, 1, binary)
 			time.Sleep(quarantineTime)
-			s.runWithPoison(scenario.path, false, scenario.faults)
+			s.runWithPoison(scenario.path, scenario.faults)
 			s.checkPoison(t)
 		})
 	}
@@ -171,7 +179,7 @@
 			p.storeProxy.silenceOpen()
 		}
 		time.Sleep(quarantineTime)
-		s.runWithPoison("/unsafe/", false, func(*soakRun) {})
+		s.runWithPoison("/unsafe/", func(*soakRun) {})
 		s.checkPoison(t)
 	})
 	// Without the store, the relays learn of crashes from each other only.
@@ -179,7 +187,7 @@
 		skipIfKnownRed(t)
 		s := newSoakRun(t, 1, binary)
 		s.store.setFault(true, 0)
-		s.runWithPoison("/safe/", true, func(*soakRun) {})
+		s.runWithPoison("/safe/", func(*soakRun) {})
 		s.g.Expect(s.poison.arrivalCount()).To(BeNumerically("<=", crashesToQuarantine+maxLateArrivals))
 		s.checkPoison(t)
 	})
@@ -187,7 +195,7 @@
 
 // runWithPoison sends ordinary requests and the one that crashes endpoints. It injects the faults once the request should
 // be refused.
-func (s *soakRun) runWithPoison(path string, anyRelay bool, faults func(s *soakRun)) {
+func (s *soakRun) runWithPoison(path string, faults func(s *soakRun)) {
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
 	for i := range 4 {
@@ -195,9 +203,7 @@
 		tasks.Go(c.run)
 	}
 	for i := range 2 {
-		c := s.newPoisonCaller(uint64(i), path, stop)
-		c.anyRelay = anyRelay
-		tasks.Go(c.run)
+		tasks.Go(s.newPoisonCaller(uint64(i), path, stop).run)
 	}
 	s.g.Eventually(s.poison.arrivalCount).WithTimeout(10 * time.Second).Should(BeNumerically(">=", crashesToQuarantine))
 	time.Sleep(quarantineTime / 2)
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -324,7 +324,7 @@
 	}
 	e.executions.record(id)
 	if string(body) == poisonBody {
-		e.poison.recordArrival()
+		e.poison.recordArrival(id)
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
