Name the false crash and the followers; mend a hang of the follower's specs

RemoveSuspects is RemoveFalseCrash, and the followers that are asked for by name are fields instead of indexes.

The specs of wigeonfollow hung once for ten minutes (found while testing this commit), 8 of 40 runs of the package: the fake store slept while it held its mutex, and the clock of a synctest bubble stands still while a goroutine waits for a mutex. It sleeps before now: 0 of 150 runs failed or hung.

--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -100,13 +100,22 @@
 	})
 }
 
+// listDelay lets the fake clock advance if calls never stop. The clock stands still while a goroutine waits for a mutex, so
+// mu must not be held during the delay.
+func (s *fakeStore) listDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era == 0 {
+		return 0
+	}
+	return time.Millisecond
+}
+
 func (s *fakeStore) List(_ context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
+	time.Sleep(s.listDelay())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if s.era > 0 {
-		time.Sleep(time.Millisecond) // Lets the fake clock advance if calls never stop.
-	}
 	if s.down {
 		return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 	}
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -49,9 +49,12 @@
 	endpoints     *endpointTable
 	instances     *instanceTable
 	followers     []*follower
-	seed          uint64
-	cancel        context.CancelFunc
-	tasks         conc.WaitGroup
+	// endpointsFollower and quarantineFollower are also in followers.
+	endpointsFollower, quarantineFollower *follower
+
+	seed   uint64
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
 }
 
 // Option configures a Service.
@@ -74,25 +77,27 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.endpointsFollower = &follower{
+		table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.pollWaitFunc(2),
+		batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
+	}
+	s.quarantineFollower = &follower{
+		table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
+		nextWait:   func() time.Duration { return maxLargeFleetPollWait },
+		batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
+	}
 	s.followers = []*follower{
 		{
 			table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.pollWaitFunc(1),
 			batchDelay: func() time.Duration { return 0 },
 		},
-		{
-			table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.pollWaitFunc(2),
-			batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
-		},
+		s.endpointsFollower,
 		{
 			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
 			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
-		{
-			table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
-			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
-			batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
-		},
+		s.quarantineFollower,
 	}
 	for _, f := range s.followers {
 		f.store, f.log = store, log
@@ -132,7 +137,7 @@
 
 // EndpointsRevision returns the highest revision of an endpoint row and the revision up to which all changes are known.
 func (s *Service) EndpointsRevision() (newestRow, known uint64) {
-	f := s.followers[endpointsFollowerIndex]
+	f := s.endpointsFollower
 	return f.newestRowRevision.Load(), f.knownRevision.Load()
 }
 
@@ -148,28 +153,22 @@
 	if !s.endpoints.offer(snapshot.Rows) {
 		return false
 	}
-	s.followers[endpointsFollowerIndex].recordRevisions(wigeonshift.TablePage{Revision: snapshot.Revision, Rows: snapshot.Rows})
+	s.endpointsFollower.recordRevisions(wigeonshift.TablePage{Revision: snapshot.Revision, Rows: snapshot.Rows})
 	return true
 }
 
 // RepollEndpoints cancels the running poll for endpoints and polls again. It is called when another instance knows of a
 // change that the running poll has not delivered.
-func (s *Service) RepollEndpoints() { s.followers[endpointsFollowerIndex].requestRepoll() }
+func (s *Service) RepollEndpoints() { s.endpointsFollower.requestRepoll() }
 
 // QuarantineRevision returns the highest revision of a quarantine row and the revision up to which all changes are known.
 func (s *Service) QuarantineRevision() (newestRow, known uint64) {
-	f := s.followers[quarantineFollowerIndex]
+	f := s.quarantineFollower
 	return f.newestRowRevision.Load(), f.knownRevision.Load()
 }
 
 // RepollQuarantine does for the quarantine what RepollEndpoints does for endpoints.
-func (s *Service) RepollQuarantine() { s.followers[quarantineFollowerIndex].requestRepoll() }
-
-// endpointsFollowerIndex is the index of the endpoints table in Service.followers.
-const endpointsFollowerIndex = 1
-
-// quarantineFollowerIndex is the index of the quarantine table in Service.followers.
-const quarantineFollowerIndex = 3
+func (s *Service) RepollQuarantine() { s.quarantineFollower.requestRepoll() }
 
 // Pauses after a change, which batch further changes. The pauses for endpoints and crashes grow with the number of
 // instances because all of them poll the store.
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -98,8 +98,8 @@
 // Remove removes a request with all its crashes.
 func (r *Record) Remove(f wigeonshift.Fingerprint) { delete(r.crashes, f) }
 
-// RemoveSuspects removes a crash of an endpoint from all suspected requests.
-func (r *Record) RemoveSuspects(endpoint string) {
+// RemoveFalseCrash removes a crash of an endpoint that didn't happen. Requests that are quarantined stay so.
+func (r *Record) RemoveFalseCrash(endpoint string) {
 	for f, known := range r.crashes {
 		if r.Quarantined(f) {
 			continue
--- a/internal/services/wigeonquarantine/record_test.go
+++ b/internal/services/wigeonquarantine/record_test.go
@@ -41,7 +41,7 @@
 		r.Add(crash(7, "a@1"))
 		r.Add(crash(8, "a@1"))
 		r.Add(crash(8, "b@1"))
-		r.RemoveSuspects("a@1")
+		r.RemoveFalseCrash("a@1")
 		Expect(r.Crashes(7)).To(BeEmpty())
 		Expect(r.Crashes(8)).To(HaveLen(2))
 	})
--- a/internal/services/wigeonscheduler/quarantine.go
+++ b/internal/services/wigeonscheduler/quarantine.go
@@ -113,7 +113,7 @@
 	if !takenAt.After(e.crashedAt) {
 		return
 	}
-	s.suspects.RemoveSuspects(e.crashName())
+	s.suspects.RemoveFalseCrash(e.crashName())
 	e.crashedIncarnation = ""
 	s.requeueSuspects()
 }
