Log the retry budget's decisions with the counts that they were based on

Dispatches and final answers now carry the decision: counted resends, limit and the part of the fixed allowance; counters resends and resendsRefused. The spec 'respects the retry budget' also checks that the failure names the refused resend. No decision changes.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -106,7 +106,7 @@
 	p := s.pool(j.Service)
 	refuse := Refuse{
 		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
-		Crashes: s.crashes.Crashes(j.Fingerprint),
+		Crashes: s.crashes.Crashes(j.Fingerprint), Resend: j.refusedResend(),
 	}
 	if q := s.quotas[j.Organisation]; q != nil {
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
@@ -127,5 +127,5 @@
 // fail answers a request that ran or may have run.
 func (s *State) fail(j *Job, reason Reason) {
 	delete(s.jobs, j.ID)
-	s.emit(Failure{Job: j.ID, Reason: reason})
+	s.emit(Failure{Job: j.ID, Reason: reason, Resend: j.refusedResend()})
 }
--- a/internal/services/wigeondispatch/budget.go
+++ b/internal/services/wigeondispatch/budget.go
@@ -41,11 +41,20 @@
 // countRequest counts a new request. The number of allowed resends grows with the number of requests.
 func (b *retryBudget) countRequest(at time.Duration) { b.requests[b.currentBucket(at)]++ }
 
-// tryResend reports whether a resend is allowed, and counts it if so. The resends in the window are limited to a ratio
+// ResendDecision says whether the retry budget allows a resend, and what the decision was based on.
+type ResendDecision struct {
+	Allowed bool
+	// Resends is the number of earlier resends to the service that count. Limit is the number that is allowed, and Slack the
+	// part of it that doesn't depend on the number of requests.
+	Resends      int
+	Limit, Slack float64
+}
+
+// tryResend decides whether a resend is allowed, and counts it if so. The resends in the window are limited to a ratio
 // of the requests in it plus slack. slack is this instance's share of the resends that are allowed regardless of the
 // number of requests, so that all instances together stay within the limit of the deployment. It doesn't count before
 // slackFrom.
-func (b *retryBudget) tryResend(at time.Duration, slack float64) bool {
+func (b *retryBudget) tryResend(at time.Duration, slack float64) ResendDecision {
 	if at < b.slackFrom {
 		slack = 0
 	}
@@ -55,9 +64,10 @@
 		requests += b.requests[k]
 		resends += b.resends[k]
 	}
-	if float64(resends+1) > b.ratio*float64(requests)+slack {
-		return false
+	d := ResendDecision{Resends: resends, Limit: b.ratio*float64(requests) + slack, Slack: slack}
+	d.Allowed = float64(resends+1) <= d.Limit
+	if d.Allowed {
+		b.resends[i]++
 	}
-	b.resends[i]++
-	return true
+	return d
 }
--- a/internal/services/wigeondispatch/budget_test.go
+++ b/internal/services/wigeondispatch/budget_test.go
@@ -34,7 +34,7 @@
 				}
 				b.countRequest(at)
 				sentRequests++
-				for b.tryResend(at, slack/instances) {
+				for b.tryResend(at, slack/instances).Allowed {
 					sentResends++
 				}
 			}
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -74,6 +74,7 @@
 		Timeout:      j.Deadline - s.now,
 		Running:      running,
 		QueueTime:    s.now - j.Arrived,
+		Resend:       j.resend,
 	})
 }
 
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -50,6 +50,8 @@
 		Running int
 		// QueueTime is the time since the request arrived.
 		QueueTime time.Duration
+		// Resend is the decision of the retry budget; nil if the request was not sent before.
+		Resend *ResendDecision
 	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
@@ -68,11 +70,15 @@
 		QuotaGroupLeft, QuotaGroupFairShare float64
 		// Crashes holds the crashes at which the request was there.
 		Crashes []wigeonshift.Crash
+		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
+		Resend *ResendDecision
 	}
 	// Failure answers a request that ran or may have run.
 	Failure struct {
 		Job    JobID
 		Reason Reason
+		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
+		Resend *ResendDecision
 	}
 	// Abandon ends a running attempt so that the request can move to another endpoint. An AttemptEnded event must follow.
 	Abandon struct {
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -67,6 +67,8 @@
 	failedOver bool
 	// resendCounted is set if the next resend is already counted in the retry budget.
 	resendCounted bool
+	// resend is the latest decision of the retry budget on the request; nil if there was none.
+	resend *ResendDecision
 	// quotaCharged is set while Units are charged to the organisation's quota.
 	quotaCharged bool
 }
@@ -76,6 +78,14 @@
 	return j.Kind == wigeonshift.RouteIdempotent || j.Kind == wigeonshift.RouteStreaming && j.Resumable
 }
 
+// refusedResend returns the decision of the retry budget if it refused another attempt, and nil otherwise.
+func (j *Job) refusedResend() *ResendDecision {
+	if j.resend == nil || j.resend.Allowed {
+		return nil
+	}
+	return j.resend
+}
+
 // hasFailedOn reports whether an earlier attempt on an endpoint gave no answer. The request must not be sent to that
 // endpoint again.
 func (j *Job) hasFailedOn(id string) bool {
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -187,5 +187,7 @@
 // allowResend reports whether the retry budget of a request's service allows a resend, and counts it if so. The slack
 // is divided by the number of instances, because its setting applies to all of them together.
 func (s *State) allowResend(j *Job) bool {
-	return s.retryBudget(j.Service).tryResend(s.now, s.settings.RetrySlack/float64(s.instances))
+	d := s.retryBudget(j.Service).tryResend(s.now, s.settings.RetrySlack/float64(s.instances))
+	j.resend = &d
+	return d.Allowed
 }
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -429,7 +429,7 @@
 		j := h.newJob()
 		j.Kind = wigeonshift.RouteIdempotent
 		h.arrive(j)
-		Expect(h.end(j, OutcomeLost, true)).To(ConsistOf(Failure{Job: j.ID, Reason: ReasonLost}))
+		Expect(h.end(j, OutcomeLost, true)).To(ConsistOf(Failure{Job: j.ID, Reason: ReasonLost, Resend: &ResendDecision{}}))
 	})
 
 	It("dispatches nothing to an endpoint that fails repeatedly, then probes it with one request", func() {
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -46,7 +46,7 @@
 		"request": c.header.RequestID, "endpoint": d.EndpointID, "attempt": d.Attempt, "running": d.Running,
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
 		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
-	}).Info("request dispatched")
+	}).WithFields(c.resendFields()).Info("request dispatched")
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
 	return c.service.pool.Send(ctx, target, c.header.RequestID, request)
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -60,6 +60,8 @@
 	// endpoint is the endpoint of the latest attempt, for the log.
 	endpoint string
 	attempts int
+	// resend is the latest decision of the retry budget, for the log; nil if there was none.
+	resend *wigeondispatch.ResendDecision
 	// queueTime is the time from the arrival of the request to its first dispatch.
 	queueTime time.Duration
 	// firstByteLatency is the time from the arrival of the request to the first byte of a stream or to the end of a
@@ -238,15 +240,31 @@
 func (c *call) applyDecision(d decision) bool {
 	switch d := d.(type) {
 	case wigeondispatch.Dispatch:
+		c.recordResend(d.Resend)
 		return c.runAttempt(d)
 	case wigeondispatch.Refuse:
+		c.recordResend(d.Resend)
 		c.refuse(d)
 	case wigeondispatch.Failure:
+		c.recordResend(d.Resend)
 		c.fail(d.Reason)
 	}
 	return true
 }
 
+// recordResend counts a decision of the retry budget and keeps it for the log.
+func (c *call) recordResend(d *wigeondispatch.ResendDecision) {
+	if d == nil || d == c.resend {
+		return
+	}
+	c.resend = d
+	if d.Allowed {
+		c.service.scope.Counter("resends").Inc(1)
+	} else {
+		c.service.scope.Counter("resendsRefused").Inc(1)
+	}
+}
+
 // endWithoutResponse ends a cancelled call that has no running attempt. If the caller is still connected, the request
 // is refused if it was never sent to an endpoint, and fails otherwise because an endpoint may have run it.
 func (c *call) endWithoutResponse() {
@@ -296,5 +314,15 @@
 		"firstMs":     c.firstByteLatency.Milliseconds(),
 		"tookMs":      (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
 	})
-	return entry.WithFields(fields)
+	return entry.WithFields(c.resendFields()).WithFields(fields)
+}
+
+// resendFields returns the log fields of the latest decision of the retry budget; none if there was no decision.
+func (c *call) resendFields() logrus.Fields {
+	if c.resend == nil {
+		return nil
+	}
+	return logrus.Fields{
+		"resendAllowed": c.resend.Allowed, "resends": c.resend.Resends, "resendLimit": c.resend.Limit, "resendSlack": c.resend.Slack,
+	}
 }
