Reproduce repeats beyond the budget with real relays, counted at the endpoints

Each soak run sends requests that all endpoints reject and checks the same limit. A process that is being started keeps copies of the test's listeners: ports are chosen under the fork lock now.

--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wigeonshift/internal/soak/wigeonwindow"
 )
 
 // relayProcess is a relay that runs as a separate process.
@@ -36,10 +38,18 @@
 // lastPort is the last port that was tried. It is below the kernel's ephemeral ports, because an outgoing connection
 // could otherwise take the port of a relay that is down. Test processes that run at the same time start at different
 // ports.
-var lastPort = 10_000 + os.Getpid()*61%20_000
+var (
+	lastPort   = 10_000 + os.Getpid()*61%20_000
+	lastPortMu sync.Mutex
+)
 
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() string {
+	lastPortMu.Lock()
+	defer lastPortMu.Unlock()
+	// A process that is being started keeps copies of all listeners until its program runs.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for {
 		lastPort++
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(lastPort)))
@@ -51,7 +61,9 @@
 	}
 }
 
-func newRelayProcess(dir, binary string, index int, storeAddress string) (*relayProcess, error) {
+func newRelayProcess(
+	dir, binary string, index int, storeAddress string, limit wigeonwindow.RepeatLimit,
+) (*relayProcess, error) {
 	p := &relayProcess{
 		name: fmt.Sprintf("relay-%d", index), binary: binary, callerAddress: freeAddress(), readyAddress: freeAddress(),
 		storeProxy: newProxy(storeAddress),
@@ -71,10 +83,15 @@
 [limits]
 memoryMegabytes = 200
 files = 2000
+[retry]
+ratio = %g
+slack = %g
+window = %q
 [drain]
 timeout = "5s"
 notice = "1500ms"
-`, p.name, p.callerAddress, p.readyAddress, freeAddress(), p.storeProxy.address())
+`, p.name, p.callerAddress, p.readyAddress, freeAddress(), p.storeProxy.address(),
+		limit.Ratio, limit.Slack, limit.Window)
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/soak/wigeonsoak/proxy_test.go
+++ b/internal/soak/wigeonsoak/proxy_test.go
@@ -50,9 +50,17 @@
 
 func (p *proxy) address() string { return p.listenAddress }
 
+// openTimeout is how long open waits for the address. A process that is being started keeps a copy of the closed listener
+// until its program runs.
+const openTimeout = 2 * time.Second
+
 // open accepts connections, for the first time or after shutDown.
 func (p *proxy) open() error {
 	l, err := net.Listen("tcp", p.listenAddress)
+	for deadline := time.Now().Add(openTimeout); err != nil && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp", p.listenAddress)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"wigeonshift/internal/soak/wigeonwindow"
+
 	. "github.com/onsi/gomega"
 )
 
@@ -42,9 +44,12 @@
 	store                *store
 	executions           *executionLog
 	poison               poisonLog
+	repeats              *repeatLog
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
+	// dir holds the relays' settings and logs; binary is their program.
+	dir, binary string
 
 	mu           sync.Mutex
 	faults       map[string]int
@@ -90,30 +95,36 @@
 	return binary
 }
 
+// runOptions are the seed and the fleet of a run.
+type runOptions struct {
+	seed   uint64
+	binary string
+	relays int
+	limit  wigeonwindow.RepeatLimit
+}
+
 func newSoakRun(t *testing.T, seed uint64, binary string) *soakRun {
+	return newRun(t, runOptions{seed: seed, binary: binary, relays: relayCount(seed), limit: repeatLimit})
+}
+
+func newRun(t *testing.T, o runOptions) *soakRun {
 	s := &soakRun{
-		g: NewWithT(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: newStore(), executions: &executionLog{countByID: map[string]int{}},
+		g: NewWithT(t), seed: o.seed, random: rand.New(rand.NewPCG(o.seed, 1)), store: newStore(),
+		executions: &executionLog{countByID: map[string]int{}}, repeats: newRepeatLog(o.limit),
 		faults: map[string]int{}, outcomes: map[int]int{},
 	}
 	dir := t.TempDir()
 	if keep := os.Getenv("WIGEONSHIFT_SOAK_LOGS"); keep != "" {
-		dir = filepath.Join(keep, fmt.Sprintf("seed-%d", seed))
+		dir = filepath.Join(keep, fmt.Sprintf("seed-%d", o.seed))
 		s.g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
 	}
 	s.putConfiguration()
 	for range engineCount {
 		s.addEngine()
 	}
-	for i := range relayCount(seed) {
-		p, err := newRelayProcess(dir, binary, i, s.store.server.Listener.Addr().String())
-		s.g.Expect(err).NotTo(HaveOccurred())
-		s.g.Expect(p.start()).To(Succeed())
-		s.relays = append(s.relays, p)
-		t.Cleanup(func() {
-			p.signal(syscall.SIGCONT)
-			p.signal(syscall.SIGKILL)
-			<-p.exitChannel()
-		})
+	s.dir, s.binary = dir, o.binary
+	for range o.relays {
+		s.addRelay(t)
 	}
 	for _, p := range s.relays {
 		s.g.Eventually(p.isReady).WithTimeout(10 * time.Second).Should(BeTrue())
@@ -121,6 +132,28 @@
 	return s
 }
 
+// addRelay starts another relay, which runs until the end of the test.
+func (s *soakRun) addRelay(t *testing.T) {
+	p, err := newRelayProcess(s.dir, s.binary, len(s.relays), s.store.server.Listener.Addr().String(), s.repeats.limit)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(p.start()).To(Succeed())
+	s.mu.Lock()
+	s.relays = append(s.relays, p)
+	s.mu.Unlock()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.exitChannel()
+	})
+}
+
+// randomRelay returns a relay of the current fleet.
+func (s *soakRun) randomRelay(random *rand.Rand) *relayProcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relays[random.IntN(len(s.relays))]
+}
+
 // relayCount returns the number of relays in a run. Every third seed has a large fleet, unless the environment sets the
 // number.
 func relayCount(seed uint64) int {
@@ -177,6 +210,8 @@
 	}
 	tasks.Go(func() { s.runEndpointFaults(s.seed, stop) })
 	tasks.Go(s.newPoisonCaller(s.seed, "/safe/", stop).run)
+	rejected := &caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 7)), stop: stop}
+	tasks.Go(rejected.runRejected)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		tasks.Add(1)
 		fault, name := s.randomFault()
@@ -252,9 +287,9 @@
 		return func() { e.proxy.setMode(mode); time.Sleep(faultDuration); e.proxy.setMode(modeForward) }, "endpointPath"
 	case 7:
 		return func() {
-			e.setFaultRatio(0.4)
+			e.setFault(faultMixed, 0.4)
 			time.Sleep(faultDuration)
-			e.setFaultRatio(0)
+			e.setFault(faultMixed, 0)
 		}, "endpointGrey"
 	default:
 		// Changes to the configuration and the endpoints are made before the return, so that they don't run concurrently.
@@ -313,6 +348,7 @@
 	}
 	t.Logf("faults %v, responses by status %v, %d of 40 requests succeeded after the faults", s.faults, s.outcomes, succeeded)
 	s.checkPoison(t)
+	s.checkRepeats(t)
 	s.g.Expect(succeeded).To(BeNumerically(">=", 36))
 	s.g.Expect(s.violations).To(BeEmpty())
 	for _, p := range s.relays {
@@ -389,6 +425,7 @@
 
 // roundTrip sends a request and reads the response. status is 0 if there is none.
 func (c *caller) roundTrip(path, id, body string, p *relayProcess) (status int, text string, complete, signed bool) {
+	c.soak.repeats.recordRequest()
 	if c.conn == nil || c.relay != p {
 		conn, err := net.DialTimeout("tcp", p.callerAddress, time.Second)
 		if err != nil {
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -225,6 +225,7 @@
 	proxy      *proxy
 	executions *executionLog
 	poison     *poisonLog
+	repeats    *repeatLog
 	// announce writes the endpoint's row to the store.
 	announce func(e *engine)
 	// stable reports whether the store and the relays have had no fault for long enough that every relay must know that
@@ -233,6 +234,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// faultKind selects how requests fail.
+	faultKind faultKind
 	// faultRatio is the ratio of requests that fail; faultChangedAt is the time at which it last changed.
 	faultRatio     float64
 	faultChangedAt time.Time
@@ -264,7 +267,7 @@
 
 func newEngine(id string, seed uint64, s *soakRun) *engine {
 	e := &engine{
-		id: id, executions: s.executions, poison: &s.poison, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
+		id: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
 		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.id, e.row("ready")) },
 	}
 	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
@@ -280,10 +283,23 @@
 	}
 }
 
-func (e *engine) setFaultRatio(ratio float64) {
+// faultKind selects how a faulty endpoint fails requests.
+type faultKind int
+
+const (
+	// faultMixed rejects some requests, loses the answers to others and breaks off streams.
+	faultMixed faultKind = iota
+	// faultReject rejects requests without running them.
+	faultReject
+	// faultLose runs requests and loses the answers.
+	faultLose
+)
+
+// setFault makes a ratio of the requests fail.
+func (e *engine) setFault(kind faultKind, ratio float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.faultRatio, e.faultChangedAt = ratio, time.Now()
+	e.faultKind, e.faultRatio, e.faultChangedAt = kind, ratio, time.Now()
 }
 
 // healthyFor reports whether the endpoint and the path to it have had no fault for d.
@@ -302,17 +318,18 @@
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
+	e.repeats.recordArrival(id)
 	w.Header().Set("Request-Id", id)
 	if r.Header.Get("Expect-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.mu.Lock()
-	faultRatio, drainingSince := e.faultRatio, e.drainingSince
+	faultRatio, kind, drainingSince := e.faultRatio, e.faultKind, e.drainingSince
 	e.mu.Unlock()
 	faulty := e.randomFloat() < faultRatio
 	faultDraw := e.randomFloat()
-	if faulty && faultDraw < 0.2 {
+	if strings.HasPrefix(id, rejectedIDPrefix) || faulty && (kind == faultReject || kind == faultMixed && faultDraw < 0.2) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -328,7 +345,7 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if faulty && faultDraw < 0.5 {
+	if faulty && (kind == faultLose || faultDraw < 0.5) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Signature", e.id)
--- /dev/null
+++ b/internal/soak/wigeonwindow/doc.go
@@ -0,0 +1,2 @@
+// Package wigeonwindow checks recorded times against limits on sliding windows.
+package wigeonwindow
