Let the routing store write under conditions and tell its time

WriteRows becomes Commit, which takes the root package's Transaction and returns the era in which the store applied it; pages carry the store's time. Both are needed to keep leases in a row.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -232,7 +232,8 @@
 
 // writeCrashRows changes rows of the quarantine table.
 func (g *Gateway) writeCrashRows(ctx context.Context, writes []wigeonshift.Write) error {
-	return g.platform.Store.WriteRows(ctx, wigeonshift.TableQuarantine, writes)
+	_, err := g.platform.Store.Commit(ctx, wigeonshift.TableQuarantine, wigeonshift.Transaction{Writes: writes})
+	return err
 }
 
 // instanceRow encodes the row under which other instances find this one in the store.
--- a/internal/routers/wigeongateway/gateway_test.go
+++ b/internal/routers/wigeongateway/gateway_test.go
@@ -23,7 +23,7 @@
 	RunSpecs(t, "wigeongateway")
 }
 
-// blockingStore answers List and WriteRows at once and holds every Follow call for a fixed time, even if its context
+// blockingStore answers List and Commit at once and holds every Follow call for a fixed time, even if its context
 // ends.
 type blockingStore struct {
 	holdDuration time.Duration
@@ -44,8 +44,8 @@
 	return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 }
 
-func (s *blockingStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
-	return nil
+func (s *blockingStore) Commit(context.Context, wigeonshift.RoutingTable, wigeonshift.Transaction) (uint64, error) {
+	return 0, nil
 }
 
 // maxPollHold is the longest time for which a staticStore holds a poll.
@@ -54,7 +54,7 @@
 // staticStore lists fixed rows and has no changes. Without rows it is unavailable.
 type staticStore struct {
 	rows map[wigeonshift.RoutingTable][]wigeonshift.TableRow
-	// era is the era that all pages tell; writes counts the calls of WriteRows.
+	// era is the era that all pages tell; writes counts the writes of instance rows.
 	era    atomic.Uint64
 	writes atomic.Int32
 }
@@ -76,12 +76,14 @@
 	return wigeonshift.TablePage{Revision: after, Era: s.era.Load()}, nil
 }
 
-func (s *staticStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
-	s.writes.Add(1)
+func (s *staticStore) Commit(_ context.Context, table wigeonshift.RoutingTable, _ wigeonshift.Transaction) (uint64, error) {
+	if table == wigeonshift.TableInstances {
+		s.writes.Add(1)
+	}
 	if s.rows == nil {
-		return wigeonshift.ErrUnavailable
+		return 0, wigeonshift.ErrUnavailable
 	}
-	return nil
+	return s.era.Load(), nil
 }
 
 // newGateway returns a gateway on free addresses that has not been started.
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -127,7 +127,7 @@
 		g.log.WithError(err).Error("failed to encode the instance's row")
 		return
 	}
-	row := []wigeonshift.Write{{Key: g.settings.Node.Name, Value: value}}
+	row := wigeonshift.Transaction{Writes: []wigeonshift.Write{{Key: g.settings.Node.Name, Value: value}}}
 	for ctx.Err() == nil {
 		g.register(ctx, row)
 		select {
@@ -140,10 +140,10 @@
 }
 
 // register writes the instance's row and retries until a write succeeds.
-func (g *Gateway) register(ctx context.Context, row []wigeonshift.Write) {
+func (g *Gateway) register(ctx context.Context, row wigeonshift.Transaction) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := g.platform.Store.WriteRows(callCtx, wigeonshift.TableInstances, row)
+		_, err := g.platform.Store.Commit(callCtx, wigeonshift.TableInstances, row)
 		cancel()
 		if err == nil {
 			g.registered.Store(true)
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -170,8 +170,8 @@
 	}
 }
 
-func (s *fakeStore) WriteRows(context.Context, wigeonshift.RoutingTable, []wigeonshift.Write) error {
-	return nil
+func (s *fakeStore) Commit(context.Context, wigeonshift.RoutingTable, wigeonshift.Transaction) (uint64, error) {
+	return 0, nil
 }
 
 // crashSink counts the rows of the quarantine that it has.
--- a/routing.go
+++ b/routing.go
@@ -141,6 +141,9 @@
 	// Era rises each time the store returns from an older copy. The changes of the seconds before are then lost and their
 	// revisions are given out again; zero if the store tells no era.
 	Era uint64
+	// NowMillis is the time on the store's clock at which the page was read, in milliseconds. The clock never goes back;
+	// zero if the store tells no time.
+	NowMillis int64
 }
 
 // RoutingStore reads and watches the tables that routing depends on.
@@ -150,8 +153,9 @@
 	// Follow waits for changes after a revision, for at most wait. Its error wraps ErrHistoryLost if the store no longer
 	// has the changes.
 	Follow(ctx context.Context, table RoutingTable, after uint64, wait time.Duration) (TablePage, error)
-	// WriteRows changes rows of a table in one transaction without conditions.
-	WriteRows(ctx context.Context, table RoutingTable, writes []Write) error
+	// Commit applies a transaction to rows of a table and returns the era in which the store applied it. Its error wraps
+	// ErrConditionFailed, ErrUnavailable or ErrThrottled if the transaction had no effect, and otherwise ErrOutcomeUnknown.
+	Commit(ctx context.Context, table RoutingTable, tx Transaction) (era uint64, err error)
 }
 
 // RoutingTable identifies a table of the routing store.
@@ -167,6 +171,8 @@
 	TableInstances
 	// TableQuarantine holds the crashes of endpoints by request.
 	TableQuarantine
+	// TableShares holds the leases by which the instances divide what they share.
+	TableShares
 )
 
 // RoutingCodec decodes rows of the routing store.
