Check before the first byte of a request is written whether it may still be sent

A decision to send may be old when the connection is ready. Send takes a check now; nothing is written if it fails, and the error says that nothing was sent. Whether a byte may have been sent is read after the writer has ended: before, a large request could be written after it was reported as not sent (by reading, not seen). The spec of liveness checks read the endpoint's count of connections before the endpoint had counted (failed once beside load); it waits for the count and then checks that it stays.

--- a/internal/services/wigeonupstream/check_test.go
+++ b/internal/services/wigeonupstream/check_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"wigeonshift"
 
@@ -20,7 +21,9 @@
 		for range 3 {
 			Expect(p.Check(context.Background(), target)).To(Equal(wigeonshift.LivenessRunning))
 		}
-		Expect(e.connections.Load()).To(Equal(int32(1)))
+		// The endpoint counts a connection a moment after the dial.
+		Eventually(e.connections.Load).Should(Equal(int32(1)))
+		Consistently(e.connections.Load, 50*time.Millisecond).Should(Equal(int32(1)))
 	})
 
 	It("finds an endpoint ended whose address refuses connections", func() {
--- a/internal/services/wigeonupstream/connection.go
+++ b/internal/services/wigeonupstream/connection.go
@@ -17,7 +17,11 @@
 	reader *bufio.Reader
 	// mayHaveSent is set before the first byte of the current request is written, since the endpoint may have read it.
 	mayHaveSent atomic.Bool
-	idleUntil   time.Time
+	// sendCheck is called before the first byte of the current request is written; nil means that there is no check.
+	sendCheck func() error
+	// sendCheckError is the error of sendCheck for the current request.
+	sendCheckError error
+	idleUntil      time.Time
 }
 
 func newConnection(raw net.Conn, t Target) *connection {
@@ -26,8 +30,15 @@
 	return c
 }
 
-// Write sets mayHaveSent before it writes, because even a failed write may have delivered bytes to the endpoint.
+// Write sets mayHaveSent before it writes, because even a failed write may have delivered bytes to the endpoint. It writes
+// nothing if sendCheck fails.
 func (c *connection) Write(b []byte) (int, error) {
+	if c.sendCheck != nil && !c.mayHaveSent.Load() {
+		if c.sendCheckError = c.sendCheck(); c.sendCheckError != nil {
+			c.close()
+			return 0, c.sendCheckError
+		}
+	}
 	c.mayHaveSent.Store(true)
 	return c.Conn.Write(b)
 }
@@ -41,6 +52,7 @@
 	}
 	c.idleUntil = time.Now().Add(idle)
 	c.mayHaveSent.Store(false)
+	c.sendCheck, c.sendCheckError = nil, nil
 }
 
 // reusable reports whether the idle time is not over and the endpoint has neither closed the connection nor sent
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -48,15 +48,32 @@
 	bodyRead bool
 }
 
+// SendOption configures one Send.
+type SendOption func(*sendOptions)
+
+type sendOptions struct {
+	check func() error
+}
+
+// WithSendCheck calls check before the first byte is written. If check fails, nothing is sent.
+func WithSendCheck(check func() error) SendOption { return func(o *sendOptions) { o.check = check } }
+
 // Send sends a request and reads the header of the matching response. Responses with another request id are discarded,
 // because they are late responses to earlier requests on the connection. The connection is closed when ctx is done. The
 // error wraps ErrNotSent only if no byte was sent, so that the caller knows whether the endpoint may have run the
 // request.
-func (p *Pool) Send(ctx context.Context, t Target, requestID string, request *fasthttp.Request) (*Response, error) {
+func (p *Pool) Send(
+	ctx context.Context, t Target, requestID string, request *fasthttp.Request, opts ...SendOption,
+) (*Response, error) {
+	var options sendOptions
+	for _, opt := range opts {
+		opt(&options)
+	}
 	conn, err := p.acquire(ctx, t)
 	if err != nil {
 		return nil, wrapError(ErrNotSent, t, err)
 	}
+	conn.sendCheck = options.check
 	r := &Response{pool: p, conn: conn, writeResult: make(chan bool, 1)}
 	r.stopAfterFunc = context.AfterFunc(ctx, conn.close)
 	if len(request.Body()) > maxSyncBodyBytes {
@@ -66,13 +83,14 @@
 		r.writeResult <- writeRequest(conn, request)
 	}
 	if err := r.readHeader(requestID, request.Header.IsHead()); err != nil {
-		mayHaveSent := conn.mayHaveSent.Load()
+		// Close waits for the writer, which may still write until then.
 		r.Close()
+		mayHaveSent := conn.mayHaveSent.Load()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
 		if !mayHaveSent {
-			return nil, wrapError(ErrNotSent, t, err)
+			return nil, wrapError(ErrNotSent, t, errors.Join(conn.sendCheckError, err))
 		}
 		return nil, wrapError(ErrLost, t, err)
 	}
--- a/internal/services/wigeonupstream/exchange_test.go
+++ b/internal/services/wigeonupstream/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -94,7 +95,7 @@
 		DeferCleanup(func() { pool.Close() })
 	})
 
-	send := func(t Target, id string, body []byte) (*Response, error) {
+	send := func(t Target, id string, body []byte, opts ...SendOption) (*Response, error) {
 		request := &fasthttp.Request{}
 		request.Header.SetMethod(fasthttp.MethodPost)
 		request.SetRequestURI("/p")
@@ -103,7 +104,7 @@
 		request.SetBodyRaw(body)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		DeferCleanup(cancel)
-		return pool.Send(ctx, t, id, request)
+		return pool.Send(ctx, t, id, request, opts...)
 	}
 	// fetch sends a request, reads the response to its end and returns the body.
 	fetch := func(t Target, id string) string {
@@ -274,4 +275,28 @@
 		fetch(target(e), "2")
 		Expect(e.connections.Load()).To(BeEquivalentTo(2))
 	})
+
+	// Guards against a resend that arrives long after the retry budget counted it: the dial, a full processor or a pause of the
+	// process may delay the first byte.
+	DescribeTable("sends no byte if the check before it fails", func(reuse bool, body []byte) {
+		var requests atomic.Int32
+		e := newScriptedEndpoint(func(c *net.TCPConn, request *http.Request, index int) bool {
+			requests.Add(1)
+			return echoID(c, request, index)
+		})
+		sent := int32(0)
+		if reuse {
+			fetch(target(e), "1")
+			sent = 1
+		}
+		errLate := errors.New("late")
+		_, err := send(target(e), "2", body, WithSendCheck(func() error { return errLate }))
+		Expect(errors.Is(err, ErrNotSent)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, errLate)).To(BeTrue(), "%v", err)
+		Consistently(requests.Load, 100*time.Millisecond).Should(Equal(sent))
+		Expect(fetch(target(e), "3")).To(Equal("body"))
+	},
+		Entry("new connection", false, nil), Entry("idle connection", true, nil),
+		Entry("large request", true, make([]byte, 1<<20)),
+	)
 })
