Keep the limit on repeats in every window, whatever instances come and go

Cause: a limit that holds for all instances and for every window was counted by each instance for its own life, in coarse buckets, at the time of the decision to resend: - ten buckets a window: the last 9 to 10 s were counted (rejections); - a successor spent the ratio of its requests after its predecessor had spent that of its own in the same window (kills), and took the fixed number again after one window, counted from its own start only; - the fixed number was divided by the instances listed just now (joins); - a resend was counted when it was allowed and sent when a slot was free; - the rule takes the best of two windows for all requests together, instances took the best of their own.

Now each instance counts half of its requests in a window and the one before, in every window in slots of 1/200. Means add up over instances, so the ratio needs no coordination and no memory of predecessors. The fixed number is divided by leases in one row of the store, each change under a condition; what is given up or inherited is used again only after a window. A resend counts from its decision until it has surely arrived, is decided on again when it is sent, and isn't sent 200 ms later. Requests that may have waited while the process was paused gain nothing.

--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -62,8 +62,8 @@
 	Ratio float64 `toml:"ratio" validate:"min=0,max=1"`
 	// Slack is the number of retries per window that are allowed in addition.
 	Slack float64 `toml:"slack" validate:"min=0"`
-	// Window is the period over which retries are counted.
-	Window wigeontoml.Duration `toml:"window" validate:"min=1000000"`
+	// Window is the period over which retries are counted, at least a second.
+	Window wigeontoml.Duration `toml:"window" validate:"min=1000000000"`
 }
 
 // RelayQuota limits how far an organisation's use may exceed its quota.
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -19,6 +19,7 @@
 	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonrelay"
 	"wigeonshift/internal/services/wigeonroute"
+	"wigeonshift/internal/services/wigeonshare"
 	"wigeonshift/internal/services/wigeonupstream"
 
 	"github.com/google/uuid"
@@ -59,6 +60,7 @@
 	relay      *wigeonrelay.Service
 	follower   *wigeonfollow.Service
 	quarantine *wigeonquarantine.Service
+	share      *wigeonshare.Service
 	network    *wigeonsession.Network
 	readiness  *fasthttp.Server
 
@@ -99,15 +101,20 @@
 	scope := g.metrics.Scope()
 	g.quarantine = wigeonquarantine.NewService(g.writeCrashRows, g.setCrashes, log, scope)
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio:      s.Retry.Ratio,
-		RetrySlack:      s.Retry.Slack,
-		RetrySlackDelay: s.Retry.Window.Duration,
-		RetryWindow:     s.Retry.Window.Duration,
-		Instance:        g.self.ID,
-		QuotaOverage:    s.Quota.Overage,
-		QuotaSlack:      s.Quota.Slack,
-		Zone:            s.Node.Zone,
+		RetryRatio:   s.Retry.Ratio,
+		RetrySlack:   s.Retry.Slack,
+		RetryWindow:  s.Retry.Window.Duration,
+		Instance:     g.self.ID,
+		QuotaOverage: s.Quota.Overage,
+		QuotaSlack:   s.Quota.Slack,
+		Zone:         s.Node.Zone,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
+	g.share = wigeonshare.New(wigeonshare.Settings{
+		Holder:   wigeonshare.HolderOf(g.self.Address),
+		Cooldown: s.Retry.Window.Duration + wigeondispatch.MaxArrivalDelay,
+		Clock:    g.dispatcher.MeasureNow,
+		Publish:  g.dispatcher.SetShare,
+	}, p.Store, log, scope)
 	g.pool = wigeonupstream.New(p.Dialect)
 	g.relay = wigeonrelay.New(wigeonshift.ConnectionLimits{
 		MaxBodyBytes:   maxBodyBytes,
@@ -122,6 +129,7 @@
 		Endpoints:     g.setEndpoints,
 		Instances:     g.setInstances,
 		Quarantine:    g.quarantine,
+		StoreRestored: g.share.RenewSoon,
 	}, log)
 	g.network = wigeonsession.New(g.self, wigeonsession.WithLogger(log), wigeonsession.WithScope(scope))
 	g.network.Subscribe(g.handleMessage)
@@ -155,6 +163,7 @@
 	rs := &readinessServer{server: g.readiness, listener: readiness, log: g.log}
 	g.tasks.Go(rs.run)
 	g.quarantine.Start(ctx)
+	g.share.Start(ctx)
 	g.follower.Start(ctx)
 	g.startLoops(ctx)
 	g.log.WithFields(logrus.Fields{
@@ -225,6 +234,7 @@
 func (g *Gateway) applyInstances(instances []wigeonshift.Instance) {
 	g.dispatcher.SetInstances(instances)
 	g.quarantine.SetInstanceCount(len(instances))
+	g.share.SetInstanceCount(len(instances))
 }
 
 // setCrashes passes the crashes that the instances know of to the dispatcher.
--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -36,6 +36,7 @@
 	unfinished := g.dispatcher.InFlight()
 	err := g.relay.Stop(ctx)
 	g.quarantine.Stop()
+	g.share.Stop()
 	g.cancel()
 	err = errors.Join(err, g.readiness.ShutdownWithContext(ctx))
 	err = errors.Join(err, g.network.Stop(ctx))
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -13,7 +13,7 @@
 		s.refuseQuarantined(j)
 		return
 	}
-	s.retryBudget(j.Service).countRequest(s.now)
+	s.countRequest(j)
 	if !s.chargeQuota(j) {
 		return
 	}
@@ -95,14 +95,14 @@
 	if p.queue.remove(j) {
 		s.refund(j)
 	}
-	delete(s.jobs, id)
+	s.forget(j)
 }
 
 // refuse answers a request that did not run and refunds its quota. It reports the queue, the free slots and the quota
 // with the refusal.
 func (s *State) refuse(j *Job, reason Reason, wait time.Duration) {
 	s.refund(j)
-	delete(s.jobs, j.ID)
+	s.forget(j)
 	p := s.pool(j.Service)
 	refuse := Refuse{
 		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
@@ -126,6 +126,6 @@
 
 // fail answers a request that ran or may have run.
 func (s *State) fail(j *Job, reason Reason) {
-	delete(s.jobs, j.ID)
+	s.forget(j)
 	s.emit(Failure{Job: j.ID, Reason: reason, Resend: j.refusedResend()})
 }
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -25,10 +25,14 @@
 	e.endAttempt(j)
 	j.assignedEndpoint = nil
 	s.recordOutcome(e, j, ev)
+	if ev.Outcome.answered() {
+		s.recordResendArrival(j)
+	}
+	j.resendPending = false
 	p := s.pool(j.Service)
 	switch ev.Outcome {
 	case OutcomeDone, OutcomeAbandoned:
-		delete(s.jobs, j.ID)
+		s.forget(j)
 	default:
 		s.recover(j, e, ev)
 	}
@@ -36,7 +40,7 @@
 }
 
 // recordOutcome updates the timings and the failure state of an endpoint from the outcome of an attempt, so that later
-// requests avoid slow and failing endpoints. A rejected or misplaced attempt counts as neither success nor failure. An
+// requests avoid slow and failing endpoints. A rejected, misplaced or delayed attempt counts as neither success nor failure. An
 // abandoned one was ended by this instance, so it counts as a failure only if the endpoint had sent nothing for the
 // stall timeout.
 func (s *State) recordOutcome(e *endpoint, j *Job, ev AttemptEnded) {
@@ -52,7 +56,7 @@
 			e.pool.meanSlotTime = elapsed
 		}
 		e.pool.meanSlotTime += (elapsed - e.pool.meanSlotTime) / slotTimeSamples
-	case OutcomeRejected, OutcomeMisplaced:
+	case OutcomeRejected, OutcomeMisplaced, OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
 			return
@@ -60,8 +64,8 @@
 		s.recordLoss(e, j, true)
 		s.recordFailure(e)
 	case OutcomeLost:
-		// handleStall counts the resend when it abandons the attempt on a silent endpoint.
-		s.recordLoss(e, j, j.resendCounted)
+		// handleStall reserves the resend when it abandons the attempt on a silent endpoint.
+		s.recordLoss(e, j, j.resendReserved)
 		s.recordFailure(e)
 	default:
 		s.recordFailure(e)
@@ -96,12 +100,11 @@
 	}
 	j.failedEndpoints = append(j.failedEndpoints, j.assignedEndpoint.record.ID)
 	j.failedOver = true
-	if s.chooseEndpoint(j.assignedEndpoint.pool, j, placementRound{}) == nil || !s.allowResend(j) {
+	if s.chooseEndpoint(j.assignedEndpoint.pool, j, placementRound{}) == nil || !s.reserveResend(j) {
 		j.failedEndpoints = j.failedEndpoints[:len(j.failedEndpoints)-1]
 		j.failedOver = j.answerStarted && j.attempts > 1
 		return
 	}
-	j.resendCounted = true
 	s.emit(Abandon{Job: id})
 }
 
@@ -124,16 +127,16 @@
 // may have run is queued again only if it may run twice and its caller can still be answered by another attempt;
 // otherwise it fails. Only a request that never ran is refused, because a refusal tells the caller that it did not
 // run. Sending a request again needs the retry budget, unless no endpoint has received it yet or handleStall has
-// already counted the resend.
+// already reserved the resend.
 func (s *State) recover(j *Job, e *endpoint, ev AttemptEnded) {
 	p := s.pool(j.Service)
 	possiblyRan := ev.Outcome == OutcomeLost || ev.Outcome == OutcomeFailed
 	j.mayHaveRun = j.mayHaveRun || possiblyRan
-	if ev.Outcome == OutcomeNotSent {
+	if ev.Outcome == OutcomeNotSent || ev.Outcome == OutcomeDelayed {
 		// The endpoint never received the request, so the attempt doesn't count.
 		j.attempts--
 	}
-	if !j.hasFailedOn(e.record.ID) {
+	if ev.Outcome != OutcomeDelayed && !j.hasFailedOn(e.record.ID) {
 		j.failedEndpoints = append(j.failedEndpoints, e.record.ID)
 	}
 	retry := j.attempts < j.MaxAttempts
@@ -141,15 +144,21 @@
 		retry = j.canFailOver() && ev.Answerable
 	}
 	retry = retry && j.Deadline-s.now > minResendTimeLeft
-	if retry && (j.attempts == 0 || j.resendCounted || s.allowResend(j)) {
-		j.resendCounted = false
+	if retry && (j.attempts == 0 || j.resendReserved || s.reserveResend(j)) {
 		j.failedOver = j.failedOver || possiblyRan
 		p.queue.add(j)
 		return
 	}
-	switch {
-	case ev.Outcome == OutcomeFailed:
+	if ev.Outcome == OutcomeFailed {
 		s.fail(j, ReasonEndpointFailed)
+		return
+	}
+	s.giveUp(p, j)
+}
+
+// giveUp refuses or fails a request that can't be sent to another endpoint.
+func (s *State) giveUp(p *pool, j *Job) {
+	switch {
 	case j.mayHaveRun || j.answerStarted:
 		s.fail(j, ReasonLost)
 	case j.attempts == 0:
--- a/internal/services/wigeondispatch/budget.go
+++ b/internal/services/wigeondispatch/budget.go
@@ -2,72 +2,149 @@
 
 import "time"
 
-// budgetBuckets is the number of buckets that the window of a retry budget is divided into.
-const budgetBuckets = 10
+const (
+	// slotsPerWindow is the number of slots of the window in which a retry budget counts.
+	slotsPerWindow = 200
+	// MaxArrivalDelay is the longest time from the decision to resend a request to its arrival at the endpoint. A resend
+	// whose first byte isn't written within maxSendDelay is not sent; the rest is for the network.
+	MaxArrivalDelay = 500 * time.Millisecond
+	maxSendDelay    = 200 * time.Millisecond
+	// maxReceiveDelay is the longest time from the sending of a request by its caller to its arrival here. Requests that may
+	// have taken longer don't count.
+	maxReceiveDelay = 500 * time.Millisecond
+	// maxTickGap is the longest time between two Tick events of an instance that runs without pauses.
+	maxTickGap = 250 * time.Millisecond
+)
 
-// retryBudget limits the number of resends by this instance to a service within a sliding window. A resend sends a
-// request to another endpoint after an attempt that gave no answer.
+// ResendDecision says whether the retry budget allows a resend, and what the decision was based on.
+type ResendDecision struct {
+	Allowed bool
+	// Resends is the number of earlier resends to the service that count. Limit is the number that is allowed, and Slack the
+	// part of it that doesn't depend on the number of requests.
+	Resends      int
+	Limit, Slack float64
+}
+
+// room returns the number of further resends that the limit allows.
+func (d ResendDecision) room() float64 { return d.Limit - float64(d.Resends) }
+
+// retryBudget limits the number of resends by this instance to a service. A resend sends a request to another endpoint
+// after an attempt that gave no answer.
+//
+// The deployment's limit holds for the arrivals in every window: a ratio of the requests that callers sent in that window
+// or in the one before it, whichever has more, plus a fixed number. Each instance counts the mean of both windows, since
+// the mean of the sum over all instances is the sum of their means, and never more than the larger window. So the limit of
+// all instances holds if each one keeps its own, without knowing of the others, wherever callers send their requests
+// and whoever restarts. Only the fixed number has to be divided among the instances.
 type retryBudget struct {
-	window time.Duration
-	ratio  float64
-	// slackFrom is the time from which slack may be used.
-	slackFrom time.Duration
-	// bucket is the number of the current bucket, counted from time zero.
-	bucket int64
-	// requests and resends hold the counts of each bucket.
-	requests [budgetBuckets]int
-	resends  [budgetBuckets]int
+	ratio float64
+	// slot is the length of a slot. arrivalSlots and receiveSlots are the numbers of slots that cover MaxArrivalDelay and
+	// maxReceiveDelay.
+	slot                       time.Duration
+	arrivalSlots, receiveSlots int
+	// current is the number of the newest slot, counted from time zero.
+	current int64
+	// requests holds the requests of the latest slots.
+	requests [historySlots]int
+	// arrived holds the resends that have surely arrived, by the slot in which this became known. pending holds the others,
+	// by the slot of the decision; they arrive at most MaxArrivalDelay later.
+	arrived, pending [historySlots]int
+	// reserved is the number of resends that were promised to queued requests.
+	reserved int
 }
 
-// newRetryBudget returns the budget of an instance that started at a time.
-func newRetryBudget(s Settings, startedAt time.Duration) *retryBudget {
-	return &retryBudget{window: s.RetryWindow, ratio: s.RetryRatio, slackFrom: startedAt + s.RetrySlackDelay}
+// historySlots is the number of slots that are kept: two windows and the delay up to the arrival.
+const historySlots = 2*slotsPerWindow + slotsPerWindow/2
+
+// newRetryBudget returns a budget that knows of no requests and no resends.
+func newRetryBudget(s Settings) *retryBudget {
+	slot := s.RetryWindow / slotsPerWindow
+	return &retryBudget{
+		ratio: s.RetryRatio, slot: slot,
+		arrivalSlots: int((MaxArrivalDelay + slot - 1) / slot), receiveSlots: int((maxReceiveDelay + slot - 1) / slot),
+	}
 }
 
-// currentBucket clears the buckets that are older than the window and returns the index of the current one. After a
-// pause longer than the window it skips to the last buckets, because each bucket has to be cleared only once.
-func (b *retryBudget) currentBucket(at time.Duration) int {
-	bucket := int64(at / (b.window / budgetBuckets))
-	for b.bucket < bucket {
-		b.bucket++
-		b.requests[b.bucket%budgetBuckets], b.resends[b.bucket%budgetBuckets] = 0, 0
-		if bucket-b.bucket > budgetBuckets {
-			b.bucket = bucket - budgetBuckets
-		}
+// advance clears the slots that begin between the newest one and a time.
+func (b *retryBudget) advance(at time.Duration) {
+	slot := int64(at / b.slot)
+	b.current = max(b.current, slot-historySlots)
+	for b.current < slot {
+		b.current++
+		i := b.current % historySlots
+		b.requests[i], b.arrived[i], b.pending[i] = 0, 0, 0
 	}
-	return int(bucket % budgetBuckets)
 }
 
 // countRequest counts a new request. The number of allowed resends grows with the number of requests.
-func (b *retryBudget) countRequest(at time.Duration) { b.requests[b.currentBucket(at)]++ }
+func (b *retryBudget) countRequest(at time.Duration) {
+	b.advance(at)
+	b.requests[b.current%historySlots]++
+}
 
-// ResendDecision says whether the retry budget allows a resend, and what the decision was based on.
-type ResendDecision struct {
-	Allowed bool
-	// Resends is the number of earlier resends to the service that count. Limit is the number that is allowed, and Slack the
-	// part of it that doesn't depend on the number of requests.
-	Resends      int
-	Limit, Slack float64
+// countResend counts a resend that is sent now and returns its slot.
+func (b *retryBudget) countResend(at time.Duration) int64 {
+	b.advance(at)
+	b.pending[b.current%historySlots]++
+	return b.current
+}
+
+// recordArrival records that the endpoint has received the resend that was sent in a slot. If that is long ago, the resend
+// has been counted as arrived since MaxArrivalDelay after it.
+func (b *retryBudget) recordArrival(slot int64, at time.Duration) {
+	b.advance(at)
+	if b.current-slot >= int64(b.arrivalSlots) {
+		return
+	}
+	b.pending[slot%historySlots]--
+	b.arrived[b.current%historySlots]++
 }
 
-// tryResend decides whether a resend is allowed, and counts it if so. The resends in the window are limited to a ratio
-// of the requests in it plus slack. slack is this instance's share of the resends that are allowed regardless of the
-// number of requests, so that all instances together stay within the limit of the deployment. It doesn't count before
-// slackFrom.
-func (b *retryBudget) tryResend(at time.Duration, slack float64) ResendDecision {
-	if at < b.slackFrom {
-		slack = 0
+// decide returns whether one more resend is allowed now, in addition to others. slack is this instance's part of the
+// fixed number of resends. A resend counts in every window in which it may arrive, and the window with the least room
+// decides.
+func (b *retryBudget) decide(at time.Duration, slack float64, others int) ResendDecision {
+	b.advance(at)
+	c := newSlotSums(b)
+	newest := -b.arrivalSlots
+	tightest := c.decision(b, newest, slack)
+	for age := newest + 1; age <= slotsPerWindow; age++ {
+		if d := c.decision(b, age, slack); d.room() < tightest.room() {
+			tightest = d
+		}
 	}
-	i := b.currentBucket(at)
-	requests, resends := 0, 0
-	for k := range b.requests {
-		requests += b.requests[k]
-		resends += b.resends[k]
+	tightest.Resends += others
+	tightest.Allowed = tightest.room() >= 1
+	return tightest
+}
+
+// slotSums holds the sums of the counts of the newest slots: requests[n] is the number of requests in the newest n slots.
+type slotSums struct {
+	requests, arrived, pending [historySlots + 1]int
+}
+
+func newSlotSums(b *retryBudget) *slotSums {
+	c := &slotSums{}
+	for age := range historySlots {
+		i := (b.current - int64(age)) % historySlots
+		if i < 0 {
+			i += historySlots
+		}
+		c.requests[age+1] = c.requests[age] + b.requests[i]
+		c.arrived[age+1] = c.arrived[age] + b.arrived[i]
+		c.pending[age+1] = c.pending[age] + b.pending[i]
 	}
-	d := ResendDecision{Resends: resends, Limit: b.ratio*float64(requests) + slack, Slack: slack}
-	d.Allowed = float64(resends+1) <= d.Limit
-	if d.Allowed {
-		b.resends[i]++
+	return c
+}
+
+// decision returns the counts for the windows that begin in the slot of an age, which is negative in the future. Its resends are those that may arrive in
+// such a window; its requests are only those that were surely sent in it or in the window before it, so that half of them
+// is the mean of both.
+func (c *slotSums) decision(b *retryBudget, age int, slack float64) ResendDecision {
+	requests := c.requests[max(age+slotsPerWindow-b.receiveSlots, 0)]
+	return ResendDecision{
+		Resends: c.arrived[max(age+1, 0)] + c.pending[age+b.arrivalSlots+1],
+		Limit:   b.ratio*float64(requests)/2 + slack,
+		Slack:   slack,
 	}
-	return d
 }
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -18,7 +18,8 @@
 }
 
 // dispatchWaiting dispatches queued requests of a service in order of priority, and refuses those that have been
-// queued for too long or that should rather be retried later. It never refuses a request that failed over (moved from
+// queued for too long or that should rather be retried later. It gives up those whose resend the retry budget no longer
+// allows. It never refuses a request that failed over (moved from
 // an endpoint that may have run it), because a refusal says that the request did not run. freedEndpoint is the
 // endpoint on which a request of this instance has just ended, or nil.
 func (s *State) dispatchWaiting(p *pool, freedEndpoint *endpoint) {
@@ -44,6 +45,10 @@
 			continue
 		}
 		s.dequeue(p, j, &round)
+		if j.attempts > 0 && !s.useResend(j) {
+			s.giveUp(p, j)
+			continue
+		}
 		s.dispatch(e, j)
 	}
 }
@@ -65,7 +70,7 @@
 	if !j.canFailOver() {
 		stall = 0
 	}
-	s.emit(Dispatch{
+	d := Dispatch{
 		StallTimeout: stall,
 		Job:          j.ID,
 		EndpointID:   e.record.ID,
@@ -74,8 +79,12 @@
 		Timeout:      j.Deadline - s.now,
 		Running:      running,
 		QueueTime:    s.now - j.Arrived,
-		Resend:       j.resend,
-	})
+		DecidedAt:    s.now,
+	}
+	if j.attempts > 1 {
+		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
+	}
+	s.emit(d)
 }
 
 // handleFirstEvent records the first event of an attempt. It updates the endpoint's timings only if the endpoint runs
@@ -88,6 +97,7 @@
 	}
 	j.firstEventLatency = max(s.now-j.dispatchedAt, 1)
 	j.answerStarted = true
+	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
 	if e.running() <= e.slots() {
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -50,6 +50,9 @@
 		Running int
 		// QueueTime is the time since the request arrived.
 		QueueTime time.Duration
+		// DecidedAt is the time of the decision. MaxSendDelay is the longest time from then until the first byte is written;
+		// later the request must not be sent. Zero means no limit.
+		DecidedAt, MaxSendDelay time.Duration
 		// Resend is the decision of the retry budget; nil if the request was not sent before.
 		Resend *ResendDecision
 	}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -21,6 +21,8 @@
 	OutcomeDone Outcome = iota
 	// OutcomeNotSent means that no byte of the request reached the endpoint.
 	OutcomeNotSent
+	// OutcomeDelayed means that no byte of the request reached the endpoint because Dispatch.MaxSendDelay had passed.
+	OutcomeDelayed
 	// OutcomeRejected means that the endpoint confirmed that it did not run the request.
 	OutcomeRejected
 	// OutcomeMisplaced means that the address now belongs to another endpoint.
@@ -33,11 +35,21 @@
 	OutcomeAbandoned
 )
 
-var outcomeNames = [...]string{"done", "notSent", "rejected", "misplaced", "failed", "lost", "abandoned"}
+var outcomeNames = [...]string{"done", "notSent", "delayed", "rejected", "misplaced", "failed", "lost", "abandoned"}
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// answered reports whether the endpoint answered, and so had received the request.
+func (o Outcome) answered() bool {
+	switch o {
+	case OutcomeDone, OutcomeRejected, OutcomeMisplaced, OutcomeFailed:
+		return true
+	default:
+		return false
+	}
+}
+
 type (
 	// ConfigurationChanged replaces the routing configuration.
 	ConfigurationChanged struct {
@@ -104,6 +116,13 @@
 		At   time.Duration
 		Peer string
 	}
+	// ShareGranted sets the part of what all instances share that this instance may use, from 0 to 1, until a time on the
+	// clock of the events.
+	ShareGranted struct {
+		At    time.Duration
+		Share float64
+		Until time.Duration
+	}
 	// InstancesListed replaces the list of instances, which includes this one.
 	InstancesListed struct {
 		At        time.Duration
@@ -126,5 +145,6 @@
 func (e RequestWithdrawn) at() time.Duration     { return e.At }
 func (e PeerReported) at() time.Duration         { return e.At }
 func (e PeerLost) at() time.Duration             { return e.At }
+func (e ShareGranted) at() time.Duration         { return e.At }
 func (e InstancesListed) at() time.Duration      { return e.At }
 func (e Tick) at() time.Duration                 { return e.At }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -65,10 +65,14 @@
 	mayHaveRun bool
 	// failedOver is set once the request moves to another endpoint after an earlier one may have run it.
 	failedOver bool
-	// resendCounted is set if the next resend is already counted in the retry budget.
-	resendCounted bool
+	// resendReserved is set while a resend of the request is reserved in the retry budget.
+	resendReserved bool
 	// resend is the latest decision of the retry budget on the request; nil if there was none.
 	resend *ResendDecision
+	// resendSlot is the slot of the retry budget in which the running attempt was counted, if resendPending is set: it is a
+	// resend whose arrival isn't known yet.
+	resendSlot    int64
+	resendPending bool
 	// quotaCharged is set while Units are charged to the organisation's quota.
 	quotaCharged bool
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -23,6 +23,12 @@
 	crashes *wigeonquarantine.Record
 	// losses holds the attempts that this instance lost recently, by incarnation of the endpoint.
 	losses map[incarnation]*losses
+	// share is the part of what all instances share that this instance may use until shareUntil.
+	share      float64
+	shareUntil time.Duration
+	// tickedAt is the time of the latest Tick event, pausedAt the time at which a Tick event showed that the instance had
+	// been paused.
+	tickedAt, pausedAt time.Duration
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
@@ -74,6 +80,8 @@
 		s.handlePeerReport(e.Peer, e.Load)
 	case PeerLost:
 		s.handlePeerLost(e.Peer)
+	case ShareGranted:
+		s.share, s.shareUntil = e.Share, e.Until
 	case InstancesListed:
 		s.updateGroups(e.Instances)
 	case Tick:
@@ -168,6 +176,10 @@
 // handleTick expires old peer reports and dispatches or refuses queued requests, because both depend on the time and
 // not only on other events.
 func (s *State) handleTick() {
+	if s.now-s.tickedAt > maxTickGap {
+		s.pausedAt = s.now
+	}
+	s.tickedAt = s.now
 	s.expirePeers()
 	s.expireLosses()
 	s.dispatchAllWaiting()
@@ -178,16 +190,72 @@
 func (s *State) retryBudget(service string) *retryBudget {
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = newRetryBudget(s.settings, 0)
+		b = newRetryBudget(s.settings)
 		s.retryBudgets[service] = b
 	}
 	return b
 }
 
-// allowResend reports whether the retry budget of a request's service allows a resend, and counts it if so. The slack
-// is divided by the number of instances, because its setting applies to all of them together.
-func (s *State) allowResend(j *Job) bool {
-	d := s.retryBudget(j.Service).tryResend(s.now, s.settings.RetrySlack/float64(s.instances))
+// retrySlack returns this instance's part of the resends that are allowed regardless of the number of requests.
+func (s *State) retrySlack() float64 {
+	if s.now >= s.shareUntil {
+		return 0
+	}
+	return s.share * s.settings.RetrySlack
+}
+
+// countRequest counts a new request in the retry budget of its service. It leaves out requests that may have been waiting
+// to be read while the instance was paused, because nobody knows when their callers sent them.
+func (s *State) countRequest(j *Job) {
+	if s.now-s.tickedAt > maxTickGap || s.pausedAt > 0 && s.now-s.pausedAt < maxReceiveDelay {
+		return
+	}
+	s.retryBudget(j.Service).countRequest(s.now)
+}
+
+// reserveResend reports whether the retry budget of a request's service allows a resend, and reserves it if so. The resend
+// is decided on again when the request is sent, because it may be queued until then.
+func (s *State) reserveResend(j *Job) bool {
+	b := s.retryBudget(j.Service)
+	d := b.decide(s.now, s.retrySlack(), b.reserved)
 	j.resend = &d
+	if d.Allowed {
+		j.resendReserved = true
+		b.reserved++
+	}
 	return d.Allowed
 }
+
+// useResend reports whether a queued request may be sent again now, and counts the resend if so.
+func (s *State) useResend(j *Job) bool {
+	s.releaseResend(j)
+	b := s.retryBudget(j.Service)
+	d := b.decide(s.now, s.retrySlack(), 0)
+	j.resend = &d
+	if d.Allowed {
+		j.resendSlot, j.resendPending = b.countResend(s.now), true
+	}
+	return d.Allowed
+}
+
+// recordResendArrival records that the endpoint has received the running attempt of a request, as its answer shows.
+func (s *State) recordResendArrival(j *Job) {
+	if j.resendPending {
+		s.retryBudget(j.Service).recordArrival(j.resendSlot, s.now)
+		j.resendPending = false
+	}
+}
+
+// releaseResend gives up the reserved resend of a request, if it has one.
+func (s *State) releaseResend(j *Job) {
+	if j.resendReserved {
+		j.resendReserved = false
+		s.retryBudget(j.Service).reserved--
+	}
+}
+
+// forget removes a request that has ended.
+func (s *State) forget(j *Job) {
+	s.releaseResend(j)
+	delete(s.jobs, j.ID)
+}
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -22,6 +22,7 @@
 	h := &reducerHarness{state: New(Settings{
 		RetryRatio: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second, Instance: "own", Zone: "z",
 	})}
+	h.state.Reduce(ShareGranted{Share: 1, Until: time.Hour})
 	h.state.Reduce(ConfigurationChanged{Configuration: &wigeonshift.RoutingConfiguration{
 		Services: []wigeonshift.RoutedService{{Name: "model", Engine: &wigeonshift.EngineProfile{Slots: 1, EventTokens: 1}}},
 		Organisations: []wigeonshift.RoutedOrganisation{
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -8,10 +8,7 @@
 	RetryRatio float64
 	// RetrySlack is the number of additional resends allowed in a window over all instances.
 	RetrySlack float64
-	// RetrySlackDelay is the time after the start for which this instance uses nothing of RetrySlack. The resends of a
-	// predecessor, which this instance doesn't know, may still count in the window.
-	RetrySlackDelay time.Duration
-	// RetryWindow is the length of the window in which requests and resends are counted.
+	// RetryWindow is the length of the window in which requests and resends are counted, at least a second.
 	RetryWindow time.Duration
 	// QuotaOverage is the share by which an organisation's use may exceed its quota in a window.
 	QuotaOverage float64
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -14,7 +14,9 @@
 type instanceTable struct {
 	// sink receives all known instances after each change.
 	sink func([]wigeonshift.Instance)
-	log  logrus.FieldLogger
+	// onRestored is called when the store has returned from an older copy; it may be nil.
+	onRestored func()
+	log        logrus.FieldLogger
 
 	mu        sync.Mutex
 	instances map[string]wigeonshift.Instance
@@ -66,4 +68,8 @@
 
 func (t *instanceTable) handleStoreFailure()  {}
 func (t *instanceTable) handleStoreRecovery() {}
-func (t *instanceTable) handleStoreRestored() {}
+func (t *instanceTable) handleStoreRestored() {
+	if t.onRestored != nil {
+		t.onRestored()
+	}
+}
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -22,6 +22,8 @@
 	Instances func(instances []wigeonshift.Instance)
 	// Quarantine receives the rows of the quarantine table.
 	Quarantine RowSink
+	// StoreRestored is called when the store has returned from an older copy; nil if nobody needs to know.
+	StoreRestored func()
 }
 
 // RowSink receives the rows of a table as they are.
@@ -72,7 +74,9 @@
 		seed:          rand.Uint64(), //nolint:gosec // The poll waits need no cryptographic randomness.
 		configuration: &configurationTable{codec: codec, sink: sinks.Configuration, log: log},
 		endpoints:     newEndpointTable(codec, sinks.Endpoints, log),
-		instances:     &instanceTable{sink: sinks.Instances, log: log, instances: map[string]wigeonshift.Instance{}},
+		instances: &instanceTable{
+			sink: sinks.Instances, onRestored: sinks.StoreRestored, log: log, instances: map[string]wigeonshift.Instance{},
+		},
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -49,7 +49,25 @@
 	}).WithFields(c.resendFields()).Info("request dispatched")
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
-	return c.service.pool.Send(ctx, target, c.header.RequestID, request)
+	return c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
+}
+
+// errSendDelayed reports that a request was not sent because too much time had passed since the decision to send it.
+var errSendDelayed = errors.New("too much time has passed since the decision to send the request")
+
+// sendOptions returns the limits on the sending of an attempt. A resend must not arrive long after the decision, because
+// the retry budget counts it from then.
+func (c *call) sendOptions(d wigeondispatch.Dispatch) []wigeonupstream.SendOption {
+	if d.MaxSendDelay <= 0 {
+		return nil
+	}
+	check := func() error {
+		if c.service.dispatcher.MeasureNow()-d.DecidedAt > d.MaxSendDelay {
+			return errSendDelayed
+		}
+		return nil
+	}
+	return []wigeonupstream.SendOption{wigeonupstream.WithSendCheck(check)}
 }
 
 // newEndpointRequest returns the caller's request with the headers for an endpoint. These are added to a copy of the
@@ -231,7 +249,7 @@
 		c.logEntry(logrus.Fields{"attemptOutcome": outcome.String(), "events": events}).Info("attempt ended")
 	}
 	c.service.dispatcher.reduce(wigeondispatch.AttemptEnded{
-		At: c.service.dispatcher.Now(), Job: c.job.ID, Outcome: outcome, Events: events, Answerable: answerable,
+		At: c.service.dispatcher.MeasureNow(), Job: c.job.ID, Outcome: outcome, Events: events, Answerable: answerable,
 	})
 }
 
@@ -240,6 +258,8 @@
 // whether the endpoint may have run the request.
 func classifyError(ctx context.Context, err error) wigeondispatch.Outcome {
 	switch {
+	case errors.Is(err, errSendDelayed) && ctx.Err() == nil:
+		return wigeondispatch.OutcomeDelayed
 	case errors.Is(err, wigeonupstream.ErrNotSent) && ctx.Err() == nil:
 		return wigeondispatch.OutcomeNotSent
 	case ctx.Err() != nil:
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonclock"
 	"wigeonshift/internal/services/wigeondispatch"
 
 	"github.com/sirupsen/logrus"
@@ -20,7 +22,9 @@
 type Dispatcher struct {
 	log   logrus.FieldLogger
 	scope tally.Scope
-	start time.Time
+	start wigeonclock.Stopwatch
+	// suspended is the time of suspensions, in nanoseconds, that Now includes.
+	suspended atomic.Int64
 
 	mu    sync.Mutex
 	state *wigeondispatch.State
@@ -57,11 +61,11 @@
 	d := &Dispatcher{
 		log:     log,
 		scope:   scope,
-		start:   time.Now(),
+		start:   wigeonclock.NewStopwatch(),
 		calls:   map[wigeondispatch.JobID]*call{},
 		crashes: noCrashRecorder{},
 	}
-	settings.StartedAt = d.start
+	settings.StartedAt = d.start.StartedAt()
 	d.state = wigeondispatch.New(settings)
 	for _, opt := range opts {
 		opt(d)
@@ -69,8 +73,18 @@
 	return d
 }
 
-// Now returns the monotonic time since the dispatcher was created.
-func (d *Dispatcher) Now() time.Duration { return time.Since(d.start) }
+// Now returns the monotonic time since the dispatcher was created. It includes suspensions of the machine once MeasureNow
+// has noticed them.
+func (d *Dispatcher) Now() time.Duration {
+	return time.Since(d.start.StartedAt()) + time.Duration(d.suspended.Load())
+}
+
+// MeasureNow returns the same time as Now, with all suspensions of the machine up to now. It needs system calls.
+func (d *Dispatcher) MeasureNow() time.Duration {
+	elapsed := d.start.Elapsed()
+	d.suspended.Store(int64(elapsed - time.Since(d.start.StartedAt())))
+	return elapsed
+}
 
 // Configure applies a configuration.
 func (d *Dispatcher) Configure(c *wigeonshift.RoutingConfiguration) {
@@ -103,7 +117,12 @@
 }
 
 // Tick makes the reducer act on the current time.
-func (d *Dispatcher) Tick() { d.reduce(wigeondispatch.Tick{At: d.Now()}) }
+func (d *Dispatcher) Tick() { d.reduce(wigeondispatch.Tick{At: d.MeasureNow()}) }
+
+// SetShare sets the part of what all instances share that this instance may use, until a time on the clock of Now.
+func (d *Dispatcher) SetShare(share float64, until time.Duration) {
+	d.reduce(wigeondispatch.ShareGranted{At: d.Now(), Share: share, Until: until})
+}
 
 // Load returns the instance's own load and the value of LoadChanges that belongs to it.
 func (d *Dispatcher) Load() (wigeonshift.LoadNotice, uint64) {
--- a/internal/services/wigeonrelay/relay_test.go
+++ b/internal/services/wigeonrelay/relay_test.go
@@ -37,6 +37,7 @@
 	d := wigeonrelay.NewDispatcher(wigeondispatch.Settings{
 		RetryRatio: 1, RetrySlack: 10, RetryWindow: 10 * time.Second, Instance: "own", Zone: "z",
 	}, log, tally.NoopScope)
+	d.SetShare(1, time.Hour)
 	pool := wigeonupstream.New(platform.Dialect{})
 	s := wigeonrelay.New(wigeonshift.ConnectionLimits{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 100, ReadTimeout: 5 * time.Second,
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -122,6 +122,7 @@
 			if !ok {
 				return false
 			}
+			c.recordResend(next.Resend)
 			if st.reopen(next) {
 				return true
 			}
--- /dev/null
+++ b/internal/services/wigeonshare/service.go
@@ -0,0 +1,371 @@
+package wigeonshare
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonclock"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+)
+
+// ledgerKey is the key of the ledger's row.
+const ledgerKey = "ledger"
+
+const (
+	// leaseDuration is long because each renewal writes the leases of all instances, of which there may be 1,500.
+	leaseDuration = 6 * time.Minute
+	// leaseMargin is left unused at the end of a lease, because clocks may differ in speed.
+	leaseMargin = leaseDuration / 100
+	// renewInterval is the time between two renewals.
+	renewInterval = 2 * time.Minute
+	// firstRenewDelay is the delay before the first renewal, in which instances that start together are listed.
+	// secondRenewDelay is the delay after it, by which the others have leases.
+	firstRenewDelay  = 2 * time.Second
+	secondRenewDelay = 15 * time.Second
+	// changeDelay is the delay between a change of the instances and the renewal that takes it into account. A new
+	// instance has entered the ledger by then.
+	changeDelay = 4 * time.Second
+	// spreadPerInstance is the length of the random part of these delays for each instance.
+	spreadPerInstance = 20 * time.Millisecond
+	// growDelay is the first delay after a renewal that left the instance with less than its fair share. It doubles up to
+	// renewInterval.
+	growDelay = 5 * time.Second
+	// callTimeout limits one call to the store, stopTimeout the renewal at a stop.
+	callTimeout = 2 * time.Second
+	stopTimeout = 300 * time.Millisecond
+	// conflictDelay is the longest first delay after a conflict with another instance, failureDelay that after a failed
+	// call. Both double with each attempt, up to maxRetryDelay.
+	conflictDelay = 40 * time.Millisecond
+	failureDelay  = 500 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
+)
+
+// errNoClock reports a store that doesn't tell the time.
+var errNoClock = errors.New("store tells no time")
+
+// errRestored reports that the store returned from an older copy during a renewal.
+var errRestored = errors.New("store has returned from an older copy during the renewal")
+
+// Store is the part of the routing store that holds the ledger.
+type Store interface {
+	List(ctx context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error)
+	Commit(ctx context.Context, table wigeonshift.RoutingTable, tx wigeonshift.Transaction) (era uint64, err error)
+}
+
+// Settings are the identity of an instance and the clock of its leases.
+type Settings struct {
+	// Holder identifies the address on which the instance listens. Only one process at a time can listen there, so an earlier
+	// process with the same holder has ended.
+	Holder string
+	// Cooldown is the time for which what a holder did may still count after the end of its lease.
+	Cooldown time.Duration
+	// Clock returns the time since a fixed start, including suspensions of the machine.
+	Clock func() time.Duration
+	// Publish receives the share of the whole that the instance may use, from 0 to 1, until a time on Clock.
+	Publish func(share float64, until time.Duration)
+}
+
+// Service keeps the lease of one instance.
+type Service struct {
+	settings Settings
+	store    Store
+	log      logrus.FieldLogger
+	scope    tally.Scope
+	// changed holds a pending request to renew the lease soon.
+	changed chan struct{}
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+
+	mu sync.Mutex
+	// instances is the number of listed instances, this one included.
+	instances int
+
+	// The following fields belong to run.
+
+	// startedAt is the time of the start on the clock.
+	startedAt time.Duration
+	// heldParts is the number of parts that this instance may use until heldUntil.
+	heldParts int
+	heldUntil time.Duration
+	// inheritedParts is the part of heldParts that an earlier process with the same holder may have used. It can be used
+	// from inheritedFrom on.
+	inheritedParts int
+	inheritedFrom  time.Duration
+	// renewed is set once the lease was renewed by this process.
+	renewed bool
+	failing bool
+}
+
+// New returns a service without a lease.
+func New(s Settings, store Store, log logrus.FieldLogger, scope tally.Scope) *Service {
+	return &Service{settings: s, store: store, log: log, scope: scope, changed: make(chan struct{}, 1), instances: 1}
+}
+
+// Start takes a lease and renews it until Stop. The instance must already listen on its address.
+func (s *Service) Start(ctx context.Context) {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.startedAt = s.settings.Clock()
+	s.tasks.Go(func() { s.run(ctx) })
+}
+
+// Stop gives up the lease, so that the others may use its parts after the cooldown.
+func (s *Service) Stop() {
+	s.cancel()
+	s.tasks.Wait()
+	if !s.renewed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if _, err := s.renew(ctx, true); err != nil {
+		s.log.WithError(err).Warn("failed to give up the lease; it ends by itself")
+	}
+}
+
+// SetInstanceCount sets the number of listed instances, this one included.
+func (s *Service) SetInstanceCount(n int) {
+	s.mu.Lock()
+	same := s.instances == max(n, 1)
+	s.instances = max(n, 1)
+	s.mu.Unlock()
+	if !same {
+		s.RenewSoon()
+	}
+}
+
+// RenewSoon makes the service renew the lease, for example because the store may have lost it.
+func (s *Service) RenewSoon() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) instanceCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances
+}
+
+// jitter returns a random delay that spreads the renewals of all instances.
+func (s *Service) jitter() time.Duration {
+	return randomDelay(time.Duration(s.instanceCount()) * spreadPerInstance)
+}
+
+// randomDelay returns a random delay up to a longest one.
+func randomDelay(longest time.Duration) time.Duration {
+	return rand.N(longest + 1) //nolint:gosec // The delay needs no cryptographic randomness.
+}
+
+// run renews the lease until ctx ends.
+func (s *Service) run(ctx context.Context) {
+	wigeonclock.Sleep(ctx, firstRenewDelay+s.jitter())
+	grow := growDelay
+	for ctx.Err() == nil {
+		first := !s.renewed
+		wait := s.renewUntilDone(ctx)
+		switch {
+		case first:
+			wait = secondRenewDelay
+			grow = growDelay
+		case wait == 0:
+			wait = grow
+			grow = min(2*grow, renewInterval)
+		default:
+			grow = growDelay
+		}
+		s.sleep(ctx, wait+s.jitter())
+	}
+}
+
+// sleep waits for a duration. It ends changeDelay after a change of the instances, and it publishes the share anew when
+// inherited parts can be used.
+func (s *Service) sleep(ctx context.Context, d time.Duration) {
+	renewAt := time.NewTimer(d)
+	defer renewAt.Stop()
+	inherited := time.NewTimer(max(s.inheritedFrom-s.settings.Clock(), 0))
+	defer inherited.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-renewAt.C:
+			return
+		case <-inherited.C:
+			s.publish()
+		case <-s.changed:
+			wigeonclock.Sleep(ctx, changeDelay+s.jitter())
+			return
+		}
+	}
+}
+
+// renewUntilDone renews the lease, again after each failure, and returns the time until the next renewal. It returns zero if
+// the instance has less than its fair share and doesn't know when more is free.
+func (s *Service) renewUntilDone(ctx context.Context) time.Duration {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		wait, err := s.renew(callCtx, false)
+		cancel()
+		if err == nil {
+			s.failing = false
+			return wait
+		}
+		delay := failureDelay
+		if errors.Is(err, wigeonshift.ErrConditionFailed) {
+			delay = conflictDelay
+		} else {
+			s.recordFailure(err)
+		}
+		wigeonclock.Sleep(ctx, randomDelay(min(delay<<min(attempt, 7), maxRetryDelay)))
+	}
+	return renewInterval
+}
+
+// recordFailure counts a failed renewal and logs the first one in a row.
+func (s *Service) recordFailure(err error) {
+	s.scope.Counter("shareRenewalsFailed").Inc(1)
+	if !s.failing {
+		s.log.WithError(err).Warn("failed to renew the lease of the shared allowance; retrying")
+	}
+	s.failing = true
+}
+
+// renew renews or gives up the lease in one transaction. It returns the time until the next renewal, or zero as
+// renewUntilDone does.
+func (s *Service) renew(ctx context.Context, release bool) (time.Duration, error) {
+	ledger, revision, r, err := s.readLedger(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r.release = release
+	if !s.renewed {
+		s.inherit(ledger, r)
+		r.minHolders = s.instanceCount()
+	}
+	next, parts := ledger.renew(r)
+	// Parts that are given up must not be used any more when the others may learn of it.
+	s.hold(min(s.heldParts, parts), s.heldUntil)
+	if err := s.writeLedger(ctx, next, revision); err != nil {
+		return 0, err
+	}
+	s.renewed = true
+	s.inheritedParts = min(s.inheritedParts, parts)
+	s.hold(parts, s.leaseEnd(r))
+	s.log.WithFields(logrus.Fields{
+		"parts": parts, "fairParts": next.fairParts(r), "usedParts": next.usedParts(), "holders": next.otherHolders("", r.nowMillis),
+		"inheritedParts": s.inheritedParts, "era": next.Era,
+	}).Info("lease of the shared allowance renewed")
+	if parts >= next.fairParts(r) {
+		return renewInterval, nil
+	}
+	if free := next.nextFreeMillis(r.nowMillis, s.settings.Cooldown); free > 0 {
+		return time.Duration(free-r.nowMillis) * time.Millisecond, nil
+	}
+	return 0, nil
+}
+
+// readLedger lists the ledger. It returns the ledger with its revision, and a renewal at the time of the store's answer.
+func (s *Service) readLedger(ctx context.Context) (Ledger, uint64, renewal, error) {
+	askedAt := s.settings.Clock()
+	page, err := s.store.List(ctx, wigeonshift.TableShares)
+	if err != nil {
+		return Ledger{}, 0, renewal{}, err
+	}
+	if page.NowMillis <= 0 {
+		return Ledger{}, 0, renewal{}, oops.In("share").Wrap(errNoClock)
+	}
+	now := s.settings.Clock()
+	r := renewal{
+		holder: s.settings.Holder, nowMillis: page.NowMillis, askedAt: askedAt, duration: leaseDuration, cooldown: s.settings.Cooldown,
+		latestNowMillis: page.NowMillis + (now - askedAt).Milliseconds() + 1,
+	}
+	if now < s.heldUntil {
+		r.heldParts = s.heldParts
+	}
+	ledger, revision, err := s.findLedger(page)
+	switch {
+	case err != nil:
+		s.log.WithError(err).Error("replacing a malformed ledger")
+		ledger = Ledger{GrowFromMillis: s.growFrom(r)}
+	case ledger.Era != page.Era, revision == 0 && s.renewed:
+		s.log.WithFields(logrus.Fields{"era": page.Era, "before": ledger.Era}).
+			Warn("store has returned from an older copy; no lease grows until all lost ones have ended")
+		ledger.GrowFromMillis = s.growFrom(r)
+	}
+	ledger.Era = page.Era
+	return ledger, revision, r, nil
+}
+
+// findLedger returns the ledger among listed rows and its revision. If there is none, it returns zero and an empty ledger of
+// the store's first era, in which the store has lost nothing.
+func (s *Service) findLedger(page wigeonshift.TablePage) (Ledger, uint64, error) {
+	for _, row := range page.Rows {
+		if row.Key == ledgerKey {
+			ledger, err := decodeLedger(row.Value)
+			return ledger, row.Revision, err // A malformed ledger is replaced, so its revision matters too.
+		}
+	}
+	return Ledger{}, 0, nil
+}
+
+// growFrom returns the time on the store's clock by which all leases that the store may have lost are over.
+func (s *Service) growFrom(r renewal) int64 {
+	return r.latestNowMillis + (r.duration + r.cooldown).Milliseconds()
+}
+
+// inherit takes over the lease of an earlier process with the same holder. What that process did may count until a cooldown
+// after this one's start, and longer if the store may have lost a change of its lease.
+func (s *Service) inherit(l Ledger, r renewal) {
+	s.inheritedParts = l.activeLease(r.holder, r.nowMillis).Parts
+	s.inheritedFrom = s.startedAt + s.settings.Cooldown
+	if l.GrowFromMillis > r.nowMillis {
+		s.inheritedFrom = s.settings.Clock() + time.Duration(l.GrowFromMillis-r.nowMillis)*time.Millisecond
+	}
+}
+
+// writeLedger writes the ledger if it hasn't changed since it was read.
+func (s *Service) writeLedger(ctx context.Context, l Ledger, revision uint64) error {
+	value, err := l.encode()
+	if err != nil {
+		return oops.In("share").Wrap(err)
+	}
+	era, err := s.store.Commit(ctx, wigeonshift.TableShares, wigeonshift.Transaction{
+		Conditions: []wigeonshift.Condition{{Key: ledgerKey, Revision: revision}},
+		Writes:     []wigeonshift.Write{{Key: ledgerKey, Value: value}},
+	})
+	if err == nil && era != l.Era {
+		return oops.In("share").With("era", era).Wrap(errRestored)
+	}
+	return err
+}
+
+// leaseEnd returns the end of a new lease on the clock. It is at most as late as the end that the ledger tells.
+func (s *Service) leaseEnd(r renewal) time.Duration {
+	return r.askedAt + time.Duration(r.latestNowMillis-r.nowMillis)*time.Millisecond + leaseDuration - leaseMargin
+}
+
+// hold sets what this instance may use and publishes it.
+func (s *Service) hold(parts int, until time.Duration) {
+	s.heldParts, s.heldUntil = parts, until
+	s.publish()
+}
+
+// publish passes on the share that can be used now.
+func (s *Service) publish() {
+	parts := s.heldParts
+	if s.settings.Clock() < s.inheritedFrom {
+		parts = max(parts-s.inheritedParts, 0)
+	}
+	share := float64(parts) / WholeParts
+	s.scope.Gauge("share").Update(share)
+	s.settings.Publish(share, s.heldUntil)
+}
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -15,7 +15,8 @@
 
 // store is a stand-in for the platform's store. It keeps the latest rows and a log of all changes.
 type store struct {
-	server *httptest.Server
+	server    *httptest.Server
+	startedAt time.Time
 
 	mu      sync.Mutex
 	version uint64
@@ -43,7 +44,7 @@
 }
 
 func newStore() *store {
-	s := &store{rows: map[string]map[string]storeRow{}, changed: make(chan struct{})}
+	s := &store{startedAt: time.Now(), rows: map[string]map[string]storeRow{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
@@ -150,9 +151,12 @@
 	for _, row := range s.rows[r.URL.Query().Get("table")] {
 		rows = append(rows, row)
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "truncated": false, "ver": s.version})
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "truncated": false, "ver": s.version, "now_ms": s.nowMillis()})
 }
 
+// nowMillis returns the time on the store's clock, which a return from an older copy doesn't change.
+func (s *store) nowMillis() int64 { return time.Since(s.startedAt).Milliseconds() + 1 }
+
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w) {
 		return
@@ -197,8 +201,9 @@
 		return
 	}
 	var tx struct {
-		Writes []storeRow `json:"writes"`
-		Remove []storeRow `json:"remove"`
+		Conditions []storeRow `json:"expected_revision"`
+		Writes     []storeRow `json:"writes"`
+		Remove     []storeRow `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -206,6 +211,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, c := range tx.Conditions {
+		if s.rows[c.Table][c.Key].Version != c.Version {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
 	for _, row := range tx.Remove {
 		row.Deleted = true
 		tx.Writes = append(tx.Writes, row)
@@ -215,6 +226,7 @@
 		row.Version = s.version
 		s.applyRow(row)
 	}
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	fmt.Fprintf(w, `{"ver":%d}`, s.version)
 }
 
