Give a shard's new owner no saved retries

Each takeover gave the shard its 20 saved retries again. The spec failed before (the new owner granted the retry at once); now an owner that has predecessors starts with what its own requests earn, so that all owners together stay within a tenth of the first attempts and 20.

--- a/internal/services/wigeonscheduler/rebuild.go
+++ b/internal/services/wigeonscheduler/rebuild.go
@@ -8,12 +8,19 @@
 	"wigeonshift"
 )
 
+// firstEpoch is the epoch of a shard's first owner.
+const firstEpoch = 1
+
 // handleLeaseAcquired starts or renews ownership of the shard. Nothing is granted before RebuildUntil, so that entries
-// (instances that accepted requests) can first report their attempts in flight. An older epoch is ignored.
+// (instances that accepted requests) can first report their attempts in flight. An owner that has predecessors starts without saved retries, because they may have used
+// them. An older epoch is ignored.
 func (s *Shard) handleLeaseAcquired(b LeaseAcquired) {
 	if b.Epoch < s.epoch {
 		return
 	}
+	if s.epoch == 0 && b.Epoch > firstEpoch {
+		s.retries.usedRetries = maxSavedRetries
+	}
 	s.leaseHeld = true
 	s.epoch, s.rebuildUntil = b.Epoch, b.RebuildUntil
 	s.draining = false
--- a/internal/services/wigeonscheduler/retry.go
+++ b/internal/services/wigeonscheduler/retry.go
@@ -17,7 +17,7 @@
 	ownerMaxPermits = 4
 )
 
-// retryBudget limits retries to a share of first attempts. Its zero value is a full budget.
+// retryBudget limits retries to a share of first attempts. Its zero value is the full budget of a shard's first owner.
 type retryBudget struct {
 	usedRetries float64
 }
--- a/internal/services/wigeonscheduler/takeover_test.go
+++ b/internal/services/wigeonscheduler/takeover_test.go
@@ -23,6 +23,29 @@
 		}
 	}
 
+	// Guards against retries beyond the limit of the shard: its owners together saved maxSavedRetries again with each takeover.
+	It("has no saved retries, as its predecessors may have used them", func() {
+		retry := func(ts *testShard, id string) *wigeonshift.Refusal {
+			answers := ts.ask(id, 1, func(q *wigeonshift.PermitRequest) { q.Attempt = 1 })
+			return answers[wigeonshift.RequestID(id)][0].Refuse
+		}
+		ts := newTestShard(40, nil)
+		Expect(retry(ts, "first owner")).To(BeNil())
+		ts = newTestShard(40, nil)
+		ts.st.Shard = NewShard("p/s/r/0")
+		specs := map[string]wigeonshift.EndpointSpec{}
+		for i := range 40 {
+			specs[fmt.Sprintf("e%d", i)] = wigeonshift.EndpointSpec{State: wigeonshift.EndpointActive, Models: []string{"m"}, MaxConcurrent: 2}
+		}
+		ts.send(LeaseAcquired{Epoch: 2})
+		ts.send(ConfigurationChanged{Version: 1, Endpoints: specs, Product: &wigeonshift.Product{}})
+		Expect(retry(ts, "new owner")).To(HaveField("Reason", wigeonshift.ReasonRetryBudget))
+		for i := range int(1/retryRatio) + 1 {
+			ts.ask(fmt.Sprint("request", i), 1, nil)
+		}
+		Expect(retry(ts, "after new requests")).To(BeNil())
+	})
+
 	It("does not refuse higher-tier requests that waited for the takeover while lower-tier attempts run", func() {
 		ts := newTestShard(4, nil)
 		ts.st.Shard = NewShard("p/s/r/0")
