--- a/internal/services/wigeondispatch/budget_test.go
+++ b/internal/services/wigeondispatch/budget_test.go
@@ -29,6 +29,14 @@
 		Expect(b.decide(46*time.Second, 0, 0).Limit).To(BeZero())
 	})
 
+	It("doesn't count requests that may have been sent before both windows", func() {
+		b := newBudget()
+		countRequests(b, 20*time.Second, 100)
+		end := 20*time.Second + window - MaxArrivalDelay - maxReceiveDelay
+		Expect(b.decide(end-100*time.Millisecond, 0, 0).Limit).To(Equal(10.0))
+		Expect(b.decide(end+100*time.Millisecond, 0, 0).Limit).To(BeZero(), "in a window that begins when the resend may arrive")
+	})
+
 	It("allows more than the instance's part in no window, wherever the requests were in the one before", func() {
 		b := newBudget()
 		countRequests(b, 20*time.Second, 200)
