--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -48,9 +48,25 @@
 			q.adoptPeerBalance(u.RemainingUnits, s.now)
 		}
 	}
+	s.startQuotaEpoch()
 	s.dispatchAllWaiting()
 }
 
+// startQuotaEpoch starts a new epoch of each quota if all members of the group have reported since the latest one began.
+func (s *State) startQuotaEpoch() {
+	oldestReport := s.now
+	for name, p := range s.peers {
+		if s.groups.SameGroup(name, s.settings.Instance) {
+			oldestReport = min(oldestReport, p.reportedAt)
+		}
+	}
+	for _, q := range s.quotas {
+		if oldestReport > q.epochAt {
+			q.startEpoch(s.now)
+		}
+	}
+}
+
 // replacePeerLoads replaces one instance's loads in the sums over all other instances, which count as load of the
 // endpoints. It skips endpoints that this instance doesn't know; recomputePeerLoads adds them when they are listed.
 func (s *State) replacePeerLoads(p *peer, fresh map[string]load) {
@@ -120,13 +136,12 @@
 			groupMembers++
 		}
 	}
-	share := min(float64(reporting)/float64(s.instances), 1)
-	groupFairShare := 1.0
+	shares := quotaShares{share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers)}
 	if s.instances > maxUngroupedInstances {
-		groupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
+		shares.groupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
 	}
 	for _, q := range s.quotas {
-		q.setShares(share, groupFairShare, s.now)
+		q.setShares(shares, s.now)
 	}
 }
 
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -11,20 +11,15 @@
 // bucket from its own use and the reports of the others.
 type quota struct {
 	quotaLimit
+	quotaShares
 	// balance is what is left in the bucket, in units. It can be negative.
 	balance float64
 	// refilledAt is the time of the last refill.
 	refilledAt time.Duration
-	// share is the share of the quota, from 0 to 1, that this instance and those that report to it may use together.
-	share float64
 	// used is this instance's own use since its start, in units.
 	used float64
 	// peers holds the use of the other instances by their latest reports.
 	peers map[string]*peerUse
-	// groupFairShare is the equal share of this instance's group in the quota. It is 1 if all instances form one group. A
-	// group may use a few times its fair share. This limits what a large fleet grants before its groups have received each
-	// other's reports.
-	groupFairShare float64
 	// groupBalance is what is left of the units that the group may use.
 	groupBalance float64
 	// scarceUntil is the time until which the group's share is reduced after a refusal, because the quota is assumed to be
@@ -32,6 +27,12 @@
 	scarceUntil time.Duration
 	// groupUsed is the group's use since this instance's start, in units. groupUnitsPerSecond is its recent rate.
 	groupUsed, groupUnitsPerSecond float64
+	// An epoch begins whenever all members have reported since the one before it began. epochBalance is the balance at its
+	// start epochAt, epochUsed this instance's own use since then, which the others may not know of yet, and
+	// previousEpochUsed that in the epoch before. epochShares are the shares at its start.
+	epochAt                                    time.Duration
+	epochBalance, epochUsed, previousEpochUsed float64
+	epochShares                                quotaShares
 	// awaitingBalance is set until this instance, after its start, has taken over the balance of the other instances.
 	awaitingBalance bool
 	// firstReportAt is the time of the first balance that another instance reported, lowestReportedBalance the lowest one
@@ -66,6 +67,13 @@
 	groupShareFactor  = 4
 	scarceShareFactor = 1.5
 	scarceDuration    = 4 * time.Second
+	// epochBalanceShare is the share of the balance that the members may use together in an epoch that lasts longer than
+	// maxEpochLength, beside what is refilled. The rest covers what they used in the epoch before and couldn't report.
+	epochBalanceShare = 0.1
+	// maxEpochLength is the longest epoch while all members can be reached, since they report at least every 500 ms.
+	maxEpochLength = 600 * time.Millisecond
+	// epochRetryDelay is the retry delay of a request that is refused because of the limit of the epoch.
+	epochRetryDelay = 100 * time.Millisecond
 	// groupBurstShare is the share of the burst that the groups may use at once. The part of each group in it is limited by
 	// the same factors.
 	groupBurstShare = 0.3
@@ -82,7 +90,8 @@
 // newQuota returns a quota with an empty bucket, because an instance that has just started doesn't know what was used
 // before.
 func newQuota(l quotaLimit, at time.Duration) *quota {
-	return &quota{quotaLimit: l, refilledAt: at, share: 1, groupFairShare: 1, awaitingBalance: true,
+	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
+	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, epochAt: at, epochShares: whole, awaitingBalance: true,
 		peers: map[string]*peerUse{}}
 }
 
@@ -172,11 +181,12 @@
 		q.scarceUntil = at + scarceDuration
 		return false
 	}
-	if q.groupFairShare < 1 && q.groupBalance <= 0 {
+	if q.groupFairShare < 1 && q.groupBalance <= 0 || q.exceedsEpoch(units, at) {
 		return false
 	}
 	q.balance -= units
 	q.used += units
+	q.epochUsed += units
 	q.recordGroupUse(units)
 	return true
 }
@@ -186,9 +196,34 @@
 	q.refill(at)
 	q.balance = min(q.burstUnits, q.balance+units)
 	q.used -= units
+	q.epochUsed -= units
 	q.recordGroupUse(-units)
 }
 
+// startEpoch starts a new epoch, because all members of the group have reported since the latest one began.
+func (q *quota) startEpoch(at time.Duration) {
+	q.refill(at)
+	q.epochAt, q.epochBalance, q.previousEpochUsed, q.epochUsed = at, q.balance, max(q.epochUsed, 0), 0
+	q.epochShares = q.quotaShares
+}
+
+// epochUnits returns what the members may have had together since the start of the epoch, of which each may use its equal
+// share, however long it hears nothing of the others. balanceShare is the part of the balance at the start that counts.
+func (q *quota) epochUnits(at time.Duration, balanceShare float64) float64 {
+	return max(q.epochBalance, 0)*balanceShare + q.unitsPerSecond*q.epochShares.share*(at-q.epochAt).Seconds()
+}
+
+// exceedsEpoch reports whether the use of units exceeds this instance's share in what the members of the group may use
+// while one of them has been silent for longer than maxEpochLength. The first request of an epoch is always within it,
+// whatever its size.
+func (q *quota) exceedsEpoch(units float64, at time.Duration) bool {
+	if q.memberShare >= 1 || q.epochUsed <= 0 || at-q.epochAt < maxEpochLength {
+		return false
+	}
+	inContact := min(q.share/q.epochShares.share, 1)
+	return q.epochUsed+units > q.memberShare*inContact*q.epochUnits(at, epochBalanceShare)
+}
+
 // handlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
 // report (the report that a rate is computed from) by the reported one, so that nothing is subtracted twice. The first
 // report only sets the base, because a rate needs two. sameGroup is set for instances of the same group.
@@ -239,10 +274,29 @@
 	q.balance = max(q.balance, min(q.lowestReportedBalance, q.burstUnits*q.share))
 }
 
-// setShares sets the share of the quota that the instances in contact may use, and the fair share of the group.
-func (q *quota) setShares(share, groupFairShare float64, at time.Duration) {
+// quotaShares are the shares of all quotas, from 0 to 1, that an instance and others may use.
+type quotaShares struct {
+	// share is the share that this instance and those that report to it may use together.
+	share float64
+	// groupFairShare is the equal share of this instance's group (the instances that report every change to each other). It is 1 if
+	// all instances form one group. A group may use a few times its share, which limits what a large fleet grants before its
+	// groups have received each other's reports.
+	groupFairShare float64
+	// memberShare is the equal share of each member of the group in what the group may use.
+	memberShare float64
+}
+
+// setShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their part of the balance
+// at the start of the epoch, and what this instance has used since then comes from the rest. The other members are assumed
+// to have used as much as this instance in the epoch before, without being able to report it.
+func (q *quota) setShares(s quotaShares, at time.Duration) {
 	q.refill(at)
-	q.share, q.groupFairShare = share, groupFairShare
+	if s.share < q.share {
+		unreported := q.previousEpochUsed * (1/q.epochShares.memberShare - 1)
+		rest := s.share/q.epochShares.share*(q.epochUnits(at, 1)-unreported) - q.epochUsed
+		q.balance = min(q.balance, rest)
+	}
+	q.quotaShares = s
 }
 
 // currentGroupShare returns the share of the quota that the group may currently use. It is a multiple of the group's
@@ -263,6 +317,9 @@
 // request that is refused because of its quota. In a large fleet the group's share must be refilled too.
 func (q *quota) waitFor(units float64, at time.Duration) time.Duration {
 	wait := refillTime(units-q.balance, q.unitsPerSecond)
+	if q.exceedsEpoch(units, at) {
+		wait = max(wait, epochRetryDelay)
+	}
 	if q.groupFairShare < 1 {
 		wait = max(wait, refillTime(-q.groupBalance, q.unitsPerSecond*q.currentGroupShare(at)))
 	}
--- a/internal/services/wigeonshare/fake_test.go
+++ b/internal/services/wigeonshare/fake_test.go
@@ -26,6 +26,8 @@
 	lossShare, lateShare float64
 	downUntil            time.Time
 	calls                int
+	// beforeCommit is called with each row value that is about to be written; nil if nobody needs to know.
+	beforeCommit func(value []byte)
 }
 
 // storedRow is a version of the row.
@@ -89,6 +91,9 @@
 	if tx.Conditions[0].Revision != s.row.Revision {
 		return 0, wigeonshift.ErrConditionFailed
 	}
+	if s.beforeCommit != nil {
+		s.beforeCommit(tx.Writes[0].Value)
+	}
 	s.revision++
 	s.row = wigeonshift.TableRow{Key: tx.Writes[0].Key, Value: tx.Writes[0].Value, Revision: s.revision}
 	s.history = append(s.history, storedRow{row: s.row, at: time.Now()})
--- a/internal/services/wigeonshare/repeat_test.go
+++ b/internal/services/wigeonshare/repeat_test.go
@@ -1,10 +1,12 @@
 package wigeonshare_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"wigeonshift/internal/services/wigeonshare"
 	"wigeonshift/internal/soak/wigeonwindow"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -80,6 +82,48 @@
 	)
 })
 
+var _ = Describe("Lease", func() {
+	It("is used no more before the ledger tells that it is given up, and divided evenly in the end", func() {
+		withFleet(1, 1, repeatLimit, func(g Gomega, f *fleet) {
+			f.run(20 * time.Second)
+			g.Expect(f.machines[0].process.publishedShare).To(Equal(1.0))
+			commits := 0
+			f.store.beforeCommit = func(value []byte) {
+				var ledger struct {
+					Holders []string
+					Parts   []int
+				}
+				g.Expect(json.Unmarshal(value, &ledger)).To(Succeed())
+				for _, m := range f.machines {
+					parts := 0
+					for i, holder := range ledger.Holders {
+						if holder == wigeonshare.HolderOf(m.name) {
+							parts = ledger.Parts[i]
+						}
+					}
+					g.Expect(m.process.publishedShare*wigeonshare.WholeParts).To(BeNumerically("<=", parts), m.name)
+				}
+				commits++
+			}
+			f.addMachine()
+			f.run(60 * time.Second)
+			g.Expect(commits).To(BeNumerically(">=", 3))
+			for _, m := range f.machines {
+				g.Expect(m.process.publishedShare).To(Equal(0.5), m.name)
+			}
+		})
+	})
+
+	It("needs few calls to the store", func() {
+		withFleet(1, 6, repeatLimit, func(g Gomega, f *fleet) {
+			f.run(time.Minute)
+			f.store.calls = 0
+			f.run(20 * time.Minute)
+			g.Expect(float64(f.store.calls)/6/20/60).To(BeNumerically("<=", 0.05), "calls a second of one instance")
+		})
+	})
+})
+
 // sendSteadily sends requests that all fail to all machines.
 func (f *fleet) sendSteadily(end time.Duration) { f.sendRequests(60, end, f.anyMachine) }
 
