--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -77,9 +77,30 @@
 	return late
 }
 
-// crash ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime. It is
+// missedHeartbeatsTime is the time after which the row of a silent endpoint is removed.
+const missedHeartbeatsTime = 3600 * time.Millisecond
+
+// fallSilent makes the endpoint silent without closing connections. Its row disappears later, and it starts again under
+// the same ID.
+func (e *engine) fallSilent() {
+	if e.proxy.currentMode() == modeStall {
+		return
+	}
+	e.proxy.setMode(modeStall)
+	time.AfterFunc(missedHeartbeatsTime, e.withdraw)
+	time.AfterFunc(missedHeartbeatsTime+endpointDowntime, func() {
+		e.mu.Lock()
+		e.startedAt = time.Now()
+		e.mu.Unlock()
+		e.proxy.setMode(modeReset)
+		e.proxy.setMode(modeForward)
+		e.announce(e)
+	})
+}
+
+// end ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime. It is
 // ready then, even if it was draining before.
-func (e *engine) crash() {
+func (e *engine) end() {
 	if !e.proxy.shutDown() {
 		return
 	}
@@ -182,6 +203,18 @@
 		s.runWithPoison("/unsafe/", func(*soakRun) {})
 		s.checkPoison(t)
 	})
+	// An endpoint that falls silent shows neither a reset nor a refused connection. Its row disappears when it has missed
+	// heartbeats.
+	t.Run("endpoints fall silent", func(t *testing.T) {
+		skipIfKnownRed(t)
+		s := newSoakRun(t, 1, binary)
+		for _, e := range s.engines {
+			e.crash = e.fallSilent
+		}
+		time.Sleep(quarantineTime)
+		s.runWithPoison("/safe/", func(*soakRun) {})
+		s.checkPoison(t)
+	})
 	// Without the store, the relays learn of crashes from each other only.
 	t.Run("store is down", func(t *testing.T) {
 		skipIfKnownRed(t)
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -238,8 +238,11 @@
 	executions *executionLog
 	poison     *poisonLog
 	repeats    *repeatLog
-	// announce writes the endpoint's row to the store.
+	// announce writes the endpoint's row to the store, withdraw removes it.
 	announce func(e *engine)
+	withdraw func()
+	// crash is what the request that crashes endpoints does to this one.
+	crash func()
 	// stable reports whether the store and the relays have had no fault for long enough that every relay must know that
 	// the endpoint is draining.
 	stable func() bool
@@ -282,6 +285,8 @@
 		id: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
 		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.id, e.row("ready")) },
 	}
+	e.withdraw = func() { s.store.put("servers", e.id, nil) }
+	e.crash = e.end
 	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
 	e.proxy = newProxy(e.server.Listener.Addr().String())
 	return e
