--- a/internal/services/wigeondispatch/budget_test.go
+++ b/internal/services/wigeondispatch/budget_test.go
@@ -1,7 +1,9 @@
 package wigeondispatch
 
 import (
+	"testing"
 	"time"
+	"unsafe"
 
 	"wigeonshift"
 
@@ -179,3 +181,17 @@
 		Expect(requests()).To(Equal(1))
 	})
 })
+
+// BenchmarkResendDecision measures one decision of a retry budget with a full history.
+func BenchmarkResendDecision(b *testing.B) {
+	budget := newRetryBudget(Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second})
+	at := time.Duration(0)
+	for at < time.Minute {
+		at += 25 * time.Millisecond
+		budget.countRequest(at)
+	}
+	for b.Loop() {
+		budget.decide(at, 1, 0)
+	}
+	b.ReportMetric(float64(unsafe.Sizeof(*budget)), "bytes")
+}
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -48,12 +48,12 @@
 			q.adoptPeerBalance(u.RemainingUnits, s.now)
 		}
 	}
-	s.startQuotaEpoch()
+	s.startQuotaRound()
 	s.dispatchAllWaiting()
 }
 
-// startQuotaEpoch starts a new epoch of each quota if all members of the group have reported since the latest one began.
-func (s *State) startQuotaEpoch() {
+// startQuotaRound starts a new round of reports of each quota if all members of the group have reported since the latest one began.
+func (s *State) startQuotaRound() {
 	oldestReport := s.now
 	for name, p := range s.peers {
 		if s.groups.SameGroup(name, s.settings.Instance) {
@@ -61,8 +61,8 @@
 		}
 	}
 	for _, q := range s.quotas {
-		if oldestReport > q.epochAt {
-			q.startEpoch(s.now)
+		if oldestReport > q.roundAt {
+			q.startRound(s.now)
 		}
 	}
 }
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -27,12 +27,12 @@
 	scarceUntil time.Duration
 	// groupUsed is the group's use since this instance's start, in units. groupUnitsPerSecond is its recent rate.
 	groupUsed, groupUnitsPerSecond float64
-	// An epoch begins whenever all members have reported since the one before it began. epochBalance is the balance at its
-	// start epochAt, epochUsed this instance's own use since then, which the others may not know of yet, and
-	// previousEpochUsed that in the epoch before. epochShares are the shares at its start.
-	epochAt                                    time.Duration
-	epochBalance, epochUsed, previousEpochUsed float64
-	epochShares                                quotaShares
+	// A round of reports begins whenever all members have reported since the one before it began. roundBalance is the balance at its
+	// start roundAt, roundUsed this instance's own use since then, which the others may not know of yet, and
+	// previousRoundUsed that in the round before. roundShares are the shares at its start.
+	roundAt                                    time.Duration
+	roundBalance, roundUsed, previousRoundUsed float64
+	roundShares                                quotaShares
 	// awaitingBalance is set until this instance, after its start, has taken over the balance of the other instances.
 	awaitingBalance bool
 	// firstReportAt is the time of the first balance that another instance reported, lowestReportedBalance the lowest one
@@ -67,13 +67,13 @@
 	groupShareFactor  = 4
 	scarceShareFactor = 1.5
 	scarceDuration    = 4 * time.Second
-	// epochBalanceShare is the share of the balance that the members may use together in an epoch that lasts longer than
-	// maxEpochLength, beside what is refilled. The rest covers what they used in the epoch before and couldn't report.
-	epochBalanceShare = 0.1
-	// maxEpochLength is the longest epoch while all members can be reached, since they report at least every 500 ms.
-	maxEpochLength = 600 * time.Millisecond
-	// epochRetryDelay is the retry delay of a request that is refused because of the limit of the epoch.
-	epochRetryDelay = 100 * time.Millisecond
+	// roundBalanceShare is the share of the balance that the members may use together in a round that lasts longer than
+	// maxRoundLength, beside what is refilled. The rest covers what they used in the round before and couldn't report.
+	roundBalanceShare = 0.1
+	// maxRoundLength is the longest round while all members can be reached, since they report at least every 500 ms.
+	maxRoundLength = 600 * time.Millisecond
+	// roundRetryDelay is the retry delay of a request that is refused because of the limit of the round.
+	roundRetryDelay = 100 * time.Millisecond
 	// groupBurstShare is the share of the burst that the groups may use at once. The part of each group in it is limited by
 	// the same factors.
 	groupBurstShare = 0.3
@@ -91,7 +91,7 @@
 // before.
 func newQuota(l quotaLimit, at time.Duration) *quota {
 	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
-	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, epochAt: at, epochShares: whole, awaitingBalance: true,
+	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, roundAt: at, roundShares: whole, awaitingBalance: true,
 		peers: map[string]*peerUse{}}
 }
 
@@ -181,12 +181,12 @@
 		q.scarceUntil = at + scarceDuration
 		return false
 	}
-	if q.groupFairShare < 1 && q.groupBalance <= 0 || q.exceedsEpoch(units, at) {
+	if q.groupFairShare < 1 && q.groupBalance <= 0 || q.exceedsRound(units, at) {
 		return false
 	}
 	q.balance -= units
 	q.used += units
-	q.epochUsed += units
+	q.roundUsed += units
 	q.recordGroupUse(units)
 	return true
 }
@@ -196,32 +196,32 @@
 	q.refill(at)
 	q.balance = min(q.burstUnits, q.balance+units)
 	q.used -= units
-	q.epochUsed -= units
+	q.roundUsed -= units
 	q.recordGroupUse(-units)
 }
 
-// startEpoch starts a new epoch, because all members of the group have reported since the latest one began.
-func (q *quota) startEpoch(at time.Duration) {
+// startRound starts a new round, because all members of the group have reported since the latest one began.
+func (q *quota) startRound(at time.Duration) {
 	q.refill(at)
-	q.epochAt, q.epochBalance, q.previousEpochUsed, q.epochUsed = at, q.balance, max(q.epochUsed, 0), 0
-	q.epochShares = q.quotaShares
+	q.roundAt, q.roundBalance, q.previousRoundUsed, q.roundUsed = at, q.balance, max(q.roundUsed, 0), 0
+	q.roundShares = q.quotaShares
 }
 
-// epochUnits returns what the members may have had together since the start of the epoch, of which each may use its equal
+// roundUnits returns what the members may have had together since the start of the round, of which each may use its equal
 // share, however long it hears nothing of the others. balanceShare is the part of the balance at the start that counts.
-func (q *quota) epochUnits(at time.Duration, balanceShare float64) float64 {
-	return max(q.epochBalance, 0)*balanceShare + q.unitsPerSecond*q.epochShares.share*(at-q.epochAt).Seconds()
+func (q *quota) roundUnits(at time.Duration, balanceShare float64) float64 {
+	return max(q.roundBalance, 0)*balanceShare + q.unitsPerSecond*q.roundShares.share*(at-q.roundAt).Seconds()
 }
 
-// exceedsEpoch reports whether the use of units exceeds this instance's share in what the members of the group may use
-// while one of them has been silent for longer than maxEpochLength. The first request of an epoch is always within it,
+// exceedsRound reports whether the use of units exceeds this instance's share in what the members of the group may use
+// while one of them has been silent for longer than maxRoundLength. The first request of a round is always within it,
 // whatever its size.
-func (q *quota) exceedsEpoch(units float64, at time.Duration) bool {
-	if q.memberShare >= 1 || q.epochUsed <= 0 || at-q.epochAt < maxEpochLength {
+func (q *quota) exceedsRound(units float64, at time.Duration) bool {
+	if q.memberShare >= 1 || q.roundUsed <= 0 || at-q.roundAt < maxRoundLength {
 		return false
 	}
-	inContact := min(q.share/q.epochShares.share, 1)
-	return q.epochUsed+units > q.memberShare*inContact*q.epochUnits(at, epochBalanceShare)
+	inContact := min(q.share/q.roundShares.share, 1)
+	return q.roundUsed+units > q.memberShare*inContact*q.roundUnits(at, roundBalanceShare)
 }
 
 // handlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
@@ -287,13 +287,13 @@
 }
 
 // setShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their part of the balance
-// at the start of the epoch, and what this instance has used since then comes from the rest. The other members are assumed
-// to have used as much as this instance in the epoch before, without being able to report it.
+// at the start of the round, and what this instance has used since then comes from the rest. The other members are assumed
+// to have used as much as this instance in the round before, without being able to report it.
 func (q *quota) setShares(s quotaShares, at time.Duration) {
 	q.refill(at)
 	if s.share < q.share {
-		unreported := q.previousEpochUsed * (1/q.epochShares.memberShare - 1)
-		rest := s.share/q.epochShares.share*(q.epochUnits(at, 1)-unreported) - q.epochUsed
+		unreported := q.previousRoundUsed * (1/q.roundShares.memberShare - 1)
+		rest := s.share/q.roundShares.share*(q.roundUnits(at, 1)-unreported) - q.roundUsed
 		q.balance = min(q.balance, rest)
 	}
 	q.quotaShares = s
@@ -317,8 +317,8 @@
 // request that is refused because of its quota. In a large fleet the group's share must be refilled too.
 func (q *quota) waitFor(units float64, at time.Duration) time.Duration {
 	wait := refillTime(units-q.balance, q.unitsPerSecond)
-	if q.exceedsEpoch(units, at) {
-		wait = max(wait, epochRetryDelay)
+	if q.exceedsRound(units, at) {
+		wait = max(wait, roundRetryDelay)
 	}
 	if q.groupFairShare < 1 {
 		wait = max(wait, refillTime(-q.groupBalance, q.unitsPerSecond*q.currentGroupShare(at)))
--- a/internal/services/wigeondispatch/quotafleet_test.go
+++ b/internal/services/wigeondispatch/quotafleet_test.go
@@ -76,7 +76,7 @@
 			}
 		}
 		if groupReport {
-			q.startEpoch(at)
+			q.startRound(at)
 		}
 	}
 }
