Give up the lease while the last requests of a stop are served

The stop waited for the store after the last request, up to 0.3 s beside the same time for the crash rows, of the 0.5 s that are kept for the exit.

--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -7,6 +7,7 @@
 
 	"wigeonshift/internal/modules/wigeonclock"
 	"wigeonshift/internal/services/wigeonfollow"
+	"wigeonshift/internal/services/wigeonshare"
 
 	"github.com/sirupsen/logrus"
 )
@@ -32,11 +33,13 @@
 	g.relay.RejectNew()
 	f := &followerStopper{follower: g.follower}
 	go f.run()
+	h := &shareStopper{share: g.share, stopped: make(chan struct{})}
+	go h.run()
 	g.waitForRequests(ctx)
 	unfinished := g.dispatcher.InFlight()
 	err := g.relay.Stop(ctx)
 	g.quarantine.Stop()
-	g.share.Stop()
+	h.wait(ctx)
 	g.cancel()
 	err = errors.Join(err, g.readiness.ShutdownWithContext(ctx))
 	err = errors.Join(err, g.network.Stop(ctx))
@@ -57,6 +60,26 @@
 
 func (f *followerStopper) run() { f.follower.Stop() }
 
+// shareStopper gives up the lease of the shared allowance while the last requests are served. A store that gives no answer
+// must not delay the stop.
+type shareStopper struct {
+	share   *wigeonshare.Service
+	stopped chan struct{}
+}
+
+func (h *shareStopper) run() {
+	h.share.Stop()
+	close(h.stopped)
+}
+
+// wait waits until the lease is given up or ctx ends.
+func (h *shareStopper) wait(ctx context.Context) {
+	select {
+	case <-h.stopped:
+	case <-ctx.Done():
+	}
+}
+
 // waitForRequests waits until no request is in flight or ctx ends.
 func (g *Gateway) waitForRequests(ctx context.Context) {
 	t := time.NewTicker(drainCheckInterval)
