--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -35,11 +35,13 @@
 	exited                    chan struct{}
 }
 
+// loopbackIP is a loopback address of this test process alone, so that no other one takes the port of a relay that is down.
+var loopbackIP = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 // lastPort is the last port that was tried. It is below the kernel's ephemeral ports, because an outgoing connection
-// could otherwise take the port of a relay that is down. Test processes that run at the same time start at different
-// ports.
+// could otherwise take the port of a relay that is down.
 var (
-	lastPort   = 10_000 + os.Getpid()*61%20_000
+	lastPort   = 10_000
 	lastPortMu sync.Mutex
 )
 
@@ -52,7 +54,7 @@
 	defer syscall.ForkLock.RUnlock()
 	for {
 		lastPort++
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(lastPort)))
+		l, err := net.Listen("tcp", net.JoinHostPort(loopbackIP, strconv.Itoa(lastPort)))
 		if err != nil {
 			continue
 		}
