Keep repeating a configuration push that isn't acknowledged

Cause: a push was sent twice, then the parent gave the child up as dead. With lost messages a quarter of the children got neither push and depended on their own queries. A query that a peer with the same old version answers counts as a confirmation, so such a child polls the platform only 6 s later. In each of seven failures traced one or two leaves were left, last confirmed 5 to 7 s before the end.

Change: the child's children are adopted after two pushes as before, but the child itself gets up to eight pushes. A dead instance on the list costs its parent six more messages a change.

--- a/internal/services/wigeonspread/delivery.go
+++ b/internal/services/wigeonspread/delivery.go
@@ -116,26 +116,9 @@
 	}
 }
 
-// onTick repeats unacknowledged pushes and asks for newer changes when the next query is due. After MaxPushAttempts it
-// gives up on a child and pushes to that child's own children instead.
+// onTick repeats unacknowledged pushes and asks for newer changes when the next query is due.
 func (s *Spread) onTick(now time.Time) {
-	for id, p := range s.pendingPushes {
-		if now.Before(p.retryAt) {
-			continue
-		}
-		if p.attempts < s.settings.MaxPushAttempts {
-			p.attempts++
-			p.retryAt = now.Add(s.settings.AckTimeout)
-			s.scope.Counter("configurationPushRepeated").Inc(1)
-			s.sendChangesAfter(p.to, s.peerVersions.version(id))
-			continue
-		}
-		delete(s.pendingPushes, id)
-		s.scope.Counter("configurationPushAdopted").Inc(1)
-		for _, c := range s.tree.Load().children(p.to) {
-			s.push(c, now)
-		}
-	}
+	s.repeatPushes(now)
 	if !now.Before(s.nextQueryAt) {
 		s.queryPeers(now)
 	}
@@ -146,6 +129,35 @@
 	s.scope.Gauge("configurationConfirmed").Update(confirmed)
 }
 
+// repeatPushes repeats the pushes that were not acknowledged within AckTimeout, and adopts the children of instances that
+// don't answer.
+func (s *Spread) repeatPushes(now time.Time) {
+	for id, p := range s.pendingPushes {
+		if now.Before(p.retryAt) {
+			continue
+		}
+		if p.attempts == s.settings.AdoptionAttempts {
+			s.adoptChildren(p.to, now)
+		}
+		if p.attempts >= s.settings.MaxPushAttempts {
+			delete(s.pendingPushes, id)
+			continue
+		}
+		p.attempts++
+		p.retryAt = now.Add(s.settings.AckTimeout)
+		s.scope.Counter("configurationPushRepeated").Inc(1)
+		s.sendChangesAfter(p.to, s.peerVersions.version(id))
+	}
+}
+
+// adoptChildren pushes the active version to the children of an instance that doesn't acknowledge it.
+func (s *Spread) adoptChildren(parent wigeonshift.Instance, now time.Time) {
+	s.scope.Counter("configurationPushAdopted").Inc(1)
+	for _, c := range s.tree.Load().children(parent) {
+		s.push(c, now)
+	}
+}
+
 // queryPeers asks the parent for newer changes. It asks random peers instead during the startup phase, and if the last
 // query was not answered.
 func (s *Spread) queryPeers(now time.Time) {
--- a/internal/services/wigeonspread/spread.go
+++ b/internal/services/wigeonspread/spread.go
@@ -39,8 +39,11 @@
 	FallbackPollPeriod time.Duration
 	// AckTimeout is the time after which an unacknowledged push or an unanswered query is repeated.
 	AckTimeout time.Duration
-	// MaxPushAttempts is the number of unacknowledged pushes to a child after which this instance pushes to the child's
-	// own children instead.
+	// AdoptionAttempts is the number of unacknowledged pushes to a child after which this instance also pushes to the
+	// child's own children.
+	AdoptionAttempts int
+	// MaxPushAttempts is the number of unacknowledged pushes after which this instance gives up on a child. It exceeds
+	// AdoptionAttempts, since a child without an answer may have lost messages instead of being dead.
 	MaxPushAttempts int
 	// FanOut is the number of children of an instance in the tree.
 	FanOut int
@@ -62,7 +65,8 @@
 		ParentQueryPeriod:   4 * time.Second,
 		FallbackPollPeriod:  5 * time.Minute,
 		AckTimeout:          time.Second,
-		MaxPushAttempts:     2,
+		AdoptionAttempts:    2,
+		MaxPushAttempts:     8,
 		FanOut:              8,
 		ConfirmationTimeout: 12 * time.Second,
 		StartupPeers:        3,
