Bound what an instance uses of a quota by itself in each round of reports

Cause, by traces of the worst schedules: what members may use while one of them is silent was computed as the balance plus the refill since the round began, without the bucket's cap, so that a round that began with a full bucket counted the refill twice (94 requests in 0.6 s, 36 allowed); until 0.6 s after the last reports there was no bound but the balance, which each member sees whole; and when a member was given up, the use of the others in contact didn't count.

Now each instance has its own bucket in a round: an equal part of the balance and of the rate, capped like the whole. Until 0.6 s it may use as much again and its part of the tolerance that isn't granted, which a short round settles. A refusal logs the round's rest and age, and its Retry-After follows the refill of the own bucket.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -111,6 +111,7 @@
 	if q := s.quotas[j.Organisation]; q != nil {
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
 		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = q.groupBalance, q.groupFairShare
+		refuse.QuotaRoundLeft, refuse.QuotaRoundAge = q.roundAllowance(s.now), s.now-q.round.startedAt
 	}
 	s.emit(refuse)
 }
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -71,6 +71,10 @@
 		// are refused while it is zero or less. QuotaGroupFairShare is the group's equal share of the quota. It is 1 in a
 		// small fleet, which has no limit per group.
 		QuotaGroupLeft, QuotaGroupFairShare float64
+		// QuotaRoundLeft is what is left of what this instance may use by itself until all members of its group have reported, in
+		// units, and QuotaRoundAge the time since they last had.
+		QuotaRoundLeft float64
+		QuotaRoundAge  time.Duration
 		// Crashes holds the crashes at which the request was there.
 		Crashes []wigeonshift.Crash
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -61,7 +61,7 @@
 		}
 	}
 	for _, q := range s.quotas {
-		if oldestReport > q.roundAt {
+		if oldestReport > q.round.startedAt {
 			q.startRound(s.now)
 		}
 	}
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -27,12 +27,7 @@
 	scarceUntil time.Duration
 	// groupUsed is the group's use since this instance's start, in units. groupUnitsPerSecond is its recent rate.
 	groupUsed, groupUnitsPerSecond float64
-	// A round of reports begins whenever all members have reported since the one before it began. roundBalance is the balance at its
-	// start roundAt, roundUsed this instance's own use since then, which the others may not know of yet, and
-	// previousRoundUsed that in the round before. roundShares are the shares at its start.
-	roundAt                                    time.Duration
-	roundBalance, roundUsed, previousRoundUsed float64
-	roundShares                                quotaShares
+	round                          quotaRound
 	// awaitingBalance is set until this instance, after its start, has taken over the balance of the other instances.
 	awaitingBalance bool
 	// firstReportAt is the time of the first balance that another instance reported, lowestReportedBalance the lowest one
@@ -57,6 +52,22 @@
 	predicted float64
 }
 
+// quotaRound is what an instance may use by itself in a round of reports. A round begins whenever all members of the group
+// have reported since the one before it began, so it is short unless a member is silent.
+type quotaRound struct {
+	startedAt time.Duration
+	// memberBalance is what is left in a bucket of this instance alone, in units. It begins the round with an equal share of the
+	// balance and is refilled with an equal share of the rate. The buckets of all members never hold more than the whole, so
+	// that each instance can go on with its own while it hears nothing of the others. It can be negative.
+	memberBalance float64
+	// advance is what the instance may use in addition until maxRoundLength. The reports of a short round settle it.
+	advance float64
+	// ownUse is this instance's use in the round, which the others may not know of yet.
+	ownUse float64
+	// groupUsedBefore is the group's use since this instance's start up to the start of the round.
+	groupUsedBefore float64
+}
+
 const (
 	// predictionHorizon is how long the use of another instance is assumed to continue at its latest rate without a report.
 	predictionHorizon = 4 * time.Second
@@ -67,12 +78,9 @@
 	groupShareFactor  = 4
 	scarceShareFactor = 1.5
 	scarceDuration    = 4 * time.Second
-	// roundBalanceShare is the share of the balance that the members may use together in a round that lasts longer than
-	// maxRoundLength, beside what is refilled. The rest covers what they used in the round before and couldn't report.
-	roundBalanceShare = 0.1
 	// maxRoundLength is the longest round while all members can be reached, since they report at least every 500 ms.
 	maxRoundLength = 600 * time.Millisecond
-	// roundRetryDelay is the retry delay of a request that is refused because of the limit of the round.
+	// roundRetryDelay is the shortest retry delay of a request that is refused because of the limit of the round.
 	roundRetryDelay = 100 * time.Millisecond
 	// groupBurstShare is the share of the burst that the groups may use at once. The part of each group in it is limited by
 	// the same factors.
@@ -91,13 +99,16 @@
 // before.
 func newQuota(l quotaLimit, at time.Duration) *quota {
 	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
-	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, roundAt: at, roundShares: whole, awaitingBalance: true,
+	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
 		peers: map[string]*peerUse{}}
 }
 
 // quotaLimit is the rate and the burst of a token bucket.
 type quotaLimit struct {
 	unitsPerSecond, burstUnits float64
+	// reserveUnits is the part of the tolerance that isn't granted. It covers what the members of a group use before they
+	// receive each other's reports.
+	reserveUnits float64
 }
 
 // limitOf returns an organisation's limit, increased by the granted share of the tolerance. The rest of the tolerance
@@ -105,7 +116,9 @@
 func (s Settings) limitOf(o wigeonshift.RoutedOrganisation) quotaLimit {
 	factor := 1 + s.QuotaOverage*grantedOverageShare
 	l := quotaLimit{unitsPerSecond: o.UnitsPerSecond * factor, burstUnits: o.Burst * factor}
+	l.reserveUnits = o.Burst * s.QuotaOverage * (1 - grantedOverageShare)
 	if o.CountsTokens {
+		l.reserveUnits += s.QuotaSlack * (1 - grantedSlackShare)
 		l.burstUnits += s.QuotaSlack * grantedSlackShare
 	}
 	return l
@@ -125,6 +138,8 @@
 	if at > q.refilledAt {
 		seconds := (at - q.refilledAt).Seconds()
 		q.balance = min(q.burstUnits*q.share, q.balance+q.unitsPerSecond*q.share*seconds-q.predictPeerUse(at))
+		equal := q.share * q.memberShare
+		q.round.memberBalance = min(q.burstUnits*equal, q.round.memberBalance+q.unitsPerSecond*equal*seconds)
 		share := q.currentGroupShare(at)
 		q.groupBalance = min(groupBurstShare*q.burstUnits*share, q.groupBalance+q.unitsPerSecond*share*seconds)
 		q.groupUnitsPerSecond *= math.Exp(-seconds / groupRateTimeConstant.Seconds())
@@ -186,7 +201,8 @@
 	}
 	q.balance -= units
 	q.used += units
-	q.roundUsed += units
+	q.round.ownUse += units
+	q.round.memberBalance -= units
 	q.recordGroupUse(units)
 	return true
 }
@@ -196,32 +212,37 @@
 	q.refill(at)
 	q.balance = min(q.burstUnits, q.balance+units)
 	q.used -= units
-	q.roundUsed -= units
+	q.round.ownUse -= units
+	q.round.memberBalance += units
 	q.recordGroupUse(-units)
 }
 
-// startRound starts a new round, because all members of the group have reported since the latest one began.
+// startRound starts a new round, because all members of the group have reported since the latest one began. The other
+// members are assumed to have used as much as this instance in the round before, without being able to report it.
 func (q *quota) startRound(at time.Duration) {
 	q.refill(at)
-	q.roundAt, q.roundBalance, q.previousRoundUsed, q.roundUsed = at, q.balance, max(q.roundUsed, 0), 0
-	q.roundShares = q.quotaShares
+	unreported := max(q.round.ownUse, 0) * (1/q.memberShare - 1)
+	part := q.memberShare * max(q.balance-unreported, 0)
+	q.round = quotaRound{
+		startedAt: at, memberBalance: part, advance: part + q.memberShare*q.reserveUnits, groupUsedBefore: q.groupUsed,
+	}
 }
 
-// roundUnits returns what the members may have had together since the start of the round, of which each may use its equal
-// share, however long it hears nothing of the others. balanceShare is the part of the balance at the start that counts.
-func (q *quota) roundUnits(at time.Duration, balanceShare float64) float64 {
-	return max(q.roundBalance, 0)*balanceShare + q.unitsPerSecond*q.roundShares.share*(at-q.roundAt).Seconds()
+// roundAllowance returns the units that this instance may use in the current round.
+func (q *quota) roundAllowance(at time.Duration) float64 {
+	if at-q.round.startedAt >= maxRoundLength {
+		return q.round.memberBalance
+	}
+	return q.round.memberBalance + q.round.advance
 }
 
-// exceedsRound reports whether the use of units exceeds this instance's share in what the members of the group may use
-// while one of them has been silent for longer than maxRoundLength. The first request of a round is always within it,
-// whatever its size.
+// exceedsRound reports whether the use of units exceeds what this instance may use in the current round. The first request
+// of a round never does, whatever its size.
 func (q *quota) exceedsRound(units float64, at time.Duration) bool {
-	if q.memberShare >= 1 || q.roundUsed <= 0 || at-q.roundAt < maxRoundLength {
+	if q.memberShare >= 1 || q.round.ownUse <= 0 {
 		return false
 	}
-	inContact := min(q.share/q.roundShares.share, 1)
-	return q.roundUsed+units > q.memberShare*inContact*q.roundUnits(at, roundBalanceShare)
+	return units > q.roundAllowance(at)
 }
 
 // handlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
@@ -286,15 +307,13 @@
 	memberShare float64
 }
 
-// setShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their part of the balance
-// at the start of the round, and what this instance has used since then comes from the rest. The other members are assumed
-// to have used as much as this instance in the round before, without being able to report it.
+// setShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their own buckets of the
+// round, and what the group has used since its start comes from those of the others.
 func (q *quota) setShares(s quotaShares, at time.Duration) {
 	q.refill(at)
 	if s.share < q.share {
-		unreported := q.previousRoundUsed * (1/q.roundShares.memberShare - 1)
-		rest := s.share/q.roundShares.share*(q.roundUnits(at, 1)-unreported) - q.roundUsed
-		q.balance = min(q.balance, rest)
+		groupUse := q.groupUsed - q.round.groupUsedBefore
+		q.balance = min(q.balance, (q.round.memberBalance+q.round.ownUse)/s.memberShare-groupUse)
 	}
 	q.quotaShares = s
 }
@@ -318,7 +337,8 @@
 func (q *quota) waitFor(units float64, at time.Duration) time.Duration {
 	wait := refillTime(units-q.balance, q.unitsPerSecond)
 	if q.exceedsRound(units, at) {
-		wait = max(wait, roundRetryDelay)
+		refilled := refillTime(units-q.roundAllowance(at), q.unitsPerSecond*q.share*q.memberShare)
+		wait = max(wait, min(max(refilled, roundRetryDelay), maxRoundLength))
 	}
 	if q.groupFairShare < 1 {
 		wait = max(wait, refillTime(-q.groupBalance, q.unitsPerSecond*q.currentGroupShare(at)))
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -178,6 +178,7 @@
 		"status": status, "reason": string(d.Reason), "retryAfterMs": d.RetryAfter.Milliseconds(), "waiting": d.Waiting,
 		"freeSlots": d.FreeSlots, "organisation": c.job.Organisation, "units": c.job.Units, "quotaLeft": d.QuotaLeft,
 		"quotaShare": d.QuotaShare, "quotaGroupLeft": d.QuotaGroupLeft, "quotaGroupPart": d.QuotaGroupFairShare,
+		"quotaRoundLeft": d.QuotaRoundLeft, "quotaRoundAgeMs": d.QuotaRoundAge.Milliseconds(),
 	}
 	if d.Reason == wigeondispatch.ReasonQuarantined {
 		fields["crashed"] = crashedEndpoints(d.Crashes)
