--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -60,7 +60,8 @@
 
 // regressionSeeds are seeds that failed before, each with the cause of the failure.
 var regressionSeeds = []int{
-	35, // A stop waited for a long poll that the store holds for 15 s, and exceeded its timeout.
+	35,     // A stop waited for a long poll that the store holds for 15 s, and exceeded its timeout.
+	608036, // A relay's port had been taken by another soak that ran at the same time.
 }
 
 // TestSoak runs the regression seeds, and then the seeds that the environment selects.
