Read the list of known failures in one place

Three packages of tests read KNOWN-RED.txt each for itself, with slightly different rules for the end of a name: any blank in the soak, a bar elsewhere. Now the bar ends it everywhere. What is skipped stays the same.

--- a/internal/policy/wigeonbench/bench_test.go
+++ b/internal/policy/wigeonbench/bench_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
-	"io/fs"
-	"os"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +11,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/policy/wigeontrace"
 	"wigeonshift/internal/services/wigeonscheduler"
+	"wigeonshift/internal/soak/wigeonknown"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -75,15 +72,9 @@
 // spec. A listed spec that passes fails, so that the list stays correct.
 func expectOrKnownRed(check func()) {
 	GinkgoHelper()
-	name := CurrentSpecReport().FullText()
-	list, err := os.ReadFile("../../../KNOWN-RED.txt")
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		Fail(err.Error())
-	}
-	listed := slices.ContainsFunc(strings.Split(string(list), "\n"), func(line string) bool {
-		return strings.HasPrefix(line, "wigeonbench: "+name+" |")
-	})
-	if !listed {
+	entry, err := wigeonknown.Failure(wigeonknown.Path, "wigeonbench", CurrentSpecReport().FullText())
+	Expect(err).NotTo(HaveOccurred())
+	if entry == "" {
 		check()
 		return
 	}
--- a/internal/services/wigeonshare/quota_test.go
+++ b/internal/services/wigeonshare/quota_test.go
@@ -1,12 +1,12 @@
 package wigeonshare_test
 
 import (
-	"os"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
+	"wigeonshift/internal/soak/wigeonknown"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -109,12 +109,10 @@
 
 // skipIfKnownRed skips a spec that KNOWN-RED.txt lists and prints its entry.
 func skipIfKnownRed() {
-	list, err := os.ReadFile("../../../KNOWN-RED.txt")
+	entry, err := wigeonknown.Failure(wigeonknown.Path, "wigeonshare", CurrentSpecReport().FullText())
 	Expect(err).NotTo(HaveOccurred())
-	for line := range strings.Lines(string(list)) {
-		if strings.HasPrefix(line, "wigeonshare: "+CurrentSpecReport().FullText()+" |") {
-			Skip("known failure: " + line)
-		}
+	if entry != "" {
+		Skip("known failure: " + entry)
 	}
 }
 
--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"wigeonshift/internal/soak/wigeonknown"
+
 	. "github.com/onsi/gomega"
 )
 
@@ -293,13 +295,11 @@
 
 // skipIfKnownRed skips a test that KNOWN-RED.txt lists and prints its entry.
 func skipIfKnownRed(t *testing.T) {
-	list, err := os.ReadFile("../../../KNOWN-RED.txt")
+	entry, err := wigeonknown.Failure(wigeonknown.Path, "wigeonsoak", t.Name())
 	if err != nil {
 		t.Fatal(err)
 	}
-	for line := range strings.Lines(string(list)) {
-		if strings.HasPrefix(line, "wigeonsoak: "+t.Name()+" ") {
-			t.Skip("known failure: " + line)
-		}
+	if entry != "" {
+		t.Skip("known failure: " + entry)
 	}
 }
