--- a/internal/services/wigeondispatch/budget.go
+++ b/internal/services/wigeondispatch/budget.go
@@ -137,9 +137,9 @@
 	return c
 }
 
-// decision returns the counts for the windows that begin in the slot of an age, which is negative in the future. Its resends are those that may arrive in
-// such a window; its requests are only those that were surely sent in it or in the window before it, so that half of them
-// is the mean of both.
+// decision returns the counts for the windows that begin in the slot of an age, which is negative in the future. Its
+// resends are those that may arrive in such a window; its requests are only those that were surely sent in it or in the
+// window before it, so that half of them is the mean of both.
 func (c *slotSums) decision(b *retryBudget, age int, slack float64) ResendDecision {
 	requests := c.requests[max(age+slotsPerWindow-b.receiveSlots, 0)]
 	return ResendDecision{
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -52,7 +52,8 @@
 	s.dispatchAllWaiting()
 }
 
-// startQuotaRound starts a new round of reports of each quota if all members of the group have reported since the latest one began.
+// startQuotaRound starts a new round of reports of each quota if all members of the group have reported since the
+// latest one began.
 func (s *State) startQuotaRound() {
 	oldestReport := s.now
 	for name, p := range s.peers {
@@ -136,7 +137,9 @@
 			groupMembers++
 		}
 	}
-	shares := quotaShares{share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers)}
+	shares := quotaShares{
+		share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers),
+	}
 	if s.instances > maxUngroupedInstances {
 		shares.groupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
 	}
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -27,7 +27,8 @@
 	scarceUntil time.Duration
 	// groupUsed is the group's use since this instance's start, in units. groupUnitsPerSecond is its recent rate.
 	groupUsed, groupUnitsPerSecond float64
-	round                          quotaRound
+	// round is the current round of reports.
+	round quotaRound
 	// awaitingBalance is set until this instance, after its start, has taken over the balance of the other instances.
 	awaitingBalance bool
 	// firstReportAt is the time of the first balance that another instance reported, lowestReportedBalance the lowest one
@@ -299,9 +300,9 @@
 type quotaShares struct {
 	// share is the share that this instance and those that report to it may use together.
 	share float64
-	// groupFairShare is the equal share of this instance's group (the instances that report every change to each other). It is 1 if
-	// all instances form one group. A group may use a few times its share, which limits what a large fleet grants before its
-	// groups have received each other's reports.
+	// groupFairShare is the equal share of this instance's group (the instances that report every change to each
+	// other). It is 1 if all instances form one group. A group may use a few times its share, which limits what a large
+	// fleet grants before its groups have received each other's reports.
 	groupFairShare float64
 	// memberShare is the equal share of each member of the group in what the group may use.
 	memberShare float64
--- a/internal/services/wigeonscheduler/rebuild.go
+++ b/internal/services/wigeonscheduler/rebuild.go
@@ -12,8 +12,8 @@
 const firstEpoch = 1
 
 // handleLeaseAcquired starts or renews ownership of the shard. Nothing is granted before RebuildUntil, so that entries
-// (instances that accepted requests) can first report their attempts in flight. An owner that has predecessors starts without saved retries, because they may have used
-// them. An older epoch is ignored.
+// (instances that accepted requests) can first report their attempts in flight. An owner that has predecessors starts
+// without saved retries, because they may have used them. An older epoch is ignored.
 func (s *Shard) handleLeaseAcquired(b LeaseAcquired) {
 	if b.Epoch < s.epoch {
 		return
--- a/internal/services/wigeonshare/ledger.go
+++ b/internal/services/wigeonshare/ledger.go
@@ -48,8 +48,8 @@
 	// GrowFromMillis is the time on the store's clock before which no instance may take more parts, because the store may
 	// have lost leases that are still in use.
 	GrowFromMillis int64
-	// Leases has at most one lease of each holder that hasn't ended, and those that are cooling down. The parts never add up to more than WholeParts, unless
-	// the store has lost changes.
+	// Leases has at most one lease of each holder that hasn't ended, and those that are cooling down. The parts never
+	// add up to more than WholeParts, unless the store has lost changes.
 	Leases []Lease
 }
 
--- a/internal/soak/wigeonwindow/repeat.go
+++ b/internal/soak/wigeonwindow/repeat.go
@@ -29,8 +29,13 @@
 // Exceeded reports whether the window has more repeats than allowed.
 func (c Count) Exceeded() bool { return float64(c.Repeats) > c.Limit }
 
-// use returns the used part of the limit.
-func (c Count) use() float64 { return float64(c.Repeats) / c.Limit }
+// use returns the used part of the limit. It is infinite for repeats where none is allowed.
+func (c Count) use() float64 {
+	if c.Repeats == 0 {
+		return 0
+	}
+	return float64(c.Repeats) / c.Limit
+}
 
 // Sort sorts the times. The other methods need sorted times.
 func (r Record) Sort() {
@@ -52,14 +57,14 @@
 	}
 }
 
-// Worst returns the window with the largest excess over the limit, or the smallest distance from it. It looks at all
-// windows: the counts change only where a request or a repeat enters or leaves one of the windows that count.
+// Worst returns the window that uses the largest part of its limit. It looks at all windows: the counts change only where
+// a request or a repeat enters or leaves one of the windows that count.
 func (l RepeatLimit) Worst(r Record) Count {
 	worst := l.At(r, 0)
 	for _, start := range l.changes(r) {
 		for _, at := range []time.Duration{start, start + 1} {
 			c := l.At(r, at)
-			if float64(c.Repeats)-c.Limit > float64(worst.Repeats)-worst.Limit {
+			if c.use() > worst.use() {
 				worst = c
 			}
 		}
--- a/internal/soak/wigeonwindow/repeat_test.go
+++ b/internal/soak/wigeonwindow/repeat_test.go
@@ -50,3 +50,12 @@
 	}
 	g.Expect(limit.Use(r, 10*time.Second, 40*time.Second)).To(BeNumerically("~", 10.0/12, 0.01))
 }
+
+func TestWorstFindsRepeatsWhereNoneIsAllowed(t *testing.T) {
+	g := NewWithT(t)
+	ratioOnly := wigeonwindow.RepeatLimit{Window: 10 * time.Second, Ratio: 1}
+	r := wigeonwindow.Record{Requests: []time.Duration{time.Minute}, Repeats: []time.Duration{5 * time.Second}}
+	g.Expect(ratioOnly.Worst(r).Exceeded()).To(BeTrue())
+	r.Repeats = nil
+	g.Expect(ratioOnly.Worst(r).Exceeded()).To(BeFalse())
+}
