--- a/internal/services/wigeondispatch/quotaround_test.go
+++ b/internal/services/wigeondispatch/quotaround_test.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -82,3 +83,21 @@
 		Expect(q.waitFor(100, maxRoundLength)).To(Equal(maxRoundLength))
 	})
 })
+
+// BenchmarkQuotaRounds starts a round of the quotas of 48,000 organisations, each with the use of seven other members.
+func BenchmarkQuotaRounds(b *testing.B) {
+	quotas := make([]*quota, 48_000)
+	for i := range quotas {
+		quotas[i] = fullQuota()
+		for _, peer := range []string{"b", "c", "d", "e", "f", "g", "h"} {
+			quotas[i].handlePeerReport(peer, 0, 0, true)
+		}
+	}
+	at := time.Duration(0)
+	for b.Loop() {
+		at += maxRoundLength
+		for _, q := range quotas {
+			q.startRound(at)
+		}
+	}
+}
