Log the framing of responses and whether a stream ended inside an event

'request ended' now has framing (length, chunked, connection) and receivedBytes, and for streams insideEvent, from a tracker of the event stream's lines. Nothing is decided by it yet.

--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -191,7 +191,9 @@
 func (c *call) setResponse(r *wigeonupstream.Response, body []byte) {
 	c.copyHeader(r)
 	c.httpCtx.Response.SetBodyRaw(body)
-	c.finish("answered", logrus.Fields{"status": r.HTTP.StatusCode()})
+	c.finish("answered", logrus.Fields{
+		"status": r.HTTP.StatusCode(), "framing": r.Framing(), "receivedBytes": len(body),
+	})
 }
 
 // copyHeader copies the header of an endpoint's response to the caller's response, without the headers that concern
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"wigeonshift/internal/modules/wigeonstream"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonupstream"
 
@@ -18,6 +19,10 @@
 	call     *call
 	response *wigeonupstream.Response
 	events   eventTracker
+	// received follows all bytes of the running attempt, for the log; receivedBytes counts them.
+	received      wigeonstream.Tracker
+	receivedBytes int
+	framing       wigeonupstream.Framing
 	// began is set once the running attempt has sent something; eventsBefore is the number of events of earlier attempts.
 	began        bool
 	eventsBefore int
@@ -32,7 +37,7 @@
 // the first bytes that can be forwarded: if the stream fails before them, it returns false and the request can still be
 // sent to another endpoint. A resumable stream gets no content length, because its rest may come from another endpoint.
 func (c *call) forwardStream(r *wigeonupstream.Response) bool {
-	st := &streamBody{call: c, response: r, buffer: make([]byte, streamBufferBytes)}
+	st := &streamBody{call: c, response: r, framing: r.Framing(), buffer: make([]byte, streamBufferBytes)}
 	st.events.wholeEventsOnly = c.route.Resumable
 	st.fill()
 	if len(st.pending) == 0 && st.err != nil && !errors.Is(st.err, io.EOF) {
@@ -72,6 +77,8 @@
 				st.began = true
 				st.call.reportBegan()
 			}
+			st.received.Consume(st.buffer[:n])
+			st.receivedBytes += n
 			st.pending = st.events.consume(st.buffer[:n])
 		}
 		if err != nil {
@@ -152,7 +159,8 @@
 		c.endAttemptWithError(wigeondispatch.OutcomeLost, 0, true, errUntrustedResponse)
 		return false
 	}
-	st.response, st.err = r, nil
+	st.response, st.err, st.framing = r, nil, r.Framing()
+	st.received, st.receivedBytes = wigeonstream.Tracker{}, 0
 	st.began, st.eventsBefore = false, st.events.count
 	st.events.dropPartial()
 	return true
@@ -185,6 +193,9 @@
 			outcome = "callerGone"
 		}
 	}
-	c.finish(outcome, logrus.Fields{"events": st.events.count, "lastEvent": st.events.lastID})
+	c.finish(outcome, logrus.Fields{
+		"events": st.events.count, "lastEvent": st.events.lastID, "framing": st.framing,
+		"receivedBytes": st.receivedBytes, "insideEvent": !st.received.Complete(),
+	})
 	return nil
 }
