Don't take the end of a body's framing for the end of its content

Cause: the relay took the end of the framing for the whole. When a run breaks off, an endpoint may still end its connection or its chunks properly, so the body ended with io.EOF and what was held back of the last event was even sent on.

Now the content decides. An event stream (by its type, or on a streaming route by its first bytes) is whole only if it ends after an event, whatever its framing and line ends (LF, CR LF, CR; between CR and LF is inside); without a length and without a first byte it isn't. Such a stream is resumed or sent again where that is allowed; otherwise the caller's connection is closed without the end of the framing, or it gets a 502 if nothing was sent yet. Event streams therefore get no content length. The same holds for buffered responses with that type.

A body that ends with the connection between two events, or that is no event stream, tells nothing.

--- a/internal/modules/wigeonstream/tracker.go
+++ b/internal/modules/wigeonstream/tracker.go
@@ -16,7 +16,8 @@
 type Tracker struct {
 	// Events is the number of complete events.
 	Events int
-	// LastID is the id of the latest complete event that has one. It is empty if that id is longer than maxIDLineBytes.
+	// LastID is the id of the latest complete event that has one. It is empty if that id's line is longer than
+	// maxIDLineBytes.
 	LastID string
 	// BytesSinceEvent is the number of bytes after the latest complete event, those of comments and empty lines included.
 	BytesSinceEvent int
@@ -31,7 +32,8 @@
 	lineBytes int
 	// afterCR is set if the latest byte was a CR, whose line a LF may still complete.
 	afterCR bool
-	// usesCRLF is set once a line has ended with CR and LF, so that a CR alone is only half the end of a line.
+	// usesCRLF is set once a line has ended with CR and LF. From then on a line that ends with a CR ends only with the next
+	// byte, because an end between CR and LF is a break.
 	usesCRLF bool
 }
 
@@ -40,6 +42,9 @@
 	return !t.insideEvent && t.lineBytes == 0 && !(t.afterCR && t.usesCRLF)
 }
 
+// Restart prepares the tracker for another stream that continues this one after the latest complete event.
+func (t *Tracker) Restart() { *t = Tracker{Events: t.Events, LastID: t.LastID} }
+
 // Consume takes the next bytes of the stream. It returns the number of bytes of p up to the last position at which the
 // stream was complete, or 0 if there is none.
 func (t *Tracker) Consume(p []byte) int {
@@ -56,12 +61,20 @@
 // consumeLine takes the bytes up to the next end of a line, or all of p if the line doesn't end in it, and returns the
 // number of bytes taken. A LF after a CR is taken alone.
 func (t *Tracker) consumeLine(p []byte) int {
-	if t.afterCR && p[0] == '\n' {
-		t.afterCR, t.usesCRLF = false, true
-		t.BytesSinceEvent++
-		return 1
+	if t.afterCR {
+		t.afterCR = false
+		followedByLF := p[0] == '\n'
+		if followedByLF {
+			t.BytesSinceEvent++
+		}
+		if t.usesCRLF {
+			t.endLine()
+		}
+		if followedByLF {
+			t.usesCRLF = true
+			return 1
+		}
 	}
-	t.afterCR = false
 	end := lineEnd(p)
 	if end < 0 {
 		t.extendLine(p)
@@ -69,9 +82,11 @@
 		return len(p)
 	}
 	t.extendLine(p[:end])
-	t.afterCR = p[end] == '\r'
 	t.BytesSinceEvent += end + 1
-	t.endLine()
+	t.afterCR = p[end] == '\r'
+	if !t.afterCR || !t.usesCRLF {
+		t.endLine()
+	}
 	return end + 1
 }
 
--- a/internal/modules/wigeonstream/tracker_test.go
+++ b/internal/modules/wigeonstream/tracker_test.go
@@ -37,7 +37,8 @@
 		Entry("inside a line", "id: 1\ndata: a\n\nid: 2\nda", false, 1, "1"),
 		Entry("inside the first line", "i", false, 0, ""),
 		Entry("events with CR and LF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", true, 2, "2"),
-		Entry("without the last LF of CR and LF", "id: 1\r\ndata: a\r\n\r", false, 1, "1"),
+		Entry("without the last LF of CR and LF", "id: 1\r\ndata: a\r\n\r", false, 0, ""),
+		Entry("CR after CR and LF", "id: 1\r\ndata: a\r\rid: 2\rdata: b\r\r:", false, 2, "2"),
 		Entry("without the empty line of CR and LF", "id: 1\r\ndata: a\r\n", false, 0, ""),
 		Entry("events with CR", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", true, 2, "2"),
 		Entry("without the empty line of CR", "id: 1\rdata: a\r", false, 0, ""),
@@ -62,6 +63,16 @@
 		Expect(t.BytesSinceEvent).To(Equal(len(": note\n")))
 	})
 
+	It("continues after the latest complete event", func() {
+		t := track("id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", 100)
+		t.Restart()
+		Expect(t.Complete()).To(BeTrue())
+		Expect(t.LastID).To(Equal("1"))
+		t.Consume([]byte("id: 2\ndata: b\n\n"))
+		Expect(t.LastID).To(Equal("2"))
+		Expect(t.Events).To(Equal(2))
+	})
+
 	It("counts the bytes since the last event, whatever they are", func() {
 		Expect(track(strings.Repeat(":\n\n", 1000), 7).BytesSinceEvent).To(Equal(3000))
 		Expect(track("data: a\n\n"+strings.Repeat("x", 500), 7).BytesSinceEvent).To(Equal(500))
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -33,7 +33,7 @@
 // lastEventID asks the endpoint to resume a stream after that event.
 func (c *call) startAttempt(d wigeondispatch.Dispatch, lastEventID string) (*wigeonupstream.Response, error) {
 	c.attempts = d.Attempt
-	c.endpoint = d.EndpointID
+	c.endpoint, c.endpointAddress = d.EndpointID, d.Address
 	if c.queueTime == 0 {
 		c.queueTime = d.QueueTime
 	}
@@ -179,6 +179,11 @@
 // answerable, because the caller has received nothing yet.
 func (c *call) readBody(r *wigeonupstream.Response) ([]byte, bool) {
 	body, err := readBuffered(r)
+	if err == nil {
+		content := c.newContent(r)
+		content.consume(body)
+		err = content.checkEnd()
+	}
 	if err != nil {
 		c.endAttemptWithError(c.interruptedOutcome(), 0, true, err)
 		return nil, false
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -57,9 +57,9 @@
 	stallTimer   *time.Timer
 	stallTimeout time.Duration
 
-	// endpoint is the endpoint of the latest attempt, for the log.
-	endpoint string
-	attempts int
+	// endpoint and endpointAddress identify the endpoint of the latest attempt.
+	endpoint, endpointAddress string
+	attempts                  int
 	// resend is the latest decision of the retry budget, for the log; nil if there was none.
 	resend *wigeondispatch.ResendDecision
 	// queueTime is the time from the arrival of the request to its first dispatch.
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -139,6 +139,13 @@
 	return d.loadChanges
 }
 
+// inService reports whether an endpoint is listed and not leaving.
+func (d *Dispatcher) inService(endpointID string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.InService(endpointID)
+}
+
 // InFlight returns the number of requests that are queued or running.
 func (d *Dispatcher) InFlight() int {
 	d.mu.Lock()
--- a/internal/services/wigeonrelay/framing_test.go
+++ b/internal/services/wigeonrelay/framing_test.go
@@ -178,8 +178,11 @@
 	}
 }
 
-// respondThenResume returns the behaviour of two endpoints: the first request gets first, later ones the rest of the stream.
-func respondThenResume(first func(net.Conn, *http.Request, []byte)) func(net.Conn, *http.Request, []byte) {
+// respondThenResume returns the behaviour of two endpoints: the first request gets first, later ones the rest of a stream of
+// events.
+func respondThenResume(
+	first func(net.Conn, *http.Request, []byte), events int, lineEnd string,
+) func(net.Conn, *http.Request, []byte) {
 	var requests atomic.Int32
 	return func(c net.Conn, r *http.Request, body []byte) {
 		if requests.Add(1) == 1 {
@@ -188,7 +191,7 @@
 		}
 		after := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &after) // The header is missing if nothing was received.
-		endsWithLastChunk.write(c, signedHead(r)+contentType(eventStreamType), eventText(after+1, streamEvents, "\n"), 0)
+		endsWithLastChunk.write(c, signedHead(r)+contentType(eventStreamType), eventText(after+1, events, lineEnd), 0)
 	}
 }
 
@@ -223,7 +226,7 @@
 			})
 
 			It(fmt.Sprintf("is told truly for a resumable stream with %s that ends %s", end.name, place.name), func() {
-				respond := respondThenResume(first)
+				respond := respondThenResume(first, streamEvents, "\n")
 				got := newTestRelay(newFakeEndpoint(respond), newFakeEndpoint(respond)).fetch("/resume/", fetchDeadline)
 				Expect(got.complete).To(BeTrue(), "%+v", got)
 				want := eventText(1, streamEvents, "\n")
@@ -264,14 +267,14 @@
 			DescribeTable(fmt.Sprintf("is told truly at each byte of a stream at %s with %s", path, end.name), func(lineEnd string) {
 				text := eventText(1, 2, lineEnd)
 				firstEvent := len(text) / 2
-				var length atomic.Int32
-				r := newTestRelay(newFakeEndpoint(func(c net.Conn, request *http.Request, _ []byte) {
-					end.write(c, signedHead(request)+contentType(eventStreamType), text[:length.Load()], 0)
-				}))
 				for n := 1; n <= len(text); n++ {
-					length.Store(int32(n))
-					got := r.fetch(path, fetchDeadline)
-					Expect(got.complete).To(Equal(n == firstEvent || n == len(text)), "%q: %+v", text[:n], got)
+					respond := respondThenResume(respondWith(end, eventStreamType, text[:n], 0), 2, lineEnd)
+					got := newTestRelay(newFakeEndpoint(respond), newFakeEndpoint(respond)).fetch(path, fetchDeadline)
+					whole := n == firstEvent || n == len(text)
+					Expect(got.complete).To(Equal(whole || path == "/resume/"), "%q: %+v", text[:n], got)
+					if path == "/resume/" && !whole {
+						Expect(got.body).To(Equal(text), "%q", text[:n])
+					}
 				}
 			},
 				Entry("and LF", "\n"), Entry("and CR LF", "\r\n"), Entry("and CR", "\r"),
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -1,15 +1,14 @@
 package wigeonrelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 
-	"wigeonshift/internal/modules/wigeonstream"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonupstream"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 )
 
@@ -18,14 +17,13 @@
 type streamBody struct {
 	call     *call
 	response *wigeonupstream.Response
-	events   eventTracker
-	// received follows all bytes of the running attempt, for the log; receivedBytes counts them.
-	received      wigeonstream.Tracker
-	receivedBytes int
-	framing       wigeonupstream.Framing
+	// content follows the body of the running attempt.
+	content *responseContent
 	// began is set once the running attempt has sent something; eventsBefore is the number of events of earlier attempts.
 	began        bool
 	eventsBefore int
+	// held is the incomplete event at the end of what a resumable stream has sent.
+	held []byte
 	// pending holds bytes from the endpoint that Read has not returned yet.
 	pending []byte
 	buffer  []byte
@@ -35,10 +33,10 @@
 
 // forwardStream starts to forward a streamed response and reports whether the caller's response is set. It waits for
 // the first bytes that can be forwarded: if the stream fails before them, it returns false and the request can still be
-// sent to another endpoint. A resumable stream gets no content length, because its rest may come from another endpoint.
+// sent to another endpoint. An event stream gets no content length, because it may break off inside an event or be
+// continued by another endpoint.
 func (c *call) forwardStream(r *wigeonupstream.Response) bool {
-	st := &streamBody{call: c, response: r, framing: r.Framing(), buffer: make([]byte, streamBufferBytes)}
-	st.events.wholeEventsOnly = c.route.Resumable
+	st := &streamBody{call: c, response: r, content: c.newContent(r), buffer: make([]byte, streamBufferBytes)}
 	st.fill()
 	if len(st.pending) == 0 && st.err != nil && !errors.Is(st.err, io.EOF) {
 		r.Close()
@@ -47,7 +45,7 @@
 	}
 	c.copyHeader(r)
 	length := r.HTTP.Header.ContentLength()
-	if length < 0 || st.events.wholeEventsOnly {
+	if length < 0 || st.content.isEvents() && st.content.bytes > 0 {
 		length = -1
 	}
 	c.httpCtx.Response.SetBodyStream(st, length)
@@ -64,32 +62,44 @@
 	return wigeondispatch.OutcomeLost
 }
 
-// fill reads from the endpoint until there are bytes to forward or the stream ends. For a resumable stream, consume
-// holds back the bytes of an incomplete event, so that another endpoint can resume the stream after the last complete
-// one. They are forwarded only at io.EOF, the end of a complete stream; after an interruption the resumed stream sends
-// them again.
+// fill reads from the endpoint until there are bytes to forward or the stream ends.
 func (st *streamBody) fill() {
 	for len(st.pending) == 0 && st.err == nil {
 		n, err := st.response.Body().Read(st.buffer)
 		if n > 0 {
-			st.call.resetStallTimer()
-			if !st.began {
-				st.began = true
-				st.call.reportBegan()
-			}
-			st.received.Consume(st.buffer[:n])
-			st.receivedBytes += n
-			st.pending = st.events.consume(st.buffer[:n])
+			st.receive(st.buffer[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(st.content.checkEnd(), err)
 		}
-		if err != nil {
+		if st.err == nil {
 			st.err = err
-			if errors.Is(err, io.EOF) {
-				st.pending = append(st.pending, st.events.flushPartial()...)
-			}
 		}
 	}
 }
 
+// receive takes bytes from the endpoint. For a resumable stream it holds back the bytes of an incomplete event, so that
+// another endpoint can resume the stream after the last complete one and the caller never has part of an event that is sent
+// again.
+func (st *streamBody) receive(p []byte) {
+	c := st.call
+	c.resetStallTimer()
+	if !st.began {
+		st.began = true
+		c.reportBegan()
+	}
+	complete := st.content.consume(p)
+	if !c.route.Resumable || !st.content.isEvents() {
+		st.pending = p
+		return
+	}
+	if complete > 0 {
+		st.pending = append(st.held, p[:complete]...)
+		st.held = nil
+	}
+	st.held = append(st.held, p[complete:]...)
+}
+
 // Read returns the next bytes of the stream. If the stream is interrupted, Read resumes it at another endpoint where
 // possible. Otherwise it returns the error, so that the HTTP library closes the caller's connection.
 func (st *streamBody) Read(p []byte) (int, error) {
@@ -118,7 +128,7 @@
 	if st.response == nil {
 		return false
 	}
-	resumable := c.route.Resumable && st.events.lastID != "" && c.ctx.Err() == nil
+	resumable := c.route.Resumable && st.content.events.LastID != "" && c.ctx.Err() == nil
 	st.response.Close()
 	st.response = nil
 	c.endAttemptWithError(c.interruptedOutcome(), st.attemptEvents(), resumable, st.err)
@@ -145,7 +155,7 @@
 // more. The incomplete event of the interrupted response is dropped, because the new response sends it again.
 func (st *streamBody) reopen(d wigeondispatch.Dispatch) bool {
 	c := st.call
-	r, err := c.startAttempt(d, st.events.lastID)
+	r, err := c.startAttempt(d, st.content.events.LastID)
 	if err != nil {
 		c.endAttemptWithError(classifyError(c.ctx, err), 0, true, err)
 		return false
@@ -159,15 +169,15 @@
 		c.endAttemptWithError(wigeondispatch.OutcomeLost, 0, true, errUntrustedResponse)
 		return false
 	}
-	st.response, st.err, st.framing = r, nil, r.Framing()
-	st.received, st.receivedBytes = wigeonstream.Tracker{}, 0
-	st.began, st.eventsBefore = false, st.events.count
-	st.events.dropPartial()
+	st.response, st.err = r, nil
+	st.began, st.eventsBefore = false, st.content.events.Events
+	st.content = st.content.continued(r)
+	st.held = nil
 	return true
 }
 
 // attemptEvents returns the number of events of the running attempt.
-func (st *streamBody) attemptEvents() int { return st.events.count - st.eventsBefore }
+func (st *streamBody) attemptEvents() int { return st.content.events.Events - st.eventsBefore }
 
 // Close ends the call, whether or not the stream is complete. It reports the end of the attempt only if resume has not
 // done so already, in which case response is nil. The attempt on an incomplete stream counts as abandoned, because
@@ -193,9 +203,8 @@
 			outcome = "callerGone"
 		}
 	}
-	c.finish(outcome, logrus.Fields{
-		"events": st.events.count, "lastEvent": st.events.lastID, "framing": st.framing,
-		"receivedBytes": st.receivedBytes, "insideEvent": !st.received.Complete(),
-	})
+	fields := st.content.logFields()
+	fields["events"], fields["lastEvent"] = st.content.events.Events, st.content.events.LastID
+	c.finish(outcome, fields)
 	return nil
 }
--- a/internal/services/wigeonupstream/framing.go
+++ b/internal/services/wigeonupstream/framing.go
@@ -17,11 +17,15 @@
 // ends with the connection.
 const chunkedContentLength = -1
 
+// HasBody reports whether the response has a body, which may be empty. Responses to HEAD and those with certain status codes
+// have none.
+func (r *Response) HasBody() bool { return r.HTTP.BodyStream() != nil }
+
 // Framing returns the framing of the response's body.
 func (r *Response) Framing() Framing {
 	length := r.HTTP.Header.ContentLength()
 	switch {
-	case r.HTTP.BodyStream() == nil || length >= 0:
+	case !r.HasBody() || length >= 0:
 		return FramingLength
 	case length == chunkedContentLength:
 		return FramingChunked
