Bound what a stream may send without the end of an event, and in all

Callers saw: a stream that never ends an event was passed on until the deadline; on a resumable route it kept a core busy.

Cause: the bytes held back for a resumable stream had no bound and were searched anew at each read; a streamed body had no bound at all.

Now maxEventBytes (64 KiB) bounds the bytes that follow each other without the end of an event, comments and empty lines included, and maxStreamBytes (64 MiB) the whole body. Beyond it the connections are closed, a resumable stream goes on at another endpoint.

--- a/internal/services/wigeonrelay/content.go
+++ b/internal/services/wigeonrelay/content.go
@@ -80,6 +80,18 @@
 	return t.events.Consume(p)
 }
 
+// checkSize returns an error if the body exceeds a limit of streamed responses.
+func (t *responseContent) checkSize() error {
+	switch {
+	case t.bytes > maxStreamBytes:
+		return errStreamTooLong
+	case t.isEvents() && t.events.BytesSinceEvent > maxEventBytes:
+		return errEventTooLong
+	default:
+		return nil
+	}
+}
+
 // checkEnd returns nil if the body is whole, now that its framing has ended, and otherwise the reason why it isn't.
 func (t *responseContent) checkEnd() error {
 	switch {
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -12,6 +12,21 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Limits of streamed responses. An endpoint that exceeds one has its connection closed.
+const (
+	// maxEventBytes is the largest number of bytes of a stream that follow each other without the end of an event. Up to so
+	// many bytes are held back for each resumable stream.
+	maxEventBytes = 64 << 10
+	// maxStreamBytes is the largest streamed response.
+	maxStreamBytes = 64 << 20
+)
+
+// Reasons why a stream whose connection still works is ended as broken.
+var (
+	errEventTooLong  = errors.New("event exceeds the largest size")
+	errStreamTooLong = errors.New("streamed response exceeds the largest size")
+)
+
 // streamBody is the body of a streamed response. The HTTP library reads it after the handler has returned. An error of
 // Read closes the caller's connection, so that a truncated response doesn't look complete.
 type streamBody struct {
@@ -22,7 +37,7 @@
 	// began is set once the running attempt has sent something; eventsBefore is the number of events of earlier attempts.
 	began        bool
 	eventsBefore int
-	// held is the incomplete event at the end of what a resumable stream has sent.
+	// held is the incomplete event at the end of what a resumable stream has sent; at most maxEventBytes.
 	held []byte
 	// pending holds bytes from the endpoint that Read has not returned yet.
 	pending []byte
@@ -89,6 +104,7 @@
 		c.reportBegan()
 	}
 	complete := st.content.consume(p)
+	st.err = st.content.checkSize()
 	if !c.route.Resumable || !st.content.isEvents() {
 		st.pending = p
 		return
@@ -97,7 +113,9 @@
 		st.pending = append(st.held, p[:complete]...)
 		st.held = nil
 	}
-	st.held = append(st.held, p[complete:]...)
+	if st.err == nil {
+		st.held = append(st.held, p[complete:]...)
+	}
 }
 
 // Read returns the next bytes of the stream. If the stream is interrupted, Read resumes it at another endpoint where
