Reject responses of the platform whose end can't be told

If the store's response had neither a length nor chunks and broke off, the truncated bytes were returned as the recorded response.

The transport now needs a length or chunks for every body, and bounds the body while it reads it. All other documents of the store are JSON, which is no document any more when it is cut.

--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/url"
 	"strconv"
@@ -59,7 +60,7 @@
 			Name:                      "wigeonshift",
 			MaxConnsPerHost:           maxConnections,
 			MaxIdleConnDuration:       maxConnectionIdle,
-			MaxResponseBodySize:       MaxResponseBytes,
+			StreamResponseBody:        true,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 				return false, false
@@ -109,7 +110,12 @@
 	if !ok {
 		deadline = time.Now().Add(transportTimeout)
 	}
-	if err := t.client.DoDeadline(req, resp, deadline); err != nil {
+	err := t.client.DoDeadline(req, resp, deadline)
+	var body []byte
+	if err == nil {
+		body, err = readBody(resp)
+	}
+	if err != nil {
 		if !errors.Is(err, errDial) {
 			// If one connection has become unresponsive, the other idle ones probably have too. Closing them makes
 			// later calls dial a new connection instead of trying each idle one.
@@ -118,11 +124,42 @@
 		return nil, oops.In("store").With("path", c.path).Wrap(errors.Join(transportError(c, err), err))
 	}
 	if resp.StatusCode() < 300 {
-		return append([]byte(nil), resp.Body()...), nil
+		return body, nil
+	}
+	return nil, oops.In("store").With("path", c.path, "status", resp.StatusCode()).Wrap(responseError(c, body))
+}
+
+// Errors of response bodies.
+var (
+	errUnframedBody = errors.New("response body has neither a length nor chunks, so it may be truncated")
+	errBodyTooLarge = errors.New("response body exceeds the limit")
+)
+
+// readBody reads the body of a response, which must have a length or chunks: an object is raw bytes, so nothing else would
+// show that it was truncated.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	body, err := []byte(nil), errUnframedBody
+	if resp.Header.ContentLength() >= chunkedContentLength {
+		body, err = io.ReadAll(io.LimitReader(stream, MaxResponseBytes+1))
+	}
+	if err == nil && len(body) > MaxResponseBytes {
+		err = errBodyTooLarge
 	}
-	return nil, oops.In("store").With("path", c.path, "status", resp.StatusCode()).Wrap(responseError(c, resp))
+	if err != nil {
+		// The connection can't be reused: the rest of the body would be taken for the next response.
+		resp.SetConnectionClose()
+	}
+	return body, errors.Join(err, resp.CloseBodyStream())
 }
 
+// chunkedContentLength is the content length that the HTTP library reports for a chunked body. It reports less for a body that
+// ends with the connection.
+const chunkedContentLength = -1
+
 // transportError returns the sentinel error for a call that got no response.
 func transportError(c call, err error) error {
 	if !c.write || errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
@@ -145,12 +182,12 @@
 
 // responseError returns the sentinel error for an error response. Only a reason in the body proves that a write had no
 // effect, because a status code alone may come from a proxy in between.
-func responseError(c call, resp *fasthttp.Response) error {
+func responseError(c call, text []byte) error {
 	var body struct {
 		Reason  string `json:"reason"`
 		Message string `json:"message"`
 	}
-	if err := json.Unmarshal(resp.Body(), &body); err != nil {
+	if err := json.Unmarshal(text, &body); err != nil {
 		body.Reason = ""
 	}
 	switch body.Reason {
