Don't take the end of a connection for the end of a plain service's response

A body that ends with the connection now counts only if the endpoint still accepts connections; an event stream must end after an event. The body is bounded while it is read.

--- a/internal/modules/wigeonstream/tracker.go
+++ b/internal/modules/wigeonstream/tracker.go
@@ -42,6 +42,13 @@
 	return !t.insideEvent && t.lineBytes == 0 && !(t.afterCR && t.usesCRLF)
 }
 
+// EndsAfterEvent reports whether a body is a whole event stream, as far as its bytes show.
+func EndsAfterEvent(body []byte) bool {
+	var t Tracker
+	t.Consume(body)
+	return t.Complete()
+}
+
 // Restart prepares the tracker for another stream that continues this one after the latest complete event.
 func (t *Tracker) Restart() { *t = Tracker{Events: t.Events, LastID: t.LastID} }
 
--- a/internal/services/wigeonendpoint/exchange.go
+++ b/internal/services/wigeonendpoint/exchange.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonstream"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
@@ -52,14 +55,61 @@
 	}
 	x.reader = c.hostClient.AcquireReader(x.conn)
 	x.response = fasthttp.AcquireResponse()
-	x.response.StreamBody = o.streamBody
+	x.response.StreamBody = true
 	x.response.SkipBody = request.Header.IsHead()
 	if err := x.response.ReadLimitBody(x.reader, c.options.maxBodyBytes); err != nil {
 		return nil, x.fail(ctx, err)
 	}
+	if o.streamBody {
+		return x, nil
+	}
+	if err := x.readBody(); err != nil {
+		return nil, x.fail(ctx, err)
+	}
 	return x, nil
 }
 
+// readBody reads the whole body of the response into memory. A body that ends inside an event, or with the connection of an
+// endpoint whose process has ended, is not whole.
+func (x *exchange) readBody() error {
+	stream := x.response.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	limit := x.client.options.maxBodyBytes
+	endsWithConnection := x.response.Header.ContentLength() < chunkedContentLength
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	switch {
+	case err != nil:
+		return err
+	case len(body) > limit:
+		return fasthttp.ErrBodyTooLarge
+	case wigeonstream.HasContentType(x.response.Header.ContentType()) && !wigeonstream.EndsAfterEvent(body):
+		return io.ErrUnexpectedEOF
+	case endsWithConnection && x.client.refusesConnections():
+		return io.ErrUnexpectedEOF
+	}
+	if err := x.response.CloseBodyStream(); err != nil {
+		return err
+	}
+	x.response.SetBodyRaw(body)
+	return nil
+}
+
+// chunkedContentLength is the content length that the HTTP library reports for a chunked body. It reports less for a body that
+// ends with the connection.
+const chunkedContentLength = -1
+
+// refusesConnections reports whether nothing listens at the endpoint's address any more. The process has then ended, and its
+// kernel has closed its connections in order, as after a whole response.
+func (c *Client) refusesConnections() bool {
+	conn, err := c.options.openConnection(c.address, c.options.dialTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // acquireConnection takes a pooled connection that is neither stale nor idle for longer than o.maxIdle, or opens a new
 // one.
 func (c *Client) acquireConnection(o exchangeOptions) (*exchange, error) {
--- /dev/null
+++ b/internal/services/wigeonendpoint/framing_test.go
@@ -0,0 +1,82 @@
+package wigeonendpoint_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonendpoint"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// startScripted starts a service that answers each connection with a text and closes it. If ends is set, the service ends
+// like a process that crashes: it listens no more when the connection closes.
+func startScripted(answer string, ends bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, answer) // The client may have closed the connection.
+			}
+			if ends {
+				_ = l.Close()
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A body that broke off was taken for whole if it had neither a length nor chunks.
+var _ = Describe("Body of a response", func() {
+	const head = "HTTP/1.1 200 OK\r\nWigeon-Attempt: a\r\n"
+	call := wigeonshift.ServiceCall{Method: "POST", Path: "/", Token: "a"}
+
+	DescribeTable("that may be truncated is lost",
+		func(answer string, ends bool) {
+			endpoint := wigeonendpoint.New().Endpoint(startScripted(answer, ends))
+			_, err := endpoint.Call(context.Background(), call, func() {})
+			Expect(err).To(MatchError(wigeonshift.ErrEndpointLost))
+			endpoint = wigeonendpoint.New().Endpoint(startScripted(answer, ends))
+			_, err = endpoint.ExportKV(context.Background(), "a")
+			Expect(err).To(MatchError(wigeonshift.ErrEndpointLost))
+		},
+		Entry("ends with the connection of a process that ends", head+"\r\npart", true),
+		Entry("is shorter than its length", head+"Content-Length: 9\r\n\r\npart", false),
+		Entry("has no last chunk", head+"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false),
+		Entry("ends inside an event", head+"Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\ndata: a", false),
+	)
+
+	DescribeTable("that is whole is returned",
+		func(answer string) {
+			endpoint := wigeonendpoint.New().Endpoint(startScripted(answer, false))
+			got, err := endpoint.Call(context.Background(), call, func() {})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(got.Body)).To(Equal("whole"))
+		},
+		Entry("ends with the connection", head+"\r\nwhole"),
+		Entry("has a length", head+"Content-Length: 5\r\n\r\nwhole"),
+		Entry("has chunks", head+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+	)
+
+	DescribeTable("without end is a failure", func(answer string) {
+		endpoint := wigeonendpoint.New(wigeonendpoint.WithMaxBodyBytes(1 << 16)).Endpoint(startScripted(answer, false))
+		_, err := endpoint.Call(context.Background(), call, func() {})
+		Expect(err).To(MatchError(wigeonshift.ErrEndpointFailed))
+	},
+		Entry("that ends with the connection", head+"\r\n"+strings.Repeat("x", 1<<22)),
+		Entry("in chunks", head+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1000\r\n"+strings.Repeat("x", 1<<12)+"\r\n", 1<<10)),
+	)
+})
