Soak: endpoints that frame responses in all ways and cut some of them anywhere

The check is at the caller: a response that is framed as complete must be whole. Streams that may be resumed are a new kind of request.

--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -45,6 +45,7 @@
 	executions           *executionLog
 	poison               poisonLog
 	repeats              *repeatLog
+	truncations          truncationLog
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
@@ -179,12 +180,12 @@
 	s.configurationVersion++
 	routes := []map[string]any{}
 	for prefix, kind := range map[string]string{
-		"/safe/": "idempotent", "/unsafe/": "non_idempotent", "/stream/": "streaming",
+		"/safe/": "idempotent", "/unsafe/": "non_idempotent", "/stream/": "streaming", "/resume/": "streaming",
 		fmt.Sprintf("/v%d/", s.configurationVersion): "idempotent",
 	} {
 		routes = append(routes, map[string]any{
 			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "timeout_ms": 4000, "target_latency_ms": 500,
-			"service": "s", "max_attempts": 2, "gap_target_ms": 400,
+			"service": "s", "max_attempts": 2, "gap_target_ms": 400, "resumable": prefix == "/resume/",
 		})
 	}
 	s.store.put("op", "config", map[string]any{
@@ -258,7 +259,7 @@
 	e := s.engines[len(s.engines)-1-s.random.IntN(min(engineCount, len(s.engines)))]
 	faultDuration := time.Duration(500+s.random.IntN(1500)) * time.Millisecond
 	mode := proxyMode(1 + s.random.IntN(4))
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		return func() { s.restart(p, syscall.SIGKILL) }, "kill"
 	case 1:
@@ -292,6 +293,12 @@
 			time.Sleep(faultDuration)
 			e.setFault(faultMixed, 0)
 		}, "endpointGrey"
+	case 8:
+		return func() {
+			e.setFault(faultTruncate, 0.8)
+			time.Sleep(faultDuration)
+			e.setFault(faultMixed, 0)
+		}, "endpointTruncates"
 	default:
 		// Changes to the configuration and the endpoints are made before the return, so that they don't run concurrently.
 		s.putConfiguration()
@@ -348,6 +355,8 @@
 		s.g.Expect(c.request(fmt.Sprintf("/v%d/", s.configurationVersion), p)).To(Equal(http.StatusOK), "%s does not use the newest version: %v", p.name, c.lastError)
 	}
 	t.Logf("faults %v, responses by status %v, %d of 40 requests succeeded after the faults", s.faults, s.outcomes, succeeded)
+	t.Logf("responses of endpoints that truncate: %d whole, %d cut with an end that shows it, %d with one that doesn't",
+		s.truncations.whole, s.truncations.shown, s.truncations.hidden)
 	s.checkPoison(t)
 	s.checkRepeats(t)
 	s.g.Expect(succeeded).To(BeNumerically(">=", 36))
@@ -379,7 +388,7 @@
 			return
 		default:
 		}
-		path := []string{"/safe/", "/unsafe/", "/stream/"}[c.random.IntN(3)]
+		path := []string{"/safe/", "/unsafe/", "/stream/", "/resume/"}[c.random.IntN(4)]
 		p := c.relay
 		if p == nil || c.random.IntN(10) == 0 {
 			p = c.soak.relays[c.random.IntN(len(c.soak.relays))]
@@ -401,7 +410,7 @@
 	s.outcomes[status]++
 	s.mu.Unlock()
 	want := plainResponse(id)
-	if path == "/stream/" {
+	if path == "/stream/" || path == "/resume/" {
 		want = streamResponse(id)
 	}
 	switch {
@@ -418,7 +427,8 @@
 	case status == http.StatusNotFound || status == http.StatusUnauthorized:
 		s.reportViolation("%s: status %d on a route that exists in every version", id, status)
 	}
-	if n := s.executions.count(id); n > 1 && path != "/safe/" && !strings.HasPrefix(path, "/v") {
+	mayRepeat := path == "/safe/" || path == "/resume/" || strings.HasPrefix(path, "/v")
+	if n := s.executions.count(id); n > 1 && !mayRepeat {
 		s.reportViolation("%s: executed %d times, but must not be repeated", id, n)
 	}
 	return status
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -238,6 +238,8 @@
 	executions *executionLog
 	poison     *poisonLog
 	repeats    *repeatLog
+	// truncations counts the ends of responses that faultTruncate made.
+	truncations *truncationLog
 	// announce writes the endpoint's row to the store, withdraw removes it.
 	announce func(e *engine)
 	withdraw func()
@@ -282,7 +284,7 @@
 
 func newEngine(id string, seed uint64, s *soakRun) *engine {
 	e := &engine{
-		id: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
+		id: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
 		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.id, e.row("ready")) },
 	}
 	e.withdraw = func() { s.store.put("servers", e.id, nil) }
@@ -310,6 +312,8 @@
 	faultReject
 	// faultLose runs requests and loses the answers.
 	faultLose
+	// faultTruncate frames responses in all ways and cuts some of them anywhere.
+	faultTruncate
 )
 
 // setFault makes a ratio of the requests fail.
@@ -362,17 +366,22 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if faulty && (kind == faultLose || faultDraw < 0.5) {
+	if faulty && (kind == faultLose || kind == faultMixed && faultDraw < 0.5) {
 		panic(http.ErrAbortHandler)
 	}
+	isStream := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resume/")
+	if faulty && kind == faultTruncate {
+		e.truncate(w, r, isStream)
+		return
+	}
 	w.Header().Set("Server-Signature", e.id)
-	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+	if !isStream {
 		time.Sleep(time.Duration(10+20*e.randomFloat()) * time.Millisecond)
 		fmt.Fprint(w, plainResponse(id))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for k := range streamEventCount {
+	for k := firstEvent(r) - 1; k < streamEventCount; k++ {
 		if faulty && k == streamEventCount/2 {
 			panic(http.ErrAbortHandler)
 		}
@@ -388,14 +397,43 @@
 
 const streamEventCount = 12
 
+// firstEvent returns the id of the first event that a request asks for.
+func firstEvent(r *http.Request) int {
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 1
+	}
+	return after + 1
+}
+
+// truncate answers with a random end.
+func (e *engine) truncate(w http.ResponseWriter, r *http.Request, isStream bool) {
+	id, contentType := r.Header.Get("Request-Id"), "text/plain"
+	body := plainResponse(id)
+	if isStream {
+		contentType, body = "text/event-stream", streamResponseFrom(id, firstEvent(r))
+	}
+	e.mu.Lock()
+	end := randomEnd(e.random, max(1, len(body)), isStream, body != "")
+	e.mu.Unlock()
+	if isStream {
+		end.cutInsideEvent(body)
+	}
+	e.truncations.record(end)
+	e.endResponse(w, end, contentType, body)
+}
+
 // plainResponse returns the body of the response to a plain request.
 func plainResponse(id string) string { return "answer " + id + strings.Repeat(".", 300) }
 
 // streamResponse returns the body of the response to a streaming request.
-func streamResponse(id string) string {
+func streamResponse(id string) string { return streamResponseFrom(id, 1) }
+
+// streamResponseFrom returns the events of a stream from the first one that is given.
+func streamResponseFrom(id string, first int) string {
 	var b strings.Builder
-	for k := range streamEventCount {
-		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", k+1, id)
+	for k := first; k <= streamEventCount; k++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", k, id)
 	}
 	return b.String()
 }
