--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -89,11 +89,14 @@
 ratio = %g
 slack = %g
 window = %q
+[quota]
+overage = %g
+slack = %d
 [drain]
 timeout = "5s"
 notice = "1500ms"
 `, p.name, p.callerAddress, p.readyAddress, freeAddress(), p.storeProxy.address(),
-		limit.Ratio, limit.Slack, limit.Window)
+		limit.Ratio, limit.Slack, limit.Window, quotaOverage, quotaSlack)
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
