--- a/internal/soak/wigeonsoak/truncation_test.go
+++ b/internal/soak/wigeonsoak/truncation_test.go
@@ -69,7 +69,9 @@
 }
 
 // showsCut reports whether a cut stream can be told from a whole one. An empty body of a known length is whole.
-func (e *responseEnd) showsCut() bool { return !e.proper || e.framing != framingLength || e.sentBytes != 0 }
+func (e *responseEnd) showsCut() bool {
+	return !e.proper || e.framing != framingLength || e.sentBytes != 0
+}
 
 // cutInsideEvent moves a cut of a stream into an event where its bytes would show nothing: between two events, or before the
 // first byte of a body of a known length.
