Keep one copy of the framing of responses and of the scripted server of the tests

wigeonframing tells the framing for the relay, the store's transport and the client of the own protocol; wigeonscript is the stand-in of three packages' tests. No behaviour changes.

--- a/internal/models/wigeonstore/framing_test.go
+++ b/internal/models/wigeonstore/framing_test.go
@@ -1,39 +1,25 @@
 package wigeonstore_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"time"
 
 	"wigeonshift"
 	"wigeonshift/internal/models/wigeonstore"
+	"wigeonshift/internal/standin/wigeonscript"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// startScripted starts a platform that answers each connection with a text and closes it.
+// startScripted starts a store that answers with a text.
 func startScripted(answer string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &wigeonscript.Server{Answer: answer}
+	address, err := s.Start()
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer) // The client may have closed the connection.
-			}
-			_ = c.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	DeferCleanup(s.Stop)
+	return "http://" + address
 }
 
 // A recorded response to a non-idempotent request is raw bytes in an object. A truncated one was returned to the caller that
@@ -59,9 +45,9 @@
 	)
 
 	DescribeTable("is returned if it is whole", func(answer string) {
-		Expect(wigeonstore.NewTransport(startScripted(answer)).GetObject(ctx, "k")).To(BeEquivalentTo("object"))
+		Expect(wigeonstore.NewTransport(startScripted(answer)).GetObject(ctx, "k")).To(BeEquivalentTo("whole"))
 	},
-		Entry("with a length", head+"Content-Length: 6\r\n\r\nobject"),
-		Entry("in chunks", head+"Transfer-Encoding: chunked\r\n\r\n3\r\nobj\r\n3\r\nect\r\n0\r\n\r\n"),
+		Entry("with a length", head+"Content-Length: 5\r\n\r\nwhole"),
+		Entry("in chunks", head+"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"),
 	)
 })
--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonframing"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
@@ -138,13 +139,12 @@
 // readBody reads the body of a response, which must have a length or chunks: an object is raw bytes, so nothing else would
 // show that it was truncated.
 func readBody(resp *fasthttp.Response) ([]byte, error) {
-	stream := resp.BodyStream()
-	if stream == nil {
+	if !wigeonframing.HasBody(resp) {
 		return nil, nil
 	}
 	body, err := []byte(nil), errUnframedBody
-	if resp.Header.ContentLength() >= chunkedContentLength {
-		body, err = io.ReadAll(io.LimitReader(stream, MaxResponseBytes+1))
+	if wigeonframing.Of(resp) != wigeonframing.Connection {
+		body, err = io.ReadAll(io.LimitReader(resp.BodyStream(), MaxResponseBytes+1))
 	}
 	if err == nil && len(body) > MaxResponseBytes {
 		err = errBodyTooLarge
@@ -156,10 +156,6 @@
 	return body, errors.Join(err, resp.CloseBodyStream())
 }
 
-// chunkedContentLength is the content length that the HTTP library reports for a chunked body. It reports less for a body that
-// ends with the connection.
-const chunkedContentLength = -1
-
 // transportError returns the sentinel error for a call that got no response.
 func transportError(c call, err error) error {
 	if !c.write || errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
--- a/internal/modules/wigeonstream/tracker.go
+++ b/internal/modules/wigeonstream/tracker.go
@@ -39,7 +39,7 @@
 
 // Complete reports whether the stream may end here: all events, lines and line ends are whole.
 func (t *Tracker) Complete() bool {
-	return !t.insideEvent && t.lineBytes == 0 && !(t.afterCR && t.usesCRLF)
+	return !t.insideEvent && t.lineBytes == 0 && (!t.afterCR || !t.usesCRLF)
 }
 
 // EndsAfterEvent reports whether a body is a whole event stream, as far as its bytes show.
--- a/internal/services/wigeonendpoint/exchange.go
+++ b/internal/services/wigeonendpoint/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonframing"
 	"wigeonshift/internal/modules/wigeonstream"
 
 	"github.com/samber/oops"
@@ -72,13 +73,12 @@
 // readBody reads the whole body of the response into memory. A body that ends inside an event, or with the connection of an
 // endpoint whose process has ended, is not whole.
 func (x *exchange) readBody() error {
-	stream := x.response.BodyStream()
-	if stream == nil {
+	if !wigeonframing.HasBody(x.response) {
 		return nil
 	}
 	limit := x.client.options.maxBodyBytes
-	endsWithConnection := x.response.Header.ContentLength() < chunkedContentLength
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	endsWithConnection := wigeonframing.Of(x.response) == wigeonframing.Connection
+	body, err := io.ReadAll(io.LimitReader(x.response.BodyStream(), int64(limit)+1))
 	switch {
 	case err != nil:
 		return err
@@ -96,10 +96,6 @@
 	return nil
 }
 
-// chunkedContentLength is the content length that the HTTP library reports for a chunked body. It reports less for a body that
-// ends with the connection.
-const chunkedContentLength = -1
-
 // refusesConnections reports whether nothing listens at the endpoint's address any more. The process has then ended, and its
 // kernel has closed its connections in order, as after a whole response.
 func (c *Client) refusesConnections() bool {
--- a/internal/services/wigeonendpoint/framing_test.go
+++ b/internal/services/wigeonendpoint/framing_test.go
@@ -1,42 +1,24 @@
 package wigeonendpoint_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonendpoint"
+	"wigeonshift/internal/standin/wigeonscript"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// startScripted starts a service that answers each connection with a text and closes it. If ends is set, the service ends
-// like a process that crashes: it listens no more when the connection closes.
+// startScripted starts a service that answers with a text. If ends is set, its process ends with the first connection.
 func startScripted(answer string, ends bool) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &wigeonscript.Server{Answer: answer, EndsWithAnswer: ends}
+	address, err := s.Start()
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer) // The client may have closed the connection.
-			}
-			if ends {
-				_ = l.Close()
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
+	DeferCleanup(s.Stop)
+	return address
 }
 
 // A body that broke off was taken for whole if it had neither a length nor chunks.
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonframing"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonupstream"
 
@@ -197,7 +198,7 @@
 	c.copyHeader(r)
 	c.httpCtx.Response.SetBodyRaw(body)
 	c.finish("answered", logrus.Fields{
-		"status": r.HTTP.StatusCode(), "framing": r.Framing(), "receivedBytes": len(body),
+		"status": r.HTTP.StatusCode(), "framing": wigeonframing.Of(r.HTTP), "receivedBytes": len(body),
 	})
 }
 
--- a/internal/services/wigeonrelay/content.go
+++ b/internal/services/wigeonrelay/content.go
@@ -5,6 +5,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
+	"wigeonshift/internal/modules/wigeonframing"
 	"wigeonshift/internal/modules/wigeonstream"
 	"wigeonshift/internal/services/wigeonupstream"
 
@@ -33,7 +34,7 @@
 // framing doesn't show that: an endpoint whose run breaks off may still end its connection or its chunks properly.
 type responseContent struct {
 	call    *call
-	framing wigeonupstream.Framing
+	framing wigeonframing.Framing
 	kind    contentKind
 	// bytes is the number of bytes so far.
 	bytes int
@@ -44,10 +45,10 @@
 // newContent returns the content of a response of which nothing has been read. A successful response on a streaming route
 // is an event stream if its type or its first bytes say so, any other response only if its type does.
 func (c *call) newContent(r *wigeonupstream.Response) *responseContent {
-	content := &responseContent{call: c, framing: r.Framing(), kind: contentOther}
+	content := &responseContent{call: c, framing: wigeonframing.Of(r.HTTP), kind: contentOther}
 	success := r.HTTP.StatusCode() < fasthttp.StatusMultipleChoices
 	switch {
-	case !r.HasBody():
+	case !wigeonframing.HasBody(r.HTTP):
 	case wigeonstream.HasContentType(r.HTTP.Header.ContentType()):
 		content.kind = contentEvents
 	case success && c.route.Kind == wigeonshift.RouteStreaming:
@@ -58,7 +59,7 @@
 
 // continued returns the content of a response that continues an event stream.
 func (t *responseContent) continued(r *wigeonupstream.Response) *responseContent {
-	next := &responseContent{call: t.call, framing: r.Framing(), kind: contentEvents, events: t.events}
+	next := &responseContent{call: t.call, framing: wigeonframing.Of(r.HTTP), kind: contentEvents, events: t.events}
 	next.events.Restart()
 	return next
 }
@@ -97,9 +98,9 @@
 	switch {
 	case t.isEvents() && !t.events.Complete():
 		return errEndInsideEvent
-	case t.kind != contentOther && t.events.Events+t.bytes == 0 && t.framing != wigeonupstream.FramingLength:
+	case t.kind != contentOther && t.events.Events+t.bytes == 0 && t.framing != wigeonframing.Length:
 		return errEmptyStream
-	case t.framing == wigeonupstream.FramingConnection && t.call.endpointEnded():
+	case t.framing == wigeonframing.Connection && t.call.endpointEnded():
 		return errEndpointEnded
 	default:
 		return nil
--- a/internal/services/wigeonrelay/framing_test.go
+++ b/internal/services/wigeonrelay/framing_test.go
@@ -150,6 +150,7 @@
 		return answer{}
 	}
 	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close() // It reports the same break as ReadAll.
 	signed := response.Header.Get("Server-Signature") != ""
 	Expect(signed).To(Equal(response.StatusCode == http.StatusOK), "status %d", response.StatusCode)
 	return answer{
