--- a/internal/services/wigeonrelay/framing_test.go
+++ b/internal/services/wigeonrelay/framing_test.go
@@ -344,6 +344,25 @@
 		Entry("in a plain body while it leaves", "/unsafe/", "text/plain", "plain", true, 200, true),
 	)
 
+	// Events of a stream with a length reached the caller only when a buffer was full.
+	It("doesn't delay the events of a stream with a length", func() {
+		received := make(chan struct{})
+		e := newFakeEndpoint(func(c net.Conn, r *http.Request, _ []byte) {
+			text := eventText(1, 2, "\n")
+			writeText(c, fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", signedHead(r), contentType(eventStreamType), len(text), text[:len(text)/2]))
+			<-received
+			writeText(c, text[len(text)/2:])
+		})
+		c, reader := newTestRelay(e).dial()
+		writeText(c, requestText("POST", "/stream/", "", "x"))
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(response.Body, make([]byte, len(eventText(1, 1, "\n"))))
+		Expect(err).NotTo(HaveOccurred())
+		close(received)
+		Expect(io.ReadAll(response.Body)).To(BeEquivalentTo(eventText(2, 2, "\n")))
+	})
+
 	It("is told truly to a caller that speaks HTTP/1.0", func() {
 		e := newFakeEndpoint(respondWith(endsWithConnection, eventStreamType, eventText(1, 2, "\n")+"id: 3\n", 0))
 		c, reader := newTestRelay(e).dial()
