--- a/internal/models/wigeonstore/framing_test.go
+++ b/internal/models/wigeonstore/framing_test.go
@@ -44,6 +44,19 @@
 			strings.Repeat("100000\r\n"+strings.Repeat("x", 1<<20)+"\r\n", wigeonstore.MaxResponseBytes>>20+1)),
 	)
 
+	It("is an error by the deadline if its end doesn't come", func() {
+		s := &wigeonscript.Server{Answer: head + "Content-Length: 6\r\n\r\nobj", Silence: 3 * time.Second}
+		address, err := s.Start()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.Stop)
+		short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		startedAt := time.Now()
+		_, err = wigeonstore.NewTransport("http://"+address).GetObject(short, "k")
+		Expect(err).To(MatchError(wigeonshift.ErrUnavailable))
+		Expect(time.Since(startedAt)).To(BeNumerically("<", time.Second))
+	})
+
 	DescribeTable("is returned if it is whole", func(answer string) {
 		Expect(wigeonstore.NewTransport(startScripted(answer)).GetObject(ctx, "k")).To(BeEquivalentTo("whole"))
 	},
--- a/internal/standin/wigeonscript/server.go
+++ b/internal/standin/wigeonscript/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // Server answers the first request of each connection with the same text and closes the connection.
@@ -14,6 +15,8 @@
 	Answer string
 	// EndsWithAnswer makes the server listen no more when it closes the first connection, like a process that crashes.
 	EndsWithAnswer bool
+	// Silence is how long the server stays silent before it closes a connection.
+	Silence time.Duration
 
 	listener net.Listener
 }
@@ -46,6 +49,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 		_, _ = io.WriteString(c, s.Answer)
 	}
+	time.Sleep(s.Silence)
 	if s.EndsWithAnswer {
 		s.Stop()
 	}
