--- a/internal/standin/wigeonscript/server.go
+++ b/internal/standin/wigeonscript/server.go
@@ -3,10 +3,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"wigeonshift/internal/modules/wigeonclock"
 )
 
 // Server answers the first request of each connection with the same text and closes the connection.
@@ -49,7 +52,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 		_, _ = io.WriteString(c, s.Answer)
 	}
-	time.Sleep(s.Silence)
+	wigeonclock.Sleep(context.Background(), s.Silence)
 	if s.EndsWithAnswer {
 		s.Stop()
 	}
