--- a/internal/services/wigeonrelay/framing_test.go
+++ b/internal/services/wigeonrelay/framing_test.go
@@ -20,8 +20,7 @@
 	name string
 	// proper is set if the framing shows no break.
 	proper bool
-	// write sends the rest of a response: a head that began with head, and the first part of a body. whole is the length of the
-	// body that the endpoint had announced.
+	// write sends a response that begins with head and breaks off after body. whole is the length of the whole body.
 	write func(c net.Conn, head, body string, whole int)
 }
 
--- a/internal/soak/wigeonsoak/truncation_test.go
+++ b/internal/soak/wigeonsoak/truncation_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// truncationLog counts the responses that faultTruncate ended, by the way.
+// truncationLog counts the responses of endpoints that truncate, by the kind of their end.
 type truncationLog struct {
 	mu                   sync.Mutex
 	whole, shown, hidden int
