Don't take an empty continuation of a stream for its end

A resumable stream that broke off was delivered as complete if the endpoint that continued it ended its connection, or sent the last chunk, before its first byte: an empty body without a length counted as whole once there had been an event.

Now it never does; a continuation with nothing left needs a length of 0.

--- a/internal/services/wigeonrelay/content.go
+++ b/internal/services/wigeonrelay/content.go
@@ -98,7 +98,7 @@
 	switch {
 	case t.isEvents() && !t.events.Complete():
 		return errEndInsideEvent
-	case t.kind != contentOther && t.events.Events+t.bytes == 0 && t.framing != wigeonframing.Length:
+	case t.kind != contentOther && t.bytes == 0 && t.framing != wigeonframing.Length:
 		return errEmptyStream
 	case t.framing == wigeonframing.Connection && t.call.endpointEnded():
 		return errEndpointEnded
