Log fingerprints of the whole request and of its content, and which attempts count as lost

The logs held one fingerprint, without query and headers, so that they didn't show which of several requests it stood for (hypothesis 1). An attempt that was ended at its deadline left no line that told whether it counted as a loss (hypothesis 2): 'attempt counted as lost' is written when it does.

--- a/cmd/wigeonrelay/explain.go
+++ b/cmd/wigeonrelay/explain.go
@@ -15,7 +15,7 @@
 
 // explainCommand prints the log lines of one request, or of all requests with one content, from the logs of all instances.
 type explainCommand struct {
-	Request string   `arg:"" help:"ID of the request, or the fingerprint of its content."`
+	Request string   `arg:"" help:"ID of the request, its fingerprint, or the fingerprint of its content."`
 	Logs    []string `arg:"" optional:"" type:"existingfile" help:"Log files; standard input if none are given."`
 }
 
@@ -23,8 +23,10 @@
 type logLine struct {
 	Time    string `json:"time"`
 	Request string `json:"request"`
-	// Fingerprint identifies the content of the request, which is the same for every resend by the caller.
+	// Fingerprint identifies everything that the request asks for. Content leaves out query and headers, which a caller may
+	// change when it sends the request again.
 	Fingerprint string `json:"fingerprint"`
+	Content     string `json:"content"`
 	Message     string `json:"msg"`
 	// Reason and Outcome are set on lines that report the end of a request.
 	Reason  string `json:"reason"`
@@ -33,9 +35,9 @@
 	raw string
 }
 
-// concerns reports whether the line is about a request, given by its ID or its fingerprint.
+// concerns reports whether the line is about a request, given by its ID, its fingerprint or that of its content.
 func (l logLine) concerns(request string) bool {
-	return l.Request == request || l.Fingerprint == request
+	return l.Request == request || l.Fingerprint == request || l.Content == request
 }
 
 // Run reads the logs and prints the lines of the request in chronological order.
--- a/cmd/wigeonrelay/explain_test.go
+++ b/cmd/wigeonrelay/explain_test.go
@@ -26,7 +26,8 @@
 	g.Expect(c.printLines(&out, nil)).To(MatchError(ContainSubstring("r1")))
 }
 
-// Each resend by the caller has its own ID, so only the fingerprint leads from one to the others.
+// Each resend by the caller has its own ID, and it may change the query, so only the fingerprint of the content leads from
+// one to all others.
 func TestExplainFingerprint(t *testing.T) {
 	g := NewWithT(t)
 	c := explainCommand{Request: "9c41"}
@@ -37,4 +38,7 @@
 	}, "\n")))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(found).To(HaveLen(2))
+	found, err = c.readLines(strings.NewReader(`1.7 node-b {"request":"r4","fingerprint":"77ac","content":"9c41","msg":"request ended"}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found).To(HaveLen(1))
 }
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -72,6 +72,9 @@
 	if _, exists := l.byFingerprint[j.Fingerprint]; !exists {
 		l.byFingerprint[j.Fingerprint] = loss{dispatchedAt: j.dispatchedAt, midRun: j.isMidRun(s.now)}
 	}
+	s.emit(LossRecorded{
+		RequestID: j.RequestID, Fingerprint: j.Fingerprint, EndpointID: i.endpointID, StartedAtMillis: i.startedAtMillis, Silent: silent,
+	})
 	l.latestAt = s.now
 	l.silent = l.silent || silent
 	if l.crashed {
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -99,6 +99,15 @@
 		// StartedAtMillis tells the incarnations of the endpoint apart; see wigeonshift.EndpointRecord.
 		StartedAtMillis int64
 	}
+	// LossRecorded reports that an attempt counts as lost, because its endpoint may have crashed.
+	LossRecorded struct {
+		RequestID       string
+		Fingerprint     wigeonshift.Fingerprint
+		EndpointID      string
+		StartedAtMillis int64
+		// Silent is set if the endpoint sent nothing and closed no connection.
+		Silent bool
+	}
 	// ReportCrash reports that a request was there when an endpoint crashed, so that the other instances learn of it.
 	ReportCrash struct {
 		Crash wigeonshift.Crash
@@ -124,5 +133,6 @@
 func (Abandon) effect()       {}
 func (Suspect) effect()       {}
 func (CheckEndpoint) effect() {}
+func (LossRecorded) effect()  {}
 func (ReportCrash) effect()   {}
 func (ClearCrashes) effect()  {}
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -46,7 +46,8 @@
 	c.service.log.WithFields(logrus.Fields{
 		"request": c.header.RequestID, "endpoint": d.EndpointID, "attempt": d.Attempt, "running": d.Running,
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
-		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
+		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.fingerprint.String(),
+		"content": c.shared.Content.String(),
 	}).WithFields(c.resendFields()).Info("request dispatched")
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync"
 	"time"
 
 	"wigeonshift"
-	"wigeonshift/internal/modules/wigeonprompt"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonroute"
 
@@ -44,7 +42,10 @@
 	version       uint64
 	targetService string
 	job           *wigeondispatch.Job
-	decisions     chan decision
+	// fingerprint identifies everything that the request asks for, shared what it has in common with others.
+	fingerprint wigeonshift.Fingerprint
+	shared      wigeonshift.SharedFingerprints
+	decisions   chan decision
 	// ctx is cancelled when the caller disconnects or the deadline passes.
 	ctx           context.Context //nolint:containedctx // The context has the lifetime of the call.
 	cancel        context.CancelCauseFunc
@@ -95,7 +96,8 @@
 	}
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.targetService, now, timeout)
-	c.job.Fingerprint = c.fingerprint()
+	c.fingerprint, c.shared = s.fingerprintsOf(&ctx.Request, c.job.Organisation)
+	c.job.Fingerprint = c.shared.Content
 	c.job.Elapsed = s.callerTimeouts.elapsed(r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.deadlineTimer = time.AfterFunc(timeout+deadlineMargin, c.onDeadline)
@@ -147,14 +149,6 @@
 	return j
 }
 
-// fingerprint returns a hash of the organisation, method, path and body of the request. It leaves out the headers and the
-// query, because a caller may change them when it sends the same request again.
-func (c *call) fingerprint() wigeonshift.Fingerprint {
-	r := &c.httpCtx.Request
-	path, _, _ := strings.Cut(string(r.Header.RequestURI()), "?")
-	return wigeonprompt.BodyFingerprint(r.Body(), c.job.Organisation, string(r.Header.Method()), path)
-}
-
 // A caller of a stream is expected to disconnect when nothing arrives for minPatience, for patienceObjectiveFactor
 // times the route's objective or for patienceGapFactor times its allowed gap, whichever is longest.
 const (
@@ -302,7 +296,8 @@
 func (c *call) logEntry(fields logrus.Fields) *logrus.Entry {
 	entry := c.service.log.WithFields(logrus.Fields{
 		"request":     c.header.RequestID,
-		"fingerprint": c.job.Fingerprint.String(),
+		"fingerprint": c.fingerprint.String(),
+		"content":     c.shared.Content.String(),
 		"route":       c.route.Name,
 		"service":     c.targetService,
 		"tier":        int(c.job.Tier),
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -203,6 +203,11 @@
 			}
 		case wigeondispatch.CheckEndpoint:
 			d.startCheck(x)
+		case wigeondispatch.LossRecorded:
+			d.log.WithFields(logrus.Fields{
+				"request": x.RequestID, "content": x.Fingerprint.String(), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis,
+				"silent": x.Silent,
+			}).Info("attempt counted as lost")
 		case wigeondispatch.ReportCrash:
 			d.reportCrash(x)
 		case wigeondispatch.ClearCrashes:
--- /dev/null
+++ b/internal/services/wigeonrelay/fingerprint_test.go
@@ -0,0 +1,54 @@
+package wigeonrelay
+
+import (
+	"wigeonshift"
+	"wigeonshift/platform"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+var _ = Describe("Fingerprints", func() {
+	s := &Service{dialect: platform.Dialect{}}
+	of := func(uri, body string, headers ...string) (wigeonshift.Fingerprint, wigeonshift.SharedFingerprints) {
+		var r fasthttp.Request
+		r.SetRequestURI(uri)
+		r.SetBodyString(body)
+		for i := 0; i < len(headers); i += 2 {
+			r.Header.Add(headers[i], headers[i+1])
+		}
+		return s.fingerprintsOf(&r, "o")
+	}
+	exact, shared := of("/a?q=1", "body", "X-Kind", "k", "Request-Id", "1")
+
+	It("are the same for another try, whatever the order of the headers", func() {
+		again, sharedAgain := of("/a?q=1", "body", "Request-Id", "2", "Deadline-Ms", "7", "X-Kind", "k")
+		Expect(again).To(Equal(exact))
+		Expect(sharedAgain).To(Equal(shared))
+	})
+
+	It("share content and headers with a request that has another query", func() {
+		other, otherShared := of("/a?q=2", "body", "X-Kind", "k")
+		Expect(other).NotTo(Equal(exact))
+		Expect(otherShared.Content).To(Equal(shared.Content))
+		Expect(otherShared.Headers).To(Equal(shared.Headers))
+		Expect(otherShared.Query).NotTo(Equal(shared.Query))
+	})
+
+	It("share content and query with a request that has other headers", func() {
+		other, otherShared := of("/a?q=1", "body", "X-Kind", "l")
+		Expect(other).NotTo(Equal(exact))
+		Expect(otherShared.Content).To(Equal(shared.Content))
+		Expect(otherShared.Query).To(Equal(shared.Query))
+		Expect(otherShared.Headers).NotTo(Equal(shared.Headers))
+	})
+
+	It("share nothing with a request of another path or body", func() {
+		for _, uriAndBody := range [][2]string{{"/b?q=1", "body"}, {"/a?q=1", "other"}} {
+			other, otherShared := of(uriAndBody[0], uriAndBody[1], "X-Kind", "k")
+			Expect([]wigeonshift.Fingerprint{other, otherShared.Content, otherShared.Query, otherShared.Headers}).NotTo(
+				ContainElement(BeElementOf(exact, shared.Content, shared.Query, shared.Headers)))
+		}
+	})
+})
--- a/request.go
+++ b/request.go
@@ -18,6 +18,16 @@
 // Fingerprint identifies the content of a request; it is the same for every resend.
 type Fingerprint uint64
 
+// SharedFingerprints identify what a request has in common with others. A caller may send a request again with another query
+// or other headers; other requests of the caller may differ in these only. Zero values are unknown.
+type SharedFingerprints struct {
+	// Content covers organisation, method, path and body.
+	Content Fingerprint
+	// Query covers the content and the query, Headers the content and the headers that the caller chose.
+	Query   Fingerprint
+	Headers Fingerprint
+}
+
 // String returns the hexadecimal form, which logs and row keys use.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
--- a/wire.go
+++ b/wire.go
@@ -51,6 +51,9 @@
 type WireDialect interface {
 	// ReadRequest decodes the headers of a caller's request.
 	ReadRequest(h *fasthttp.RequestHeader) RequestHeader
+	// VisitContentHeaders calls visit for each header of a caller's request that describes what it asks for. It leaves out
+	// those that concern one connection or one try, such as its ID and its timeout.
+	VisitContentHeaders(h *fasthttp.RequestHeader, visit func(name, value []byte))
 	// WriteRequest turns a copy of a caller's request headers into those of the request to an endpoint.
 	WriteRequest(h *fasthttp.RequestHeader, call EndpointCall)
 	// ReadResponse decodes the headers of an endpoint's response.
