Reproduce a request that crashes endpoints among sound ones of the same content

The stand-in knows such a request by its ID in place of its body, which sound requests share now; each of its tries had that ID before.

--- a/internal/soak/wigeonsoak/poison_test.go
+++ b/internal/soak/wigeonsoak/poison_test.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	// poisonBody is the body of a request that crashes every endpoint that begins to run it.
-	poisonBody = "poison"
-	// poisonIDPrefix begins the ID of every try of that request, inTouchSuffix ends it if the relay was in touch.
+	// poisonIDPrefix begins the ID of every try of a request that crashes every endpoint that begins to run it. inTouchSuffix
+	// ends it if the relay was in touch.
 	poisonIDPrefix = "poison-"
-	inTouchSuffix  = "-inTouch"
+	// poisonBody is its body, which other requests may share.
+	poisonBody    = "poison"
+	inTouchSuffix = "-inTouch"
 	// endpointDowntime is how long a crashed endpoint refuses connections.
 	endpointDowntime = 2 * time.Second
 	// crashesToQuarantine is the number of crashed endpoints after which the request may reach only maxLateArrivals more
@@ -89,15 +90,30 @@
 		return
 	}
 	e.proxy.setMode(modeStall)
-	time.AfterFunc(missedHeartbeatsTime, e.withdraw)
-	time.AfterFunc(missedHeartbeatsTime+endpointDowntime, func() {
-		e.mu.Lock()
-		e.startedAt = time.Now()
-		e.mu.Unlock()
-		e.proxy.setMode(modeReset)
-		e.proxy.setMode(modeForward)
-		e.announce(e)
-	})
+	id := e.identity()
+	time.AfterFunc(missedHeartbeatsTime, func() { e.withdraw(id) })
+	time.AfterFunc(missedHeartbeatsTime+endpointDowntime, func() { e.startSilenced(id) })
+}
+
+// fallSilentAndReturn is like fallSilent, but the endpoint starts again under a new ID before its old row disappears.
+func (e *engine) fallSilentAndReturn() {
+	if e.proxy.currentMode() == modeStall {
+		return
+	}
+	e.proxy.setMode(modeStall)
+	id := e.identity()
+	time.AfterFunc(missedHeartbeatsTime, func() { e.withdraw(id) })
+	time.AfterFunc(endpointDowntime, func() { e.startSilenced(fmt.Sprintf("%s-%d", e.firstID, time.Now().UnixMilli())) })
+}
+
+// startSilenced starts an endpoint that had fallen silent, under an ID.
+func (e *engine) startSilenced(id string) {
+	e.mu.Lock()
+	e.id, e.startedAt = id, time.Now()
+	e.mu.Unlock()
+	e.proxy.setMode(modeReset)
+	e.proxy.setMode(modeForward)
+	e.announce(e)
 }
 
 // end ends the endpoint like a process that exits, and starts it again under the same ID after endpointDowntime. It is
@@ -121,6 +137,9 @@
 type poisonCaller struct {
 	caller
 	name, path string
+	// vary returns the query and additional header lines of a try; nil for none.
+	vary  func(try int) (query, headers string)
+	tries int
 }
 
 // resendInterval is the time between two tries of a poisonCaller.
@@ -144,7 +163,13 @@
 
 // send sends the request and checks that a refusal, which promises that it did not run, is true.
 func (c *poisonCaller) send(id string, p *relayProcess) {
-	status, _, _, _ := c.roundTrip(c.path, id, poisonBody, p)
+	path := c.path
+	if c.vary != nil {
+		query, headers := c.vary(c.tries)
+		path, c.headers = path+"?"+query, headers
+		c.tries++
+	}
+	status, _, _, _ := c.roundTrip(path, id, poisonBody, p)
 	if status == http.StatusServiceUnavailable && c.soak.executions.count(id) > 0 {
 		c.soak.reportViolation("%s: refused with a status that promises no execution, but executed", id)
 	}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -49,6 +49,8 @@
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
+	// timeoutMillis is the timeout of all routes.
+	timeoutMillis int
 	// dir holds the relays' settings and logs; binary is their program.
 	dir, binary string
 
@@ -113,7 +115,7 @@
 	s := &soakRun{
 		g: NewWithT(t), seed: o.seed, random: rand.New(rand.NewPCG(o.seed, 1)), store: newStore(),
 		executions: &executionLog{countByID: map[string]int{}}, repeats: newRepeatLog(o.limit),
-		faults: map[string]int{}, outcomes: map[int]int{},
+		faults: map[string]int{}, outcomes: map[int]int{}, timeoutMillis: 4000,
 	}
 	dir := t.TempDir()
 	if keep := os.Getenv("WIGEONSHIFT_SOAK_LOGS"); keep != "" {
@@ -184,7 +186,7 @@
 		fmt.Sprintf("/v%d/", s.configurationVersion): "idempotent",
 	} {
 		routes = append(routes, map[string]any{
-			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "timeout_ms": 4000, "target_latency_ms": 500,
+			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "timeout_ms": s.timeoutMillis, "target_latency_ms": 500,
 			"service": "s", "max_attempts": 2, "gap_target_ms": 400, "resumable": prefix == "/resume/",
 		})
 	}
@@ -307,7 +309,7 @@
 		draining.mu.Lock()
 		draining.drainingSince = time.Now()
 		draining.mu.Unlock()
-		s.store.put("servers", draining.id, draining.row("draining"))
+		s.store.put("servers", draining.identity(), draining.row("draining"))
 		return func() {}, "change"
 	}
 }
@@ -376,9 +378,11 @@
 	lastError error
 	random    *rand.Rand
 	stop      chan struct{}
-	conn      net.Conn
-	reader    *bufio.Reader
-	relay     *relayProcess
+	// headers are additional header lines of the next request, each with its end.
+	headers string
+	conn    net.Conn
+	reader  *bufio.Reader
+	relay   *relayProcess
 }
 
 func (c *caller) run() {
@@ -449,7 +453,7 @@
 		c.conn, c.reader, c.relay = conn, bufio.NewReader(conn), p
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
-	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: %d\r\n%s\r\n%s", path, id, len(body), c.headers, body)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		c.lastError = err
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -232,7 +232,6 @@
 
 // engine is a stand-in for an endpoint. It serves plain requests and streams.
 type engine struct {
-	id         string
 	server     *httptest.Server
 	proxy      *proxy
 	executions *executionLog
@@ -240,17 +239,19 @@
 	repeats    *repeatLog
 	// truncations counts the ends of responses that faultTruncate made.
 	truncations *truncationLog
-	// announce writes the endpoint's row to the store, withdraw removes it.
+	// announce writes the endpoint's row to the store, withdraw removes the row of an ID.
 	announce func(e *engine)
-	withdraw func()
+	withdraw func(id string)
 	// crash is what the request that crashes endpoints does to this one.
 	crash func()
 	// stable reports whether the store and the relays have had no fault for long enough that every relay must know that
 	// the endpoint is draining.
 	stable func() bool
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu sync.Mutex
+	// id is that of the running process, firstID that of the first one.
+	id, firstID string
+	random      *rand.Rand
 	// faultKind selects how requests fail.
 	faultKind faultKind
 	// faultRatio is the ratio of requests that fail; faultChangedAt is the time at which it last changed.
@@ -284,16 +285,23 @@
 
 func newEngine(id string, seed uint64, s *soakRun) *engine {
 	e := &engine{
-		id: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
-		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.id, e.row("ready")) },
+		id: id, firstID: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
+		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.identity(), e.row("ready")) },
 	}
-	e.withdraw = func() { s.store.put("servers", e.id, nil) }
+	e.withdraw = func(id string) { s.store.put("servers", id, nil) }
 	e.crash = e.end
 	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
 	e.proxy = newProxy(e.server.Listener.Addr().String())
 	return e
 }
 
+// identity returns the ID of the running process.
+func (e *engine) identity() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id
+}
+
 func (e *engine) row(state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -337,11 +345,11 @@
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	_, _ = io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
 	e.repeats.recordArrival(id)
 	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Expect-Instance") != e.id {
+	if r.Header.Get("Expect-Instance") != e.identity() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -361,7 +369,7 @@
 		e.executions.mu.Unlock()
 	}
 	e.executions.record(id)
-	if string(body) == poisonBody {
+	if strings.HasPrefix(id, poisonIDPrefix) {
 		e.poison.recordArrival(id)
 		e.crash()
 		panic(http.ErrAbortHandler)
@@ -374,7 +382,7 @@
 		e.truncate(w, r, isStream)
 		return
 	}
-	w.Header().Set("Server-Signature", e.id)
+	w.Header().Set("Server-Signature", e.identity())
 	if !isStream {
 		time.Sleep(time.Duration(10+20*e.randomFloat()) * time.Millisecond)
 		fmt.Fprint(w, plainResponse(id))
--- a/internal/soak/wigeonsoak/truncation_test.go
+++ b/internal/soak/wigeonsoak/truncation_test.go
@@ -96,7 +96,7 @@
 		sent = body[:end.sentBytes]
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nContent-Type: %s\r\nConnection: close\r\n",
-		w.Header().Get("Request-Id"), e.id, contentType)
+		w.Header().Get("Request-Id"), e.identity(), contentType)
 	switch end.framing {
 	case framingLength:
 		length := len(body)
