Tell requests that crash endpoints from others of the same caller, path and body

Callers saw: beside sound requests that differ in the query only, either every one of these was refused in place of the one that crashes endpoints (0 of 193 served), or that one went on (11 to 18 endpoints ended, 6 to 14 of them late, 3 allowed).

Now a crash is kept under the whole request, with what it shares: content, query, headers. A request is refused for its own crashes; what it shares with others counts if three endpoints crashed under requests that share it, apart from the variant that explains most of them, and these are half of all crashes since. Variants that were answered are sent; the others are tried one at a time, by one instance, after a delay. Only a success of the very request clears it, and not from three crashes on, unless there were as many answers.

Second cause, also tested: an attempt that ended before the stall timeout (a short deadline, a caller that left, a stream after its first event) left no loss, so that a silent crash under it was never counted. It is one now, refuted by any later answer of the endpoint. An endpoint whose address another one has taken has ended.

The harness of the reducer's specs reports success with a whole answer, which is what those specs meant.

--- a/crash.go
+++ b/crash.go
@@ -4,8 +4,9 @@
 
 // Crash reports that an endpoint crashed while it had a request, which may have caused the crash.
 type Crash struct {
-	// Fingerprint is that of the request.
+	// Fingerprint is that of the whole request, Shared holds those of what it has in common with others.
 	Fingerprint Fingerprint
+	Shared      SharedFingerprints
 	// Endpoint identifies the endpoint and its incarnation, so that each crash of an endpoint counts once.
 	Endpoint string
 	// MidRun is set if the endpoint had run the request for some time, which makes the request an unlikely cause. It counts
--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -35,6 +35,7 @@
 	for _, c := range m.Crashes {
 		out.Crashes = append(out.Crashes, &Crash{
 			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(), MidRun: c.MidRun,
+			Content: uint64(c.Shared.Content), Query: uint64(c.Shared.Query), Headers: uint64(c.Shared.Headers),
 		})
 	}
 	return out
@@ -71,6 +72,11 @@
 			Endpoint:    c.GetEndpoint(),
 			MidRun:      c.GetMidRun(),
 			At:          time.UnixMilli(c.GetAtMs()),
+			Shared: wigeonshift.SharedFingerprints{
+				Content: wigeonshift.Fingerprint(c.GetContent()),
+				Query:   wigeonshift.Fingerprint(c.GetQuery()),
+				Headers: wigeonshift.Fingerprint(c.GetHeaders()),
+			},
 		})
 	}
 	return out
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -9,7 +9,7 @@
 // refused later.
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
-	if s.crashes.Quarantined(j.Fingerprint) {
+	if !s.maySend(j) {
 		s.refuseQuarantined(j)
 		return
 	}
@@ -106,7 +106,7 @@
 	p := s.pool(j.Service)
 	refuse := Refuse{
 		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
-		Crashes: s.crashes.Crashes(j.Fingerprint), Resend: j.refusedResend(),
+		Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(),
 	}
 	if q := s.quotas[j.Organisation]; q != nil {
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -42,12 +42,18 @@
 // recordOutcome updates the timings and the failure state of an endpoint from the outcome of an attempt, so that later
 // requests avoid slow and failing endpoints. A rejected, misplaced or delayed attempt counts as neither success nor failure. An
 // abandoned one was ended by this instance, so it counts as a failure only if the endpoint had sent nothing for the
-// stall timeout.
+// stall timeout. It may still be lost: an endpoint that crashes without closing its connections is silent, however long it
+// was waited for.
 func (s *State) recordOutcome(e *endpoint, j *Job, ev AttemptEnded) {
 	elapsed := s.now - j.dispatchedAt
+	if ev.Outcome.answered() {
+		s.recordAlive(e, j)
+	}
 	switch ev.Outcome {
 	case OutcomeDone:
-		s.clearCrashes(j.Fingerprint)
+		if ev.Succeeded {
+			s.recordAnswer(j)
+		}
 		e.recordSuccess()
 		if j.firstEventLatency > 0 {
 			e.recordStreamEnd(ev.Events, elapsed-j.firstEventLatency)
@@ -59,13 +65,18 @@
 	case OutcomeRejected, OutcomeMisplaced, OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
+			s.recordLoss(e, j, lossUnverified)
 			return
 		}
-		s.recordLoss(e, j, true)
+		s.recordLoss(e, j, lossSilent)
 		s.recordFailure(e)
 	case OutcomeLost:
 		// handleStall reserves the resend when it abandons the attempt on a silent endpoint.
-		s.recordLoss(e, j, j.resendReserved)
+		kind := lossBroken
+		if j.resendReserved {
+			kind = lossSilent
+		}
+		s.recordLoss(e, j, kind)
 		s.recordFailure(e)
 	default:
 		s.recordFailure(e)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -29,7 +29,7 @@
 	jobsByPriority, own := p.jobsByPriority(s.now)
 	round := placementRound{freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}}
 	for _, j := range jobsByPriority {
-		if s.crashes.Quarantined(j.Fingerprint) {
+		if !s.maySend(j) {
 			s.dequeue(p, j, &round)
 			s.refuseQuarantined(j)
 			continue
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -75,7 +75,7 @@
 		// units, and QuotaRoundAge the time since they last had.
 		QuotaRoundLeft float64
 		QuotaRoundAge  time.Duration
-		// Crashes holds the crashes at which the request was there.
+		// Crashes holds the crashes at which the request was there, or others with the same content if it is refused for these.
 		Crashes []wigeonshift.Crash
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
 		Resend *ResendDecision
@@ -103,10 +103,11 @@
 	LossRecorded struct {
 		RequestID       string
 		Fingerprint     wigeonshift.Fingerprint
+		Shared          wigeonshift.SharedFingerprints
 		EndpointID      string
 		StartedAtMillis int64
-		// Silent is set if the endpoint sent nothing and closed no connection.
-		Silent bool
+		// Kind is broken, silent or unverified.
+		Kind string
 	}
 	// ReportCrash reports that a request was there when an endpoint crashed, so that the other instances learn of it.
 	ReportCrash struct {
@@ -115,6 +116,14 @@
 		Crashes     int
 		Quarantined bool
 	}
+	// StartTrial reports that a request is sent although others like it are suspected of crashes.
+	StartTrial struct {
+		RequestID   string
+		Fingerprint wigeonshift.Fingerprint
+		Shared      wigeonshift.SharedFingerprints
+		// Answers is the number of trials that were answered since the latest crash.
+		Answers int
+	}
 	// ClearCrashes reports that a request has run to its end and thus did not cause the crashes reported for it.
 	ClearCrashes struct {
 		Fingerprint wigeonshift.Fingerprint
@@ -135,4 +144,5 @@
 func (CheckEndpoint) effect() {}
 func (LossRecorded) effect()  {}
 func (ReportCrash) effect()   {}
+func (StartTrial) effect()    {}
 func (ClearCrashes) effect()  {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -81,6 +81,8 @@
 		At      time.Duration
 		Job     JobID
 		Outcome Outcome
+		// Succeeded is set if the endpoint ran the request and answered with success.
+		Succeeded bool
 		// Events is the number of events of a stream.
 		Events int
 		// Answerable is set if another attempt can still answer the caller, because the caller has received no byte of the
--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -138,6 +138,10 @@
 func (s *State) updateGroups(instances []wigeonshift.Instance) {
 	s.instances = max(len(instances), 1)
 	s.groups = NewGroups(instances)
+	s.instanceIDs = s.instanceIDs[:0]
+	for _, i := range instances {
+		s.instanceIDs = append(s.instanceIDs, i.ID)
+	}
 	s.markOtherGroupEndpoints()
 	s.updateQuotaShares()
 }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -14,9 +14,10 @@
 	ID JobID
 	// RequestID is the caller's ID of the request. It is used only in logs.
 	RequestID string
-	// Fingerprint identifies the content of the request. It is the same for every resend by the caller, each of which has
-	// its own RequestID; zero if unknown.
+	// Fingerprint identifies what the request asks for. It is the same for every resend by the caller that changes nothing,
+	// each of which has its own RequestID; zero if unknown. Shared holds what the request has in common with others.
 	Fingerprint wigeonshift.Fingerprint
+	Shared      wigeonshift.SharedFingerprints
 	Service     string
 	// Route is the name of the route that the request matched.
 	Route string
@@ -73,6 +74,8 @@
 	// resend whose arrival isn't known yet.
 	resendSlot    int64
 	resendPending bool
+	// isTrial is set if the request is sent although others like it are suspected of crashes.
+	isTrial bool
 	// quotaCharged is set while Units are charged to the organisation's quota.
 	quotaCharged bool
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -23,6 +23,12 @@
 	crashes *wigeonquarantine.Record
 	// losses holds the attempts that this instance lost recently, by incarnation of the endpoint.
 	losses map[incarnation]*losses
+	// answers counts the successful answers that this instance received.
+	answers *wigeonquarantine.AnswerCounter
+	// trials holds the trials of requests that are suspected by what they share, by content.
+	trials map[wigeonshift.Fingerprint]*trials
+	// instanceIDs are the IDs of all instances.
+	instanceIDs []string
 	// share is the part of what all instances share that this instance may use until shareUntil.
 	share      float64
 	shareUntil time.Duration
@@ -47,6 +53,8 @@
 		retryBudgets: map[string]*retryBudget{},
 		crashes:      wigeonquarantine.NewRecord(wigeonquarantine.Limit),
 		losses:       map[incarnation]*losses{},
+		answers:      wigeonquarantine.NewAnswerCounter(),
+		trials:       map[wigeonshift.Fingerprint]*trials{},
 		instances:    1,
 		groups:       NewGroups(nil),
 	}
@@ -160,6 +168,7 @@
 		s.endpoints[r.ID] = fresh
 		p.add(fresh)
 	}
+	s.recordReusedAddresses(records)
 	for id, e := range s.endpoints {
 		if !listed[id] {
 			s.recordRemoval(e)
@@ -188,6 +197,7 @@
 	s.tickedAt = s.now
 	s.expirePeers()
 	s.expireLosses()
+	s.expireTrials()
 	s.dispatchAllWaiting()
 }
 
@@ -263,5 +273,6 @@
 // forget removes a request that has ended.
 func (s *State) forget(j *Job) {
 	s.releaseResend(j)
+	s.endTrial(j)
 	delete(s.jobs, j.ID)
 }
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -15,6 +15,8 @@
 	// at is the time of the next event.
 	at     time.Duration
 	lastID JobID
+	// starts counts the restarts of all endpoints.
+	starts int
 }
 
 // newHarness returns a reducer with the given endpoints, one service and one organisation with a quota.
@@ -52,7 +54,9 @@
 }
 
 func (h *reducerHarness) end(j *Job, o Outcome, answerable bool) []Effect {
-	return h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: o, Answerable: answerable})
+	return h.state.Reduce(AttemptEnded{
+		At: h.at, Job: j.ID, Outcome: o, Succeeded: o == OutcomeDone, Answerable: answerable,
+	})
 }
 
 // occupySlots dispatches n requests that occupy the slots and the queues of the endpoints.
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -18,6 +18,8 @@
 	// maxFingerprints bounds the number of requests in a record, maxCrashes the crashes of each.
 	maxFingerprints = 16384
 	maxCrashes      = 8
+	// maxVariants bounds the requests with crashes that are kept for each fingerprint that they share.
+	maxVariants = 64
 	// Weights of crashes. A crash in the middle of a run counts less, because a request that crashes endpoints does so when
 	// it begins to run.
 	crashWeight       = 2
@@ -29,11 +31,20 @@
 	// limit is the number of crashes from which a request is quarantined; those in the middle of a run count half.
 	limit   int
 	crashes map[wigeonshift.Fingerprint][]wigeonshift.Crash
+	// variants holds the requests with crashes that share a fingerprint, at most maxVariants for each.
+	variants map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint
+	// sharedWeights holds the weights that were computed since the latest change.
+	sharedWeights map[wigeonshift.Fingerprint]sharedWeight
 }
 
 // NewRecord returns an empty record in which a request is quarantined from limit crashes on.
 func NewRecord(limit int) *Record {
-	return &Record{limit: limit, crashes: map[wigeonshift.Fingerprint][]wigeonshift.Crash{}}
+	return &Record{
+		limit:         limit,
+		crashes:       map[wigeonshift.Fingerprint][]wigeonshift.Crash{},
+		variants:      map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint{},
+		sharedWeights: map[wigeonshift.Fingerprint]sharedWeight{},
+	}
 }
 
 // Add adds a crash and reports whether it is new. It ignores requests without a fingerprint, and everything beyond the
@@ -47,9 +58,38 @@
 		return false
 	}
 	r.crashes[c.Fingerprint] = append(known, c)
+	r.addVariant(c)
+	clear(r.sharedWeights)
 	return true
 }
 
+// addVariant adds the request of a crash to those that share its fingerprints.
+func (r *Record) addVariant(c wigeonshift.Crash) {
+	for _, k := range sharedKeys(c.Shared) {
+		if v := r.variants[k]; len(v) < maxVariants && !slices.Contains(v, c.Fingerprint) {
+			r.variants[k] = append(v, c.Fingerprint)
+		}
+	}
+}
+
+// removeVariant removes a request without crashes from those that share its fingerprints.
+func (r *Record) removeVariant(f wigeonshift.Fingerprint, shared wigeonshift.SharedFingerprints) {
+	for _, k := range sharedKeys(shared) {
+		left := slices.DeleteFunc(r.variants[k], func(v wigeonshift.Fingerprint) bool { return v == f })
+		if len(left) == 0 {
+			delete(r.variants, k)
+			continue
+		}
+		r.variants[k] = left
+	}
+}
+
+// sharedKeys returns the known fingerprints of what a request shares with others.
+func sharedKeys(s wigeonshift.SharedFingerprints) []wigeonshift.Fingerprint {
+	keys := []wigeonshift.Fingerprint{s.Content, s.Query, s.Headers}
+	return slices.DeleteFunc(keys, func(k wigeonshift.Fingerprint) bool { return k == 0 })
+}
+
 // Has reports whether the record has a crash.
 func (r *Record) Has(c wigeonshift.Crash) bool {
 	return slices.ContainsFunc(r.crashes[c.Fingerprint], func(k wigeonshift.Crash) bool { return k.Endpoint == c.Endpoint })
@@ -58,6 +98,14 @@
 // Crashes returns the crashes of a request.
 func (r *Record) Crashes(f wigeonshift.Fingerprint) []wigeonshift.Crash { return r.crashes[f] }
 
+// Related returns the crashes of the request of c, and of all requests with the same content.
+func (r *Record) Related(c wigeonshift.Crash) []wigeonshift.Crash {
+	if !slices.Contains(r.variants[c.Shared.Content], c.Fingerprint) {
+		return r.crashes[c.Fingerprint]
+	}
+	return r.SharedCrashes(c.Shared.Content)
+}
+
 // Suspected reports whether a request was there at some crash, but at too few for the quarantine.
 func (r *Record) Suspected(f wigeonshift.Fingerprint) bool {
 	return len(r.crashes) > 0 && len(r.crashes[f]) > 0 && !r.Quarantined(f)
@@ -72,15 +120,18 @@
 func (r *Record) QuarantinedAfter(f wigeonshift.Fingerprint, further int) bool {
 	weight := further * crashWeight
 	for _, c := range r.crashes[f] {
-		if c.MidRun {
-			weight += midRunCrashWeight
-		} else {
-			weight += crashWeight
-		}
+		weight += weightOf(c)
 	}
 	return weight >= r.limit*crashWeight
 }
 
+func weightOf(c wigeonshift.Crash) int {
+	if c.MidRun {
+		return midRunCrashWeight
+	}
+	return crashWeight
+}
+
 // ExpiresAt returns the time at which a request is forgotten.
 func (r *Record) ExpiresAt(f wigeonshift.Fingerprint) time.Time {
 	var last time.Time
@@ -89,14 +140,24 @@
 			last = c.At
 		}
 	}
-	if r.Quarantined(f) {
+	if r.Quarantined(f) || r.suspectedByShared(f) {
 		return last.Add(quarantineLifetime)
 	}
 	return last.Add(suspectLifetime)
 }
 
+// suspectedByShared reports whether a request with crashes is suspected by what it shares with others.
+func (r *Record) suspectedByShared(f wigeonshift.Fingerprint) bool {
+	crashes := r.crashes[f]
+	if len(crashes) == 0 {
+		return false
+	}
+	isSuspected := func(k wigeonshift.Fingerprint) bool { return r.SuspectedAfter(k, 0) }
+	return slices.ContainsFunc(sharedKeys(crashes[0].Shared), isSuspected)
+}
+
 // Remove removes a request with all its crashes.
-func (r *Record) Remove(f wigeonshift.Fingerprint) { delete(r.crashes, f) }
+func (r *Record) Remove(f wigeonshift.Fingerprint) { r.set(f, nil) }
 
 // RemoveFalseCrash removes a crash of an endpoint that didn't happen. Requests that are quarantined stay so.
 func (r *Record) RemoveFalseCrash(endpoint string) {
@@ -104,21 +165,25 @@
 		if r.Quarantined(f) {
 			continue
 		}
-		r.set(f, slices.DeleteFunc(known, func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
+		r.set(f, slices.DeleteFunc(slices.Clone(known), func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
 	}
 }
 
 // RemoveCrash removes one crash of a request.
 func (r *Record) RemoveCrash(f wigeonshift.Fingerprint, endpoint string) {
-	r.set(f, slices.DeleteFunc(r.crashes[f], func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
+	r.set(f, slices.DeleteFunc(slices.Clone(r.crashes[f]), func(c wigeonshift.Crash) bool { return c.Endpoint == endpoint }))
 }
 
 func (r *Record) set(f wigeonshift.Fingerprint, crashes []wigeonshift.Crash) {
-	if len(crashes) == 0 {
-		delete(r.crashes, f)
+	clear(r.sharedWeights)
+	if len(crashes) > 0 {
+		r.crashes[f] = crashes
 		return
 	}
-	r.crashes[f] = crashes
+	if known := r.crashes[f]; len(known) > 0 {
+		r.removeVariant(f, known[0].Shared)
+	}
+	delete(r.crashes, f)
 }
 
 // Expire removes the requests whose time is over and returns their crashes.
@@ -127,7 +192,7 @@
 	for f, known := range r.crashes {
 		if now.After(r.ExpiresAt(f)) {
 			expired = append(expired, known...)
-			delete(r.crashes, f)
+			r.Remove(f)
 		}
 	}
 	return expired
--- a/internal/services/wigeonquarantine/record_test.go
+++ b/internal/services/wigeonquarantine/record_test.go
@@ -74,6 +74,7 @@
 var _ = Describe("Rows", func() {
 	It("keep a crash", func() {
 		c := crash(0x9c41, "i-7@12")
+		c.Shared = wigeonshift.SharedFingerprints{Content: 1 << 63, Query: 2, Headers: 3}
 		value, err := EncodeRow(c)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(RowKey(c)).To(Equal("9c41/i-7@12"))
--- a/internal/services/wigeonquarantine/row.go
+++ b/internal/services/wigeonquarantine/row.go
@@ -18,6 +18,10 @@
 type rowValue struct {
 	At     time.Time `json:"at"`
 	MidRun bool      `json:"midRun,omitempty"`
+	// Content, Query and Headers are what the request shares with others.
+	Content wigeonshift.Fingerprint `json:"content,omitempty"`
+	Query   wigeonshift.Fingerprint `json:"query,omitempty"`
+	Headers wigeonshift.Fingerprint `json:"headers,omitempty"`
 }
 
 // keySeparator stands between the fingerprint and the endpoint in a row key.
@@ -28,7 +32,9 @@
 
 // EncodeRow returns the value of the row for a crash.
 func EncodeRow(c wigeonshift.Crash) ([]byte, error) {
-	return json.Marshal(rowValue{At: c.At.UTC(), MidRun: c.MidRun})
+	return json.Marshal(rowValue{
+		At: c.At.UTC(), MidRun: c.MidRun, Content: c.Shared.Content, Query: c.Shared.Query, Headers: c.Shared.Headers,
+	})
 }
 
 // DecodeKey returns the fingerprint and the endpoint of a row key. Its error wraps ErrMalformedRow.
@@ -51,5 +57,6 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return wigeonshift.Crash{}, errors.Join(ErrMalformedRow, err)
 	}
-	return wigeonshift.Crash{Fingerprint: f, Endpoint: endpoint, MidRun: v.MidRun, At: v.At}, nil
+	shared := wigeonshift.SharedFingerprints{Content: v.Content, Query: v.Query, Headers: v.Headers}
+	return wigeonshift.Crash{Fingerprint: f, Shared: shared, Endpoint: endpoint, MidRun: v.MidRun, At: v.At}, nil
 }
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -20,7 +20,8 @@
 }
 
 // ReportCrash adds a crash that this instance noticed. It shares the first crash of a request after shareDelay, unless the
-// request is cleared until then, and all crashes of a request at once from the second on.
+// request is cleared until then, and all crashes of a request at once from the second on. A crash of another request with
+// the same content counts as well, because a caller may change the rest.
 func (s *Service) ReportCrash(c wigeonshift.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,17 +29,18 @@
 		return
 	}
 	s.states[RowKey(c)] = rowLocal
-	if len(s.record.Crashes(c.Fingerprint)) == 1 {
+	related := s.record.Related(c)
+	if len(related) == 1 {
 		s.deferShareLocked(c)
 		return
 	}
-	s.shareAllLocked(c.Fingerprint)
+	s.shareAllLocked(related)
 	s.requestPublish()
 }
 
-// shareAllLocked shares all crashes of a request that only this instance knows.
-func (s *Service) shareAllLocked(f wigeonshift.Fingerprint) {
-	for _, c := range s.record.Crashes(f) {
+// shareAllLocked shares those of some crashes that only this instance knows.
+func (s *Service) shareAllLocked(crashes []wigeonshift.Crash) {
+	for _, c := range crashes {
 		if s.states[RowKey(c)] == rowLocal {
 			s.shareLocked(c)
 		}
@@ -88,7 +90,7 @@
 	for _, c := range crashes {
 		if s.record.Add(c) {
 			s.states[RowKey(c)] = rowFromPeer
-			s.shareAllLocked(c.Fingerprint)
+			s.shareAllLocked(s.record.Related(c))
 			s.logLearned(c, "peer")
 			s.requestPublish()
 		}
--- a/internal/services/wigeonquarantine/table.go
+++ b/internal/services/wigeonquarantine/table.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		if s.record.Add(c) {
-			s.shareAllLocked(c.Fingerprint)
+			s.shareAllLocked(s.record.Related(c))
 			s.logLearned(c, "store")
 		}
 		if !s.record.Has(c) {
@@ -85,7 +85,7 @@
 
 func (s *Service) logLearned(c wigeonshift.Crash, source string) {
 	s.log.WithFields(logrus.Fields{
-		"fingerprint": c.Fingerprint.String(), "endpoint": c.Endpoint, "crashes": len(s.record.Crashes(c.Fingerprint)),
+		"fingerprint": c.Fingerprint.String(), "content": c.Shared.Content.String(), "endpoint": c.Endpoint, "crashes": len(s.record.Crashes(c.Fingerprint)),
 		"quarantined": s.record.Quarantined(c.Fingerprint), "source": source,
 	}).Info("crash learned")
 }
--- /dev/null
+++ b/internal/services/wigeonquarantine/verdict.go
@@ -0,0 +1,197 @@
+package wigeonquarantine
+
+import (
+	"slices"
+	"time"
+
+	"wigeonshift"
+)
+
+// Verdict tells whether a request may be sent to endpoints.
+type Verdict int
+
+const (
+	// VerdictSend means that nothing speaks against the request.
+	VerdictSend Verdict = iota
+	// VerdictTry means that endpoints crashed under several requests that have something in common with this one, and that
+	// no request like this one has been answered. It may be such a request, or a sound one beside them.
+	VerdictTry
+	// VerdictRefuse means that several endpoints crashed under this very request, or some under it and several under others
+	// that have something in common with it.
+	VerdictRefuse
+)
+
+// minCrashShare is the share of all crashes, since the first one of requests that share a fingerprint, from which they are
+// the likely cause. When endpoints crash for other reasons, they crash under requests of all kinds.
+const minCrashShare = 0.5
+
+// Judge decides whether a request may be sent. A request is refused for the crashes under it alone, unless it was answered at
+// least as often. What it shares with others counts if at least the limit of endpoints crashed under requests that share it,
+// apart from the one variant of them that explains most crashes. A request of which a variant was answered is not suspected
+// for the rest that it shares.
+func (r *Record) Judge(f wigeonshift.Fingerprint, shared wigeonshift.SharedFingerprints, answers *AnswerCounter) Verdict {
+	if len(r.crashes) == 0 {
+		return VerdictSend
+	}
+	if r.Quarantined(f) && answers.Count(f) < len(r.crashes[f]) {
+		return VerdictRefuse
+	}
+	if answers.Count(f) > 0 {
+		return VerdictSend
+	}
+	suspected := r.SuspectedAfter(shared.Content, 0)
+	for _, k := range [...]wigeonshift.Fingerprint{shared.Query, shared.Headers} {
+		switch {
+		case r.SuspectedAfter(k, 0):
+			suspected = true
+		case answers.Count(k) > 0:
+			return VerdictSend
+		}
+	}
+	switch {
+	case !suspected:
+		return VerdictSend
+	case len(r.crashes[f]) > 0:
+		return VerdictRefuse
+	default:
+		return VerdictTry
+	}
+}
+
+// SuspectedAfter reports whether requests that share a fingerprint are the likely cause of crashes after a number of further
+// ones.
+func (r *Record) SuspectedAfter(shared wigeonshift.Fingerprint, further int) bool {
+	if shared == 0 || further == 0 && len(r.variants[shared]) == 0 {
+		return false
+	}
+	w, known := r.sharedWeights[shared]
+	if !known {
+		w = r.weighShared(shared)
+		r.sharedWeights[shared] = w
+	}
+	unexplained, all := w.unexplained+further*crashWeight, w.all+further*crashWeight
+	return unexplained >= r.limit*crashWeight && float64(unexplained) >= minCrashShare*float64(all)
+}
+
+// sharedWeight is the weight of crashes under requests that share a fingerprint.
+type sharedWeight struct {
+	// unexplained is the weight of the crashes that no single variant of these requests explains.
+	unexplained int
+	// all is the weight of all crashes, also under other requests, since the first one.
+	all int
+}
+
+func (r *Record) weighShared(shared wigeonshift.Fingerprint) sharedWeight {
+	crashes := r.SharedCrashes(shared)
+	if len(crashes) == 0 {
+		return sharedWeight{}
+	}
+	left := r.withoutHeaviestVariant(shared, weighEndpoints(crashes, nil))
+	return sharedWeight{unexplained: left.total(), all: r.weightSince(firstCrash(crashes))}
+}
+
+// SharedCrashes returns the crashes of all requests that share a fingerprint.
+func (r *Record) SharedCrashes(shared wigeonshift.Fingerprint) []wigeonshift.Crash {
+	var crashes []wigeonshift.Crash
+	for _, f := range r.variants[shared] {
+		crashes = append(crashes, r.crashes[f]...)
+	}
+	return crashes
+}
+
+// CrashedEndpoints returns how many endpoints crashed under requests that share a fingerprint, and the time of the latest
+// crash.
+func (r *Record) CrashedEndpoints(shared wigeonshift.Fingerprint) (count int, latest time.Time) {
+	crashes := r.SharedCrashes(shared)
+	for _, c := range crashes {
+		if c.At.After(latest) {
+			latest = c.At
+		}
+	}
+	return len(weighEndpoints(crashes, nil)), latest
+}
+
+// endpointWeights holds the weight of the crash of each endpoint.
+type endpointWeights map[string]int
+
+func (w endpointWeights) total() int {
+	total := 0
+	for _, weight := range w {
+		total += weight
+	}
+	return total
+}
+
+// weighEndpoints returns the weights of the endpoints that crashed, for crashes that the filter accepts; nil accepts all.
+func weighEndpoints(crashes []wigeonshift.Crash, accept func(wigeonshift.Crash) bool) endpointWeights {
+	weights := endpointWeights{}
+	for _, c := range crashes {
+		if accept == nil || accept(c) {
+			weights[c.Endpoint] = max(weights[c.Endpoint], weightOf(c))
+		}
+	}
+	return weights
+}
+
+// withoutHeaviestVariant removes the endpoints whose crashes are explained by one variant of the requests that share a
+// fingerprint: one query, one set of headers or one whole request under which the limit of endpoints crashed.
+func (r *Record) withoutHeaviestVariant(shared wigeonshift.Fingerprint, all endpointWeights) endpointWeights {
+	crashes := r.SharedCrashes(shared)
+	var heaviest endpointWeights
+	for _, variant := range variantsOf(crashes, shared) {
+		weights := weighEndpoints(crashes, func(c wigeonshift.Crash) bool { return isVariant(c, variant) })
+		if weights.total() > heaviest.total() {
+			heaviest = weights
+		}
+	}
+	if heaviest.total() < r.limit*crashWeight {
+		return all
+	}
+	left := endpointWeights{}
+	for endpoint, weight := range all {
+		if heaviest[endpoint] == 0 {
+			left[endpoint] = weight
+		}
+	}
+	return left
+}
+
+func isVariant(c wigeonshift.Crash, variant wigeonshift.Fingerprint) bool {
+	return variant != 0 && (c.Fingerprint == variant || c.Shared.Query == variant || c.Shared.Headers == variant)
+}
+
+// variantsOf returns the fingerprints that are more specific than the shared one.
+func variantsOf(crashes []wigeonshift.Crash, shared wigeonshift.Fingerprint) []wigeonshift.Fingerprint {
+	var variants []wigeonshift.Fingerprint
+	for _, c := range crashes {
+		variants = append(variants, c.Fingerprint)
+		if c.Shared.Content == shared {
+			variants = append(variants, c.Shared.Query, c.Shared.Headers)
+		}
+	}
+	slices.Sort(variants)
+	return slices.Compact(variants)
+}
+
+func firstCrash(crashes []wigeonshift.Crash) time.Time {
+	first := crashes[0].At
+	for _, c := range crashes {
+		if c.At.Before(first) {
+			first = c.At
+		}
+	}
+	return first
+}
+
+// weightSince returns the weight of all crashes of endpoints since a time.
+func (r *Record) weightSince(at time.Time) int {
+	weights := endpointWeights{}
+	for _, crashes := range r.crashes {
+		for _, c := range crashes {
+			if !c.At.Before(at) {
+				weights[c.Endpoint] = max(weights[c.Endpoint], weightOf(c))
+			}
+		}
+	}
+	return weights.total()
+}
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -46,8 +46,8 @@
 	c.service.log.WithFields(logrus.Fields{
 		"request": c.header.RequestID, "endpoint": d.EndpointID, "attempt": d.Attempt, "running": d.Running,
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
-		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.fingerprint.String(),
-		"content": c.shared.Content.String(),
+		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
+		"content": c.job.Shared.Content.String(),
 	}).WithFields(c.resendFields()).Info("request dispatched")
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
@@ -97,6 +97,7 @@
 		return false
 	}
 	status := response.HTTP.StatusCode()
+	c.succeeded = status < fasthttp.StatusMultipleChoices
 	switch {
 	case response.Header.NotRun:
 		return c.handleNotRun(response)
@@ -259,6 +260,7 @@
 	}
 	c.service.dispatcher.reduce(wigeondispatch.AttemptEnded{
 		At: c.service.dispatcher.MeasureNow(), Job: c.job.ID, Outcome: outcome, Events: events, Answerable: answerable,
+		Succeeded: outcome == wigeondispatch.OutcomeDone && c.succeeded,
 	})
 }
 
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -42,10 +42,7 @@
 	version       uint64
 	targetService string
 	job           *wigeondispatch.Job
-	// fingerprint identifies everything that the request asks for, shared what it has in common with others.
-	fingerprint wigeonshift.Fingerprint
-	shared      wigeonshift.SharedFingerprints
-	decisions   chan decision
+	decisions     chan decision
 	// ctx is cancelled when the caller disconnects or the deadline passes.
 	ctx           context.Context //nolint:containedctx // The context has the lifetime of the call.
 	cancel        context.CancelCauseFunc
@@ -60,7 +57,9 @@
 
 	// endpoint and endpointAddress identify the endpoint of the latest attempt.
 	endpoint, endpointAddress string
-	attempts                  int
+	// succeeded is set if the latest response has a status of success.
+	succeeded bool
+	attempts  int
 	// resend is the latest decision of the retry budget, for the log; nil if there was none.
 	resend *wigeondispatch.ResendDecision
 	// queueTime is the time from the arrival of the request to its first dispatch.
@@ -96,8 +95,7 @@
 	}
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.targetService, now, timeout)
-	c.fingerprint, c.shared = s.fingerprintsOf(&ctx.Request, c.job.Organisation)
-	c.job.Fingerprint = c.shared.Content
+	c.job.Fingerprint, c.job.Shared = s.fingerprintsOf(&ctx.Request, c.job.Organisation)
 	c.job.Elapsed = s.callerTimeouts.elapsed(r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.deadlineTimer = time.AfterFunc(timeout+deadlineMargin, c.onDeadline)
@@ -296,8 +294,8 @@
 func (c *call) logEntry(fields logrus.Fields) *logrus.Entry {
 	entry := c.service.log.WithFields(logrus.Fields{
 		"request":     c.header.RequestID,
-		"fingerprint": c.fingerprint.String(),
-		"content":     c.shared.Content.String(),
+		"fingerprint": c.job.Fingerprint.String(),
+		"content":     c.job.Shared.Content.String(),
 		"route":       c.route.Name,
 		"service":     c.targetService,
 		"tier":        int(c.job.Tier),
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -205,9 +205,14 @@
 			d.startCheck(x)
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
-				"request": x.RequestID, "content": x.Fingerprint.String(), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis,
-				"silent": x.Silent,
+				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
+				"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
 			}).Info("attempt counted as lost")
+		case wigeondispatch.StartTrial:
+			d.scope.Counter("trials").Inc(1)
+			d.log.WithFields(logrus.Fields{
+				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(), "answers": x.Answers,
+			}).Info("request suspected by its content is tried")
 		case wigeondispatch.ReportCrash:
 			d.reportCrash(x)
 		case wigeondispatch.ClearCrashes:
@@ -228,7 +233,7 @@
 		d.scope.Counter("quarantined").Inc(1)
 	}
 	d.log.WithFields(logrus.Fields{
-		"fingerprint": x.Crash.Fingerprint.String(), "endpoint": x.Crash.Endpoint, "crashes": x.Crashes,
+		"fingerprint": x.Crash.Fingerprint.String(), "content": x.Crash.Shared.Content.String(), "endpoint": x.Crash.Endpoint, "crashes": x.Crashes,
 		"quarantined": x.Quarantined, "midRun": x.Crash.MidRun,
 	}).Warn("endpoint crashed under a request")
 	d.crashes.ReportCrash(x.Crash)
--- a/request.go
+++ b/request.go
@@ -15,7 +15,7 @@
 // AttemptToken identifies the use of one permit at one endpoint. The endpoint returns it in every response.
 type AttemptToken string
 
-// Fingerprint identifies the content of a request; it is the same for every resend.
+// Fingerprint identifies what a request asks for; it is the same for every resend that changes nothing.
 type Fingerprint uint64
 
 // SharedFingerprints identify what a request has in common with others. A caller may send a request again with another query
