Don't pause endpoints for one request that fails everywhere

Consecutive errors of the same request count once for an endpoint now; lost connections count as before. The spec failed before: three endpoints were paused after nine tries of one request.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -78,6 +78,11 @@
 		}
 		s.recordLoss(e, j, kind)
 		s.recordFailure(e)
+	case OutcomeFailed:
+		if j.Fingerprint == 0 || e.failedRequest != j.Fingerprint {
+			s.recordFailure(e)
+		}
+		e.failedRequest = j.Fingerprint
 	default:
 		s.recordFailure(e)
 	}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -71,6 +71,8 @@
 	failureRate float64
 	// consecutiveFailures is the number of failures since the last success.
 	consecutiveFailures int
+	// failedRequest is the request that failed last. It counts once, because it may fail on every endpoint.
+	failedRequest wigeonshift.Fingerprint
 	// suspectUntil is the time until which a suspect endpoint gets no requests.
 	suspectUntil time.Duration
 	// otherGroup is set for endpoints that are assigned to another group of instances. This instance uses them only if no
@@ -141,7 +143,7 @@
 
 // recordSuccess resets the consecutive failures and lowers the failure rate.
 func (e *endpoint) recordSuccess() {
-	e.consecutiveFailures = 0
+	e.consecutiveFailures, e.failedRequest = 0, 0
 	e.failureRate -= e.failureRate * failureSampleWeight
 }
 
--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -289,3 +289,32 @@
 		Expect(effectsOf[ReportCrash](h.lose(j, wigeonshift.LivenessEnded))).To(ConsistOf(HaveField("Crash.Fingerprint", j.Fingerprint)))
 	})
 })
+
+var _ = Describe("An endpoint that fails a request", func() {
+	// fail lets endpoints answer a request with errors until it has no endpoint left.
+	fail := func(h *reducerHarness, j *Job) (suspects []Suspect) {
+		for effects := h.arrive(j); len(effectsOf[Dispatch](effects)) > 0; {
+			effects = h.end(j, OutcomeFailed, true)
+			suspects = append(suspects, effectsOf[Suspect](effects)...)
+		}
+		return suspects
+	}
+
+	// A request that fails everywhere says nothing of the endpoints, however often its caller sends it.
+	It("isn't paused if only this request fails", func() {
+		h := newHarness(crashRecords("a", "b", "c")...)
+		for range 3 * suspectFailureThreshold {
+			Expect(fail(h, h.newVariant(0, 0))).To(BeEmpty())
+		}
+		h.dispatch(h.newVariant(1, 0))
+	})
+
+	It("is paused if others fail too", func() {
+		h := newHarness(crashRecords("a")...)
+		var suspects []Suspect
+		for n := range wigeonshift.Fingerprint(suspectFailureThreshold) {
+			suspects = append(suspects, fail(h, h.newVariant(n, 0))...)
+		}
+		Expect(suspects).To(HaveLen(1))
+	})
+})
