--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -96,7 +96,7 @@
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.targetService, now, timeout)
 	c.job.Fingerprint, c.job.Shared = s.fingerprintsOf(&ctx.Request, c.job.Organisation)
-	c.job.Elapsed = s.callerTimeouts.elapsed(r.Name, h.Timeout)
+	c.job.Elapsed = s.callerTimeouts.elapsed(c.job.Organisation, r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.deadlineTimer = time.AfterFunc(timeout+deadlineMargin, c.onDeadline)
 	return c
