Soak: sound requests beside the one that crashes endpoints

The soak's callers had bodies of their own, so that nothing shared a fingerprint with the request that crashes endpoints. One caller now sends sound requests with its content and another query during the faults, and after them all of 20 must be served.

--- a/internal/soak/wigeonsoak/sibling_test.go
+++ b/internal/soak/wigeonsoak/sibling_test.go
@@ -74,9 +74,10 @@
 // request again at another relay if it was refused.
 type siblingCaller struct {
 	caller
-	name, path string
-	vary       variation
-	log        *siblingLog
+	index int
+	path  string
+	vary  variation
+	log   *siblingLog
 }
 
 // siblingInterval is the time between two requests of a siblingCaller, siblingTries the number of its tries for each.
@@ -85,6 +86,13 @@
 	siblingTries    = 3
 )
 
+func (s *soakRun) newSiblingCaller(index int, path string, vary variation, log *siblingLog, stop chan struct{}) *siblingCaller {
+	return &siblingCaller{
+		index: index, path: path, vary: vary, log: log,
+		caller: caller{soak: s, random: rand.New(rand.NewPCG(uint64(index), 8)), stop: stop},
+	}
+}
+
 func (c *siblingCaller) run() {
 	for n := 0; ; n++ {
 		select {
@@ -92,10 +100,10 @@
 			return
 		case <-time.After(siblingInterval):
 		}
-		query, headers := c.vary(n*siblingCallers + int(c.name[0]-'0'))
+		query, headers := c.vary(n*siblingCallers + c.index)
 		c.headers = headers
 		sentAt := time.Now()
-		c.log.record(siblingTry{sentAt: sentAt, served: c.send(fmt.Sprintf("sibling-%s-%d", c.name, n), c.path+"?"+query)})
+		c.log.record(siblingTry{sentAt: sentAt, served: c.send(fmt.Sprintf("sibling-%d-%d", c.index, n), c.path+"?"+query)})
 	}
 }
 
@@ -185,11 +193,7 @@
 		if sound == nil {
 			break
 		}
-		c := &siblingCaller{
-			name: fmt.Sprint(i), path: path, vary: sound, log: log,
-			caller: caller{soak: s, random: rand.New(rand.NewPCG(uint64(i), 8)), stop: stop},
-		}
-		tasks.Go(c.run)
+		tasks.Go(s.newSiblingCaller(i, path, sound, log, stop).run)
 	}
 	for i := range 2 {
 		c := s.newPoisonCaller(uint64(i), path, stop)
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -32,6 +32,8 @@
 	callerCount = 12
 	// drainGracePeriod is the time for which a draining endpoint may still receive requests.
 	drainGracePeriod = 3 * time.Second
+	// finalSiblings is the number of sound requests, with the content of the one that crashes endpoints, after the faults.
+	finalSiblings = 20
 	// settleTime is the time after a fault for which the checks that the fault may violate are suspended.
 	settleTime = 4 * time.Second
 )
@@ -214,6 +216,7 @@
 	}
 	tasks.Go(func() { s.runEndpointFaults(s.seed, stop) })
 	tasks.Go(s.newPoisonCaller(s.seed, "/safe/", stop).run)
+	tasks.Go(s.newSiblingCaller(0, "/safe/", freshQuery, &siblingLog{}, stop).run)
 	rejected := &caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 7)), stop: stop}
 	tasks.Go(rejected.runRejected)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
@@ -352,6 +355,13 @@
 			succeeded++
 		}
 	}
+	siblings := s.newSiblingCaller(1, "/safe/", freshQuery, &siblingLog{}, nil)
+	siblingsServed := 0
+	for n := range finalSiblings {
+		if siblings.send(fmt.Sprintf("sibling-final-%d", n), fmt.Sprintf("/safe/?item=final-%d", n)) {
+			siblingsServed++
+		}
+	}
 	for _, p := range s.relays {
 		s.g.Expect(p.isReady()).To(BeTrue(), p.name)
 		s.g.Expect(c.request(fmt.Sprintf("/v%d/", s.configurationVersion), p)).To(Equal(http.StatusOK), "%s does not use the newest version: %v", p.name, c.lastError)
@@ -362,6 +372,7 @@
 	s.checkPoison(t)
 	s.checkRepeats(t)
 	s.g.Expect(succeeded).To(BeNumerically(">=", 36))
+	s.g.Expect(siblingsServed).To(Equal(finalSiblings), "sound requests with the content of the one that crashes endpoints")
 	s.g.Expect(s.violations).To(BeEmpty())
 	for _, p := range s.relays {
 		text, err := os.ReadFile(p.logFile.Name())
