Keep to what endpoints say of themselves: leaving, and how long they want no requests

Nothing read either header. Server-Leaving: 1 in any response (also in late ones to earlier requests on the connection, but not in one of another endpoint at the address) takes the endpoint out for the instance that read it, at once, for that start of it only; its return to the list doesn't undo this. Retry-After of a 503 keeps requests away until its end (longest one wins, an hour at most); requests that were decided on 0.1 s before they are written are checked once more. If all endpoints want none for longer than a request may be queued, it is refused at once with the earliest end; afterwards an endpoint gets its usual number of requests back within a second.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -23,6 +23,10 @@
 		s.refuse(j, ReasonNoEndpoint, noEndpointRetryAfter)
 		return
 	}
+	if wait, refused := s.backoffRefusal(p, j); refused {
+		s.refuse(j, ReasonBackoff, wait)
+		return
+	}
 	if b := s.backlog(p); s.expectedWait(p, j, b) > s.maxWait(j) {
 		s.refuse(j, ReasonOverload, s.retryAfter(p, j, b))
 		return
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -29,14 +29,7 @@
 	jobsByPriority, own := p.jobsByPriority(s.now)
 	round := placementRound{freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}}
 	for _, j := range jobsByPriority {
-		if !s.maySend(j) {
-			s.dequeue(p, j, &round)
-			s.refuseQuarantined(j)
-			continue
-		}
-		if !j.failedOver && (s.now-j.Arrived > s.maxWait(j) || s.shouldShedLate(p, j, round.backlog)) {
-			s.dequeue(p, j, &round)
-			s.refuse(j, ReasonDeadline, s.retryAfter(p, j, round.backlog))
+		if s.refuseWaiting(p, j, &round) {
 			continue
 		}
 		e := s.chooseEndpoint(p, j, round)
@@ -53,6 +46,30 @@
 	}
 }
 
+// refuseWaiting refuses a queued request that must not be sent or should rather be tried again later, and reports whether it
+// did. A request that failed over may only be refused because it is quarantined.
+func (s *State) refuseWaiting(p *pool, j *Job, round *placementRound) bool {
+	if !s.maySend(j) {
+		s.dequeue(p, j, round)
+		s.refuseQuarantined(j)
+		return true
+	}
+	if j.failedOver {
+		return false
+	}
+	if wait, refused := s.backoffRefusal(p, j); refused {
+		s.dequeue(p, j, round)
+		s.refuse(j, ReasonBackoff, wait)
+		return true
+	}
+	if s.now-j.Arrived > s.maxWait(j) || s.shouldShedLate(p, j, round.backlog) {
+		s.dequeue(p, j, round)
+		s.refuse(j, ReasonDeadline, s.retryAfter(p, j, round.backlog))
+		return true
+	}
+	return false
+}
+
 // dequeue removes a request from the queue and from the backlog of the round.
 func (s *State) dequeue(p *pool, j *Job, round *placementRound) {
 	p.queue.remove(j)
@@ -71,15 +88,16 @@
 		stall = 0
 	}
 	d := Dispatch{
-		StallTimeout: stall,
-		Job:          j.ID,
-		EndpointID:   e.record.ID,
-		Address:      e.record.Address,
-		Attempt:      j.attempts,
-		Timeout:      j.Deadline - s.now,
-		Running:      running,
-		QueueTime:    s.now - j.Arrived,
-		DecidedAt:    s.now,
+		StallTimeout:    stall,
+		Job:             j.ID,
+		EndpointID:      e.record.ID,
+		Address:         e.record.Address,
+		StartedAtMillis: e.record.StartedAtMillis,
+		Attempt:         j.attempts,
+		Timeout:         j.Deadline - s.now,
+		Running:         running,
+		QueueTime:       s.now - j.Arrived,
+		DecidedAt:       s.now,
 	}
 	if j.attempts > 1 {
 		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -24,6 +24,8 @@
 	ReasonAttempts Reason = "attempts"
 	// ReasonDeadline means that the request ran out of time while it was queued.
 	ReasonDeadline Reason = "deadline"
+	// ReasonBackoff means that all endpoints of the service want no requests for a while.
+	ReasonBackoff Reason = "backoff"
 	// ReasonQuarantined means that the request was there when several endpoints crashed. It is refused, or fails if it may
 	// have run.
 	ReasonQuarantined Reason = "quarantined"
@@ -39,6 +41,8 @@
 		Job        JobID
 		EndpointID string
 		Address    string
+		// StartedAtMillis tells the incarnations of the endpoint apart.
+		StartedAtMillis int64
 		// Attempt counts from 1.
 		Attempt int
 		// Timeout is the time left until the deadline of the request.
@@ -99,6 +103,16 @@
 		// StartedAtMillis tells the incarnations of the endpoint apart; see wigeonshift.EndpointRecord.
 		StartedAtMillis int64
 	}
+	// SignalRecorded reports that an endpoint has said something new of itself.
+	SignalRecorded struct {
+		EndpointID      string
+		StartedAtMillis int64
+		RequestID       string
+		// Leaving is set if the endpoint said for the first time that it is leaving.
+		Leaving bool
+		// Backoff is how long it wants no requests, if that is new.
+		Backoff time.Duration
+	}
 	// LossRecorded reports that an attempt counts as lost, because its endpoint may have crashed.
 	LossRecorded struct {
 		RequestID       string
@@ -136,13 +150,14 @@
 	}
 )
 
-func (Dispatch) effect()      {}
-func (Refuse) effect()        {}
-func (Failure) effect()       {}
-func (Abandon) effect()       {}
-func (Suspect) effect()       {}
-func (CheckEndpoint) effect() {}
-func (LossRecorded) effect()  {}
-func (ReportCrash) effect()   {}
-func (StartTrial) effect()    {}
-func (ClearCrashes) effect()  {}
+func (Dispatch) effect()       {}
+func (Refuse) effect()         {}
+func (Failure) effect()        {}
+func (Abandon) effect()        {}
+func (Suspect) effect()        {}
+func (CheckEndpoint) effect()  {}
+func (SignalRecorded) effect() {}
+func (LossRecorded) effect()   {}
+func (ReportCrash) effect()    {}
+func (StartTrial) effect()     {}
+func (ClearCrashes) effect()   {}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -78,6 +78,8 @@
 	// otherGroup is set for endpoints that are assigned to another group of instances. This instance uses them only if no
 	// endpoint of its own group can accept a request.
 	otherGroup bool
+	// signals are what the endpoint has said of itself; nil if nothing.
+	signals *signals
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
 }
@@ -103,11 +105,12 @@
 	return defaultSlots
 }
 
-// available reports whether the endpoint may get a request now. An endpoint that is leaving may not, nor a suspect one
+// available reports whether the endpoint may get a request now. An endpoint that is leaving may not, nor one that wants none
+// for a while, nor a suspect one
 // (one that failed several times in a row) before its suspect time is over. After that a suspect endpoint gets one
 // request at a time, which tests whether it works again, until one succeeds.
 func (e *endpoint) available(at time.Duration) bool {
-	if e.record.Leaving {
+	if e.isLeaving() || e.backoffLeft(at) > 0 {
 		return false
 	}
 	if e.consecutiveFailures < suspectFailureThreshold {
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -89,6 +89,18 @@
 		// answer or the stream can be resumed.
 		Answerable bool
 	}
+	// EndpointSignalled reports what an endpoint says of itself in a response.
+	EndpointSignalled struct {
+		At         time.Duration
+		EndpointID string
+		// StartedAtMillis is that of the Dispatch effect.
+		StartedAtMillis int64
+		// RequestID is that of the request on whose connection the response came.
+		RequestID string
+		// Leaving and Backoff are those of wigeonshift.ResponseHeader.
+		Leaving bool
+		Backoff time.Duration
+	}
 	// EndpointChecked reports the result of a CheckEndpoint effect.
 	EndpointChecked struct {
 		At         time.Duration
@@ -142,6 +154,7 @@
 func (e FirstEventReceived) at() time.Duration   { return e.At }
 func (e AttemptStalled) at() time.Duration       { return e.At }
 func (e AttemptEnded) at() time.Duration         { return e.At }
+func (e EndpointSignalled) at() time.Duration    { return e.At }
 func (e EndpointChecked) at() time.Duration      { return e.At }
 func (e CrashesListed) at() time.Duration        { return e.At }
 func (e RequestWithdrawn) at() time.Duration     { return e.At }
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -92,7 +92,7 @@
 // tell. A leaving endpoint ends anyway.
 func (s *State) recordLoss(e *endpoint, j *Job, kind lossKind) {
 	s.blockTrials(j)
-	if j.Fingerprint == 0 || e.record.Leaving {
+	if j.Fingerprint == 0 || e.isLeaving() {
 		return
 	}
 	i := e.incarnation()
@@ -222,7 +222,7 @@
 	}
 	for _, i := range slices.SortedFunc(maps.Keys(s.losses), compareIncarnations) {
 		l, e := s.losses[i], s.endpoints[i.endpointID]
-		if l.crashed || e == nil || e.incarnation() != i || e.record.Leaving {
+		if l.crashed || e == nil || e.incarnation() != i || e.isLeaving() {
 			continue
 		}
 		if successor, listed := byAddress[l.address]; listed && successor.endpointID != i.endpointID {
@@ -239,7 +239,7 @@
 // endpoint that a check found running may only have left without notice.
 func (s *State) recordRemoval(e *endpoint) {
 	l := s.losses[e.incarnation()]
-	if l != nil && !e.record.Leaving && (l.silent || l.liveness == wigeonshift.LivenessUnknown) {
+	if l != nil && !e.isLeaving() && (l.silent || l.liveness == wigeonshift.LivenessUnknown) {
 		s.recordCrash(e.incarnation(), l, crashEvidence{})
 	}
 }
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -76,6 +76,9 @@
 	if !e.available(s.now) || j.hasFailedOn(e.record.ID) {
 		return false
 	}
+	if e.ownLoad.running >= e.rampLimit(s.now) {
+		return false
+	}
 	if e.running() >= e.slots()+queueLimit {
 		return false
 	}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -27,6 +27,8 @@
 	answers *wigeonquarantine.AnswerCounter
 	// trials holds the trials of requests that are suspected by what they share, by content.
 	trials map[wigeonshift.Fingerprint]*trials
+	// signals holds what endpoints have said of themselves, also of those that are not listed for a while.
+	signals map[incarnation]*signals
 	// instanceIDs are the IDs of all instances.
 	instanceIDs []string
 	// share is the part of what all instances share that this instance may use until shareUntil.
@@ -53,6 +55,7 @@
 		retryBudgets: map[string]*retryBudget{},
 		crashes:      wigeonquarantine.NewRecord(wigeonquarantine.Limit),
 		losses:       map[incarnation]*losses{},
+		signals:      map[incarnation]*signals{},
 		answers:      wigeonquarantine.NewAnswerCounter(),
 		trials:       map[wigeonshift.Fingerprint]*trials{},
 		instances:    1,
@@ -78,6 +81,8 @@
 		s.handleStall(e.Job)
 	case AttemptEnded:
 		s.endAttempt(e)
+	case EndpointSignalled:
+		s.recordSignal(e)
 	case EndpointChecked:
 		s.handleEndpointChecked(e)
 	case CrashesListed:
@@ -133,7 +138,7 @@
 // InService reports whether an endpoint is listed and not leaving.
 func (s *State) InService(endpointID string) bool {
 	e := s.endpoints[endpointID]
-	return e != nil && !e.record.Leaving
+	return e != nil && !e.isLeaving()
 }
 
 // pool returns the pool of a service (its endpoints and its queued requests) and creates it if needed, because the
@@ -161,6 +166,7 @@
 		}
 		p := s.pool(r.Service)
 		fresh := newEndpoint(r, p)
+		fresh.signals = s.signals[fresh.incarnation()]
 		if e != nil {
 			s.recordRestart(e, r)
 			s.removeEndpoint(e)
@@ -198,6 +204,7 @@
 	s.expirePeers()
 	s.expireLosses()
 	s.expireTrials()
+	s.expireSignals()
 	s.dispatchAllWaiting()
 }
 
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -54,22 +54,43 @@
 	return c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
 }
 
-// errSendDelayed reports that a request was not sent because too much time had passed since the decision to send it.
-var errSendDelayed = errors.New("too much time has passed since the decision to send the request")
+var (
+	// errSendDelayed reports that a request was not sent because too much time had passed since the decision to send it.
+	errSendDelayed = errors.New("too much time has passed since the decision to send the request")
+	// errEndpointUnwilling reports that a request was not sent because its endpoint has said meanwhile that it wants none.
+	errEndpointUnwilling = errors.New("endpoint has said that it wants no requests")
+)
+
+// sendRecheckAge is the age of a decision from which it is checked again whether the endpoint wants the request.
+const sendRecheckAge = 100 * time.Millisecond
 
-// sendOptions returns the limits on the sending of an attempt. A resend must not arrive long after the decision, because
-// the retry budget counts it from then.
+// sendOptions returns the limits on the sending of an attempt, and passes on what the endpoint says of itself. A resend must
+// not arrive long after the decision, because the retry budget counts it from then.
 func (c *call) sendOptions(d wigeondispatch.Dispatch) []wigeonupstream.SendOption {
-	if d.MaxSendDelay <= 0 {
-		return nil
-	}
 	check := func() error {
-		if c.service.dispatcher.MeasureNow()-d.DecidedAt > d.MaxSendDelay {
+		age := c.service.dispatcher.MeasureNow() - d.DecidedAt
+		if d.MaxSendDelay > 0 && age > d.MaxSendDelay {
 			return errSendDelayed
 		}
+		if age > sendRecheckAge && !c.service.dispatcher.maySend(d.EndpointID) {
+			return errEndpointUnwilling
+		}
 		return nil
 	}
-	return []wigeonupstream.SendOption{wigeonupstream.WithSendCheck(check)}
+	observe := func(h wigeonshift.ResponseHeader) {
+		if (h.Leaving || h.Backoff > 0) && !h.Misdirected {
+			c.reportSignal(d, h)
+		}
+	}
+	return []wigeonupstream.SendOption{wigeonupstream.WithSendCheck(check), wigeonupstream.WithHeaderObserver(observe)}
+}
+
+// reportSignal reports what an endpoint says of itself to the reducer.
+func (c *call) reportSignal(d wigeondispatch.Dispatch, h wigeonshift.ResponseHeader) {
+	c.service.dispatcher.reduce(wigeondispatch.EndpointSignalled{
+		At: c.service.dispatcher.MeasureNow(), EndpointID: d.EndpointID, StartedAtMillis: d.StartedAtMillis,
+		RequestID: c.header.RequestID, Leaving: h.Leaving, Backoff: h.Backoff,
+	})
 }
 
 // newEndpointRequest returns the caller's request with the headers for an endpoint. These are added to a copy of the
@@ -269,7 +290,7 @@
 // whether the endpoint may have run the request.
 func classifyError(ctx context.Context, err error) wigeondispatch.Outcome {
 	switch {
-	case errors.Is(err, errSendDelayed) && ctx.Err() == nil:
+	case (errors.Is(err, errSendDelayed) || errors.Is(err, errEndpointUnwilling)) && ctx.Err() == nil:
 		return wigeondispatch.OutcomeDelayed
 	case errors.Is(err, wigeonupstream.ErrNotSent) && ctx.Err() == nil:
 		return wigeondispatch.OutcomeNotSent
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -146,6 +146,13 @@
 	return d.state.InService(endpointID)
 }
 
+// maySend reports whether an endpoint still wants the requests that were dispatched to it.
+func (d *Dispatcher) maySend(endpointID string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.MaySend(endpointID, d.Now())
+}
+
 // InFlight returns the number of requests that are queued or running.
 func (d *Dispatcher) InFlight() int {
 	d.mu.Lock()
@@ -203,6 +210,8 @@
 			}
 		case wigeondispatch.CheckEndpoint:
 			d.startCheck(x)
+		case wigeondispatch.SignalRecorded:
+			d.logSignal(x)
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
 				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
@@ -226,6 +235,19 @@
 	}
 }
 
+// logSignal logs and counts what an endpoint has said of itself.
+func (d *Dispatcher) logSignal(x wigeondispatch.SignalRecorded) {
+	entry := d.log.WithFields(logrus.Fields{"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "request": x.RequestID})
+	if x.Leaving {
+		d.scope.Counter("endpointsLeaving").Inc(1)
+		entry.Info("endpoint says that it is leaving")
+	}
+	if x.Backoff > 0 {
+		d.scope.Counter("endpointBackoffs").Inc(1)
+		entry.WithField("backoffMs", x.Backoff.Milliseconds()).Info("endpoint wants no requests for a while")
+	}
+}
+
 // reportCrash logs the crash of an endpoint under a request and shares it with the other instances.
 func (d *Dispatcher) reportCrash(x wigeondispatch.ReportCrash) {
 	d.scope.Counter("crashes").Inc(1)
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -44,6 +44,8 @@
 	writeResult chan bool
 	// stopAfterFunc detaches the connection from the context of the request.
 	stopAfterFunc func() bool
+	// onHeader is called for each header that is read; nil if nobody wants it.
+	onHeader func(wigeonshift.ResponseHeader)
 	// bodyRead is set once the body has been read to its end.
 	bodyRead bool
 }
@@ -52,12 +54,18 @@
 type SendOption func(*sendOptions)
 
 type sendOptions struct {
-	check func() error
+	check    func() error
+	onHeader func(wigeonshift.ResponseHeader)
 }
 
 // WithSendCheck calls check before the first byte is written. If check fails, nothing is sent.
 func WithSendCheck(check func() error) SendOption { return func(o *sendOptions) { o.check = check } }
 
+// WithHeaderObserver calls observe for the header of each response on the connection, also of late ones to earlier requests.
+func WithHeaderObserver(observe func(wigeonshift.ResponseHeader)) SendOption {
+	return func(o *sendOptions) { o.onHeader = observe }
+}
+
 // Send sends a request and reads the header of the matching response. Responses with another request id are discarded,
 // because they are late responses to earlier requests on the connection. The connection is closed when ctx is done. The
 // error wraps ErrNotSent only if no byte was sent, so that the caller knows whether the endpoint may have run the
@@ -74,7 +82,7 @@
 		return nil, wrapError(ErrNotSent, t, err)
 	}
 	conn.sendCheck = options.check
-	r := &Response{pool: p, conn: conn, writeResult: make(chan bool, 1)}
+	r := &Response{pool: p, conn: conn, writeResult: make(chan bool, 1), onHeader: options.onHeader}
 	r.stopAfterFunc = context.AfterFunc(ctx, conn.close)
 	if len(request.Body()) > maxSyncBodyBytes {
 		w := &requestWriter{response: r, request: request}
@@ -143,6 +151,9 @@
 			return err
 		}
 		r.Header = r.pool.dialect.ReadResponse(&r.HTTP.Header)
+		if r.onHeader != nil {
+			r.onHeader(r.Header)
+		}
 		if r.Header.RequestID == "" || r.Header.RequestID == requestID {
 			return nil
 		}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -48,6 +48,7 @@
 	poison               poisonLog
 	repeats              *repeatLog
 	truncations          truncationLog
+	signals              *signalLog
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
@@ -117,7 +118,7 @@
 	s := &soakRun{
 		g: NewWithT(t), seed: o.seed, random: rand.New(rand.NewPCG(o.seed, 1)), store: newStore(),
 		executions: &executionLog{countByID: map[string]int{}}, repeats: newRepeatLog(o.limit),
-		faults: map[string]int{}, outcomes: map[int]int{}, timeoutMillis: 4000,
+		faults: map[string]int{}, outcomes: map[int]int{}, timeoutMillis: 4000, signals: newSignalLog(),
 	}
 	dir := t.TempDir()
 	if keep := os.Getenv("WIGEONSHIFT_SOAK_LOGS"); keep != "" {
@@ -452,6 +453,7 @@
 // roundTrip sends a request and reads the response. status is 0 if there is none.
 func (c *caller) roundTrip(path, id, body string, p *relayProcess) (status int, text string, complete, signed bool) {
 	c.soak.repeats.recordRequest()
+	c.soak.signals.recordSend(id, p.name)
 	if c.conn == nil || c.relay != p {
 		conn, err := net.DialTimeout("tcp", p.callerAddress, time.Second)
 		if err != nil {
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -237,6 +237,8 @@
 	executions *executionLog
 	poison     *poisonLog
 	repeats    *repeatLog
+	// signals holds what the endpoints have said of themselves to each relay.
+	signals *signalLog
 	// truncations counts the ends of responses that faultTruncate made.
 	truncations *truncationLog
 	// announce writes the endpoint's row to the store, withdraw removes the row of an ID.
@@ -259,6 +261,10 @@
 	faultChangedAt time.Time
 	// startedAt is the start time that the endpoint's row tells.
 	startedAt time.Time
+	// saysLeaving makes the endpoint say in all responses that it is leaving. backoffRatio is the ratio of requests that it
+	// rejects with the wish to get no others for a while.
+	saysLeaving  bool
+	backoffRatio float64
 	// drainingSince is the time at which the endpoint was announced as draining, or zero.
 	drainingSince time.Time
 }
@@ -285,7 +291,7 @@
 
 func newEngine(id string, seed uint64, s *soakRun) *engine {
 	e := &engine{
-		id: id, firstID: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
+		id: id, firstID: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, signals: s.signals, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
 		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.identity(), e.row("ready")) },
 	}
 	e.withdraw = func(id string) { s.store.put("servers", id, nil) }
@@ -355,7 +361,20 @@
 	}
 	e.mu.Lock()
 	faultRatio, kind, drainingSince := e.faultRatio, e.faultKind, e.drainingSince
+	saysLeaving, backoffRatio := e.saysLeaving, e.backoffRatio
 	e.mu.Unlock()
+	e.signals.recordArrival(e, id)
+	if saysLeaving {
+		w.Header().Set("Server-Leaving", "1")
+		e.signals.recordLeaving(e, id)
+	}
+	if e.randomFloat() < backoffRatio {
+		w.Header().Set("Retry-After", strconv.FormatFloat(askedBackoff.Seconds(), 'f', -1, 64))
+		w.Header().Set("Not-Executed", "1")
+		e.signals.recordBackoff(e, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	faulty := e.randomFloat() < faultRatio
 	faultDraw := e.randomFloat()
 	if strings.HasPrefix(id, rejectedIDPrefix) || faulty && (kind == faultReject || kind == faultMixed && faultDraw < 0.2) {
--- a/wire.go
+++ b/wire.go
@@ -45,6 +45,10 @@
 	Misdirected bool
 	// KeepAliveTimeout is the idle time after which the endpoint closes the connection; zero if not given.
 	KeepAliveTimeout time.Duration
+	// Leaving is set if the endpoint is about to end and takes no new requests.
+	Leaving bool
+	// Backoff is how long the endpoint wants no requests from this instance; zero if not given.
+	Backoff time.Duration
 }
 
 // WireDialect translates between HTTP headers and the types above.
