--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -17,7 +17,7 @@
 	// maxNoticeInterval is the time after which a notice is sent even if the load has not changed.
 	maxNoticeInterval = 500 * time.Millisecond
 	// crashNoticeInterval is the shortest time between two notices with crashes, which are repeated while the store is down.
-	crashNoticeInterval = 500 * time.Millisecond
+	crashNoticeInterval = 800 * time.Millisecond
 	// otherGroupNoticeInterval is the time between two notices to instances of other groups.
 	otherGroupNoticeInterval = 2 * time.Second
 	// newInstanceNoticeInterval replaces otherGroupNoticeInterval while the sender or the receiver is new.
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -80,7 +80,7 @@
 func (s *State) crashesOf(j *Job, reason Reason) []wigeonshift.Crash {
 	own := s.crashes.Crashes(j.Fingerprint)
 	if reason == ReasonQuarantined && len(own) == 0 {
-		return s.crashes.SharedCrashes(j.Shared.Content)
+		return s.crashes.ContentCrashes(j.Shared.Content)
 	}
 	return own
 }
--- a/internal/services/wigeonquarantine/bench_test.go
+++ b/internal/services/wigeonquarantine/bench_test.go
@@ -17,7 +17,8 @@
 	for i := range n {
 		crashes = append(crashes, wigeonshift.Crash{
 			Fingerprint: wigeonshift.Fingerprint(i/3+1) << 40, Endpoint: "i-" + strconv.Itoa(1_000_000_000+i) + "@1796358708000",
-			At: time.Now(),
+			Shared: wigeonshift.SharedFingerprints{Content: wigeonshift.Fingerprint(i/3+1) << 20, Query: wigeonshift.Fingerprint(i/3+1)<<20 + 1, Headers: wigeonshift.Fingerprint(i/3+1)<<20 + 2},
+			At:     time.Now(),
 		})
 	}
 	return crashes
@@ -56,3 +57,27 @@
 		r.Quarantined(f)
 	}
 }
+
+// BenchmarkJudge measures the decision on each arriving request whose content has crashes.
+func BenchmarkJudge(b *testing.B) {
+	r, answers := NewRecord(Limit), NewAnswerCounter()
+	for _, c := range benchCrashes(30_000) {
+		r.Add(c)
+	}
+	shared := r.crashes[1<<40][0].Shared
+	f := wigeonshift.Fingerprint(0)
+	for b.Loop() {
+		f++
+		r.Judge(f, shared, answers)
+	}
+}
+
+// BenchmarkAnswerCounter measures the count of each answer.
+func BenchmarkAnswerCounter(b *testing.B) {
+	answers := NewAnswerCounter()
+	f := wigeonshift.Fingerprint(0)
+	for b.Loop() {
+		f += 3
+		answers.Add(0, f, wigeonshift.SharedFingerprints{Query: f + 1, Headers: f + 2})
+	}
+}
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -16,9 +16,9 @@
 	// it costs as many endpoints as the first ones did.
 	quarantineLifetime = 24 * time.Hour
 	// maxFingerprints bounds the number of requests in a record, maxCrashes the crashes of each.
-	maxFingerprints = 16384
+	maxFingerprints = 12288
 	maxCrashes      = 8
-	// maxVariants bounds the requests with crashes that are kept for each fingerprint that they share.
+	// maxVariants bounds the requests with crashes that are compared for each content.
 	maxVariants = 64
 	// Weights of crashes. A crash in the middle of a run counts less, because a request that crashes endpoints does so when
 	// it begins to run.
@@ -31,7 +31,7 @@
 	// limit is the number of crashes from which a request is quarantined; those in the middle of a run count half.
 	limit   int
 	crashes map[wigeonshift.Fingerprint][]wigeonshift.Crash
-	// variants holds the requests with crashes that share a fingerprint, at most maxVariants for each.
+	// variants holds the requests with crashes by their content, at most maxVariants for each.
 	variants map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint
 	// sharedWeights holds the weights that were computed since the latest change.
 	sharedWeights map[wigeonshift.Fingerprint]sharedWeight
@@ -63,31 +63,23 @@
 	return true
 }
 
-// addVariant adds the request of a crash to those that share its fingerprints.
+// addVariant adds the request of a crash to those with the same content.
 func (r *Record) addVariant(c wigeonshift.Crash) {
-	for _, k := range sharedKeys(c.Shared) {
-		if v := r.variants[k]; len(v) < maxVariants && !slices.Contains(v, c.Fingerprint) {
-			r.variants[k] = append(v, c.Fingerprint)
-		}
+	content := c.Shared.Content
+	known := r.variants[content]
+	if content != 0 && len(known) < maxVariants && !slices.Contains(known, c.Fingerprint) {
+		r.variants[content] = append(known, c.Fingerprint)
 	}
 }
 
-// removeVariant removes a request without crashes from those that share its fingerprints.
-func (r *Record) removeVariant(f wigeonshift.Fingerprint, shared wigeonshift.SharedFingerprints) {
-	for _, k := range sharedKeys(shared) {
-		left := slices.DeleteFunc(r.variants[k], func(v wigeonshift.Fingerprint) bool { return v == f })
-		if len(left) == 0 {
-			delete(r.variants, k)
-			continue
-		}
-		r.variants[k] = left
+// removeVariant removes a request without crashes from those with the same content.
+func (r *Record) removeVariant(f, content wigeonshift.Fingerprint) {
+	left := slices.DeleteFunc(r.variants[content], func(v wigeonshift.Fingerprint) bool { return v == f })
+	if len(left) == 0 {
+		delete(r.variants, content)
+		return
 	}
-}
-
-// sharedKeys returns the known fingerprints of what a request shares with others.
-func sharedKeys(s wigeonshift.SharedFingerprints) []wigeonshift.Fingerprint {
-	keys := []wigeonshift.Fingerprint{s.Content, s.Query, s.Headers}
-	return slices.DeleteFunc(keys, func(k wigeonshift.Fingerprint) bool { return k == 0 })
+	r.variants[content] = left
 }
 
 // Has reports whether the record has a crash.
@@ -103,7 +95,7 @@
 	if !slices.Contains(r.variants[c.Shared.Content], c.Fingerprint) {
 		return r.crashes[c.Fingerprint]
 	}
-	return r.SharedCrashes(c.Shared.Content)
+	return r.ContentCrashes(c.Shared.Content)
 }
 
 // Suspected reports whether a request was there at some crash, but at too few for the quarantine.
@@ -152,8 +144,7 @@
 	if len(crashes) == 0 {
 		return false
 	}
-	isSuspected := func(k wigeonshift.Fingerprint) bool { return r.SuspectedAfter(k, 0) }
-	return slices.ContainsFunc(sharedKeys(crashes[0].Shared), isSuspected)
+	return r.suspectsShared(crashes[0].Shared)
 }
 
 // Remove removes a request with all its crashes.
@@ -181,7 +172,7 @@
 		return
 	}
 	if known := r.crashes[f]; len(known) > 0 {
-		r.removeVariant(f, known[0].Shared)
+		r.removeVariant(f, known[0].Shared.Content)
 	}
 	delete(r.crashes, f)
 }
--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -23,7 +23,7 @@
 	shareDelay = time.Second
 	// maxFleetFirstCrashes bounds the first crashes that all instances together share in each shareDelay. When many
 	// endpoints crash at once, hardly any request is the cause, and all instances would have to read all rows.
-	maxFleetFirstCrashes = 7500
+	maxFleetFirstCrashes = 4500
 	// maxRewriteDelay and maxExpiryDelay bound the random delays before an instance writes a row again that the store has
 	// lost, and before it removes the row of an expired crash. Usually another instance is first, and the rest need not
 	// write.
--- a/internal/services/wigeonquarantine/verdict.go
+++ b/internal/services/wigeonquarantine/verdict.go
@@ -39,10 +39,10 @@
 	if answers.Count(f) > 0 {
 		return VerdictSend
 	}
-	suspected := r.SuspectedAfter(shared.Content, 0)
+	suspected := r.SuspectedAfter(shared.Content, shared.Content, 0)
 	for _, k := range [...]wigeonshift.Fingerprint{shared.Query, shared.Headers} {
 		switch {
-		case r.SuspectedAfter(k, 0):
+		case r.SuspectedAfter(shared.Content, k, 0):
 			suspected = true
 		case answers.Count(k) > 0:
 			return VerdictSend
@@ -58,15 +58,21 @@
 	}
 }
 
-// SuspectedAfter reports whether requests that share a fingerprint are the likely cause of crashes after a number of further
-// ones.
-func (r *Record) SuspectedAfter(shared wigeonshift.Fingerprint, further int) bool {
-	if shared == 0 || further == 0 && len(r.variants[shared]) == 0 {
+// suspectsShared reports whether anything that requests share with others makes them suspected.
+func (r *Record) suspectsShared(shared wigeonshift.SharedFingerprints) bool {
+	return r.SuspectedAfter(shared.Content, shared.Content, 0) ||
+		r.SuspectedAfter(shared.Content, shared.Query, 0) || r.SuspectedAfter(shared.Content, shared.Headers, 0)
+}
+
+// SuspectedAfter reports whether requests that share a fingerprint, which is their content or covers it, are the likely cause
+// of crashes after a number of further ones.
+func (r *Record) SuspectedAfter(content, shared wigeonshift.Fingerprint, further int) bool {
+	if shared == 0 || further == 0 && len(r.variants[content]) == 0 {
 		return false
 	}
 	w, known := r.sharedWeights[shared]
 	if !known {
-		w = r.weighShared(shared)
+		w = r.weighShared(content, shared)
 		r.sharedWeights[shared] = w
 	}
 	unexplained, all := w.unexplained+further*crashWeight, w.all+further*crashWeight
@@ -81,28 +87,30 @@
 	all int
 }
 
-func (r *Record) weighShared(shared wigeonshift.Fingerprint) sharedWeight {
-	crashes := r.SharedCrashes(shared)
+func (r *Record) weighShared(content, shared wigeonshift.Fingerprint) sharedWeight {
+	crashes := r.ContentCrashes(content)
+	if shared != content {
+		crashes = slices.DeleteFunc(crashes, func(c wigeonshift.Crash) bool { return !isVariant(c, shared) })
+	}
 	if len(crashes) == 0 {
 		return sharedWeight{}
 	}
-	left := r.withoutHeaviestVariant(shared, weighEndpoints(crashes, nil))
+	left := r.withoutHeaviestVariant(crashes, shared)
 	return sharedWeight{unexplained: left.total(), all: r.weightSince(firstCrash(crashes))}
 }
 
-// SharedCrashes returns the crashes of all requests that share a fingerprint.
-func (r *Record) SharedCrashes(shared wigeonshift.Fingerprint) []wigeonshift.Crash {
+// ContentCrashes returns the crashes of all requests with a content.
+func (r *Record) ContentCrashes(content wigeonshift.Fingerprint) []wigeonshift.Crash {
 	var crashes []wigeonshift.Crash
-	for _, f := range r.variants[shared] {
+	for _, f := range r.variants[content] {
 		crashes = append(crashes, r.crashes[f]...)
 	}
 	return crashes
 }
 
-// CrashedEndpoints returns how many endpoints crashed under requests that share a fingerprint, and the time of the latest
-// crash.
-func (r *Record) CrashedEndpoints(shared wigeonshift.Fingerprint) (count int, latest time.Time) {
-	crashes := r.SharedCrashes(shared)
+// CrashedEndpoints returns how many endpoints crashed under requests with a content, and the time of the latest crash.
+func (r *Record) CrashedEndpoints(content wigeonshift.Fingerprint) (count int, latest time.Time) {
+	crashes := r.ContentCrashes(content)
 	for _, c := range crashes {
 		if c.At.After(latest) {
 			latest = c.At
@@ -133,10 +141,10 @@
 	return weights
 }
 
-// withoutHeaviestVariant removes the endpoints whose crashes are explained by one variant of the requests that share a
-// fingerprint: one query, one set of headers or one whole request under which the limit of endpoints crashed.
-func (r *Record) withoutHeaviestVariant(shared wigeonshift.Fingerprint, all endpointWeights) endpointWeights {
-	crashes := r.SharedCrashes(shared)
+// withoutHeaviestVariant weighs the endpoints without those whose crashes are explained by one variant of the requests that
+// share a fingerprint: one query, one set of headers or one whole request under which the limit of endpoints crashed.
+func (r *Record) withoutHeaviestVariant(crashes []wigeonshift.Crash, shared wigeonshift.Fingerprint) endpointWeights {
+	all := weighEndpoints(crashes, nil)
 	var heaviest endpointWeights
 	for _, variant := range variantsOf(crashes, shared) {
 		weights := weighEndpoints(crashes, func(c wigeonshift.Crash) bool { return isVariant(c, variant) })
--- a/internal/services/wigeonrelay/fingerprint_test.go
+++ b/internal/services/wigeonrelay/fingerprint_test.go
@@ -1,6 +1,9 @@
 package wigeonrelay
 
 import (
+	"fmt"
+	"testing"
+
 	"wigeonshift"
 	"wigeonshift/platform"
 
@@ -52,3 +55,17 @@
 		}
 	})
 })
+
+// BenchmarkFingerprints measures the hashes of a request with ten headers and a body of 1 KiB.
+func BenchmarkFingerprints(b *testing.B) {
+	s := &Service{dialect: platform.Dialect{}}
+	var r fasthttp.Request
+	r.SetRequestURI("/path/of/a/request?item=7")
+	r.SetBody(make([]byte, 1<<10))
+	for n := range 10 {
+		r.Header.Set(fmt.Sprintf("X-Header-%d", n), "some value")
+	}
+	for b.Loop() {
+		s.fingerprintsOf(&r, "organisation")
+	}
+}
