--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -180,6 +180,41 @@
 		}
 		Expect(own).To(BeNumerically("~", 50, 25))
 	})
+
+	It("aren't tried while it is another instance's turn", func() {
+		for n := range wigeonshift.Fingerprint(3) {
+			h.crash(h.newVariant(n, 0))
+		}
+		h.state.Reduce(InstancesListed{At: h.at, Instances: []wigeonshift.Instance{{ID: h.state.settings.Instance}, {ID: "other"}}})
+		tried := map[bool]int{}
+		for n := range wigeonshift.Fingerprint(20) {
+			h.at += 3*trialDelayPerCrash + trialTurn
+			trials := effectsOf[StartTrial](h.arrive(h.newVariant(10+n, 0)))
+			tried[h.state.hasTrialTurn(1)] += len(trials)
+			if len(trials) > 0 {
+				h.end(&Job{ID: h.lastID}, OutcomeRejected, false)
+			}
+		}
+		Expect(tried[false]).To(BeZero())
+		Expect(tried[true]).To(BeNumerically(">", 0))
+	})
+
+	// Whether the endpoint crashed is known later, if it fell silent.
+	It("aren't tried for a while after a trial that was lost, even if the same one comes again", func() {
+		for n := range wigeonshift.Fingerprint(3) {
+			h.crash(h.newVariant(n, 0))
+		}
+		for range trialRefusals {
+			onlyRefusal(h.arrive(h.newVariant(10, 0)))
+			onlyRefusal(h.arrive(h.newVariant(11, 0)))
+		}
+		trial := h.newVariant(10, 0)
+		h.dispatch(trial)
+		h.lose(trial, wigeonshift.LivenessUnknown)
+		onlyRefusal(h.arrive(h.newVariant(11, 0)))
+		h.at += 3 * trialDelayPerCrash
+		h.dispatch(h.newVariant(11, 0))
+	})
 })
 
 var _ = Describe("A quarantined request", func() {
