Hand the list of instances on with the endpoints; grant nothing of a quota before it is known

Callers of an organisation got 124,500 to 167,000 tokens in a window that allows 107,500 when half of six instances restarted while the store was away. A restarted instance learned of the instances that had stayed up, which dial its address, but not of the other restarted ones, so that each counted only its own use and that of instances that used nothing. Now the peer that gives it the endpoints' rows names all instances as well, and nothing of a quota is granted before the store or a peer has listed them all: callers are refused for 0.3 s. An instance that gets endpoints from nobody serves nobody.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -92,6 +92,9 @@
 	for _, r := range m.Rows {
 		out.Rows = append(out.Rows, &EndpointRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
 	}
+	for _, i := range m.Instances {
+		out.Instances = append(out.Instances, EncodeInstance(i))
+	}
 	return out
 }
 
@@ -100,5 +103,8 @@
 	for _, r := range m.GetRows() {
 		out.Rows = append(out.Rows, wigeonshift.TableRow{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
 	}
+	for _, i := range m.GetInstances() {
+		out.Instances = append(out.Instances, DecodeInstance(i))
+	}
 	return out
 }
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -66,7 +66,7 @@
 		wigeonshift.EndpointsAsk{Have: 3},
 		wigeonshift.EndpointsSnapshot{Revision: 9, Rows: []wigeonshift.TableRow{
 			{Key: "a", Value: []byte("{}"), Revision: 4}, {Key: "b", Value: []byte("x"), Revision: 9},
-		}},
+		}, Instances: []wigeonshift.Instance{{ID: "i", Address: "192.0.2.1:1", Zone: "z", Region: "r", State: wigeonshift.InstanceLive}}},
 		wigeonshift.LoadNotice{
 			ConfigurationVersion: 8,
 			EndpointsRevision:    5,
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -65,6 +65,8 @@
 	readiness  *fasthttp.Server
 
 	hasConfiguration, hasEndpoints, draining atomic.Bool
+	// knowsInstances is set once the store or a peer has listed all instances.
+	knowsInstances atomic.Bool
 	// configurationRequests and endpointsRequests limit how often newer data that peers report is fetched.
 	configurationRequests, endpointsRequests, quarantineRequests peerRequestThrottle
 	membership                                                   *membership
@@ -108,6 +110,7 @@
 		QuotaOverage: s.Quota.Overage,
 		QuotaSlack:   s.Quota.Slack,
 		Zone:         s.Node.Zone,
+		AwaitsList:   true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
 		Holder:   wigeonshare.HolderOf(g.self.Address),
@@ -197,6 +200,9 @@
 	return g.hasConfiguration.Load() && g.hasEndpoints.Load() && !g.draining.Load()
 }
 
+// KnowsInstances reports whether the store or a peer has listed all instances.
+func (g *Gateway) KnowsInstances() bool { return g.knowsInstances.Load() }
+
 // setConfiguration applies a configuration. document is the row value that it was decoded from.
 func (g *Gateway) setConfiguration(c *wigeonshift.RoutingConfiguration, document []byte) {
 	g.mu.Lock()
@@ -227,12 +233,13 @@
 	if !listed && g.registered.Load() {
 		g.requestRegistration()
 	}
+	g.knowsInstances.Store(true)
 	g.applyInstances(g.membership.replace(instances, time.Now()))
 }
 
 // applyInstances passes the known instances to the parts that depend on them.
 func (g *Gateway) applyInstances(instances []wigeonshift.Instance) {
-	g.dispatcher.SetInstances(instances)
+	g.dispatcher.SetInstances(instances, g.knowsInstances.Load())
 	g.quarantine.SetInstanceCount(len(instances))
 	g.share.SetInstanceCount(len(instances))
 }
--- a/internal/routers/wigeongateway/gateway_test.go
+++ b/internal/routers/wigeongateway/gateway_test.go
@@ -159,5 +159,6 @@
 		Expect(restarted.Start(context.Background())).To(Succeed())
 		DeferCleanup(restarted.Stop)
 		Eventually(restarted.Ready).WithTimeout(5 * time.Second).Should(BeTrue())
+		Expect(restarted.KnowsInstances()).To(BeTrue(), "they come with the endpoints")
 	})
 })
--- a/internal/routers/wigeongateway/membership.go
+++ b/internal/routers/wigeongateway/membership.go
@@ -39,6 +39,27 @@
 	return m.replaceLocked(append(others, i), at), true
 }
 
+// merge adds instances whose addresses are not known, as another instance knows them, and returns all instances. Those that
+// are known stay, because their sessions have shown that they run.
+func (m *membership) merge(instances []wigeonshift.Instance, at time.Time) []wigeonshift.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := slices.Concat(m.sameGroup, m.otherGroups)
+	for _, i := range instances {
+		if !slices.ContainsFunc(others, func(o wigeonshift.Instance) bool { return o.Address == i.Address }) {
+			others = append(others, i)
+		}
+	}
+	return m.replaceLocked(others, at)
+}
+
+// all returns all instances, this one first.
+func (m *membership) all() []wigeonshift.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Concat([]wigeonshift.Instance{m.self}, m.sameGroup, m.otherGroups)
+}
+
 // replace replaces the other instances and returns all instances, this one first. It skips every instance with this
 // instance's address, such as its own row.
 func (m *membership) replace(instances []wigeonshift.Instance, at time.Time) []wigeonshift.Instance {
--- a/internal/routers/wigeongateway/membership_test.go
+++ b/internal/routers/wigeongateway/membership_test.go
@@ -36,6 +36,16 @@
 		Expect(otherGroups).To(HaveLen(24))
 	})
 
+	// Instances that restart while the store is down are known by their new IDs only to those that they have reached.
+	It("adds the instances that a peer knows, and keeps those that it has found itself", func() {
+		m := &membership{self: fleet(0)[0]}
+		m.add(fleet(0)[1], start)
+		all := m.merge(fleet(32), start)
+		Expect(all).To(HaveLen(32))
+		Expect(all).To(ContainElements(fleet(0)[0], fleet(0)[1], fleet(32)[2]))
+		Expect(m.all()).To(ConsistOf(all))
+	})
+
 	// Two peers that were discovered at the same time each replaced the list without the other.
 	It("keeps all instances that are added at the same time", func() {
 		for range 200 {
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -25,6 +25,7 @@
 	case wigeonshift.EndpointsAsk:
 		g.sendEndpoints(from, m.Have)
 	case wigeonshift.EndpointsSnapshot:
+		g.useInstances(from, m.Instances)
 		if g.follower.OfferEndpoints(m) {
 			g.log.WithFields(logrus.Fields{"from": from.ID, "revision": m.Revision, "rows": len(m.Rows)}).
 				Info("using the endpoints received from a peer")
@@ -85,6 +86,9 @@
 	if snapshot.Revision <= peerRevision {
 		return
 	}
+	if g.knowsInstances.Load() {
+		snapshot.Instances = g.membership.all()
+	}
 	if err := g.network.Send(context.Background(), from, snapshot); err != nil {
 		g.log.WithError(err).WithField("to", from.ID).Warn("failed to send the endpoints to a peer")
 	}
@@ -106,6 +110,16 @@
 	}
 }
 
+// useInstances adds the instances that a peer knows, unless this instance knows them all already.
+func (g *Gateway) useInstances(from wigeonshift.Instance, instances []wigeonshift.Instance) {
+	if len(instances) == 0 || g.knowsInstances.Swap(true) {
+		return
+	}
+	all := g.membership.merge(instances, time.Now())
+	g.log.WithFields(logrus.Fields{"from": from.ID, "instances": len(all)}).Info("using the instances received from a peer")
+	g.applyInstances(all)
+}
+
 // handlePeerDiscovered adds an instance that a peer session has shown to run, even if the store doesn't list it.
 func (g *Gateway) handlePeerDiscovered(i wigeonshift.Instance) {
 	instances, added := g.membership.add(i, time.Now())
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -37,12 +37,17 @@
 
 // chargeQuota charges a request to its organisation's quota. If the quota doesn't allow it, chargeQuota refuses the
 // request and returns false. The charge is remembered, so that it can be refunded if the request doesn't run. Requests
-// of an organisation without a quota are always allowed.
+// of an organisation without a quota are always allowed. While the instances aren't known, no part of a quota is sure to add up
+// with theirs.
 func (s *State) chargeQuota(j *Job) bool {
 	q := s.quotas[j.Organisation]
 	if q == nil {
 		return true
 	}
+	if s.settings.AwaitsList && !s.listIsComplete && q.unitsPerSecond > 0 {
+		s.refuse(j, ReasonQuota, listRetryAfter)
+		return false
+	}
 	if !q.tryConsume(j.Units, s.now) {
 		s.refuse(j, ReasonQuota, q.waitFor(j.Units, s.now))
 		return false
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -141,6 +141,8 @@
 	InstancesListed struct {
 		At        time.Duration
 		Instances []wigeonshift.Instance
+		// Complete is set if these are all instances, not only those that have been found so far.
+		Complete bool
 	}
 	// Tick is the periodic event that expires old peer reports and places queued requests.
 	Tick struct {
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -37,6 +37,8 @@
 	// tickedAt is the time of the latest Tick event, pausedAt the time at which a Tick event showed that the instance had
 	// been paused.
 	tickedAt, pausedAt time.Duration
+	// listIsComplete is set once all instances are known.
+	listIsComplete bool
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
@@ -96,6 +98,7 @@
 	case ShareGranted:
 		s.share, s.shareUntil = e.Share, e.Until
 	case InstancesListed:
+		s.listIsComplete = s.listIsComplete || e.Complete
 		s.updateGroups(e.Instances)
 	case Tick:
 		s.handleTick()
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -243,6 +243,24 @@
 		Expect(r.RetryAfter).To(BeNumerically("<=", (j.Deadline-h.at)/3))
 	})
 
+	// Instances that had restarted while the store was down took the parts of others that they didn't know.
+	It("grants nothing of a quota until all instances are known", func() {
+		h := newHarness(newRecord("a"))
+		h.state.settings.AwaitsList = true
+		h.state.quotas["limited"].balance = 100
+		limited := func() *Job {
+			j := h.newJob()
+			j.Organisation = "limited"
+			return j
+		}
+		found := []wigeonshift.Instance{{ID: "own"}}
+		h.state.Reduce(InstancesListed{Instances: found})
+		Expect(onlyRefusal(h.arrive(limited())).Reason).To(Equal(ReasonQuota))
+		onlyDispatchEndpoint(h.arrive(h.newJob()))
+		h.state.Reduce(InstancesListed{Instances: found, Complete: true})
+		Expect(effectsOf[Dispatch](h.arrive(limited()))).To(HaveLen(1))
+	})
+
 	It("refuses requests beyond a quota, doesn't charge them and returns the time until the quota allows them", func() {
 		h := newHarness(newRecord("a"))
 		h.state.quotas["limited"].balance = 100
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -20,6 +20,8 @@
 	Instance string
 	// Zone is the availability zone of this instance.
 	Zone string
+	// AwaitsList is set if quotas are granted only once all instances are known.
+	AwaitsList bool
 }
 
 const (
@@ -31,6 +33,8 @@
 	otherGroupMaxLoadShare = 0.75
 	// noEndpointRetryAfter is the retry delay if the service has no endpoint.
 	noEndpointRetryAfter = 500 * time.Millisecond
+	// listRetryAfter is the retry delay while the instances aren't known.
+	listRetryAfter = 300 * time.Millisecond
 	// minWaitObjectiveShare is the share of its objective that any request may be queued before it counts as late.
 	minWaitObjectiveShare = 0.4
 	// maxLateWait is the maximum expected wait of a request that will be late. With a longer one the request is refused.
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -96,9 +96,9 @@
 	d.reduce(wigeondispatch.EndpointsListed{At: d.Now(), Records: records})
 }
 
-// SetInstances replaces the instances, this one included.
-func (d *Dispatcher) SetInstances(instances []wigeonshift.Instance) {
-	d.reduce(wigeondispatch.InstancesListed{At: d.Now(), Instances: instances})
+// SetInstances replaces the instances, this one included. complete is set if these are all instances.
+func (d *Dispatcher) SetInstances(instances []wigeonshift.Instance, complete bool) {
+	d.reduce(wigeondispatch.InstancesListed{At: d.Now(), Instances: instances, Complete: complete})
 }
 
 // SetPeerLoad records the load of another instance.
--- a/peer.go
+++ b/peer.go
@@ -92,6 +92,8 @@
 		// Revision is the newest revision of the rows.
 		Revision uint64
 		Rows     []TableRow
+		// Instances holds all instances, the sender included; empty if the sender doesn't know them all.
+		Instances []Instance
 	}
 	// ConfigurationSnapshot carries a complete configuration as JSON.
 	ConfigurationSnapshot struct {
