End the readers of a peer session that yamux closes by itself

Readers were stopped already when this side ends a session; now also when yamux does, before the connection is closed.

--- a/internal/modules/wigeonsession/coalesce.go
+++ b/internal/modules/wigeonsession/coalesce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
 )
 
 // Layout of a yamux frame header.
@@ -19,6 +20,16 @@
 	net.Conn
 	// pending is a header whose body has not been written yet.
 	pending []byte
+	// beforeClose is called before the connection is closed, unless it is nil.
+	beforeClose atomic.Pointer[func()]
+}
+
+// Close closes the connection. yamux calls it when the session ends.
+func (c *coalescingConn) Close() error {
+	if f := c.beforeClose.Load(); f != nil {
+		(*f)()
+	}
+	return c.Conn.Close()
 }
 
 // Write delays a data frame header until the body arrives and then writes both at once.
--- a/internal/modules/wigeonsession/handshake.go
+++ b/internal/modules/wigeonsession/handshake.go
@@ -54,12 +54,13 @@
 		conn = tls.Client(conn, clientConfig(n.clientTLS, to.Address))
 	}
 	timer := time.AfterFunc(handshakeTimeout, func() { conn.Close() })
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, muxConfig())
+	transport := &coalescingConn{Conn: conn}
+	mux, err := yamux.Client(transport, muxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, oops.In("session").Wrap(err)
 	}
-	l := newLink(n, p, conn, mux)
+	l := newLink(n, p, transport, mux)
 	l.outbound, l.dialNumber = true, n.dialCount.Add(1)
 	err = l.dialHandshake(to, acceptedDial)
 	if errors.Is(err, ErrOtherInstance) {
@@ -123,12 +124,13 @@
 		conn = tls.Server(conn, a.network.serverTLS)
 	}
 	timer := time.AfterFunc(handshakeTimeout, func() { conn.Close() })
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, muxConfig())
+	transport := &coalescingConn{Conn: conn}
+	mux, err := yamux.Server(transport, muxConfig())
 	if err != nil {
 		conn.Close()
 		return
 	}
-	l := newLink(a.network, nil, conn, mux)
+	l := newLink(a.network, nil, transport, mux)
 	hello, err := l.acceptHandshake()
 	if !timer.Stop() || err != nil {
 		a.reject(mux, err)
--- a/internal/modules/wigeonsession/lane.go
+++ b/internal/modules/wigeonsession/lane.go
@@ -94,7 +94,8 @@
 	switch {
 	case errors.Is(err, wigeonwire.ErrMalformed), errors.Is(err, wigeonwire.ErrTooLarge):
 		return "malformed"
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF), errors.Is(err, yamux.ErrTimeout):
+		// Readers have a deadline only once the session ends.
 		return "closed"
 	default:
 		return "broken"
--- a/internal/modules/wigeonsession/link.go
+++ b/internal/modules/wigeonsession/link.go
@@ -1,7 +1,6 @@
 package wigeonsession
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,7 @@
 type link struct {
 	network *Network
 	peer    *peer
-	conn    net.Conn
+	conn    *coalescingConn
 	mux     *yamux.Session
 	lanes   [laneCount]*lane
 	remote  wigeonshift.Instance
@@ -55,7 +54,7 @@
 	endOnce    sync.Once
 }
 
-func newLink(n *Network, p *peer, conn net.Conn, mux *yamux.Session) *link {
+func newLink(n *Network, p *peer, conn *coalescingConn, mux *yamux.Session) *link {
 	l := &link{
 		network: n, peer: p, conn: conn, mux: mux,
 		controlFrames: make(chan []byte, 4),
@@ -73,6 +72,7 @@
 
 // start runs the readers and writers of all lanes and queues the first heartbeat.
 func (l *link) start() {
+	l.stopReadersOnClose()
 	for _, ln := range l.lanes {
 		ok := l.network.goIfRunning(ln.runRead) && l.network.goIfRunning(ln.runWrite)
 		if !ok {
@@ -98,16 +98,26 @@
 		l.network.counters.countSessionEnd(reason)
 		l.network.log.WithField("instance", l.remote.ID).WithField("reason", reason).Debug("Peer session ended")
 		l.peer.handleLinkEnd(l, clean || l.goodbyeStarted.Load())
-		for _, ln := range l.lanes {
-			// Readers of a closing yamux session spin until it has closed its streams, which takes all cores when many
-			// sessions end at once. The deadline stops them first.
-			ln.stream.SetReadDeadline(time.Now()) //nolint:errcheck // It always returns nil.
-		}
+		l.stopReaders()
 		l.conn.SetDeadline(time.Now()) //nolint:errcheck // The connection is closed next.
 		l.mux.Close()                  //nolint:errcheck // The link ends even if closing fails.
 	})
 }
 
+// stopReaders ends the reads of all lanes. Readers of a closing yamux session spin until it has closed its streams, which
+// takes all cores when many sessions end at once, or the only one.
+func (l *link) stopReaders() {
+	for _, ln := range l.lanes {
+		ln.stream.SetReadDeadline(time.Now()) //nolint:errcheck // It always returns nil.
+	}
+}
+
+// stopReadersOnClose makes yamux end the reads when it ends the session by itself, such as after a reset.
+func (l *link) stopReadersOnClose() {
+	stopReaders := l.stopReaders
+	l.conn.beforeClose.Store(&stopReaders)
+}
+
 // recordReceive marks the peer as alive: any frame resets the silence timeout and counts as the awaited reply.
 func (l *link) recordReceive() {
 	l.lastReceivedAt.Store(int64(l.network.now()))
