--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -143,7 +143,7 @@
 		return nil, nil
 	}
 	body, err := []byte(nil), errUnframedBody
-	if wigeonframing.Of(resp) != wigeonframing.Connection {
+	if wigeonframing.FramingOf(resp) != wigeonframing.Connection {
 		body, err = io.ReadAll(io.LimitReader(resp.BodyStream(), MaxResponseBytes+1))
 	}
 	if err == nil && len(body) > MaxResponseBytes {
--- a/internal/modules/wigeonframing/framing.go
+++ b/internal/modules/wigeonframing/framing.go
@@ -24,8 +24,8 @@
 // status codes have none.
 func HasBody(r *fasthttp.Response) bool { return r.BodyStream() != nil }
 
-// Of returns the framing of a response whose body is streamed.
-func Of(r *fasthttp.Response) Framing {
+// FramingOf returns the framing of a response whose body is streamed.
+func FramingOf(r *fasthttp.Response) Framing {
 	length := r.Header.ContentLength()
 	switch {
 	case !HasBody(r) || length >= 0:
--- a/internal/modules/wigeonstream/content.go
+++ b/internal/modules/wigeonstream/content.go
@@ -17,9 +17,9 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), contentType)
 }
 
-// Begins reports whether the first bytes of a body may begin an event stream: a comment, a field of an event, or the first
+// MayBeginStream reports whether the first bytes of a body may begin an event stream: a comment, a field of an event, or the first
 // bytes of a field's name.
-func Begins(body []byte) bool {
+func MayBeginStream(body []byte) bool {
 	body = bytes.TrimLeft(body, "\r\n")
 	if len(body) == 0 || body[0] == commentMark {
 		return true
--- a/internal/modules/wigeonstream/content_test.go
+++ b/internal/modules/wigeonstream/content_test.go
@@ -16,7 +16,7 @@
 	)
 
 	DescribeTable("recognizes the beginning of a stream", func(body string, is bool) {
-		Expect(wigeonstream.Begins([]byte(body))).To(Equal(is))
+		Expect(wigeonstream.MayBeginStream([]byte(body))).To(Equal(is))
 	},
 		Entry(nil, "", true), Entry(nil, "\r\n", true), Entry(nil, ":", true), Entry(nil, "d", true), Entry(nil, "data: x", true),
 		Entry(nil, "id\n", true), Entry(nil, "\nretry:1", true), Entry(nil, "event: e\ndata: x", true),
--- a/internal/services/wigeonendpoint/exchange.go
+++ b/internal/services/wigeonendpoint/exchange.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	limit := x.client.options.maxBodyBytes
-	endsWithConnection := wigeonframing.Of(x.response) == wigeonframing.Connection
+	endsWithConnection := wigeonframing.FramingOf(x.response) == wigeonframing.Connection
 	body, err := io.ReadAll(io.LimitReader(x.response.BodyStream(), int64(limit)+1))
 	switch {
 	case err != nil:
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -221,7 +221,7 @@
 	c.copyHeader(r)
 	c.httpCtx.Response.SetBodyRaw(body)
 	c.finish("answered", logrus.Fields{
-		"status": r.HTTP.StatusCode(), "framing": wigeonframing.Of(r.HTTP), "receivedBytes": len(body),
+		"status": r.HTTP.StatusCode(), "framing": wigeonframing.FramingOf(r.HTTP), "receivedBytes": len(body),
 	})
 }
 
--- a/internal/services/wigeonrelay/content.go
+++ b/internal/services/wigeonrelay/content.go
@@ -38,14 +38,14 @@
 	kind    contentKind
 	// bytes is the number of bytes so far.
 	bytes int
-	// events follows the events, those of earlier attempts on the same stream included. It is only used for event streams.
-	events wigeonstream.Tracker
+	// tracker follows the events, those of earlier attempts on the same stream included. It is only used for event streams.
+	tracker wigeonstream.Tracker
 }
 
 // newContent returns the content of a response of which nothing has been read. A successful response on a streaming route
 // is an event stream if its type or its first bytes say so, any other response only if its type does.
 func (c *call) newContent(r *wigeonupstream.Response) *responseContent {
-	content := &responseContent{call: c, framing: wigeonframing.Of(r.HTTP), kind: contentOther}
+	content := &responseContent{call: c, framing: wigeonframing.FramingOf(r.HTTP), kind: contentOther}
 	success := r.HTTP.StatusCode() < fasthttp.StatusMultipleChoices
 	switch {
 	case !wigeonframing.HasBody(r.HTTP):
@@ -59,8 +59,8 @@
 
 // continued returns the content of a response that continues an event stream.
 func (t *responseContent) continued(r *wigeonupstream.Response) *responseContent {
-	next := &responseContent{call: t.call, framing: wigeonframing.Of(r.HTTP), kind: contentEvents, events: t.events}
-	next.events.Restart()
+	next := &responseContent{call: t.call, framing: wigeonframing.FramingOf(r.HTTP), kind: contentEvents, tracker: t.tracker}
+	next.tracker.Restart()
 	return next
 }
 
@@ -71,14 +71,14 @@
 	t.bytes += len(p)
 	if t.kind == contentUnknown && len(p) > 0 {
 		t.kind = contentOther
-		if wigeonstream.Begins(p) {
+		if wigeonstream.MayBeginStream(p) {
 			t.kind = contentEvents
 		}
 	}
 	if !t.isEvents() {
 		return len(p)
 	}
-	return t.events.Consume(p)
+	return t.tracker.Consume(p)
 }
 
 // checkSize returns an error if the body exceeds a limit of streamed responses.
@@ -86,7 +86,7 @@
 	switch {
 	case t.bytes > maxStreamBytes:
 		return errStreamTooLong
-	case t.isEvents() && t.events.BytesSinceEvent > maxEventBytes:
+	case t.isEvents() && t.tracker.BytesSinceEvent > maxEventBytes:
 		return errEventTooLong
 	default:
 		return nil
@@ -96,7 +96,7 @@
 // checkEnd returns nil if the body is whole, now that its framing has ended, and otherwise the reason why it isn't.
 func (t *responseContent) checkEnd() error {
 	switch {
-	case t.isEvents() && !t.events.Complete():
+	case t.isEvents() && !t.tracker.Complete():
 		return errEndInsideEvent
 	case t.kind != contentOther && t.bytes == 0 && t.framing != wigeonframing.Length:
 		return errEmptyStream
@@ -123,7 +123,7 @@
 func (t *responseContent) logFields() logrus.Fields {
 	fields := logrus.Fields{"framing": t.framing, "receivedBytes": t.bytes}
 	if t.isEvents() {
-		fields["insideEvent"] = !t.events.Complete()
+		fields["insideEvent"] = !t.tracker.Complete()
 	}
 	return fields
 }
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -146,7 +146,7 @@
 	if st.response == nil {
 		return false
 	}
-	resumable := c.route.Resumable && st.content.events.LastID != "" && c.ctx.Err() == nil
+	resumable := c.route.Resumable && st.content.tracker.LastID != "" && c.ctx.Err() == nil
 	st.response.Close()
 	st.response = nil
 	c.endAttemptWithError(c.interruptedOutcome(), st.attemptEvents(), resumable, st.err)
@@ -173,7 +173,7 @@
 // more. The incomplete event of the interrupted response is dropped, because the new response sends it again.
 func (st *streamBody) reopen(d wigeondispatch.Dispatch) bool {
 	c := st.call
-	r, err := c.startAttempt(d, st.content.events.LastID)
+	r, err := c.startAttempt(d, st.content.tracker.LastID)
 	if err != nil {
 		c.endAttemptWithError(classifyError(c.ctx, err), 0, true, err)
 		return false
@@ -188,14 +188,14 @@
 		return false
 	}
 	st.response, st.err = r, nil
-	st.began, st.eventsBefore = false, st.content.events.Events
+	st.began, st.eventsBefore = false, st.content.tracker.Events
 	st.content = st.content.continued(r)
 	st.held = nil
 	return true
 }
 
 // attemptEvents returns the number of events of the running attempt.
-func (st *streamBody) attemptEvents() int { return st.content.events.Events - st.eventsBefore }
+func (st *streamBody) attemptEvents() int { return st.content.tracker.Events - st.eventsBefore }
 
 // Close ends the call, whether or not the stream is complete. It reports the end of the attempt only if resume has not
 // done so already, in which case response is nil. The attempt on an incomplete stream counts as abandoned, because
@@ -222,7 +222,7 @@
 		}
 	}
 	fields := st.content.logFields()
-	fields["events"], fields["lastEvent"] = st.content.events.Events, st.content.events.LastID
+	fields["events"], fields["lastEvent"] = st.content.tracker.Events, st.content.tracker.LastID
 	c.finish(outcome, fields)
 	return nil
 }
