Tell a sound variant that was at one crash from a request that changes

Several crashes under one variant explain as many, once a variant was answered; before, a trial starts at once and others wait for its end. A content whose every crash was under another variant is suspected as before.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -9,7 +9,7 @@
 // refused later.
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
-	if !s.maySend(j) {
+	if s.mustRefuse(j) {
 		s.refuseQuarantined(j)
 		return
 	}
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -5,18 +5,23 @@
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
-// maySend reports whether the crashes that are known allow a request to be sent.
-func (s *State) maySend(j *Job) bool {
+// mustRefuse reports whether the crashes that are known forbid to send a request. One that may be sent as a trial becomes one.
+func (s *State) mustRefuse(j *Job) bool {
 	switch s.crashes.Judge(j.Fingerprint, j.Shared, s.answers) {
 	case wigeonquarantine.VerdictSend:
-		return true
+		return false
 	case wigeonquarantine.VerdictTry:
-		return j.isTrial || s.startTrial(j)
+		return !j.isTrial && !s.startTrial(j) && !s.mayWaitForTrial(j)
 	default:
-		return false
+		return true
 	}
 }
 
+// waitsForTrial reports whether a request that need not be refused must not be sent either while another one is tried.
+func (s *State) waitsForTrial(j *Job) bool {
+	return !j.isTrial && s.crashes.Judge(j.Fingerprint, j.Shared, s.answers) == wigeonquarantine.VerdictTry && s.mayWaitForTrial(j)
+}
+
 // recordAnswer counts a successful answer. It removes the crashes of this very request, which it shows to be sound, unless
 // there are more of them than answers.
 func (s *State) recordAnswer(j *Job) {
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -32,6 +32,9 @@
 		if s.refuseWaiting(p, j, &round) {
 			continue
 		}
+		if s.waitsForTrial(j) {
+			continue
+		}
 		e := s.chooseEndpoint(p, j, round)
 		if e == nil {
 			round.skippedJob = true
@@ -49,7 +52,7 @@
 // refuseWaiting refuses a queued request that must not be sent or should rather be tried again later, and reports whether it
 // did. A request that failed over may only be refused because it is quarantined.
 func (s *State) refuseWaiting(p *pool, j *Job, round *placementRound) bool {
-	if !s.maySend(j) {
+	if s.mustRefuse(j) {
 		s.dequeue(p, j, round)
 		s.refuseQuarantined(j)
 		return true
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -289,7 +289,7 @@
 		return false
 	}
 	for _, shared := range [...]wigeonshift.Fingerprint{j.Shared.Content, j.Shared.Query, j.Shared.Headers} {
-		if checking := s.checkedEndpoints(shared); checking > 0 && s.crashes.SuspectedAfter(j.Shared.Content, shared, checking) {
+		if checking := s.checkedEndpoints(shared); checking > 0 && s.crashes.IsSuspected(j.Shared.Content, shared, s.answers, checking) {
 			return true
 		}
 	}
--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -168,6 +168,17 @@
 		onlyRefusal(h.arrive(h.newVariant(11, 0)))
 	})
 
+	It("are tried at once if one of them may have caused most of the crashes", func() {
+		h.crash(h.newVariant(0, 0))
+		h.crash(h.newVariant(0, 0))
+		h.crash(h.newVariant(1, 0))
+		trial := h.newVariant(2, 0)
+		Expect(effectsOf[StartTrial](h.arrive(trial))).To(HaveLen(1))
+		Expect(h.arrive(h.newVariant(3, 0))).To(BeEmpty(), "it waits for the end of the trial")
+		Expect(effectsOf[Dispatch](h.end(trial, OutcomeDone, false))).To(HaveLen(1))
+		onlyDispatchEndpoint(h.arrive(h.newVariant(4, 0)))
+	})
+
 	It("are tried by one instance at a time", func() {
 		h.state.Reduce(InstancesListed{At: h.at, Instances: []wigeonshift.Instance{{ID: h.state.settings.Instance}, {ID: "other"}}})
 		own := 0
--- a/internal/services/wigeondispatch/trial.go
+++ b/internal/services/wigeondispatch/trial.go
@@ -61,6 +61,13 @@
 	return true
 }
 
+// mayWaitForTrial reports whether a suspected request may wait for the end of the trial that runs, because that may clear it: one
+// variant may have caused most of the crashes.
+func (s *State) mayWaitForTrial(j *Job) bool {
+	t := s.trialsOf(j)
+	return t.running != 0 && s.crashes.MayBeOneVariant(j.Shared)
+}
+
 // trialsOf returns the trials of the content of a request.
 func (s *State) trialsOf(j *Job) *trials {
 	t := s.trials[j.Shared.Content]
@@ -74,9 +81,13 @@
 	return t
 }
 
-// trialWait returns the time until a trial of the content of a request may start.
+// trialWait returns the time until a trial of the content of a request may start. There is none after a crash if one variant may
+// have caused most of them.
 func (s *State) trialWait(j *Job) time.Duration {
 	t := s.trialsOf(j)
+	if s.crashes.MayBeOneVariant(j.Shared) {
+		return max(t.blockedUntil-s.now, 0)
+	}
 	crashed, latest := s.crashes.CrashedEndpoints(j.Shared.Content)
 	wait := latest.Add(time.Duration(crashed) * trialDelayPerCrash).Sub(s.wallClock())
 	return max(wait, t.blockedUntil-s.now)
--- a/internal/services/wigeonquarantine/answers.go
+++ b/internal/services/wigeonquarantine/answers.go
@@ -30,7 +30,7 @@
 	if now-a.startedAt > answerMemory || len(a.current) >= maxAnswered {
 		a.previous, a.current, a.startedAt = a.current, map[wigeonshift.Fingerprint]int{}, now
 	}
-	for _, k := range [...]wigeonshift.Fingerprint{f, shared.Query, shared.Headers} {
+	for _, k := range [...]wigeonshift.Fingerprint{f, shared.Content, shared.Query, shared.Headers} {
 		if k != 0 {
 			a.current[k]++
 		}
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -144,7 +144,7 @@
 	if len(crashes) == 0 {
 		return false
 	}
-	return r.suspectsShared(crashes[0].Shared)
+	return r.isSuspectedByShared(crashes[0].Shared)
 }
 
 // Remove removes a request with all its crashes.
--- a/internal/services/wigeonquarantine/verdict.go
+++ b/internal/services/wigeonquarantine/verdict.go
@@ -27,8 +27,7 @@
 
 // Judge decides whether a request may be sent. A request is refused for the crashes under it alone, unless it was answered at
 // least as often. What it shares with others counts if at least the limit of endpoints crashed under requests that share it,
-// apart from the one variant of them that explains most crashes. A request of which a variant was answered is not suspected
-// for the rest that it shares.
+// see IsSuspected. A request of which a variant was answered is not suspected for the rest that it shares.
 func (r *Record) Judge(f wigeonshift.Fingerprint, shared wigeonshift.SharedFingerprints, answers *AnswerCounter) Verdict {
 	if len(r.crashes) == 0 {
 		return VerdictSend
@@ -39,10 +38,10 @@
 	if answers.Count(f) > 0 {
 		return VerdictSend
 	}
-	suspected := r.SuspectedAfter(shared.Content, shared.Content, 0)
+	suspected := r.IsSuspected(shared.Content, shared.Content, answers, 0)
 	for _, k := range [...]wigeonshift.Fingerprint{shared.Query, shared.Headers} {
 		switch {
-		case r.SuspectedAfter(shared.Content, k, 0):
+		case r.IsSuspected(shared.Content, k, answers, 0):
 			suspected = true
 		case answers.Count(k) > 0:
 			return VerdictSend
@@ -58,35 +57,70 @@
 	}
 }
 
-// suspectsShared reports whether anything that requests share with others makes them suspected.
-func (r *Record) suspectsShared(shared wigeonshift.SharedFingerprints) bool {
-	return r.SuspectedAfter(shared.Content, shared.Content, 0) ||
-		r.SuspectedAfter(shared.Content, shared.Query, 0) || r.SuspectedAfter(shared.Content, shared.Headers, 0)
+// isSuspectedByShared reports whether anything that requests share with others makes them suspected.
+func (r *Record) isSuspectedByShared(shared wigeonshift.SharedFingerprints) bool {
+	for _, k := range [...]wigeonshift.Fingerprint{shared.Content, shared.Query, shared.Headers} {
+		if r.weightOfShared(shared.Content, k).isSuspected(r.limit, 0, false) {
+			return true
+		}
+	}
+	return false
 }
 
-// SuspectedAfter reports whether requests that share a fingerprint, which is their content or covers it, are the likely cause
-// of crashes after a number of further ones.
-func (r *Record) SuspectedAfter(content, shared wigeonshift.Fingerprint, further int) bool {
-	if shared == 0 || further == 0 && len(r.variants[content]) == 0 {
-		return false
-	}
-	w, known := r.sharedWeights[shared]
-	if !known {
-		w = r.weighShared(content, shared)
-		r.sharedWeights[shared] = w
+// IsSuspected reports whether requests that share a fingerprint, which is their content or covers it, are the likely cause of
+// crashes after a number of further ones. The crashes under the variant that has most of them don't count if they alone reach
+// the limit, or if there are several and some of the requests were answered.
+func (r *Record) IsSuspected(content, shared wigeonshift.Fingerprint, answers *AnswerCounter, further int) bool {
+	return r.weightOfShared(content, shared).isSuspected(r.limit, further, answers.Count(shared) > 0)
+}
+
+// MayBeOneVariant reports whether one variant may have caused the crashes for which requests are suspected: several of them
+// happened under it, and too few under others.
+func (r *Record) MayBeOneVariant(shared wigeonshift.SharedFingerprints) bool {
+	for _, k := range [...]wigeonshift.Fingerprint{shared.Content, shared.Query, shared.Headers} {
+		w := r.weightOfShared(shared.Content, k)
+		if w.isSuspected(r.limit, 0, false) && (!w.hasRepeatedVariant() || w.total-w.heaviest >= r.limit*crashWeight) {
+			return false
+		}
 	}
-	unexplained, all := w.unexplained+further*crashWeight, w.all+further*crashWeight
-	return unexplained >= r.limit*crashWeight && float64(unexplained) >= minCrashShare*float64(all)
+	return true
 }
 
 // sharedWeight is the weight of crashes under requests that share a fingerprint.
 type sharedWeight struct {
-	// unexplained is the weight of the crashes that no single variant of these requests explains.
-	unexplained int
+	// total is the weight of these crashes, heaviest that of those under the variant that has most of them.
+	total, heaviest int
 	// all is the weight of all crashes, also under other requests, since the first one.
 	all int
 }
 
+// isSuspected reports whether the crashes and a number of further ones make requests suspected of which some were answered or
+// none.
+func (w sharedWeight) isSuspected(limit, further int, answered bool) bool {
+	counted, all := w.total, w.all+further*crashWeight
+	if answered && w.hasRepeatedVariant() || w.heaviest >= limit*crashWeight {
+		counted -= w.heaviest
+	}
+	counted += further * crashWeight
+	return counted >= limit*crashWeight && float64(counted) >= minCrashShare*float64(all)
+}
+
+// hasRepeatedVariant reports whether at least two endpoints crashed under one variant.
+func (w sharedWeight) hasRepeatedVariant() bool { return w.heaviest >= 2*crashWeight }
+
+// weightOfShared returns the weight of the crashes under requests that share a fingerprint.
+func (r *Record) weightOfShared(content, shared wigeonshift.Fingerprint) sharedWeight {
+	if shared == 0 || len(r.variants[content]) == 0 {
+		return sharedWeight{}
+	}
+	w, known := r.sharedWeights[shared]
+	if !known {
+		w = r.weighShared(content, shared)
+		r.sharedWeights[shared] = w
+	}
+	return w
+}
+
 func (r *Record) weighShared(content, shared wigeonshift.Fingerprint) sharedWeight {
 	crashes := r.ContentCrashes(content)
 	if shared != content {
@@ -95,8 +129,8 @@
 	if len(crashes) == 0 {
 		return sharedWeight{}
 	}
-	left := r.withoutHeaviestVariant(crashes, shared)
-	return sharedWeight{unexplained: left.total(), all: r.weightSince(firstCrash(crashes))}
+	total := weighEndpoints(crashes, nil).total()
+	return sharedWeight{total: total, heaviest: heaviestVariant(crashes, shared), all: r.weightSince(firstCrash(crashes))}
 }
 
 // ContentCrashes returns the crashes of all requests with a content.
@@ -141,27 +175,15 @@
 	return weights
 }
 
-// withoutHeaviestVariant weighs the endpoints without those whose crashes are explained by one variant of the requests that
-// share a fingerprint: one query, one set of headers or one whole request under which the limit of endpoints crashed.
-func (r *Record) withoutHeaviestVariant(crashes []wigeonshift.Crash, shared wigeonshift.Fingerprint) endpointWeights {
-	all := weighEndpoints(crashes, nil)
-	var heaviest endpointWeights
+// heaviestVariant returns the weight of the crashes under the variant that has most of them: one query, one set of headers or
+// one whole request.
+func heaviestVariant(crashes []wigeonshift.Crash, shared wigeonshift.Fingerprint) int {
+	heaviest := 0
 	for _, variant := range variantsOf(crashes, shared) {
 		weights := weighEndpoints(crashes, func(c wigeonshift.Crash) bool { return isVariant(c, variant) })
-		if weights.total() > heaviest.total() {
-			heaviest = weights
-		}
-	}
-	if heaviest.total() < r.limit*crashWeight {
-		return all
-	}
-	left := endpointWeights{}
-	for endpoint, weight := range all {
-		if heaviest[endpoint] == 0 {
-			left[endpoint] = weight
-		}
+		heaviest = max(heaviest, weights.total())
 	}
-	return left
+	return heaviest
 }
 
 func isVariant(c wigeonshift.Crash, variant wigeonshift.Fingerprint) bool {
--- a/internal/services/wigeonquarantine/verdict_test.go
+++ b/internal/services/wigeonquarantine/verdict_test.go
@@ -60,6 +60,22 @@
 		Expect(judge(8, 0)).To(Equal(VerdictTry))
 	})
 
+	// An endpoint that ended for another reason had a sound request of the same content.
+	It("doesn't suspect a content of which variants were answered if one variant explains all crashes but one", func() {
+		r.Add(sharedCrash(0, 0, "e0@0"))
+		r.Add(sharedCrash(0, 0, "e1@0"))
+		r.Add(sharedCrash(1, 0, "e2@0"))
+		Expect(judge(2, 0)).To(Equal(VerdictTry))
+		Expect(r.MayBeOneVariant(sharedCrash(2, 0, "").Shared)).To(BeTrue())
+		sound := sharedCrash(3, 0, "")
+		answers.Add(0, sound.Fingerprint, sound.Shared)
+		Expect(judge(2, 0)).To(Equal(VerdictSend))
+		r.Add(sharedCrash(4, 0, "e3@0"))
+		r.Add(sharedCrash(5, 0, "e4@0"))
+		Expect(judge(2, 0)).To(Equal(VerdictTry))
+		Expect(r.MayBeOneVariant(sharedCrash(2, 0, "").Shared)).To(BeFalse())
+	})
+
 	It("forgets what was shared when crashes are removed or expire", func() {
 		addCrashes(3, func(k wigeonshift.Fingerprint) (query, headers wigeonshift.Fingerprint) { return k, 0 })
 		Expect(judge(8, 0)).To(Equal(VerdictTry))
