Let a request wait for its trial while one variant may explain the crashes

Found by soak with 40 relays: a sound request was refused with a delay of 2 s. The reports of the crashes under the request that crashes endpoints arrived one by one within 60 ms, those of sound ones that were there between them, and another instance had the turn for trials. It waits now, as it does while another trial runs: each report and each turn lets it be judged again.

--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -179,6 +179,22 @@
 		onlyDispatchEndpoint(h.arrive(h.newVariant(4, 0)))
 	})
 
+	// Reports of the crashes under one request arrive one by one, those of others that were there between them.
+	It("wait while another instance has the turn if one of them may have caused most of the crashes", func() {
+		h.crash(h.newVariant(0, 0))
+		h.crash(h.newVariant(0, 0))
+		h.crash(h.newVariant(1, 0))
+		h.state.Reduce(InstancesListed{At: h.at, Instances: []wigeonshift.Instance{{ID: h.state.settings.Instance}, {ID: "other"}}})
+		for h.state.hasTrialTurn(1) {
+			h.at += trialTurn
+			h.state.now = h.at
+		}
+		Expect(h.arrive(h.newVariant(2, 0))).To(BeEmpty())
+		third := wigeonshift.Crash{Fingerprint: h.newVariant(0, 0).Fingerprint, Shared: h.newVariant(0, 0).Shared, Endpoint: "x@1", At: h.state.wallClock()}
+		effects := h.state.Reduce(CrashesListed{At: h.at, Crashes: append(h.state.crashes.All(), third)})
+		Expect(effectsOf[Dispatch](effects)).To(HaveLen(1))
+	})
+
 	It("are tried by one instance at a time", func() {
 		h.state.Reduce(InstancesListed{At: h.at, Instances: []wigeonshift.Instance{{ID: h.state.settings.Instance}, {ID: "other"}}})
 		own := 0
--- a/internal/services/wigeondispatch/trial.go
+++ b/internal/services/wigeondispatch/trial.go
@@ -61,11 +61,10 @@
 	return true
 }
 
-// mayWaitForTrial reports whether a suspected request may wait for the end of the trial that runs, because that may clear it: one
-// variant may have caused most of the crashes.
+// mayWaitForTrial reports whether a suspected request may wait for its trial or for the end of another one's, because that may
+// clear it, as may the report of another crash: one variant may have caused most of the crashes.
 func (s *State) mayWaitForTrial(j *Job) bool {
-	t := s.trialsOf(j)
-	return t.running != 0 && s.crashes.MayBeOneVariant(j.Shared)
+	return s.trialsOf(j).blockedUntil <= s.now && s.crashes.MayBeOneVariant(j.Shared)
 }
 
 // trialsOf returns the trials of the content of a request.
