--- a/internal/services/wigeonquarantine/verdict.go
+++ b/internal/services/wigeonquarantine/verdict.go
@@ -60,7 +60,7 @@
 // isSuspectedByShared reports whether anything that requests share with others makes them suspected.
 func (r *Record) isSuspectedByShared(shared wigeonshift.SharedFingerprints) bool {
 	for _, k := range [...]wigeonshift.Fingerprint{shared.Content, shared.Query, shared.Headers} {
-		if r.weightOfShared(shared.Content, k).isSuspected(r.limit, 0, false) {
+		if r.exceedsLimit(r.weightOfShared(shared.Content, k), 0, false) {
 			return true
 		}
 	}
@@ -71,7 +71,7 @@
 // crashes after a number of further ones. The crashes under the variant that has most of them don't count if they alone reach
 // the limit, or if there are several and some of the requests were answered.
 func (r *Record) IsSuspected(content, shared wigeonshift.Fingerprint, answers *AnswerCounter, further int) bool {
-	return r.weightOfShared(content, shared).isSuspected(r.limit, further, answers.Count(shared) > 0)
+	return r.exceedsLimit(r.weightOfShared(content, shared), further, answers.Count(shared) > 0)
 }
 
 // MayBeOneVariant reports whether one variant may have caused the crashes for which requests are suspected: several of them
@@ -79,7 +79,7 @@
 func (r *Record) MayBeOneVariant(shared wigeonshift.SharedFingerprints) bool {
 	for _, k := range [...]wigeonshift.Fingerprint{shared.Content, shared.Query, shared.Headers} {
 		w := r.weightOfShared(shared.Content, k)
-		if w.isSuspected(r.limit, 0, false) && (!w.hasRepeatedVariant() || w.total-w.heaviest >= r.limit*crashWeight) {
+		if r.exceedsLimit(w, 0, false) && (!w.hasRepeatedVariant() || w.total-w.heaviest >= r.limit*crashWeight) {
 			return false
 		}
 	}
@@ -90,19 +90,25 @@
 type sharedWeight struct {
 	// total is the weight of these crashes, heaviest that of those under the variant that has most of them.
 	total, heaviest int
-	// all is the weight of all crashes, also under other requests, since the first one.
-	all int
+	// first is the time of the first of them.
+	first time.Time
 }
 
-// isSuspected reports whether the crashes and a number of further ones make requests suspected of which some were answered or
+// exceedsLimit reports whether crashes and a number of further ones make requests suspected of which some were answered or
 // none.
-func (w sharedWeight) isSuspected(limit, further int, answered bool) bool {
-	counted, all := w.total, w.all+further*crashWeight
-	if answered && w.hasRepeatedVariant() || w.heaviest >= limit*crashWeight {
+func (r *Record) exceedsLimit(w sharedWeight, further int, answered bool) bool {
+	counted := w.total + further*crashWeight
+	if answered && w.hasRepeatedVariant() || w.heaviest >= r.limit*crashWeight {
 		counted -= w.heaviest
 	}
-	counted += further * crashWeight
-	return counted >= limit*crashWeight && float64(counted) >= minCrashShare*float64(all)
+	if counted < r.limit*crashWeight {
+		return false
+	}
+	all := further * crashWeight
+	if w.total > 0 {
+		all += r.weightSince(w.first)
+	}
+	return float64(counted) >= minCrashShare*float64(all)
 }
 
 // hasRepeatedVariant reports whether at least two endpoints crashed under one variant.
@@ -130,7 +136,7 @@
 		return sharedWeight{}
 	}
 	total := weighEndpoints(crashes, nil).total()
-	return sharedWeight{total: total, heaviest: heaviestVariant(crashes, shared), all: r.weightSince(firstCrash(crashes))}
+	return sharedWeight{total: total, heaviest: heaviestVariant(crashes, shared), first: firstCrash(crashes)}
 }
 
 // ContentCrashes returns the crashes of all requests with a content.
