Reserve the address of a restarted instance in a spec

The spec picked a free port and released it before the peer started, whose own listeners take any free port and got the same one. It keeps the port now until the restarted instance takes it; what the spec checks is the same.

--- a/internal/routers/wigeongateway/gateway_test.go
+++ b/internal/routers/wigeongateway/gateway_test.go
@@ -142,7 +142,10 @@
 	// Guards against restarted instances that can't serve while the store is down. All instances were restarted one after
 	// the other while the store didn't respond, and none served until it was back (inrap-lofts, mix --seed 514354062682).
 	It("gets the configuration and the endpoints from a peer that knows an earlier instance at its address", func() {
-		address := freeAddress()
+		// The listener keeps the address from the peer, whose own listeners take any free port.
+		reserved, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := reserved.Addr().String()
 		earlier, err := json.Marshal(wigeonshift.Instance{ID: "earlier", Address: address, Zone: "z", Region: "r"})
 		Expect(err).NotTo(HaveOccurred())
 		peer := newGateway("older", freeAddress(), &staticStore{rows: map[wigeonshift.RoutingTable][]wigeonshift.TableRow{
@@ -156,6 +159,7 @@
 		DeferCleanup(peer.Stop)
 		Eventually(peer.Ready).Should(BeTrue())
 		restarted := newGateway("newer", address, &staticStore{})
+		Expect(reserved.Close()).To(Succeed())
 		Expect(restarted.Start(context.Background())).To(Succeed())
 		DeferCleanup(restarted.Stop)
 		Eventually(restarted.Ready).WithTimeout(5 * time.Second).Should(BeTrue())
