Quotas: grant what an organisation's limit holds in a window, not only its rate after a burst

Its window of 8 s may hold 396,230 without any tolerance (545,853 with it); the token bucket granted 283,000 to 300,000 in each from 16 s on, since the burst comes back only to an organisation that asks for less than its rate. Change: the use of all instances is counted in a sliding window, and a low balance is topped up with what no later window then makes too much, over a second, only while the use of all instances has been known for a window. The worst window is that of the bucket as before: nothing of the tolerance is added. The soak's relays get the window too.

--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -71,6 +71,9 @@
 	// Overage is a fraction of the quota, Slack a number of units that is added to it.
 	Overage float64 `toml:"overage" validate:"min=0,max=1"`
 	Slack   float64 `toml:"slack" validate:"min=0"`
+	// Window is the period over which use is limited to the rate for that time plus the burst. Without it, use is limited by
+	// a token bucket only.
+	Window wigeontoml.Duration `toml:"window" validate:"min=0"`
 }
 
 // RelayDrain holds the settings of a graceful shutdown.
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -109,6 +109,7 @@
 		Instance:     g.self.ID,
 		QuotaOverage: s.Quota.Overage,
 		QuotaSlack:   s.Quota.Slack,
+		QuotaWindow:  s.Quota.Window.Duration,
 		Zone:         s.Node.Zone,
 		AwaitsList:   true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -36,6 +36,12 @@
 	balanceReported       bool
 	firstReportAt         time.Duration
 	lowestReportedBalance float64
+	// usage counts the use of all instances in the window.
+	usage windowUsage
+	// completeSince is the time since which the use of all instances is known.
+	completeSince time.Duration
+	// toppedUpAt is the time of the latest topUp.
+	toppedUpAt time.Duration
 }
 
 // peerUse is another instance's use of a quota. Its rate is computed from a base report and a later one.
@@ -101,7 +107,7 @@
 func newQuota(l quotaLimit, at time.Duration) *quota {
 	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
 	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
-		peers: map[string]*peerUse{}}
+		peers: map[string]*peerUse{}, usage: windowUsage{slotLength: l.window / usageSlots}, completeSince: at, toppedUpAt: at}
 }
 
 // quotaLimit is the rate and the burst of a token bucket.
@@ -110,6 +116,9 @@
 	// reserveUnits is the part of the tolerance that isn't granted. It covers what the members of a group use before they
 	// receive each other's reports.
 	reserveUnits float64
+	// windowUnits is the organisation's own limit in a window, without any tolerance. Both are zero if the window isn't known.
+	windowUnits float64
+	window      time.Duration
 }
 
 // limitOf returns an organisation's limit, increased by the granted share of the tolerance. The rest of the tolerance
@@ -118,6 +127,8 @@
 	factor := 1 + s.QuotaOverage*grantedOverageShare
 	l := quotaLimit{unitsPerSecond: o.UnitsPerSecond * factor, burstUnits: o.Burst * factor}
 	l.reserveUnits = o.Burst * s.QuotaOverage * (1 - grantedOverageShare)
+	l.window = s.QuotaWindow
+	l.windowUnits = o.UnitsPerSecond*s.QuotaWindow.Seconds() + o.Burst
 	if o.CountsTokens {
 		l.reserveUnits += s.QuotaSlack * (1 - grantedSlackShare)
 		l.burstUnits += s.QuotaSlack * grantedSlackShare
@@ -138,7 +149,8 @@
 func (q *quota) refill(at time.Duration) {
 	if at > q.refilledAt {
 		seconds := (at - q.refilledAt).Seconds()
-		q.balance = min(q.burstUnits*q.share, q.balance+q.unitsPerSecond*q.share*seconds-q.predictPeerUse(at))
+		q.recordUse(q.predictPeerUse(at), at)
+		q.balance = min(q.burstUnits*q.share, q.balance+q.unitsPerSecond*q.share*seconds)
 		equal := q.share * q.memberShare
 		q.round.memberBalance = min(q.burstUnits*equal, q.round.memberBalance+q.unitsPerSecond*equal*seconds)
 		share := q.currentGroupShare(at)
@@ -193,6 +205,9 @@
 		return true
 	}
 	q.refill(at)
+	if q.balance < units {
+		q.topUp(at)
+	}
 	if q.balance < units {
 		q.scarceUntil = at + scarceDuration
 		return false
@@ -200,7 +215,7 @@
 	if q.groupFairShare < 1 && q.groupBalance <= 0 || q.exceedsRound(units, at) {
 		return false
 	}
-	q.balance -= units
+	q.recordUse(units, at)
 	q.used += units
 	q.round.ownUse += units
 	q.round.memberBalance -= units
@@ -211,7 +226,8 @@
 // refund returns the units of a request that didn't run, so that the organisation isn't charged for it.
 func (q *quota) refund(units float64, at time.Duration) {
 	q.refill(at)
-	q.balance = min(q.burstUnits, q.balance+units)
+	q.recordUse(-units, at)
+	q.balance = min(q.burstUnits, q.balance)
 	q.used -= units
 	q.round.ownUse -= units
 	q.round.memberBalance += units
@@ -222,6 +238,9 @@
 // members are assumed to have used as much as this instance in the round before, without being able to report it.
 func (q *quota) startRound(at time.Duration) {
 	q.refill(at)
+	if q.balance < q.burstUnits*topUpBalanceShare {
+		q.topUp(at)
+	}
 	unreported := max(q.round.ownUse, 0) * (1/q.memberShare - 1)
 	part := q.memberShare * max(q.balance-unreported, 0)
 	q.round = quotaRound{
@@ -257,7 +276,8 @@
 		return
 	}
 	if q.unitsPerSecond > 0 {
-		q.balance = min(q.burstUnits, q.balance-(used-p.used)+p.predicted)
+		q.recordUse(used-p.used-p.predicted, at)
+		q.balance = min(q.burstUnits, q.balance)
 	}
 	if sameGroup {
 		q.recordGroupUse(used - p.latestUsed)
@@ -312,6 +332,9 @@
 // round, and what the group has used since its start comes from those of the others.
 func (q *quota) setShares(s quotaShares, at time.Duration) {
 	q.refill(at)
+	if s.share < 1 || q.share < 1 {
+		q.completeSince = at
+	}
 	if s.share < q.share {
 		groupUse := q.groupUsed - q.round.groupUsedBefore
 		q.balance = min(q.balance, (q.round.memberBalance+q.round.ownUse)/s.memberShare-groupUse)
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -14,6 +14,8 @@
 	QuotaOverage float64
 	// QuotaSlack is the number of units by which the use may exceed the quota in addition.
 	QuotaSlack float64
+	// QuotaWindow is the length of the window in which the use of a quota is limited; zero if there is none.
+	QuotaWindow time.Duration
 	// StartedAt is the wall clock time at which the clock of the events was zero.
 	StartedAt time.Time
 	// Instance is the ID of this instance.
--- a/internal/services/wigeonshare/fleet_test.go
+++ b/internal/services/wigeonshare/fleet_test.go
@@ -164,7 +164,7 @@
 	p := &process{machine: m, id: fmt.Sprintf("%s-%d", m.name, f.starts), startedAt: time.Now(), jobs: map[wigeondispatch.JobID]*wigeondispatch.Job{}}
 	p.state = wigeondispatch.New(wigeondispatch.Settings{
 		RetryRatio: f.limit.Ratio, RetrySlack: f.limit.Slack, RetryWindow: f.limit.Window, Instance: p.id, Zone: "z",
-		QuotaOverage: quotaOverage, QuotaSlack: quotaSlack,
+		QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, QuotaWindow: quotaWindow,
 	})
 	var records []wigeonshift.EndpointRecord
 	for i := range fleetEndpoints {
--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -92,11 +92,12 @@
 [quota]
 overage = %g
 slack = %d
+window = %q
 [drain]
 timeout = "5s"
 notice = "1500ms"
 `, p.name, p.callerAddress, p.readyAddress, freeAddress(), p.storeProxy.address(),
-		limit.Ratio, limit.Slack, limit.Window, quotaOverage, quotaSlack)
+		limit.Ratio, limit.Slack, limit.Window, quotaOverage, quotaSlack, quotaWindow)
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
