Reports of many instances: predict the use of quotas in steps, look only at members of the group

Cause: each report made every quota predict the use of every other instance, and each decision looked up the group of every other instance. An instance of a fleet of n gets reports at a rate that grows with n, so this grew with its square. Change: predictions in steps of 50 ms; the members of the group are kept in a list; a report from another group starts no round.

--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -142,6 +142,10 @@
 	for _, i := range instances {
 		s.instanceIDs = append(s.instanceIDs, i.ID)
 	}
+	for name, p := range s.peers {
+		p.inGroup = s.groups.SameGroup(name, s.settings.Instance)
+	}
+	s.updateMembers()
 	s.markOtherGroupEndpoints()
 	s.updateQuotaShares()
 }
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -10,6 +10,8 @@
 
 // peer is the load that another instance reported.
 type peer struct {
+	// inGroup is set for the members of this instance's group.
+	inGroup    bool
 	reportedAt time.Duration
 	// reportCount is the number of reports. A rate of use is known from the second report on.
 	reportCount int
@@ -18,13 +20,20 @@
 	waiting map[string]waitingCounts
 }
 
+// member is another member of this instance's group.
+type member struct {
+	name string
+	*peer
+}
+
 // handlePeerReport replaces what is known of another instance by its latest report. Then it dispatches queued
 // requests, because the report may show free slots or that no request of a higher priority is queued there any more.
 func (s *State) handlePeerReport(name string, notice wigeonshift.LoadNotice) {
 	p := s.peers[name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{inGroup: s.groups.SameGroup(name, s.settings.Instance)}
 		s.peers[name] = p
+		s.updateMembers()
 	}
 	p.reportedAt = s.now
 	p.reportCount++
@@ -44,22 +53,34 @@
 	}
 	for _, u := range notice.Organisations {
 		if q := s.quotas[u.Organisation]; q != nil {
-			q.handlePeerReport(name, u.Units, s.now, s.groups.SameGroup(name, s.settings.Instance))
+			q.handlePeerReport(name, u.Units, s.now, p.inGroup)
 			q.adoptPeerBalance(u.RemainingUnits, s.now)
 		}
 	}
-	s.startQuotaRound()
+	if p.inGroup {
+		s.startQuotaRound()
+	}
 	s.dispatchAllWaiting()
 }
 
+// updateMembers updates the list of the other members of the group that report to this instance. The list saves a look at all
+// instances of a large fleet at each decision.
+func (s *State) updateMembers() {
+	s.members = s.members[:0]
+	for name, p := range s.peers {
+		if p.inGroup {
+			s.members = append(s.members, member{name: name, peer: p})
+		}
+	}
+	slices.SortFunc(s.members, func(a, b member) int { return strings.Compare(a.name, b.name) })
+}
+
 // startQuotaRound starts a new round of reports of each quota if all members of the group have reported since the
 // latest one began.
 func (s *State) startQuotaRound() {
 	oldestReport := s.now
-	for name, p := range s.peers {
-		if s.groups.SameGroup(name, s.settings.Instance) {
-			oldestReport = min(oldestReport, p.reportedAt)
-		}
+	for _, m := range s.members {
+		oldestReport = min(oldestReport, m.reportedAt)
 	}
 	for _, q := range s.quotas {
 		if oldestReport > q.round.startedAt {
@@ -115,6 +136,7 @@
 func (s *State) removePeer(name string, p *peer) {
 	s.replacePeerLoads(p, nil)
 	delete(s.peers, name)
+	s.updateMembers()
 	for _, q := range s.quotas {
 		q.removePeerUse(name)
 	}
@@ -128,14 +150,11 @@
 // the fair share of its group (the instances that report every change of their load to each other). Instances that
 // have sent too few reports to compute a rate of use don't count, because their use can't be predicted yet.
 func (s *State) updateQuotaShares() {
-	reporting, groupMembers := 1, 1
-	for name, p := range s.peers {
+	reporting, groupMembers := 1, 1+len(s.members)
+	for _, p := range s.peers {
 		if p.reportCount >= minRateReports {
 			reporting++
 		}
-		if s.groups.SameGroup(name, s.settings.Instance) {
-			groupMembers++
-		}
 	}
 	shares := quotaShares{
 		share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers),
@@ -153,7 +172,7 @@
 func (s *State) expirePeers() {
 	for name, p := range s.peers {
 		timeout := sameGroupReportTimeout
-		if !s.groups.SameGroup(name, s.settings.Instance) {
+		if !p.inGroup {
 			timeout = otherGroupReportTimeout
 		}
 		if s.now-p.reportedAt > timeout {
@@ -201,11 +220,8 @@
 // priority level. They count because they compete for the same free slots; other groups use mainly other endpoints.
 func (s *State) peerWaiting(service string) waitingCounts {
 	var sum waitingCounts
-	for name, p := range s.peers {
-		if !s.groups.SameGroup(name, s.settings.Instance) {
-			continue
-		}
-		for level, n := range p.waiting[service] {
+	for _, m := range s.members {
+		for level, n := range m.waiting[service] {
 			sum[level] += n
 		}
 	}
@@ -217,11 +233,11 @@
 // order is the same on all instances and differs between endpoints.
 func (s *State) hasPrecedence(e *endpoint, level int) bool {
 	own := wigeonshift.RendezvousScore(e.record.ID, s.settings.Instance)
-	for name, p := range s.peers {
-		if p.waiting[e.pool.name].countUpTo(level) == 0 || !s.groups.SameGroup(name, s.settings.Instance) {
+	for _, m := range s.members {
+		if m.waiting[e.pool.name].countUpTo(level) == 0 {
 			continue
 		}
-		if score := wigeonshift.RendezvousScore(e.record.ID, name); score > own {
+		if score := wigeonshift.RendezvousScore(e.record.ID, m.name); score > own {
 			return false
 		}
 	}
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -16,6 +16,8 @@
 	balance float64
 	// refilledAt is the time of the last refill.
 	refilledAt time.Duration
+	// predictedAt is the time up to which the use of the other instances is subtracted from the balance, as predicted.
+	predictedAt time.Duration
 	// used is this instance's own use since its start, in units.
 	used float64
 	// peers holds the use of the other instances by their latest reports.
@@ -78,6 +80,8 @@
 const (
 	// predictionHorizon is how long the use of another instance is assumed to continue at its latest rate without a report.
 	predictionHorizon = 4 * time.Second
+	// predictionStep is the shortest time between two predictions, each of which looks at all other instances.
+	predictionStep = 50 * time.Millisecond
 	// minRateInterval is the minimum time between two reports from which a rate is computed.
 	minRateInterval = 100 * time.Millisecond
 	// A group of a large fleet may use groupShareFactor times its fair share. For scarceDuration after a refusal, it may use
@@ -106,7 +110,7 @@
 // before.
 func newQuota(l quotaLimit, at time.Duration) *quota {
 	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
-	return &quota{quotaLimit: l, refilledAt: at, quotaShares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
+	return &quota{quotaLimit: l, refilledAt: at, predictedAt: at, quotaShares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
 		peers: map[string]*peerUse{}, usage: windowUsage{slotLength: l.window / usageSlots}, completeSince: at, toppedUpAt: at}
 }
 
@@ -149,7 +153,9 @@
 func (q *quota) refill(at time.Duration) {
 	if at > q.refilledAt {
 		seconds := (at - q.refilledAt).Seconds()
-		q.recordUse(q.predictPeerUse(at), at)
+		if at-q.predictedAt >= predictionStep {
+			q.recordUse(q.predictPeerUse(at), at)
+		}
 		q.balance = min(q.burstUnits*q.share, q.balance+q.unitsPerSecond*q.share*seconds)
 		equal := q.share * q.memberShare
 		q.round.memberBalance = min(q.burstUnits*equal, q.round.memberBalance+q.unitsPerSecond*equal*seconds)
@@ -160,13 +166,13 @@
 	}
 }
 
-// predictPeerUse returns the units that the other instances are expected to have used since the last refill, by their
+// predictPeerUse returns the units that the other instances are expected to have used since the last prediction, by their
 // latest reports, so that the quota isn't exceeded between reports. The use of other groups is assumed to grow with
 // that of this instance's group, because a surge of an organisation's requests arrives at all instances.
 func (q *quota) predictPeerUse(at time.Duration) float64 {
 	sum := 0.0
 	for _, p := range q.peers {
-		from, to := max(q.refilledAt, p.at), min(at, p.at+predictionHorizon)
+		from, to := max(q.predictedAt, p.at), min(at, p.at+predictionHorizon)
 		if to <= from || p.unitsPerSecond <= 0 {
 			continue
 		}
@@ -174,6 +180,7 @@
 		sum += use
 		p.predicted += use
 	}
+	q.predictedAt = at
 	return sum
 }
 
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -18,6 +18,8 @@
 	jobs         map[JobID]*Job
 	quotas       map[string]*quota
 	peers        map[string]*peer
+	// members are the peers of this instance's group, by name.
+	members      []member
 	retryBudgets map[string]*retryBudget
 	// crashes holds the crashes that all instances know of.
 	crashes *wigeonquarantine.Record
