--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -156,19 +156,52 @@
 	if to.ID == n.self.ID {
 		return n.sendLocal(m)
 	}
-	f, err := wigeonwire.FrameOf(m)
+	frame, err := encode(m)
 	if err != nil {
 		return err
 	}
-	encoded, err := wigeonwire.EncodeFrame(f)
+	return n.enqueue(to, frame, laneOf(m))
+}
+
+// Broadcast queues a message to each of the instances, which is encoded only once, and returns the errors. It sends nothing to
+// this instance itself.
+func (n *Network) Broadcast(_ context.Context, to []wigeonshift.Instance, m wigeonshift.PeerMessage) error {
+	if len(to) == 0 {
+		return nil
+	}
+	frame, err := encode(m)
 	if err != nil {
 		return err
 	}
+	var errs []error
+	for _, i := range to {
+		if i.ID != n.self.ID {
+			errs = append(errs, n.enqueue(i, frame, laneOf(m)))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// encode returns the frame of a message.
+func encode(m wigeonshift.PeerMessage) (outgoingFrame, error) {
+	f, err := wigeonwire.FrameOf(m)
+	if err != nil {
+		return outgoingFrame{}, err
+	}
+	encoded, err := wigeonwire.EncodeFrame(f)
+	if err != nil {
+		return outgoingFrame{}, err
+	}
+	return outgoingFrame{kind: kindOf(m), bytes: encoded, expectsReply: expectsReply(m)}, nil
+}
+
+// enqueue queues a frame to another instance.
+func (n *Network) enqueue(to wigeonshift.Instance, frame outgoingFrame, lane int) error {
 	p, err := n.getOrCreatePeer(to)
 	if err != nil {
 		return err
 	}
-	return p.enqueue(outgoingFrame{kind: kindOf(m), bytes: encoded, expectsReply: expectsReply(m)}, laneOf(m))
+	return p.enqueue(frame, lane)
 }
 
 // sendLocal queues a message from this instance to itself.
--- a/internal/modules/wigeonsession/session_test.go
+++ b/internal/modules/wigeonsession/session_test.go
@@ -57,6 +57,27 @@
 		})
 	})
 
+	It("deliver a broadcast to all others although one can't be reached", func() {
+		runInBubble(func(g *WithT) {
+			w := newMemoryNetwork()
+			a, b, c := startNode(g, w, "a"), startNode(g, w, "b"), startNode(g, w, "c")
+			gone := wigeonshift.Instance{ID: "gone", Address: "gone"}
+			all := []wigeonshift.Instance{a.Self(), gone, b.Self(), c.Self()}
+			g.Expect(a.Broadcast(ctx, nil, configurationHave(1))).To(Succeed())
+			g.Expect(a.Broadcast(ctx, all, configurationHave(1))).To(Succeed())
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(a.Broadcast(ctx, all, configurationHave(2))).To(MatchError(wigeonshift.ErrPeerUnreachable))
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(a.messages()).To(BeEmpty())
+			for _, n := range []*node{b, c} {
+				g.Expect(n.messages()).To(Equal([]wigeonshift.PeerMessage{configurationHave(1), configurationHave(2)}))
+			}
+			for _, n := range []*node{a, b, c} {
+				g.Expect(n.Stop(ctx)).To(Succeed())
+			}
+		})
+	})
+
 	It("do not report a peer that stopped as lost", func() {
 		for range 100 {
 			runInBubble(func(g *WithT) {
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -100,10 +100,8 @@
 }
 
 func (g *Gateway) sendLoadNotice(ctx context.Context, peers []wigeonshift.Instance, notice wigeonshift.LoadNotice) {
-	for _, p := range peers {
-		// The network reports unreachable peers itself.
-		_ = g.network.Send(ctx, p, notice)
-	}
+	// The network reports unreachable peers itself.
+	_ = g.network.Broadcast(ctx, peers, notice)
 }
 
 // runPrune periodically closes connections to endpoints that have been idle for too long.
