Place requests by the parts of their prompts that endpoints keep; compare only endpoints of the own group; fewer polls

Cause: no placement knew the parts of prompts. Change: an endpoint's cost falls by the time to read what it keeps, for each of its slots, since reading delays them all. What it keeps is known from the requests that this instance sent it in the last 10 s, and expected of the home of the shared parts: a rendezvous hash weighted by speed, the same at all instances without any table. The home may be in another group while under half of its slots are in use by the reports. Bounded: 1,024 parts an endpoint.

--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -12,8 +12,10 @@
 const (
 	// tickInterval is the time between two checks of waiting requests and of the age of peers' loads.
 	tickInterval = 50 * time.Millisecond
-	// minNoticeInterval is the shortest time between two load notices.
-	minNoticeInterval = 50 * time.Millisecond
+	// minNoticeInterval is the shortest time between two load notices in a fleet with a single group,
+	// minGroupNoticeInterval that in a larger one.
+	minNoticeInterval      = 50 * time.Millisecond
+	minGroupNoticeInterval = 100 * time.Millisecond
 	// maxNoticeInterval is the time after which a notice is sent even if the load has not changed.
 	maxNoticeInterval = 500 * time.Millisecond
 	// crashNoticeInterval is the shortest time between two notices with crashes, which are repeated while the store is down.
@@ -66,7 +68,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if g.dispatcher.LoadChanges() == reportedChanges && time.Since(sameGroupSentAt) < maxNoticeInterval {
+		sameGroup, otherGroups := g.membership.peers()
+		if !isNoticeDue(time.Since(sameGroupSentAt), g.dispatcher.LoadChanges() != reportedChanges, len(otherGroups) > 0) {
 			continue
 		}
 		loadNotice, changes := g.loadNotice()
@@ -75,7 +78,6 @@
 			crashesSentAt = sameGroupSentAt
 			loadNotice.Crashes = g.quarantine.Unstored()
 		}
-		sameGroup, otherGroups := g.membership.peers()
 		g.sendLoadNotice(ctx, sameGroup, loadNotice)
 		switch {
 		case time.Since(otherGroupsSentAt) >= otherGroupNoticeInterval:
@@ -88,6 +90,16 @@
 	}
 }
 
+// isNoticeDue reports whether a load notice is due at a tick, some time after the latest one. In a fleet with several groups
+// notices are less frequent, because each instance also gets those of all others.
+func isNoticeDue(sinceLatest time.Duration, loadChanged, hasOtherGroups bool) bool {
+	if !loadChanged {
+		return sinceLatest >= maxNoticeInterval
+	}
+	// Half a tick of tolerance keeps a tick that comes early from being skipped.
+	return !hasOtherGroups || sinceLatest >= minGroupNoticeInterval-minNoticeInterval/2
+}
+
 // loadNotice returns this instance's load notice and the number of changes that it covers.
 func (g *Gateway) loadNotice() (wigeonshift.LoadNotice, uint64) {
 	loadNotice, changes := g.dispatcher.Load()
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -9,6 +9,7 @@
 // refused later.
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
+	j.promptKeys = newPromptKeys(j)
 	if s.mustRefuse(j) {
 		s.refuseQuarantined(j)
 		return
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"wigeonshift"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -82,12 +84,16 @@
 	signals *signals
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
+	// hash is a hash of the endpoint's ID.
+	hash uint64
+	// kept are the parts of prompts that the endpoint is expected to keep.
+	kept keptPrompts
 }
 
 // newEndpoint returns an endpoint whose initial timings are the mean of the other endpoints of its pool, because
 // nothing was measured on it yet.
 func newEndpoint(record wigeonshift.EndpointRecord, p *pool) *endpoint {
-	return &endpoint{record: record, pool: p, timings: p.typicalTimings()}
+	return &endpoint{record: record, pool: p, timings: p.typicalTimings(), hash: xxhash.Sum64String(record.ID)}
 }
 
 // running returns the number of requests that all instances together run on the endpoint.
@@ -123,7 +129,7 @@
 // the request is a probe, so the endpoint gets no other one until it ends.
 func (e *endpoint) startAttempt(j *Job) {
 	e.ownLoad.running++
-	e.ownLoad.prefill += j.PromptTokens
+	e.ownLoad.prefill += j.unreadTokens()
 	e.ownLoad.reservedTokens += j.tokenFootprint()
 	if e.consecutiveFailures >= suspectFailureThreshold {
 		e.probing = true
@@ -131,7 +137,7 @@
 }
 
 // answerStarted removes the prompt of a request from the pending prefill work, because its first event has arrived.
-func (e *endpoint) answerStarted(j *Job) { e.ownLoad.prefill -= j.PromptTokens }
+func (e *endpoint) answerStarted(j *Job) { e.ownLoad.prefill -= j.unreadTokens() }
 
 // endAttempt removes a request from the endpoint's load. Its prompt is removed only if no event arrived, because
 // answerStarted has already removed it otherwise.
@@ -139,7 +145,7 @@
 	e.ownLoad.running--
 	e.ownLoad.reservedTokens -= j.tokenFootprint()
 	if j.firstEventLatency == 0 {
-		e.ownLoad.prefill -= j.PromptTokens
+		e.ownLoad.prefill -= j.unreadTokens()
 	}
 	e.probing = false
 }
@@ -174,12 +180,12 @@
 		e.plain = movingAverage(e.plain, first)
 		return
 	}
-	if j.PromptTokens < minPrefillSampleTokens {
+	if j.unreadTokens() < minPrefillSampleTokens {
 		return
 	}
 	decode := e.decodeStep * time.Duration(e.pool.eventTokens())
 	if first > decode {
-		e.prefill = movingAverage(e.prefill, (first-decode)/time.Duration(j.PromptTokens))
+		e.prefill = movingAverage(e.prefill, (first-decode)/time.Duration(j.unreadTokens()))
 	}
 }
 
--- a/internal/services/wigeondispatch/fleet_test.go
+++ b/internal/services/wigeondispatch/fleet_test.go
@@ -31,6 +31,10 @@
 	// jobs maps every job to its request, because an event can have effects on any job.
 	jobs     map[JobID]*fleetRequest
 	duration time.Duration
+	// hidesParts is set if the instances aren't told the parts of prompts.
+	hidesParts bool
+	// readUntil holds the time until which reading each shared part counts as reading it again.
+	readUntil map[string]time.Duration
 }
 
 // fleetKind describes one kind of request: its rate, mean sizes, time limits and value.
@@ -47,6 +51,9 @@
 	value     float64
 	// late is the share of its value that a late answer still earns.
 	late float64
+	// subjects is the number of prompts starts that requests share; zero if they share none. Each has sharedTokens tokens, which
+	// are part of the prompt.
+	subjects, sharedTokens int
 }
 
 // fleetEvent is a function that is scheduled for a time.
@@ -73,6 +80,8 @@
 	// resolved is set once the request was answered, refused for good or abandoned by its caller.
 	resolved bool
 	isLarge  bool
+	// parts are the parts of its prompt.
+	parts []wigeonshift.PromptPart
 }
 
 // fleetCounts counts the outcomes of requests by kind.
@@ -81,6 +90,9 @@
 	offeredValue, earnedValue                  []float64
 	largeRequests, largeServed                 int
 	callerRetriesRefused                       int
+	// tokensReadAgain is the number of tokens in shared parts that an engine read within fleetKeepTime after another, or the same
+	// one, had read them; tokensKept the number that the engine had kept.
+	tokensReadAgain, tokensKept int
 }
 
 // fleetEngine simulates a model engine. It runs up to slots requests at a time and queues the others in order of arrival.
@@ -92,6 +104,8 @@
 	running     []*fleetRun
 	queue       []*fleetRun
 	nextStepAt  time.Duration
+	// keptUntil holds the time until which the engine keeps each shared part.
+	keptUntil map[string]time.Duration
 	// busy is the sum of the time that slots were in use, in slot-seconds.
 	busy float64
 }
@@ -114,6 +128,8 @@
 	fleetPrefillChunkTokens          = 2048
 	fleetTokensPerEvent              = 5
 	fleetReportInterval              = 50 * time.Millisecond
+	fleetOtherGroupReportInterval    = 2 * time.Second
+	fleetKeepTime                    = 10 * time.Second
 )
 
 // newFleetSimulation returns a simulation of instances in one zone that all use the same engines, which differ in
@@ -121,7 +137,7 @@
 func newFleetSimulation(seed uint64, instances, engines, slots int, kinds []fleetKind) *fleetSimulation {
 	f := &fleetSimulation{loadRandom: rand.New(rand.NewPCG(seed, 1)), routingRandom: rand.New(rand.NewPCG(seed, 2)),
 		engines: map[string]*fleetEngine{}, kinds: kinds,
-		jobs: map[JobID]*fleetRequest{}}
+		jobs: map[JobID]*fleetRequest{}, readUntil: map[string]time.Duration{}}
 	n := len(kinds)
 	f.counts = fleetCounts{
 		requests: make([]int, n), onTime: make([]int, n), late: make([]int, n), refused: make([]int, n),
@@ -134,7 +150,9 @@
 	speeds := []float64{0.55, 0.8, 1, 1, 1.3, 2.8}
 	var records []wigeonshift.EndpointRecord
 	for i := range engines {
-		e := &fleetEngine{id: fmt.Sprintf("engine-%02d", i), speedFactor: speeds[i%len(speeds)], slots: slots}
+		e := &fleetEngine{
+			id: fmt.Sprintf("engine-%02d", i), speedFactor: speeds[i%len(speeds)], slots: slots, keptUntil: map[string]time.Duration{},
+		}
 		f.engines[e.id] = e
 		f.engineList = append(f.engineList, e)
 		records = append(records, wigeonshift.EndpointRecord{ID: e.id, Service: "model", Address: e.id, Slots: slots, Zone: "z"})
@@ -201,6 +219,13 @@
 			kind: k, arrivedAt: f.at, promptTokens: max(int(kind.promptTokens*size), 16),
 			answerTokens: max(int(kind.answerTokens*f.lognormal(kind.sizeSigma)), 5),
 		}
+		if kind.subjects > 0 {
+			r.parts = []wigeonshift.PromptPart{
+				{ID: fmt.Sprintf("%d-%d", k, f.loadRandom.IntN(kind.subjects)), Tokens: kind.sharedTokens},
+				{ID: fmt.Sprintf("own-%d", len(f.requests)), Tokens: r.promptTokens},
+			}
+			r.promptTokens += kind.sharedTokens
+		}
 		r.isLarge = size > 3
 		relative := float64(r.promptTokens+10*r.answerTokens) / (kind.promptTokens + 10*kind.answerTokens)
 		r.value = 0.3 + 0.7*min(relative, 4)
@@ -231,7 +256,10 @@
 		Kind:    wigeonshift.RouteStreaming,
 		Arrived: f.at, Deadline: f.at + kind.timeout - elapsed, Elapsed: elapsed, LatencyObjective: kind.objective,
 		CallerPatience: kind.patience, MaxAttempts: 1, HasTokens: true, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens,
-		ExpectedAnswerTokens: r.answerTokens,
+		ExpectedAnswerTokens: r.answerTokens, PromptParts: r.parts,
+	}
+	if f.hidesParts {
+		j.PromptParts = nil
 	}
 	f.applyEffects(x, r, x.state.Reduce(RequestArrived{At: f.at, Job: j}))
 	id := j.ID
@@ -320,6 +348,7 @@
 		return
 	}
 	for len(e.running) < e.slots && len(e.queue) > 0 {
+		f.skipKeptPart(e, e.queue[0])
 		e.running = append(e.running, e.queue[0])
 		e.queue = e.queue[1:]
 	}
@@ -356,6 +385,22 @@
 	}
 }
 
+// skipKeptPart removes the shared part of a prompt from the tokens that a run reads if the engine keeps it.
+func (f *fleetSimulation) skipKeptPart(e *fleetEngine, run *fleetRun) {
+	if len(run.request.parts) == 0 {
+		return
+	}
+	part := run.request.parts[0]
+	switch {
+	case e.keptUntil[part.ID] > f.at:
+		run.promptTokens -= part.Tokens
+		f.counts.tokensKept += part.Tokens
+	case f.readUntil[part.ID] > f.at:
+		f.counts.tokensReadAgain += part.Tokens
+	}
+	e.keptUntil[part.ID], f.readUntil[part.ID] = f.at+fleetKeepTime, f.at+fleetKeepTime
+}
+
 // handleFirstToken records the first token of an answer: whether it is on time and what value it earns.
 func (f *fleetSimulation) handleFirstToken(run *fleetRun) {
 	r := run.request
@@ -374,12 +419,13 @@
 	f.applyEffects(run.instance, nil, run.instance.state.Reduce(FirstEventReceived{At: f.at, Job: run.job}))
 }
 
-// exchangeReports sends the load of every instance to all others.
+// exchangeReports sends the load of every instance to the others of its group and, less often, to those of other groups.
 func (f *fleetSimulation) exchangeReports() {
-	for _, x := range f.instances {
+	for i, x := range f.instances {
 		load := x.state.Load()
+		toAll := (f.at+time.Duration(i)*fleetReportInterval)%fleetOtherGroupReportInterval == 0
 		for _, y := range f.instances {
-			if x != y {
+			if x != y && (toAll || x.state.groups.SameGroup(x.name, y.name)) {
 				f.schedule(2*time.Millisecond, func() {
 					f.applyEffects(y, nil, y.state.Reduce(PeerReported{At: f.at, Peer: x.name, Load: load}))
 				})
--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -165,12 +165,12 @@
 				ownCount++
 			}
 		}
-		if ownCount > 0 {
-			continue
-		}
-		for _, e := range p.endpoints {
-			e.otherGroup = false
+		if ownCount == 0 {
+			for _, e := range p.endpoints {
+				e.otherGroup = false
+			}
 		}
+		p.listOwnEndpoints()
 	}
 }
 
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -43,6 +43,8 @@
 	// HasTokens is set for requests to model engines.
 	HasTokens    bool
 	PromptTokens int
+	// PromptParts are the parts at the start of the prompt that an endpoint may keep.
+	PromptParts []wigeonshift.PromptPart
 	// AnswerTokens is the maximum number of tokens of the answer.
 	AnswerTokens int
 	// ExpectedAnswerTokens is the estimated number of tokens of the answer, at most AnswerTokens.
@@ -50,6 +52,13 @@
 	// Units is the part of the organisation's quota that the request uses.
 	Units float64
 
+	// promptKeys identify the prompt up to the end of each of PromptParts.
+	promptKeys []promptKey
+	// home is the home of the prompt among the endpoints of the pool's generation homeGeneration.
+	home           *endpoint
+	homeGeneration uint64
+	// keptTokens is the number of prompt tokens that the endpoint of the running attempt is expected to keep.
+	keptTokens int
 	// attempts is the number of endpoints that the request was sent to.
 	attempts int
 	// failedEndpoints lists the IDs of the endpoints that must not get the request again.
@@ -104,6 +113,9 @@
 	return false
 }
 
+// unreadTokens returns the number of prompt tokens that the endpoint of the running attempt is expected to read.
+func (j *Job) unreadTokens() int { return j.PromptTokens - j.keptTokens }
+
 // tokenFootprint returns the engine memory that the request may need, in tokens.
 func (j *Job) tokenFootprint() int {
 	return j.PromptTokens + j.AnswerTokens
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,7 +37,7 @@
 	wait := e.queueWait()
 	est := estimate{}
 	if j.HasTokens {
-		pending := e.ownLoad.prefill + e.peerLoad.prefill + j.PromptTokens
+		pending := e.ownLoad.prefill + e.peerLoad.prefill + j.PromptTokens - e.kept.tokens(j, s.now)
 		est.firstEvent = wait + time.Duration(pending)*e.prefill + time.Duration(e.pool.eventTokens())*e.decodeStep
 		decode := time.Duration(j.ExpectedAnswerTokens) * e.decodeStep
 		est.total = est.firstEvent + decode
@@ -121,8 +122,9 @@
 	return c
 }
 
-// chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. It prefers the
-// endpoints of this instance's group (the instances that report every change of their load to each other). It returns
+// chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. It considers the
+// endpoints of this instance's group (the instances that report every change of their load to each other) and, if it is little
+// used, the one of another group that is the home of the request's prompt; the others only if none of these can. It returns
 // nil if the group's other instances have enough requests of a higher priority to use all free slots. If the free
 // slots are contested, it considers only the endpoints at which this instance has precedence and the one on which a
 // request of this instance has just ended. A request that failed over (moved from an endpoint that may have run it)
@@ -145,8 +147,13 @@
 	var best *endpoint
 	bestCost := math.Inf(1)
 	canMeetDeadline := s.deadlineFeasible(p, j)
-	for _, e := range p.endpoints {
-		if e.otherGroup || !s.canAccept(e, j, queueLimit) {
+	home := p.home(j)
+	candidates := p.ownEndpoints
+	if home != nil && home.otherGroup && home.loadShare() < homeMaxLoadShare {
+		candidates = append(slices.Clone(candidates), home)
+	}
+	for _, e := range candidates {
+		if !s.canAccept(e, j, queueLimit) {
 			continue
 		}
 		est := s.estimate(e, j)
@@ -159,7 +166,7 @@
 		if withSuspects[e] {
 			est.cost += sharedSuspicionCost
 		}
-		if est.cost < bestCost {
+		if est.cost -= e.promptSaving(j, home, s.now); est.cost < bestCost {
 			best, bestCost = e, est.cost
 		}
 	}
@@ -173,14 +180,17 @@
 // idle. If so, the request waits for such an endpoint, because on a slower one its answer would be cut off at the
 // deadline. If not, waiting wouldn't help, and any endpoint may run it.
 func (s *State) deadlineFeasible(p *pool, j *Job) bool {
-	for _, e := range p.endpoints {
-		if !e.otherGroup && e.available(s.now) && e.idleLatency(j) < j.Deadline-s.now {
+	for _, e := range p.ownEndpoints {
+		if e.available(s.now) && e.idleLatency(j) < j.Deadline-s.now {
 			return true
 		}
 	}
 	return false
 }
 
+// loadShare returns the number of requests that run on the endpoint as a share of its slots.
+func (e *endpoint) loadShare() float64 { return float64(e.running()) / float64(e.slots()) }
+
 // chooseOtherGroupEndpoint returns an endpoint of another group that was not busy by the latest reports, or nil. Different
 // requests prefer different endpoints. Otherwise many instances would choose the same one, because they all see the same
 // old reports.
@@ -189,7 +199,7 @@
 	bestScore := uint64(0)
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
-		if !e.otherGroup || float64(e.running()) >= otherGroupMaxLoadShare*float64(e.slots()) || !s.canAccept(e, j, 0) {
+		if !e.otherGroup || e.loadShare() >= otherGroupMaxLoadShare || !s.canAccept(e, j, 0) {
 			continue
 		}
 		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -15,7 +15,11 @@
 	profile *wigeonshift.EngineProfile
 	// endpoints is sorted by ID, so that ties between endpoints are resolved the same way in every run.
 	endpoints []*endpoint
-	queue     queue
+	// ownEndpoints are those of endpoints that aren't assigned to another group, in the same order.
+	ownEndpoints []*endpoint
+	// generation counts the changes of endpoints, from 1.
+	generation uint64
+	queue      queue
 	// meanSlotTime is the moving average of the time that a request occupies its slot.
 	meanSlotTime time.Duration
 	// meanSizes holds the mean size of the requests of each route, in prompt tokens.
@@ -66,6 +70,7 @@
 	p.endpoints = append(p.endpoints, e)
 	p.cachedTimingsValid = false
 	sort.Slice(p.endpoints, func(i, k int) bool { return p.endpoints[i].record.ID < p.endpoints[k].record.ID })
+	p.listOwnEndpoints()
 }
 
 // remove removes an endpoint, so that the pool sends it no more requests and its timings no longer count in the mean.
@@ -73,6 +78,19 @@
 	if i := slices.Index(p.endpoints, e); i >= 0 {
 		p.endpoints = slices.Delete(p.endpoints, i, i+1)
 		p.cachedTimingsValid = false
+		p.listOwnEndpoints()
+	}
+}
+
+// listOwnEndpoints updates ownEndpoints after a change of endpoints. Decisions look at these alone, so that their cost doesn't grow with the number of
+// endpoints of a large service.
+func (p *pool) listOwnEndpoints() {
+	p.generation++
+	p.ownEndpoints = p.ownEndpoints[:0]
+	for _, e := range p.endpoints {
+		if !e.otherGroup {
+			p.ownEndpoints = append(p.ownEndpoints, e)
+		}
 	}
 }
 
@@ -80,8 +98,8 @@
 // groups don't count, because they are used only if no endpoint of the own group can accept a request.
 func (p *pool) freeSlots(at time.Duration) int {
 	n := 0
-	for _, e := range p.endpoints {
-		if e.available(at) && !e.otherGroup {
+	for _, e := range p.ownEndpoints {
+		if e.available(at) {
 			n += max(e.slots()-e.running(), 0)
 		}
 	}
@@ -92,8 +110,8 @@
 // finish. It converts the number of queued requests into an expected wait.
 func (p *pool) throughput(at time.Duration) float64 {
 	slots := 0
-	for _, e := range p.endpoints {
-		if e.available(at) && !e.otherGroup {
+	for _, e := range p.ownEndpoints {
+		if e.available(at) {
 			slots += e.slots()
 		}
 	}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -11,13 +11,13 @@
 // State is the scheduling state of one instance: endpoints, requests, quotas and the load of the other instances. Its
 // methods must not be called concurrently.
 type State struct {
-	settings     Settings
-	now          time.Duration
-	pools        map[string]*pool
-	endpoints    map[string]*endpoint
-	jobs         map[JobID]*Job
-	quotas       map[string]*quota
-	peers        map[string]*peer
+	settings  Settings
+	now       time.Duration
+	pools     map[string]*pool
+	endpoints map[string]*endpoint
+	jobs      map[JobID]*Job
+	quotas    map[string]*quota
+	peers     map[string]*peer
 	// members are the peers of this instance's group, by name.
 	members      []member
 	retryBudgets map[string]*retryBudget
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -18,9 +18,13 @@
 	// undetected.
 	pollWait = 3500 * time.Millisecond
 	// minLargeFleetPollWait and maxLargeFleetPollWait bound the poll wait in a large fleet. It may be longer there because
-	// instances also pass changes to each other. It is random so that some instance soon notices an unresponsive store.
+	// instances also pass changes to each other. It is random so that some instance soon notices an unresponsive store. The
+	// longest wait grows by pollWaitPerInstance up to storePollLimit, the longest that the store allows, so that the polls of all
+	// instances together stay frequent enough.
 	minLargeFleetPollWait = 2500 * time.Millisecond
 	maxLargeFleetPollWait = 15 * time.Second
+	pollWaitPerInstance   = 1250 * time.Millisecond
+	storePollLimit        = 30 * time.Second
 	// largeFleetInstances is the smallest number of instances of a large fleet.
 	largeFleetInstances = 6
 	// responseTimeout limits the time for a response on top of the poll wait.
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -87,7 +87,7 @@
 	}
 	s.quarantineFollower = &follower{
 		table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
-		nextWait:   func() time.Duration { return maxLargeFleetPollWait },
+		nextWait:   s.longestPollWait,
 		batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
 	}
 	s.followers = []*follower{
@@ -98,7 +98,7 @@
 		s.endpointsFollower,
 		{
 			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
-			nextWait:   func() time.Duration { return maxLargeFleetPollWait },
+			nextWait:   s.longestPollWait,
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
 		s.quarantineFollower,
@@ -128,10 +128,16 @@
 		if s.instances.count() < largeFleetInstances {
 			return pollWait
 		}
-		return minLargeFleetPollWait + time.Duration(random.Int64N(int64(maxLargeFleetPollWait-minLargeFleetPollWait)))
+		return minLargeFleetPollWait + time.Duration(random.Int64N(int64(s.longestPollWait()-minLargeFleetPollWait)))
 	}
 }
 
+// longestPollWait returns the longest poll wait of a large fleet.
+func (s *Service) longestPollWait() time.Duration {
+	byCount := time.Duration(s.instances.count()) * pollWaitPerInstance
+	return min(max(byCount, maxLargeFleetPollWait), storePollLimit)
+}
+
 // repollAll makes all followers poll again, because one failed call may mean that the other polls will fail as well.
 func (s *Service) repollAll() {
 	for _, f := range s.followers {
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -124,6 +124,7 @@
 		MaxAttempts:          r.MaxAttempts,
 		HasTokens:            h.HasTokens,
 		PromptTokens:         h.PromptTokens,
+		PromptParts:          h.PromptParts,
 		AnswerTokens:         h.MaxResponseTokens,
 		ExpectedAnswerTokens: h.MaxResponseTokens,
 		Units:                1,
--- a/wire.go
+++ b/wire.go
@@ -22,6 +22,15 @@
 	MaxResponseTokens int
 	// ExpectedResponseTokens is the caller's estimate of the response length; zero if not given.
 	ExpectedResponseTokens int
+	// PromptParts are the parts at the start of the prompt that requests share, in order; none if unknown.
+	PromptParts []PromptPart
+}
+
+// PromptPart is a part of a prompt. Model engines keep parts, and don't read one again that comes after the same parts.
+type PromptPart struct {
+	// ID identifies the content of the part.
+	ID     string
+	Tokens int
 }
 
 // EndpointCall holds the header values that wigeonshift adds to a request for an endpoint.
