Quota window: a correction leaves the window with what it corrects; kept prompts are forgotten on ticks

Cause, by reading: the predicted use of another instance is corrected when it reports; a negative correction that stays in the window longer than the prediction made room that isn't there. The surges before 72 instances are now played with the window: no window beyond the tolerance. Corrections and ticks have specs.

--- a/internal/services/wigeondispatch/prompt.go
+++ b/internal/services/wigeondispatch/prompt.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// expireKeptPrompts forgets what endpoints are no longer expected to keep, so that the parts remembered for all endpoints are
+// those of the requests of twice keptPromptTime.
+func (s *State) expireKeptPrompts() {
+	if s.now-s.promptsExpiredAt < keptPromptTime {
+		return
+	}
+	s.promptsExpiredAt = s.now
+	for _, e := range s.endpoints {
+		e.kept.expire(s.now)
+	}
+}
+
 // tokens returns the number of tokens at the start of a request's prompt that the endpoint is expected to keep.
 func (k *keptPrompts) tokens(j *Job, at time.Duration) int {
 	sum := 0
--- a/internal/services/wigeondispatch/prompt_test.go
+++ b/internal/services/wigeondispatch/prompt_test.go
@@ -109,6 +109,20 @@
 		Expect(k.tokens(j, 0)).To(Equal(150))
 	})
 
+	It("forgets on a tick what is no longer kept", func() {
+		s := New(Settings{Instance: "a"})
+		s.Reduce(EndpointsListed{Records: []wigeonshift.EndpointRecord{{ID: "e", Service: "s", Slots: 4}}})
+		s.Reduce(RequestArrived{At: time.Second, Job: &Job{
+			ID: 1, Service: "s", Arrived: time.Second, Deadline: time.Minute, CallerPatience: time.Minute, MaxAttempts: 1, HasTokens: true,
+			PromptTokens: 1000, PromptParts: []wigeonshift.PromptPart{{ID: "p", Tokens: 100}},
+		}})
+		Expect(s.endpoints["e"].kept.usedAt).To(HaveLen(1))
+		for at := 2 * time.Second; at < 3*keptPromptTime; at += time.Second {
+			s.Reduce(Tick{At: at})
+		}
+		Expect(s.endpoints["e"].kept.usedAt).To(BeEmpty())
+	})
+
 	It("stays bounded", func() {
 		var k keptPrompts
 		for i := range 10 * maxKeptParts {
--- a/internal/services/wigeondispatch/quota_window.go
+++ b/internal/services/wigeondispatch/quota_window.go
@@ -32,22 +32,35 @@
 	w.latestSlot = max(w.latestSlot, slot)
 }
 
-// add counts units used at a time. A correction of an earlier use may be negative.
+// add counts units used at a time. Negative units take back what was counted last, so that a correction leaves the window no later
+// than what it corrects.
 func (w *windowUsage) add(units float64, at time.Duration) {
 	if w.slotLength == 0 {
 		return
 	}
 	w.advance(at)
-	w.units[w.latestSlot%int64(len(w.units))] += units
+	if units >= 0 {
+		w.units[w.latestSlot%int64(len(w.units))] += units
+		return
+	}
+	for n := range w.slots() {
+		slot := &w.units[(w.latestSlot-n)%int64(len(w.units))]
+		taken := min(-units, *slot)
+		*slot -= taken
+		units += taken
+	}
 }
 
+// slots returns the number of slots that have begun, at most the length of units.
+func (w *windowUsage) slots() int64 { return min(int64(len(w.units)), w.latestSlot+1) }
+
 // headroom returns the units that can be granted in addition to a balance that is refilled at a rate in units per second, so
 // that no window from now on holds more than a limit. It can be negative.
 func (w *windowUsage) headroom(limit, balance, unitsPerSecond float64, at time.Duration) float64 {
 	w.advance(at)
 	refillPerSlot := unitsPerSecond * w.slotLength.Seconds()
 	least, used := limit-balance-usageSlots*refillPerSlot, 0.0
-	for n := range min(int64(len(w.units)), w.latestSlot+1) {
+	for n := range w.slots() {
 		used += w.units[(w.latestSlot-n)%int64(len(w.units))]
 		least = min(least, limit-used-balance-float64(usageSlots-n)*refillPerSlot)
 	}
--- a/internal/services/wigeondispatch/quota_window_test.go
+++ b/internal/services/wigeondispatch/quota_window_test.go
@@ -64,6 +64,17 @@
 })
 
 var _ = Describe("windowUsage", func() {
+	It("takes a correction from what was counted last", func() {
+		w := windowUsage{slotLength: time.Second}
+		w.add(100, 0)
+		w.add(50, 3*time.Second)
+		w.add(-70, 5*time.Second)
+		Expect(w.headroom(1000, 0, 0, 5*time.Second)).To(BeNumerically("~", 920))
+		Expect(w.headroom(1000, 0, 0, 18*time.Second)).To(BeNumerically("~", 1000), "nothing is left after the first slot has gone")
+		w.add(-10, 18*time.Second)
+		Expect(w.headroom(1000, 0, 0, 18*time.Second)).To(BeNumerically("~", 1000), "there was nothing to take back")
+	})
+
 	It("returns what no later window makes too much", func() {
 		w := windowUsage{slotLength: time.Second}
 		w.add(100, 0)
--- a/internal/services/wigeondispatch/quotafleet_test.go
+++ b/internal/services/wigeondispatch/quotafleet_test.go
@@ -110,7 +110,7 @@
 		// allowedUnits is the maximum use in a window, including the users' tolerance of 10 % and 140,000 units.
 		allowedUnits = (rate*8+burst)*1.1 + 140_000
 	)
-	grantedLimit := Settings{QuotaOverage: 0.1, QuotaSlack: 140_000}.limitOf(
+	grantedLimit := Settings{QuotaOverage: 0.1, QuotaSlack: 140_000, QuotaWindow: window}.limitOf(
 		wigeonshift.RoutedOrganisation{UnitsPerSecond: rate, Burst: burst, CountsTokens: true},
 	)
 
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -39,6 +39,8 @@
 	// tickedAt is the time of the latest Tick event, pausedAt the time at which a Tick event showed that the instance had
 	// been paused.
 	tickedAt, pausedAt time.Duration
+	// promptsExpiredAt is the time of the latest expireKeptPrompts that did anything.
+	promptsExpiredAt time.Duration
 	// listIsComplete is set once all instances are known.
 	listIsComplete bool
 	// instances is the number of instances including this one, at least 1.
@@ -210,6 +212,7 @@
 	s.expireLosses()
 	s.expireTrials()
 	s.expireSignals()
+	s.expireKeptPrompts()
 	s.dispatchAllWaiting()
 }
 
