--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -127,6 +127,7 @@
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
 		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = q.groupBalance, q.groupFairShare
 		refuse.QuotaRoundLeft, refuse.QuotaRoundAge = q.roundAllowance(s.now), s.now-q.round.startedAt
+		refuse.QuotaWindowUsed = q.usage.total(s.now)
 	}
 	s.emit(refuse)
 }
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -101,6 +101,8 @@
 		Attempt:         j.attempts,
 		Timeout:         j.Deadline - s.now,
 		Running:         running,
+		KeptTokens:      j.keptTokens,
+		IsHome:          e == e.pool.home(j),
 		QueueTime:       s.now - j.Arrived,
 		DecidedAt:       s.now,
 	}
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -52,6 +52,10 @@
 		StallTimeout time.Duration
 		// Running is the number of other requests that run on the endpoint, as far as this instance knows.
 		Running int
+		// KeptTokens is the number of prompt tokens that the endpoint is expected to keep. IsHome is set if it is the home of the
+		// prompt.
+		KeptTokens int
+		IsHome     bool
 		// QueueTime is the time since the request arrived.
 		QueueTime time.Duration
 		// DecidedAt is the time of the decision. MaxSendDelay is the longest time from then until the first byte is written;
@@ -79,6 +83,8 @@
 		// units, and QuotaRoundAge the time since they last had.
 		QuotaRoundLeft float64
 		QuotaRoundAge  time.Duration
+		// QuotaWindowUsed is what all instances have used in the quota's window, as far as this one knows, in units.
+		QuotaWindowUsed float64
 		// Crashes holds the crashes at which the request was there, or others with the same content if it is refused for these.
 		Crashes []wigeonshift.Crash
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
--- a/internal/services/wigeondispatch/quota_window.go
+++ b/internal/services/wigeondispatch/quota_window.go
@@ -54,6 +54,19 @@
 // slots returns the number of slots that have begun, at most the length of units.
 func (w *windowUsage) slots() int64 { return min(int64(len(w.units)), w.latestSlot+1) }
 
+// total returns the use in the window.
+func (w *windowUsage) total(at time.Duration) float64 {
+	if w.slotLength == 0 {
+		return 0
+	}
+	w.advance(at)
+	sum := 0.0
+	for _, units := range w.units {
+		sum += units
+	}
+	return sum
+}
+
 // headroom returns the units that can be granted in addition to a balance that is refilled at a rate in units per second, so
 // that no window from now on holds more than a limit. It can be negative.
 func (w *windowUsage) headroom(limit, balance, unitsPerSecond float64, at time.Duration) float64 {
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -45,10 +45,12 @@
 	c.setStallTimeout(d.StallTimeout)
 	c.service.log.WithFields(logrus.Fields{
 		"request": c.header.RequestID, "endpoint": d.EndpointID, "attempt": d.Attempt, "running": d.Running,
+		"keptTokens": d.KeptTokens, "home": d.IsHome,
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
 		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
 		"content": c.job.Shared.Content.String(),
 	}).WithFields(c.resendFields()).Info("request dispatched")
+	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
 	return c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -179,6 +179,7 @@
 		"freeSlots": d.FreeSlots, "organisation": c.job.Organisation, "units": c.job.Units, "quotaLeft": d.QuotaLeft,
 		"quotaShare": d.QuotaShare, "quotaGroupLeft": d.QuotaGroupLeft, "quotaGroupPart": d.QuotaGroupFairShare,
 		"quotaRoundLeft": d.QuotaRoundLeft, "quotaRoundAgeMs": d.QuotaRoundAge.Milliseconds(),
+		"quotaWindowUsed": d.QuotaWindowUsed,
 	}
 	if d.Reason == wigeondispatch.ReasonQuarantined {
 		fields["crashed"] = crashedEndpoints(d.Crashes)
