--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -431,8 +431,8 @@
 
 	Describe("in a large fleet", func() {
 		// addInstances registers other instances and waits until the polls with the short wait have ended.
-		addInstances := func(s *fakeStore) {
-			for i := range 10 {
+		addInstances := func(s *fakeStore, count int) {
+			for i := range count {
 				s.put(instances, fmt.Sprint("i", i), fmt.Sprintf(`{"ID":"i%d","Address":"192.0.2.%d:1"}`, i, i))
 			}
 			advance(5 * time.Second)
@@ -440,7 +440,7 @@
 
 		It("polls the store rarely", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, _ *testFollower) {
-				addInstances(s)
+				addInstances(s, 10)
 				s.update(func(s *fakeStore) { s.calls = 0 })
 				advance(time.Minute)
 				g.Expect(s.calls).To(BeNumerically("<", 28), "38 calls with the poll wait of a small fleet")
@@ -449,7 +449,7 @@
 
 		It("polls again for crashes on request while a poll gets no response", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
-				addInstances(s)
+				addInstances(s, 10)
 				s.update(func(s *fakeStore) { s.silent = true })
 				advance(15 * time.Second)
 				s.update(func(s *fakeStore) { s.silent = false })
@@ -465,7 +465,7 @@
 
 		It("polls again for endpoints on request while a poll gets no response", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
-				addInstances(s)
+				addInstances(s, 10)
 				s.update(func(s *fakeStore) { s.silent = true })
 				advance(15 * time.Second)
 				s.update(func(s *fakeStore) { s.silent = false })
@@ -481,30 +481,34 @@
 
 		// The users' limits apply again three seconds after a disturbance (contact_ms on the milestone's sites). One instance
 		// that has the new version is enough because instances pass it to each other.
-		It("gets a new version to one of six instances within three seconds after the store stops hanging", func() {
-			for end := 16 * time.Second; end < 20*time.Second; end += 500 * time.Millisecond {
-				runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
-					all := []*testFollower{f}
-					for seed := range uint64(5) {
-						all = append(all, startFollower(s, seed+2))
-					}
-					addInstances(s)
-					s.update(func(s *fakeStore) { s.silent = true })
-					advance(end)
-					s.put(config, "config", `{"version":5}`)
-					s.update(func(s *fakeStore) { s.silent = false })
-					advance(3 * time.Second)
-					seen := []uint64{}
-					for _, f := range all {
-						seen = append(seen, f.seenVersions()...)
-					}
-					g.Expect(seen).To(ContainElement(uint64(5)), "store silent for %v", end)
-					for _, f := range all[1:] {
-						f.Stop()
-					}
-				})
-			}
-		})
+		DescribeTable("gets a new version to one of its instances within three seconds after the store stops hanging",
+			func(instanceCount int) {
+				for end := 16 * time.Second; end < 20*time.Second; end += 500 * time.Millisecond {
+					runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+						all := []*testFollower{f}
+						for seed := range uint64(instanceCount - 1) {
+							all = append(all, startFollower(s, seed+2))
+						}
+						addInstances(s, max(instanceCount-1, 10))
+						s.update(func(s *fakeStore) { s.silent = true })
+						advance(end)
+						s.put(config, "config", `{"version":5}`)
+						s.update(func(s *fakeStore) { s.silent = false })
+						advance(3 * time.Second)
+						seen := []uint64{}
+						for _, f := range all {
+							seen = append(seen, f.seenVersions()...)
+						}
+						g.Expect(seen).To(ContainElement(uint64(5)), "store silent for %v", end)
+						for _, f := range all[1:] {
+							f.Stop()
+						}
+					})
+				}
+			},
+			Entry("six instances", 6),
+			Entry("the fewest instances with the longest wait", 24),
+		)
 	})
 
 	It("calls a store that is down only a few times a second", func() {
