--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeondispatch/quota.go
@@ -61,22 +61,6 @@
 	predicted float64
 }
 
-// quotaRound is what an instance may use by itself in a round of reports. A round begins whenever all members of the group
-// have reported since the one before it began, so it is short unless a member is silent.
-type quotaRound struct {
-	startedAt time.Duration
-	// memberBalance is what is left in a bucket of this instance alone, in units. It begins the round with an equal share of the
-	// balance and is refilled with an equal share of the rate. The buckets of all members never hold more than the whole, so
-	// that each instance can go on with its own while it hears nothing of the others. It can be negative.
-	memberBalance float64
-	// advance is what the instance may use in addition until maxRoundLength. The reports of a short round settle it.
-	advance float64
-	// ownUse is this instance's use in the round, which the others may not know of yet.
-	ownUse float64
-	// groupUsedBefore is the group's use since this instance's start up to the start of the round.
-	groupUsedBefore float64
-}
-
 const (
 	// predictionHorizon is how long the use of another instance is assumed to continue at its latest rate without a report.
 	predictionHorizon = 4 * time.Second
@@ -89,10 +73,6 @@
 	groupShareFactor  = 4
 	scarceShareFactor = 1.5
 	scarceDuration    = 4 * time.Second
-	// maxRoundLength is the longest round while all members can be reached, since they report at least every 500 ms.
-	maxRoundLength = 600 * time.Millisecond
-	// roundRetryDelay is the shortest retry delay of a request that is refused because of the limit of the round.
-	roundRetryDelay = 100 * time.Millisecond
 	// groupBurstShare is the share of the burst that the groups may use at once. The part of each group in it is limited by
 	// the same factors.
 	groupBurstShare = 0.3
@@ -241,37 +221,6 @@
 	q.recordGroupUse(-units)
 }
 
-// startRound starts a new round, because all members of the group have reported since the latest one began. The other
-// members are assumed to have used as much as this instance in the round before, without being able to report it.
-func (q *quota) startRound(at time.Duration) {
-	q.refill(at)
-	if q.balance < q.burstUnits*topUpBalanceShare {
-		q.topUp(at)
-	}
-	unreported := max(q.round.ownUse, 0) * (1/q.memberShare - 1)
-	part := q.memberShare * max(q.balance-unreported, 0)
-	q.round = quotaRound{
-		startedAt: at, memberBalance: part, advance: part + q.memberShare*q.reserveUnits, groupUsedBefore: q.groupUsed,
-	}
-}
-
-// roundAllowance returns the units that this instance may use in the current round.
-func (q *quota) roundAllowance(at time.Duration) float64 {
-	if at-q.round.startedAt >= maxRoundLength {
-		return q.round.memberBalance
-	}
-	return q.round.memberBalance + q.round.advance
-}
-
-// exceedsRound reports whether the use of units exceeds what this instance may use in the current round. The first request
-// of a round never does, whatever its size.
-func (q *quota) exceedsRound(units float64, at time.Duration) bool {
-	if q.memberShare >= 1 || q.round.ownUse <= 0 {
-		return false
-	}
-	return units > q.roundAllowance(at)
-}
-
 // handlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
 // report (the report that a rate is computed from) by the reported one, so that nothing is subtracted twice. The first
 // report only sets the base, because a rate needs two. sameGroup is set for instances of the same group.
