Expect the same of an endpoint's kept prompt before and after a request is sent there

Cause, by reading: an estimate after the dispatch counted the request's own parts as kept, so that the stall timeout by which the end of an attempt is judged was too short. The spec fails without the change.

--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -84,7 +84,7 @@
 func (s *State) dispatch(e *endpoint, j *Job) {
 	running := e.running()
 	stall := s.stallTimeout(e, j)
-	j.keptTokens = e.kept.tokens(j, s.now)
+	j.lastEndpoint, j.keptTokens = e, e.kept.tokens(j, s.now)
 	e.kept.record(j.promptKeys, s.now)
 	e.startAttempt(j)
 	j.assignedEndpoint, j.dispatchedAt, j.firstEventLatency = e, s.now, 0
--- a/internal/services/wigeondispatch/fleet_test.go
+++ b/internal/services/wigeondispatch/fleet_test.go
@@ -51,8 +51,8 @@
 	value     float64
 	// late is the share of its value that a late answer still earns.
 	late float64
-	// subjects is the number of prompts starts that requests share; zero if they share none. Each has sharedTokens tokens, which
-	// are part of the prompt.
+	// subjects is the number of different parts with which prompts begin; zero if prompts share none. Each has sharedTokens
+	// tokens in addition to promptTokens.
 	subjects, sharedTokens int
 }
 
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -57,8 +57,10 @@
 	// home is the home of the prompt among the endpoints of the pool's generation homeGeneration.
 	home           *endpoint
 	homeGeneration uint64
-	// keptTokens is the number of prompt tokens that the endpoint of the running attempt is expected to keep.
-	keptTokens int
+	// lastEndpoint is the endpoint of the latest attempt; nil if there was none. keptTokens is the number of prompt tokens that it
+	// was expected to keep before it.
+	lastEndpoint *endpoint
+	keptTokens   int
 	// attempts is the number of endpoints that the request was sent to.
 	attempts int
 	// failedEndpoints lists the IDs of the endpoints that must not get the request again.
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -37,7 +37,7 @@
 	wait := e.queueWait()
 	est := estimate{}
 	if j.HasTokens {
-		pending := e.ownLoad.prefill + e.peerLoad.prefill + j.PromptTokens - e.kept.tokens(j, s.now)
+		pending := e.ownLoad.prefill + e.peerLoad.prefill + j.PromptTokens - s.keptTokens(e, j)
 		est.firstEvent = wait + time.Duration(pending)*e.prefill + time.Duration(e.pool.eventTokens())*e.decodeStep
 		decode := time.Duration(j.ExpectedAnswerTokens) * e.decodeStep
 		est.total = est.firstEvent + decode
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// listOwnEndpoints updates ownEndpoints after a change of endpoints. Decisions look at these alone, so that their cost doesn't grow with the number of
-// endpoints of a large service.
+// listOwnEndpoints updates ownEndpoints after a change of endpoints. Decisions look at these alone, so that their cost doesn't
+// grow with the number of endpoints of a large service.
 func (p *pool) listOwnEndpoints() {
 	p.generation++
 	p.ownEndpoints = p.ownEndpoints[:0]
--- a/internal/services/wigeondispatch/prompt.go
+++ b/internal/services/wigeondispatch/prompt.go
@@ -96,6 +96,15 @@
 	return min(sum, j.PromptTokens)
 }
 
+// keptTokens returns the number of tokens at the start of a request's prompt that an endpoint is expected to keep, or was when the
+// request was last sent there.
+func (s *State) keptTokens(e *endpoint, j *Job) int {
+	if e == j.lastEndpoint {
+		return j.keptTokens
+	}
+	return e.kept.tokens(j, s.now)
+}
+
 // sharedParts returns the number of parts at the start of a request's prompt that other requests are expected to have too. The
 // last part of several belongs to the request or its session alone.
 func (j *Job) sharedParts() int {
@@ -117,12 +126,17 @@
 // homeDistance orders the endpoints for the shared parts of a request's prompt; the nearest is their home. It is a weighted
 // rendezvous hash: an endpoint is the home of a share of all prompts that grows with its speed.
 func (e *endpoint) homeDistance(key promptKey) float64 {
-	x := e.hash ^ uint64(key)
+	return -math.Log(uniform(e.hash^uint64(key))) * e.coarseDecodeStep()
+}
+
+// uniform maps a number to one between 0 and 1, by the last steps of the SplitMix64 generator. Similar numbers give unrelated
+// results.
+func uniform(x uint64) float64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	x ^= x >> 31
-	uniform := (float64(x>>11) + 0.5) / (1 << 53)
-	return -math.Log(uniform) * e.coarseDecodeStep()
+	// The upper 53 bits fit into a float64.
+	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
 // coarseDecodeStep returns the time for one output token, rounded to a power of two, so that instances with slightly different
--- a/internal/services/wigeondispatch/prompt_test.go
+++ b/internal/services/wigeondispatch/prompt_test.go
@@ -109,8 +109,22 @@
 		Expect(k.tokens(j, 0)).To(Equal(150))
 	})
 
+	It("expects the same of an endpoint before and after a request is sent there", func() {
+		s := New(Settings{Instance: "a", RetryWindow: 10 * time.Second})
+		s.Reduce(EndpointsListed{Records: []wigeonshift.EndpointRecord{{ID: "e", Service: "s", Slots: 4}}})
+		j := &Job{
+			ID: 1, Service: "s", Deadline: time.Minute, CallerPatience: time.Minute, MaxAttempts: 1, HasTokens: true, PromptTokens: 20_000,
+			PromptParts: []wigeonshift.PromptPart{{ID: "p", Tokens: 20_000}}, Kind: wigeonshift.RouteStreaming,
+		}
+		before := s.estimate(newEndpoint(wigeonshift.EndpointRecord{ID: "e"}, s.pool("s")), j).firstEvent
+		s.Reduce(RequestArrived{Job: j})
+		e := s.endpoints["e"]
+		e.ownLoad = load{}
+		Expect(s.estimate(e, j).firstEvent).To(Equal(before))
+	})
+
 	It("forgets on a tick what is no longer kept", func() {
-		s := New(Settings{Instance: "a"})
+		s := New(Settings{Instance: "a", RetryWindow: 10 * time.Second})
 		s.Reduce(EndpointsListed{Records: []wigeonshift.EndpointRecord{{ID: "e", Service: "s", Slots: 4}}})
 		s.Reduce(RequestArrived{At: time.Second, Job: &Job{
 			ID: 1, Service: "s", Arrived: time.Second, Deadline: time.Minute, CallerPatience: time.Minute, MaxAttempts: 1, HasTokens: true,
