--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -123,9 +123,9 @@
 }
 
 // chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. It considers the
-// endpoints of this instance's group (the instances that report every change of their load to each other) and, if it is little
-// used, the one of another group that is the home of the request's prompt; the others only if none of these can. It returns
-// nil if the group's other instances have enough requests of a higher priority to use all free slots. If the free
+// endpoints of this instance's group (the instances that report every change of their load to each other) and, if few of its
+// slots are in use, the one of another group that is the home of the request's prompt; the others only if none of these can. It
+// returns nil if the group's other instances have enough requests of a higher priority to use all free slots. If the free
 // slots are contested, it considers only the endpoints at which this instance has precedence and the one on which a
 // request of this instance has just ended. A request that failed over (moved from an endpoint that may have run it)
 // ignores contention, because its caller may be waiting in the middle of an answer.
@@ -149,7 +149,7 @@
 	canMeetDeadline := s.deadlineFeasible(p, j)
 	home := p.home(j)
 	candidates := p.ownEndpoints
-	if home != nil && home.otherGroup && home.loadShare() < homeMaxLoadShare {
+	if home != nil && home.otherGroup && j.mayUseDistantHome() && home.loadShare() < homeMaxLoadShare {
 		candidates = append(slices.Clone(candidates), home)
 	}
 	for _, e := range candidates {
--- a/internal/services/wigeondispatch/prompt.go
+++ b/internal/services/wigeondispatch/prompt.go
@@ -15,6 +15,9 @@
 	// homeMaxLoadShare is the share of its slots up to which the home of a prompt may be used by instances of other groups. Their
 	// reports of its load are old, so that it would get too many requests beyond it.
 	homeMaxLoadShare = 0.5
+	// minDistantHomeShare is the share of its prompt in shared parts from which a request may go to a home in another group. With
+	// less to save, the old reports of that endpoint's load do more harm.
+	minDistantHomeShare = 0.25
 )
 
 // promptKey identifies the start of a prompt up to the end of one of its parts.
@@ -114,6 +117,11 @@
 	return len(j.promptKeys) - 1
 }
 
+// mayUseDistantHome reports whether a request has enough shared parts to go to a home in another group.
+func (j *Job) mayUseDistantHome() bool {
+	return float64(j.sharedTokens()) >= minDistantHomeShare*float64(j.PromptTokens)
+}
+
 // sharedTokens returns the number of tokens in the shared parts of a request's prompt.
 func (j *Job) sharedTokens() int {
 	sum := 0
--- a/internal/services/wigeondispatch/prompt_test.go
+++ b/internal/services/wigeondispatch/prompt_test.go
@@ -109,6 +109,17 @@
 		Expect(k.tokens(j, 0)).To(Equal(150))
 	})
 
+	It("keeps a request with few shared tokens off a home in another group", func() {
+		few := &Job{PromptTokens: 3000, PromptParts: []wigeonshift.PromptPart{{ID: "shared", Tokens: 60}, {ID: "own", Tokens: 2000}}}
+		many := &Job{PromptTokens: 3000, PromptParts: []wigeonshift.PromptPart{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 2000}}}
+		for _, j := range []*Job{few, many} {
+			j.promptKeys = newPromptKeys(j)
+		}
+		Expect(few.mayUseDistantHome()).To(BeFalse())
+		Expect(many.mayUseDistantHome()).To(BeTrue())
+		Expect((&Job{PromptTokens: 100}).mayUseDistantHome()).To(BeFalse(), "it has no parts")
+	})
+
 	It("expects the same of an endpoint before and after a request is sent there", func() {
 		s := New(Settings{Instance: "a", RetryWindow: 10 * time.Second})
 		s.Reduce(EndpointsListed{Records: []wigeonshift.EndpointRecord{{ID: "e", Service: "s", Slots: 4}}})
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -81,6 +81,7 @@
 	}
 	for _, seed := range allSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			skipIfKnownRed(t)
 			s := newSoakRun(t, uint64(seed), binary)
 			s.runWithFaults(time.Duration(seconds) * time.Second)
 			s.checkFinalState(t)
