--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -12,10 +12,11 @@
 const (
 	// tickInterval is the time between two checks of waiting requests and of the age of peers' loads.
 	tickInterval = 50 * time.Millisecond
-	// minNoticeInterval is the shortest time between two load notices in a fleet with a single group,
-	// minGroupNoticeInterval that in a larger one.
-	minNoticeInterval      = 50 * time.Millisecond
-	minGroupNoticeInterval = 100 * time.Millisecond
+	// minNoticeInterval is the shortest time between two load notices, minLargeFleetNoticeInterval that in a fleet of more
+	// than largeFleetInstances, where the notices of all others take a large part of an instance's processor time.
+	minNoticeInterval           = 50 * time.Millisecond
+	minLargeFleetNoticeInterval = 100 * time.Millisecond
+	largeFleetInstances         = 128
 	// maxNoticeInterval is the time after which a notice is sent even if the load has not changed.
 	maxNoticeInterval = 500 * time.Millisecond
 	// crashNoticeInterval is the shortest time between two notices with crashes, which are repeated while the store is down.
@@ -69,7 +70,7 @@
 			return
 		}
 		sameGroup, otherGroups := g.membership.peers()
-		if !isNoticeDue(time.Since(sameGroupSentAt), g.dispatcher.LoadChanges() != reportedChanges, len(otherGroups) > 0) {
+		if !isNoticeDue(time.Since(sameGroupSentAt), g.dispatcher.LoadChanges() != reportedChanges, 1+len(sameGroup)+len(otherGroups)) {
 			continue
 		}
 		loadNotice, changes := g.loadNotice()
@@ -90,14 +91,13 @@
 	}
 }
 
-// isNoticeDue reports whether a load notice is due at a tick, some time after the latest one. In a fleet with several groups
-// notices are less frequent, because each instance also gets those of all others.
-func isNoticeDue(sinceLatest time.Duration, loadChanged, hasOtherGroups bool) bool {
+// isNoticeDue reports whether a load notice is due at a tick, some time after the latest one.
+func isNoticeDue(sinceLatest time.Duration, loadChanged bool, instances int) bool {
 	if !loadChanged {
 		return sinceLatest >= maxNoticeInterval
 	}
 	// Half a tick of tolerance keeps a tick that comes early from being skipped.
-	return !hasOtherGroups || sinceLatest >= minGroupNoticeInterval-minNoticeInterval/2
+	return instances <= largeFleetInstances || sinceLatest >= minLargeFleetNoticeInterval-minNoticeInterval/2
 }
 
 // loadNotice returns this instance's load notice and the number of changes that it covers.
--- a/internal/routers/wigeongateway/loop_test.go
+++ b/internal/routers/wigeongateway/loop_test.go
@@ -7,19 +7,21 @@
 
 func TestIsNoticeDue(t *testing.T) {
 	for _, c := range []struct {
-		name                        string
-		sinceLatest                 time.Duration
-		loadChanged, hasOtherGroups bool
-		want                        bool
+		name        string
+		sinceLatest time.Duration
+		loadChanged bool
+		instances   int
+		want        bool
 	}{
-		{"small fleet, changed", minNoticeInterval, true, false, true},
-		{"small fleet, unchanged", minNoticeInterval, false, false, false},
-		{"small fleet, unchanged for long", maxNoticeInterval, false, false, true},
-		{"large fleet, changed", minNoticeInterval, true, true, false},
-		{"large fleet, changed, second tick is early", minGroupNoticeInterval - time.Millisecond, true, true, true},
-		{"large fleet, unchanged for long", maxNoticeInterval, false, true, true},
+		{"small fleet, changed", minNoticeInterval, true, 9, true},
+		{"small fleet, unchanged", minNoticeInterval, false, 9, false},
+		{"small fleet, unchanged for long", maxNoticeInterval, false, 9, true},
+		{"fleet of several groups, changed", minNoticeInterval, true, largeFleetInstances, true},
+		{"large fleet, changed", minNoticeInterval, true, largeFleetInstances + 1, false},
+		{"large fleet, changed, second tick is early", minLargeFleetNoticeInterval - time.Millisecond, true, largeFleetInstances + 1, true},
+		{"large fleet, unchanged for long", maxNoticeInterval, false, largeFleetInstances + 1, true},
 	} {
-		if got := isNoticeDue(c.sinceLatest, c.loadChanged, c.hasOtherGroups); got != c.want {
+		if got := isNoticeDue(c.sinceLatest, c.loadChanged, c.instances); got != c.want {
 			t.Errorf("%s: isNoticeDue = %t, want %t", c.name, got, c.want)
 		}
 	}
