--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -13,10 +13,10 @@
 	// tickInterval is the time between two checks of waiting requests and of the age of peers' loads.
 	tickInterval = 50 * time.Millisecond
 	// minNoticeInterval is the shortest time between two load notices, minLargeFleetNoticeInterval that in a fleet of more
-	// than largeFleetInstances, where the notices of all others take a large part of an instance's processor time.
+	// than maxFastNoticeInstances, where the notices of all others take a large part of an instance's processor time.
 	minNoticeInterval           = 50 * time.Millisecond
 	minLargeFleetNoticeInterval = 100 * time.Millisecond
-	largeFleetInstances         = 128
+	maxFastNoticeInstances      = 128
 	// maxNoticeInterval is the time after which a notice is sent even if the load has not changed.
 	maxNoticeInterval = 500 * time.Millisecond
 	// crashNoticeInterval is the shortest time between two notices with crashes, which are repeated while the store is down.
@@ -97,7 +97,7 @@
 		return sinceLatest >= maxNoticeInterval
 	}
 	// Half a tick of tolerance keeps a tick that comes early from being skipped.
-	return instances <= largeFleetInstances || sinceLatest >= minLargeFleetNoticeInterval-minNoticeInterval/2
+	return instances <= maxFastNoticeInstances || sinceLatest >= minLargeFleetNoticeInterval-minNoticeInterval/2
 }
 
 // loadNotice returns this instance's load notice and the number of changes that it covers.
