Log the parts of prompts that requests share

The logs couldn't tell whether the requests under which endpoints end have a part of their prompts in common, nor whether one that was cleared by an answer had it: no line held the parts. No decision changes.

--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -124,6 +124,7 @@
 		RequestID       string
 		Fingerprint     wigeonshift.Fingerprint
 		Shared          wigeonshift.SharedFingerprints
+		Features        []wigeonshift.Fingerprint
 		EndpointID      string
 		StartedAtMillis int64
 		// Kind is broken, silent or unverified.
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -18,7 +18,9 @@
 	// each of which has its own RequestID; zero if unknown. Shared holds what the request has in common with others.
 	Fingerprint wigeonshift.Fingerprint
 	Shared      wigeonshift.SharedFingerprints
-	Service     string
+	// Features identify what else the request may have in common with others, such as the parts of its prompt.
+	Features []wigeonshift.Fingerprint
+	Service  string
 	// Route is the name of the route that the request matched.
 	Route string
 	// Tier is the rank of the organisation, or of the route if the organisation has none.
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -106,7 +106,7 @@
 	}
 	l.add(j, kind, s.now)
 	s.emit(LossRecorded{
-		RequestID: j.RequestID, Fingerprint: j.Fingerprint, Shared: j.Shared, EndpointID: i.endpointID,
+		RequestID: j.RequestID, Fingerprint: j.Fingerprint, Shared: j.Shared, Features: j.Features, EndpointID: i.endpointID,
 		StartedAtMillis: i.startedAtMillis, Kind: kind.String(),
 	})
 	if l.crashed {
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -215,7 +215,7 @@
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
 				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
-				"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
+				"features": fingerprintTexts(x.Features), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
 			}).Info("attempt counted as lost")
 		case wigeondispatch.StartTrial:
 			d.scope.Counter("trials").Inc(1)
--- a/internal/services/wigeonrelay/fingerprint.go
+++ b/internal/services/wigeonrelay/fingerprint.go
@@ -22,6 +22,21 @@
 	return wigeonprompt.Fingerprint("exact", content.String(), query, headers), shared
 }
 
+// featuresOf returns the fingerprints of the parts of a prompt that other requests may have too: all but the last, which belongs
+// to the request or its session alone. Each part has two, its own and that of its use at one service, whose endpoints may run
+// another model.
+func featuresOf(parts []wigeonshift.PromptPart, service string) []wigeonshift.Fingerprint {
+	if len(parts) < 2 {
+		return nil
+	}
+	shared := parts[:len(parts)-1]
+	features := make([]wigeonshift.Fingerprint, 0, 2*len(shared))
+	for _, part := range shared {
+		features = append(features, wigeonprompt.Fingerprint("part", part.ID), wigeonprompt.Fingerprint("partAtService", part.ID, service))
+	}
+	return features
+}
+
 // hashHeaders returns a hash of the headers that describe a request. It doesn't depend on their order.
 func (s *Service) hashHeaders(h *fasthttp.RequestHeader) string {
 	var sum wigeonshift.Fingerprint
--- a/internal/services/wigeonrelay/fingerprint_test.go
+++ b/internal/services/wigeonrelay/fingerprint_test.go
@@ -69,3 +69,17 @@
 		s.fingerprintsOf(&r, "organisation")
 	}
 }
+
+var _ = Describe("Features", func() {
+	part := func(id string) wigeonshift.PromptPart { return wigeonshift.PromptPart{ID: id, Tokens: 1} }
+
+	It("are those of all parts of a prompt but the last, at one service and at all", func() {
+		both := featuresOf([]wigeonshift.PromptPart{part("a"), part("b"), part("own")}, "s")
+		Expect(both).To(HaveLen(4))
+		Expect(featuresOf([]wigeonshift.PromptPart{part("b"), part("other")}, "s")).To(Equal(both[2:]), "whatever is before or after the part")
+		elsewhere := featuresOf([]wigeonshift.PromptPart{part("a"), part("own")}, "t")
+		Expect(elsewhere[0]).To(Equal(both[0]))
+		Expect(elsewhere[1]).NotTo(Equal(both[1]))
+		Expect(featuresOf([]wigeonshift.PromptPart{part("own")}, "s")).To(BeEmpty(), "the last part belongs to the request")
+	})
+})
