--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -36,8 +36,12 @@
 		out.Crashes = append(out.Crashes, &Crash{
 			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(), MidRun: c.MidRun,
 			Content: uint64(c.Shared.Content), Query: uint64(c.Shared.Query), Headers: uint64(c.Shared.Headers),
+			Features: encodeFingerprints(c.Features),
 		})
 	}
+	for _, a := range m.Answers {
+		out.Answers = append(out.Answers, &FeatureAnswer{Feature: uint64(a.Feature), AtMs: a.At.UnixMilli()})
+	}
 	return out
 }
 
@@ -77,11 +81,33 @@
 				Query:   wigeonshift.Fingerprint(c.GetQuery()),
 				Headers: wigeonshift.Fingerprint(c.GetHeaders()),
 			},
+			Features: decodeFingerprints(c.GetFeatures()),
+		})
+	}
+	for _, a := range m.GetAnswers() {
+		out.Answers = append(out.Answers, wigeonshift.FeatureAnswer{
+			Feature: wigeonshift.Fingerprint(a.GetFeature()), At: time.UnixMilli(a.GetAtMs()),
 		})
 	}
 	return out
 }
 
+func encodeFingerprints(fingerprints []wigeonshift.Fingerprint) []uint64 {
+	var out []uint64
+	for _, f := range fingerprints {
+		out = append(out, uint64(f))
+	}
+	return out
+}
+
+func decodeFingerprints(fingerprints []uint64) []wigeonshift.Fingerprint {
+	var out []wigeonshift.Fingerprint
+	for _, f := range fingerprints {
+		out = append(out, wigeonshift.Fingerprint(f))
+	}
+	return out
+}
+
 // encodeCount encodes a count and clamps it to the range of uint32.
 func encodeCount(n int) uint32 {
 	return uint32(min(max(n, 0), math.MaxUint32)) //nolint:gosec // The value is clamped to the range.
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -77,7 +77,14 @@
 			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
 			Leaving:            []string{"f"},
 			QuarantineRevision: 6,
-			Crashes:            []wigeonshift.Crash{{Fingerprint: 1 << 63, Endpoint: "e@7", MidRun: true, At: time.UnixMilli(12), Shared: wigeonshift.SharedFingerprints{Content: 1, Query: 2, Headers: 1 << 63}}},
+			CrashEvidence: wigeonshift.CrashEvidence{
+				Crashes: []wigeonshift.Crash{{
+					Fingerprint: 1 << 63, Endpoint: "e@7", MidRun: true, At: time.UnixMilli(12),
+					Shared:   wigeonshift.SharedFingerprints{Content: 1, Query: 2, Headers: 1 << 63},
+					Features: []wigeonshift.Fingerprint{3, 1 << 63},
+				}},
+				Answers: []wigeonshift.FeatureAnswer{{Feature: 1 << 63, At: time.UnixMilli(13)}},
+			},
 		},
 	}
 }
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -245,8 +245,8 @@
 	g.share.SetInstanceCount(len(instances))
 }
 
-// setCrashes passes the crashes that the instances know of to the dispatcher.
-func (g *Gateway) setCrashes(crashes []wigeonshift.Crash) { g.dispatcher.SetCrashes(crashes) }
+// setCrashes passes what the instances know of crashes to the dispatcher.
+func (g *Gateway) setCrashes(evidence wigeonshift.CrashEvidence) { g.dispatcher.SetCrashes(evidence) }
 
 // writeCrashRows changes rows of the quarantine table.
 func (g *Gateway) writeCrashRows(ctx context.Context, writes []wigeonshift.Write) error {
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -77,7 +77,7 @@
 		reportedChanges, sameGroupSentAt = changes, time.Now()
 		if time.Since(crashesSentAt) >= crashNoticeInterval {
 			crashesSentAt = sameGroupSentAt
-			loadNotice.Crashes = g.quarantine.Unstored()
+			loadNotice.CrashEvidence = g.quarantine.Unstored()
 		}
 		g.sendLoadNotice(ctx, sameGroup, loadNotice)
 		switch {
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -14,7 +14,7 @@
 	switch m := m.(type) {
 	case wigeonshift.LoadNotice:
 		g.dispatcher.SetPeerLoad(from.ID, m)
-		g.quarantine.Offer(m.Crashes)
+		g.quarantine.Offer(m.CrashEvidence)
 		g.fetchNewerQuarantine(from, m.QuarantineRevision)
 		g.requestNewerConfiguration(from, m.ConfigurationVersion)
 		g.fetchNewerEndpoints(from, m.EndpointsRevision)
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -10,6 +10,7 @@
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
 	j.promptKeys = newPromptKeys(j)
+	j.identifiers = newIdentifiers(j)
 	if s.mustRefuse(j) {
 		s.refuseQuarantined(j)
 		return
@@ -123,6 +124,9 @@
 		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
 		Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(),
 	}
+	if reason == ReasonQuarantined {
+		refuse.Cause = s.causeAgainst(j)
+	}
 	if q := s.quotas[j.Organisation]; q != nil {
 		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
 		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = q.groupBalance, q.groupFairShare
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -7,6 +7,9 @@
 
 // mustRefuse reports whether the crashes that are known forbid to send a request. One that may be sent as a trial becomes one.
 func (s *State) mustRefuse(j *Job) bool {
+	if s.mustRefuseForCause(j) {
+		return true
+	}
 	switch s.crashes.Judge(j.Fingerprint, j.Shared, s.answers) {
 	case wigeonquarantine.VerdictSend:
 		return false
@@ -19,14 +22,18 @@
 
 // waitsForTrial reports whether a request that need not be refused must not be sent either while another one is tried.
 func (s *State) waitsForTrial(j *Job) bool {
+	if s.waitsForCauseTrial(j) {
+		return true
+	}
 	return !j.isTrial && s.crashes.Judge(j.Fingerprint, j.Shared, s.answers) == wigeonquarantine.VerdictTry && s.mayWaitForTrial(j)
 }
 
 // recordAnswer counts a successful answer. It removes the crashes of this very request, which it shows to be sound, unless
 // there are more of them than answers.
 func (s *State) recordAnswer(j *Job) {
-	s.answers.Add(s.now, j.Fingerprint, j.Shared)
+	s.answers.Add(s.now, wigeonquarantine.Identifiers(j.Fingerprint, j.Shared, j.Features))
 	s.countTrialAnswer(j)
+	s.recordFeatureAnswers(j)
 	for _, l := range s.losses {
 		delete(l.byFingerprint, j.Fingerprint)
 	}
@@ -38,13 +45,16 @@
 	s.emit(ClearCrashes{Fingerprint: j.Fingerprint})
 }
 
-// replaceCrashes replaces the crash record by all crashes that the instances know of, and refuses queued requests that
-// are quarantined now.
-func (s *State) replaceCrashes(crashes []wigeonshift.Crash) {
+// replaceCrashes replaces the crash record by what the instances know, and refuses queued requests that are quarantined now.
+func (s *State) replaceCrashes(evidence wigeonshift.CrashEvidence) {
 	s.crashes = wigeonquarantine.NewRecord(wigeonquarantine.Limit)
-	for _, c := range crashes {
+	for _, c := range evidence.Crashes {
 		s.crashes.Add(c)
 	}
+	for _, a := range evidence.Answers {
+		s.crashes.AddAnswer(a)
+	}
+	s.reportOwnAnswers()
 	s.dispatchAllWaiting()
 }
 
@@ -72,6 +82,10 @@
 		s.fail(j, ReasonQuarantined)
 		return
 	}
+	if c := s.causeAgainst(j); c != nil {
+		s.refuse(j, ReasonQuarantined, s.causeRetryAfter(c))
+		return
+	}
 	if len(s.crashes.Crashes(j.Fingerprint)) > 0 {
 		s.refuse(j, ReasonQuarantined, s.crashes.ExpiresAt(j.Fingerprint).Sub(s.wallClock()))
 		return
--- a/internal/services/wigeondispatch/crash_test.go
+++ b/internal/services/wigeondispatch/crash_test.go
@@ -79,11 +79,11 @@
 		h.occupySlots(2)
 		j := h.newIdempotentJob(content)
 		Expect(h.arrive(j)).To(BeEmpty())
-		effects := h.state.Reduce(CrashesListed{At: h.at, Crashes: []wigeonshift.Crash{
+		effects := h.state.Reduce(CrashesListed{At: h.at, CrashEvidence: wigeonshift.CrashEvidence{Crashes: []wigeonshift.Crash{
 			{Fingerprint: content, Endpoint: "x@1", At: h.state.wallClock()},
 			{Fingerprint: content, Endpoint: "x@2", At: h.state.wallClock()},
 			{Fingerprint: content, Endpoint: "y@1", At: h.state.wallClock()},
-		}})
+		}}})
 		Expect(onlyRefusal(effects).Reason).To(Equal(ReasonQuarantined))
 	})
 
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquarantine"
 )
 
 // Effect is an action that the caller of State.Reduce must carry out.
@@ -87,6 +88,8 @@
 		QuotaWindowUsed float64
 		// Crashes holds the crashes at which the request was there, or others with the same content if it is refused for these.
 		Crashes []wigeonshift.Crash
+		// Cause is the cause of crashes for which the request is refused; nil if there is none.
+		Cause *wigeonquarantine.Cause
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
 		Resend *ResendDecision
 	}
@@ -144,6 +147,12 @@
 		Shared      wigeonshift.SharedFingerprints
 		// Answers is the number of trials that were answered since the latest crash.
 		Answers int
+		// Cause is the cause of crashes that is tried; nil if the request is suspected by its content.
+		Cause *wigeonquarantine.Cause
+	}
+	// ReportAnswer reports that a request with a feature that several crashes have in common was answered.
+	ReportAnswer struct {
+		Answer wigeonshift.FeatureAnswer
 	}
 	// ClearCrashes reports that a request has run to its end and thus did not cause the crashes reported for it.
 	ClearCrashes struct {
@@ -167,4 +176,5 @@
 func (LossRecorded) effect()   {}
 func (ReportCrash) effect()    {}
 func (StartTrial) effect()     {}
+func (ReportAnswer) effect()   {}
 func (ClearCrashes) effect()   {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -109,10 +109,10 @@
 		StartedAtMillis int64
 		Liveness        wigeonshift.Liveness
 	}
-	// CrashesListed replaces the crashes that the instances know of.
+	// CrashesListed replaces what the instances know of crashes.
 	CrashesListed struct {
-		At      time.Duration
-		Crashes []wigeonshift.Crash
+		At time.Duration
+		wigeonshift.CrashEvidence
 	}
 	// RequestWithdrawn withdraws a request whose caller has disconnected or whose deadline has passed.
 	RequestWithdrawn struct {
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -54,6 +54,8 @@
 	// Units is the part of the organisation's quota that the request uses.
 	Units float64
 
+	// identifiers are Fingerprint, Shared and Features; nil if the request has no Features.
+	identifiers []wigeonshift.Fingerprint
 	// promptKeys identify the prompt up to the end of each of PromptParts.
 	promptKeys []promptKey
 	// home is the home of the prompt among the endpoints of the pool's generation homeGeneration.
@@ -89,6 +91,8 @@
 	resendPending bool
 	// isTrial is set if the request is sent although others like it are suspected of crashes.
 	isTrial bool
+	// triedCause is the key of the cause of crashes in spite of which the request is sent; zero if there is none.
+	triedCause wigeonshift.Fingerprint
 	// quotaCharged is set while Units are charged to the organisation's quota.
 	quotaCharged bool
 }
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -63,6 +63,7 @@
 // loss is an attempt that was lost on an endpoint.
 type loss struct {
 	shared                wigeonshift.SharedFingerprints
+	features              []wigeonshift.Fingerprint
 	dispatchedAt, endedAt time.Duration
 	midRun                bool
 	kind                  lossKind
@@ -92,6 +93,7 @@
 // tell. A leaving endpoint ends anyway.
 func (s *State) recordLoss(e *endpoint, j *Job, kind lossKind) {
 	s.blockTrials(j)
+	s.blockCauseTrials(j)
 	if j.Fingerprint == 0 || e.isLeaving() {
 		return
 	}
@@ -129,7 +131,7 @@
 		return
 	}
 	l.byFingerprint[j.Fingerprint] = loss{
-		shared: j.Shared, dispatchedAt: j.dispatchedAt, endedAt: now, midRun: j.isMidRun(now), kind: kind,
+		shared: j.Shared, features: j.Features, dispatchedAt: j.dispatchedAt, endedAt: now, midRun: j.isMidRun(now), kind: kind,
 	}
 }
 
@@ -179,7 +181,7 @@
 	l.crashed = true
 	for _, f := range slices.Sorted(maps.Keys(l.byFingerprint)) {
 		lost := l.byFingerprint[f]
-		c := wigeonshift.Crash{Fingerprint: f, Shared: lost.shared, Endpoint: i.String(), MidRun: lost.midRun, At: s.wallClock()}
+		c := wigeonshift.Crash{Fingerprint: f, Shared: lost.shared, Features: lost.features, Endpoint: i.String(), MidRun: lost.midRun, At: s.wallClock()}
 		if !l.mayBeCause(lost, evidence, s.now) || !s.crashes.Add(c) {
 			continue
 		}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -29,6 +29,8 @@
 	answers *wigeonquarantine.AnswerCounter
 	// trials holds the trials of requests that are suspected by what they share, by content.
 	trials map[wigeonshift.Fingerprint]*trials
+	// causeTrials holds the trials of requests that are suspected for a cause of crashes, by the key of the cause.
+	causeTrials map[wigeonshift.Fingerprint]*causeTrials
 	// signals holds what endpoints have said of themselves, also of those that are not listed for a while.
 	signals map[incarnation]*signals
 	// instanceIDs are the IDs of all instances.
@@ -64,6 +66,7 @@
 		signals:      map[incarnation]*signals{},
 		answers:      wigeonquarantine.NewAnswerCounter(),
 		trials:       map[wigeonshift.Fingerprint]*trials{},
+		causeTrials:  map[wigeonshift.Fingerprint]*causeTrials{},
 		instances:    1,
 		groups:       NewGroups(nil),
 	}
@@ -92,7 +95,7 @@
 	case EndpointChecked:
 		s.handleEndpointChecked(e)
 	case CrashesListed:
-		s.replaceCrashes(e.Crashes)
+		s.replaceCrashes(e.CrashEvidence)
 	case RequestWithdrawn:
 		s.withdrawWaiting(e.Job)
 	case PeerReported:
@@ -211,6 +214,7 @@
 	s.expirePeers()
 	s.expireLosses()
 	s.expireTrials()
+	s.expireCauseTrials()
 	s.expireSignals()
 	s.expireKeptPrompts()
 	s.dispatchAllWaiting()
@@ -289,5 +293,6 @@
 func (s *State) forget(j *Job) {
 	s.releaseResend(j)
 	s.endTrial(j)
+	s.endCauseTrial(j)
 	delete(s.jobs, j.ID)
 }
--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -191,7 +191,7 @@
 		}
 		Expect(h.arrive(h.newVariant(2, 0))).To(BeEmpty())
 		third := wigeonshift.Crash{Fingerprint: h.newVariant(0, 0).Fingerprint, Shared: h.newVariant(0, 0).Shared, Endpoint: "x@1", At: h.state.wallClock()}
-		effects := h.state.Reduce(CrashesListed{At: h.at, Crashes: append(h.state.crashes.All(), third)})
+		effects := h.state.Reduce(CrashesListed{At: h.at, CrashEvidence: wigeonshift.CrashEvidence{Crashes: append(h.state.crashes.All(), third)}})
 		Expect(effectsOf[Dispatch](effects)).To(HaveLen(1))
 	})
 
--- a/internal/services/wigeondispatch/trial.go
+++ b/internal/services/wigeondispatch/trial.go
@@ -97,8 +97,14 @@
 
 // hasTrialTurn reports whether this instance sends the trials of a content now.
 func (s *State) hasTrialTurn(content wigeonshift.Fingerprint) bool {
-	turn := s.wallClock().UnixMilli() / trialTurn.Milliseconds()
-	key := content.String() + "/" + strconv.FormatInt(turn, 10)
+	return s.hasTurn(content, trialTurn)
+}
+
+// hasTurn reports whether it is this instance's turn with something that is done by one instance at a time, each for the length of a
+// turn.
+func (s *State) hasTurn(f wigeonshift.Fingerprint, length time.Duration) bool {
+	turn := s.wallClock().UnixMilli() / length.Milliseconds()
+	key := f.String() + "/" + strconv.FormatInt(turn, 10)
 	own := wigeonshift.RendezvousScore(key, s.settings.Instance)
 	for _, id := range s.instanceIDs {
 		if id != s.settings.Instance && wigeonshift.RendezvousScore(key, id) > own {
--- a/internal/services/wigeonquarantine/bench_test.go
+++ b/internal/services/wigeonquarantine/bench_test.go
@@ -31,10 +31,10 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		s := NewService(nil, func([]wigeonshift.Crash) {}, discardLog(), tally.NoopScope)
-		s.Offer(benchCrashes(crashes))
+		s := NewService(nil, func(wigeonshift.CrashEvidence) {}, discardLog(), tally.NoopScope)
+		s.Offer(wigeonshift.CrashEvidence{Crashes: benchCrashes(crashes)})
 		published := NewRecord(Limit)
-		for _, c := range s.Crashes() {
+		for _, c := range s.Evidence().Crashes {
 			published.Add(c)
 		}
 		runtime.GC()
@@ -78,6 +78,6 @@
 	f := wigeonshift.Fingerprint(0)
 	for b.Loop() {
 		f += 3
-		answers.Add(0, f, wigeonshift.SharedFingerprints{Query: f + 1, Headers: f + 2})
+		answers.Add(0, Identifiers(f, wigeonshift.SharedFingerprints{Query: f + 1, Headers: f + 2}, nil))
 	}
 }
--- /dev/null
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -0,0 +1,219 @@
+package wigeonquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonshift"
+)
+
+// maxFeatureRequests bounds the requests with crashes that are compared for each feature. Beyond it those that were added first
+// are left out.
+const maxFeatureRequests = 256
+
+// endpointCrash is the crash of one endpoint.
+type endpointCrash struct {
+	weight int
+	at     time.Time
+}
+
+// evidence holds the endpoints that crashed under requests with one feature since the latest answer to such a request. The clocks
+// of instances may differ by a little, which matters only for answers and crashes at nearly the same time.
+type evidence map[string]endpointCrash
+
+// weight returns the sum of the weights of the crashes of endpoints other than those left out.
+func (e evidence) weight(leftOut map[string]bool) int {
+	sum := 0
+	for endpoint, c := range e {
+		if !leftOut[endpoint] {
+			sum += c.weight
+		}
+	}
+	return sum
+}
+
+// countIn returns the number of endpoints that are in both.
+func (e evidence) countIn(other evidence) int {
+	n := 0
+	for endpoint := range e {
+		if _, both := other[endpoint]; both {
+			n++
+		}
+	}
+	return n
+}
+
+// period returns the times of the first and the latest crash.
+func (e evidence) period() (first, latest time.Time) {
+	for _, c := range e {
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+		if c.at.After(latest) {
+			latest = c.at
+		}
+	}
+	return first, latest
+}
+
+// addCrash adds the crash of an endpoint. Under several requests it counts once.
+func (e evidence) addCrash(c wigeonshift.Crash) {
+	known := e[c.Endpoint]
+	e[c.Endpoint] = endpointCrash{weight: max(known.weight, weightOf(c)), at: c.At}
+}
+
+// addFeatures adds the request of a crash to those with its features.
+func (r *Record) addFeatures(c wigeonshift.Crash) {
+	for _, feature := range c.Features {
+		known := r.requestsWith[feature]
+		if slices.Contains(known, c.Fingerprint) {
+			continue
+		}
+		if len(known) >= maxFeatureRequests {
+			known = known[1:]
+		}
+		r.requestsWith[feature] = append(known, c.Fingerprint)
+	}
+}
+
+// removeFeatures removes a request without crashes from those with its features.
+func (r *Record) removeFeatures(f wigeonshift.Fingerprint, features []wigeonshift.Fingerprint) {
+	for _, feature := range features {
+		left := slices.DeleteFunc(slices.Clone(r.requestsWith[feature]), func(w wigeonshift.Fingerprint) bool { return w == f })
+		if len(left) == 0 {
+			delete(r.requestsWith, feature)
+			continue
+		}
+		r.requestsWith[feature] = left
+	}
+}
+
+// evidenceOn returns the evidence on a feature.
+func (r *Record) evidenceOn(feature wigeonshift.Fingerprint) evidence {
+	known, exists := r.evidence[feature]
+	if exists {
+		return known
+	}
+	found := evidence{}
+	for _, c := range r.crashesWith(feature) {
+		if c.At.After(r.answeredAt[feature]) {
+			found.addCrash(c)
+		}
+	}
+	r.evidence[feature] = found
+	return found
+}
+
+// crashesWith returns the crashes under requests with a feature.
+func (r *Record) crashesWith(feature wigeonshift.Fingerprint) []wigeonshift.Crash {
+	var crashes []wigeonshift.Crash
+	for _, f := range r.requestsWith[feature] {
+		crashes = append(crashes, r.crashes[f]...)
+	}
+	return crashes
+}
+
+// SharesFeature reports whether a crash of another endpoint is known under a request that has a feature in common with the request
+// of c, and that this feature was not answered since.
+func (r *Record) SharesFeature(c wigeonshift.Crash) bool {
+	for _, feature := range c.Features {
+		for endpoint := range r.evidenceOn(feature) {
+			if endpoint != c.Endpoint {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// AddAnswer adds the answer to a request with a feature, and reports whether it is later than those known.
+func (r *Record) AddAnswer(a wigeonshift.FeatureAnswer) bool {
+	known, exists := r.answeredAt[a.Feature]
+	if a.Feature == 0 || !a.At.After(known) || !exists && len(r.answeredAt) >= maxFingerprints {
+		return false
+	}
+	r.answeredAt[a.Feature] = a.At
+	r.invalidate()
+	return true
+}
+
+// Answers returns the latest answer of each feature that has one, sorted by feature.
+func (r *Record) Answers() []wigeonshift.FeatureAnswer {
+	answers := make([]wigeonshift.FeatureAnswer, 0, len(r.answeredAt))
+	for _, feature := range slices.Sorted(maps.Keys(r.answeredAt)) {
+		answers = append(answers, wigeonshift.FeatureAnswer{Feature: feature, At: r.answeredAt[feature]})
+	}
+	return answers
+}
+
+// RemoveAnswer forgets the answer of a feature.
+func (r *Record) RemoveAnswer(feature wigeonshift.Fingerprint) {
+	delete(r.answeredAt, feature)
+	r.invalidate()
+}
+
+// ExpireAnswers removes the answers whose time is over and returns their features.
+func (r *Record) ExpireAnswers(now time.Time) []wigeonshift.Fingerprint {
+	var expired []wigeonshift.Fingerprint
+	for feature, at := range r.answeredAt {
+		if now.Sub(at) > suspectLifetime {
+			expired = append(expired, feature)
+		}
+	}
+	for _, feature := range expired {
+		r.RemoveAnswer(feature)
+	}
+	return expired
+}
+
+// minReportedCrashes is the number of endpoints that crashed under a feature from which the next answer to it is of interest to
+// other instances.
+const minReportedCrashes = 2
+
+// NeedsAnswer reports whether an answer to requests with a feature, at a time, tells the other instances something: several
+// endpoints crashed under it, and no answer was known, or some of them crashed before this one.
+func (r *Record) NeedsAnswer(feature wigeonshift.Fingerprint, at time.Time) bool {
+	e := r.evidenceOn(feature)
+	if len(e) < minReportedCrashes && !r.isRival(feature) {
+		return false
+	}
+	first, _ := e.period()
+	return r.answeredAt[feature].IsZero() || at.After(first)
+}
+
+// SuspiciousFeatures returns the features for which NeedsAnswer may be true, sorted.
+func (r *Record) SuspiciousFeatures() []wigeonshift.Fingerprint {
+	var features []wigeonshift.Fingerprint
+	for feature := range r.requestsWith {
+		if len(r.evidenceOn(feature)) >= minReportedCrashes {
+			features = append(features, feature)
+		}
+	}
+	for _, c := range r.Causes() {
+		features = append(features, c.Features...)
+	}
+	slices.Sort(features)
+	return slices.Compact(features)
+}
+
+// sortedByWeight returns the features with at least a weight of evidence without the endpoints left out, the heaviest first.
+func (r *Record) sortedByWeight(least int, leftOut map[string]bool) []weighedFeature {
+	var weighed []weighedFeature
+	for feature := range r.requestsWith {
+		if weight := r.evidenceOn(feature).weight(leftOut); weight >= least {
+			weighed = append(weighed, weighedFeature{feature: feature, weight: weight})
+		}
+	}
+	slices.SortFunc(weighed, func(a, b weighedFeature) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.feature, b.feature))
+	})
+	return weighed
+}
+
+// weighedFeature is a feature with the weight of the crashes under it.
+type weighedFeature struct {
+	feature wigeonshift.Fingerprint
+	weight  int
+}
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -35,6 +35,14 @@
 	variants map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint
 	// sharedWeights holds the weights that were computed since the latest change.
 	sharedWeights map[wigeonshift.Fingerprint]sharedWeight
+	// requestsWith holds the requests with crashes by their features, at most maxFeatureRequests for each.
+	requestsWith map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint
+	// answeredAt holds the time of the latest answer by feature.
+	answeredAt map[wigeonshift.Fingerprint]time.Time
+	// evidence and causes are what was computed since the latest change; causes only if causesAreKnown is set.
+	evidence       map[wigeonshift.Fingerprint]evidence
+	causes         []Cause
+	causesAreKnown bool
 }
 
 // NewRecord returns an empty record in which a request is quarantined from limit crashes on.
@@ -44,6 +52,9 @@
 		crashes:       map[wigeonshift.Fingerprint][]wigeonshift.Crash{},
 		variants:      map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint{},
 		sharedWeights: map[wigeonshift.Fingerprint]sharedWeight{},
+		requestsWith:  map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint{},
+		answeredAt:    map[wigeonshift.Fingerprint]time.Time{},
+		evidence:      map[wigeonshift.Fingerprint]evidence{},
 	}
 }
 
@@ -59,10 +70,18 @@
 	}
 	r.crashes[c.Fingerprint] = append(known, c)
 	r.addVariant(c)
-	clear(r.sharedWeights)
+	r.addFeatures(c)
+	r.invalidate()
 	return true
 }
 
+// invalidate forgets what was computed from the crashes and answers before a change.
+func (r *Record) invalidate() {
+	clear(r.sharedWeights)
+	clear(r.evidence)
+	r.causesAreKnown = false
+}
+
 // addVariant adds the request of a crash to those with the same content.
 func (r *Record) addVariant(c wigeonshift.Crash) {
 	content := c.Shared.Content
@@ -132,12 +151,18 @@
 			last = c.At
 		}
 	}
-	if r.Quarantined(f) || r.suspectedByShared(f) {
+	if r.Quarantined(f) || r.suspectedByShared(f) || r.hasCertainCause(f) {
 		return last.Add(quarantineLifetime)
 	}
 	return last.Add(suspectLifetime)
 }
 
+// hasCertainCause reports whether a request with crashes has a feature that is refused.
+func (r *Record) hasCertainCause(f wigeonshift.Fingerprint) bool {
+	crashes := r.crashes[f]
+	return len(crashes) > 0 && r.isCertainCause(crashes[0].Features)
+}
+
 // suspectedByShared reports whether a request with crashes is suspected by what it shares with others.
 func (r *Record) suspectedByShared(f wigeonshift.Fingerprint) bool {
 	crashes := r.crashes[f]
@@ -166,13 +191,14 @@
 }
 
 func (r *Record) set(f wigeonshift.Fingerprint, crashes []wigeonshift.Crash) {
-	clear(r.sharedWeights)
+	r.invalidate()
 	if len(crashes) > 0 {
 		r.crashes[f] = crashes
 		return
 	}
 	if known := r.crashes[f]; len(known) > 0 {
 		r.removeVariant(f, known[0].Shared.Content)
+		r.removeFeatures(f, known[0].Features)
 	}
 	delete(r.crashes, f)
 }
@@ -183,9 +209,11 @@
 	for f, known := range r.crashes {
 		if now.After(r.ExpiresAt(f)) {
 			expired = append(expired, known...)
-			r.Remove(f)
 		}
 	}
+	for _, c := range expired {
+		r.Remove(c.Fingerprint)
+	}
 	return expired
 }
 
--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -29,8 +29,8 @@
 	// write.
 	maxRewriteDelay = 1500 * time.Millisecond
 	maxExpiryDelay  = 10 * time.Minute
-	// maxUnstored bounds the crashes that Unstored returns.
-	maxUnstored = 8
+	// maxUnstored bounds the crashes, and the answers, that Unstored returns.
+	maxUnstored = 16
 )
 
 // Service shares crashes with the other instances through a table of the store. It implements wigeonshift.CrashRecorder.
@@ -39,8 +39,8 @@
 	writer *Writer
 	log    logrus.FieldLogger
 	scope  tally.Scope
-	// publish receives all known crashes after each change.
-	publish func(crashes []wigeonshift.Crash)
+	// publish receives all that is known after each change.
+	publish func(evidence wigeonshift.CrashEvidence)
 	// changed holds a pending request to publish the crashes.
 	changed chan struct{}
 	cancel  context.CancelFunc
@@ -50,6 +50,8 @@
 	record *Record
 	// states holds the state of the row of each crash, by row key.
 	states map[string]rowState
+	// unstoredAnswers holds the features whose answers this instance shares and the store has not shown yet.
+	unstoredAnswers map[wigeonshift.Fingerprint]bool
 	// restored is set if the next listing comes from an older copy of the store.
 	restored bool
 	// deferred holds writes that other instances may do first, by row key.
@@ -79,15 +81,15 @@
 
 var _ wigeonshift.CrashRecorder = (*Service)(nil)
 
-// NewService returns a service that writes rows with commit and passes all known crashes to publish.
+// NewService returns a service that writes rows with commit and passes all that is known to publish.
 func NewService(
-	commit CommitFunc, publish func([]wigeonshift.Crash), log logrus.FieldLogger, scope tally.Scope,
+	commit CommitFunc, publish func(wigeonshift.CrashEvidence), log logrus.FieldLogger, scope tally.Scope,
 ) *Service {
 	return &Service{
 		writer: NewWriter(commit, log, func() { scope.Counter("quarantineWritesFailed").Inc(1) }),
 		log:    log, scope: scope, publish: publish, changed: make(chan struct{}, 1),
 		record: NewRecord(Limit), states: map[string]rowState{}, deferred: map[string]deferredWrite{},
-		dueShares: map[string]dueShare{}, instances: 1,
+		dueShares: map[string]dueShare{}, unstoredAnswers: map[wigeonshift.Fingerprint]bool{}, instances: 1,
 	}
 }
 
@@ -125,18 +127,18 @@
 		case <-ctx.Done():
 			return
 		case <-s.changed:
-			s.publish(s.Crashes())
+			s.publish(s.Evidence())
 		case <-ticker.C:
 			s.sweep(time.Now())
 		}
 	}
 }
 
-// Crashes returns all known crashes.
-func (s *Service) Crashes() []wigeonshift.Crash {
+// Evidence returns all that is known.
+func (s *Service) Evidence() wigeonshift.CrashEvidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record.All()
+	return wigeonshift.CrashEvidence{Crashes: s.record.All(), Answers: s.record.Answers()}
 }
 
 // ClearCrashes removes all crashes of a request and their rows.
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -23,7 +23,7 @@
 func runService(test func(g Gomega, s *testService)) {
 	runWithFakeClock(func(g Gomega) {
 		s := &testService{table: &fakeTable{}}
-		s.Service = NewService(s.table.commit, func(c []wigeonshift.Crash) { s.published = c }, discardLog(), tally.NoopScope)
+		s.Service = NewService(s.table.commit, func(e wigeonshift.CrashEvidence) { s.published = e.Crashes }, discardLog(), tally.NoopScope)
 		s.Start(context.Background())
 		synctest.Wait()
 		test(g, s)
@@ -51,19 +51,19 @@
 			s.ReportCrash(first)
 			s.ReportCrash(second)
 			advance(time.Second)
-			g.Expect(s.Unstored()).To(ConsistOf(first, second))
+			g.Expect(s.Unstored().Crashes).To(ConsistOf(first, second))
 			s.table.down = false
 			advance(time.Second)
 			g.Expect(s.table.written).To(Equal([]string{"7/a@1", "7/b@1"}))
 			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, first)})
-			g.Expect(s.Unstored()).To(ConsistOf(second))
-			g.Expect(s.Crashes()).To(ConsistOf(first, second))
+			g.Expect(s.Unstored().Crashes).To(ConsistOf(second))
+			g.Expect(s.Evidence().Crashes).To(ConsistOf(first, second))
 		})
 	})
 
 	It("shares the second crash of a request within a tenth of a second", func() {
 		runService(func(g Gomega, s *testService) {
-			s.Offer([]wigeonshift.Crash{freshCrash(7, "a@1")})
+			s.Offer(wigeonshift.CrashEvidence{Crashes: []wigeonshift.Crash{freshCrash(7, "a@1")}})
 			s.ReportCrash(freshCrash(7, "b@1"))
 			advance(100 * time.Millisecond)
 			g.Expect(s.table.written).To(Equal([]string{"7/b@1"}))
@@ -118,7 +118,7 @@
 		runService(func(g Gomega, s *testService) {
 			stored, offered := freshCrash(7, "a@1"), freshCrash(7, "b@1")
 			s.ReplaceRows([]wigeonshift.TableRow{rowOf(g, stored), {Key: "x", Value: []byte("y")}})
-			s.Offer([]wigeonshift.Crash{offered, stored})
+			s.Offer(wigeonshift.CrashEvidence{Crashes: []wigeonshift.Crash{offered, stored}})
 			synctest.Wait()
 			g.Expect(s.published).To(ConsistOf(stored, offered))
 			advance(time.Second)
@@ -144,9 +144,9 @@
 			s.ReplaceRows([]wigeonshift.TableRow{rowOf(g, stored)})
 			s.ReportCrash(own)
 			advance(2 * shareDelay)
-			s.Offer([]wigeonshift.Crash{offered})
+			s.Offer(wigeonshift.CrashEvidence{Crashes: []wigeonshift.Crash{offered}})
 			s.ReplaceRows(nil)
-			g.Expect(s.Crashes()).To(ConsistOf(own, offered))
+			g.Expect(s.Evidence().Crashes).To(ConsistOf(own, offered))
 		})
 	})
 
@@ -158,7 +158,7 @@
 			s.ReplaceRows([]wigeonshift.TableRow{rowOf(g, stored), rowOf(g, rewritten)})
 			s.HandleStoreRestored()
 			s.ReplaceRows(nil)
-			g.Expect(s.Crashes()).To(HaveLen(2))
+			g.Expect(s.Evidence().Crashes).To(HaveLen(2))
 			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, rewritten)}) // Another instance was first.
 			advance(maxRewriteDelay + sweepInterval + batchDelay)
 			g.Expect(s.table.written).To(Equal([]string{"7/a@1"}))
@@ -176,3 +176,83 @@
 		})
 	})
 })
+
+var _ = Describe("Service with features", func() {
+	It("shares the first crash of a request at once if another endpoint crashed under one of its features", func() {
+		runService(func(g Gomega, s *testService) {
+			first, second := partCrash(0, 0, deadly), partCrash(1, time.Second, deadly, other)
+			first.At, second.At = time.Now(), time.Now().Add(time.Millisecond)
+			s.ReportCrash(first)
+			advance(shareDelay / 4)
+			g.Expect(s.table.written).To(BeEmpty())
+			s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, second)})
+			advance(shareDelay / 4)
+			g.Expect(s.table.written).To(Equal([]string{RowKey(first)}))
+			third := partCrash(2, 2*time.Second, deadly)
+			third.At = time.Now()
+			s.ReportCrash(third)
+			advance(shareDelay / 4)
+			g.Expect(s.table.written).To(Equal([]string{RowKey(first), RowKey(third)}))
+		})
+	})
+
+	It("shares answers, and forgets them with their rows", func() {
+		runService(func(g Gomega, s *testService) {
+			a := wigeonshift.FeatureAnswer{Feature: popular, At: time.Now().UTC()}
+			s.ReportAnswer(a)
+			s.ReportAnswer(a)
+			advance(time.Second)
+			g.Expect(s.table.written).To(Equal([]string{AnswerKey(popular)}))
+			g.Expect(s.Unstored().Answers).To(ConsistOf(a))
+			value, err := EncodeAnswer(a)
+			g.Expect(err).NotTo(HaveOccurred())
+			s.ApplyChanges([]wigeonshift.TableRow{{Key: AnswerKey(popular), Value: value}})
+			g.Expect(s.Unstored().Answers).To(BeEmpty())
+			g.Expect(s.Evidence().Answers).To(ConsistOf(a))
+			s.ReplaceRows(nil)
+			g.Expect(s.Evidence().Answers).To(BeEmpty())
+		})
+	})
+
+	It("learns answers from other instances and from the store, and ignores a row that it can't read", func() {
+		runService(func(g Gomega, s *testService) {
+			a := wigeonshift.FeatureAnswer{Feature: popular, At: time.Now().UTC()}
+			s.Offer(wigeonshift.CrashEvidence{Answers: []wigeonshift.FeatureAnswer{a}})
+			g.Expect(s.Evidence().Answers).To(ConsistOf(a))
+			s.ApplyChanges([]wigeonshift.TableRow{{Key: AnswerKey(other), Value: []byte("?")}})
+			g.Expect(s.Evidence().Answers).To(ConsistOf(a))
+		})
+	})
+
+	It("writes answers again that the store has lost", func() {
+		runService(func(g Gomega, s *testService) {
+			a := wigeonshift.FeatureAnswer{Feature: popular, At: time.Now().UTC()}
+			s.ReportAnswer(a)
+			advance(time.Second)
+			value, err := EncodeAnswer(a)
+			g.Expect(err).NotTo(HaveOccurred())
+			s.ApplyChanges([]wigeonshift.TableRow{{Key: AnswerKey(popular), Value: value}})
+			s.HandleStoreRestored()
+			s.ReplaceRows(nil)
+			advance(time.Second)
+			g.Expect(s.table.written).To(HaveLen(2))
+			g.Expect(s.Evidence().Answers).To(ConsistOf(a))
+		})
+	})
+
+	It("forgets answers after a while", func() {
+		runService(func(g Gomega, s *testService) {
+			s.ReportAnswer(wigeonshift.FeatureAnswer{Feature: popular, At: time.Now().UTC()})
+			advance(suspectLifetime + time.Second)
+			g.Expect(s.Evidence().Answers).To(BeEmpty())
+		})
+	})
+})
+
+var _ = Describe("Rows", func() {
+	It("hold the features of a request", func() {
+		c := partCrash(0, 0, deadly, other)
+		key, value := RowKey(c), rowOf(Default, c).Value
+		Expect(DecodeRow(key, value)).To(Equal(c))
+	})
+})
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wigeonshift"
@@ -21,7 +22,7 @@
 
 // ReportCrash adds a crash that this instance noticed. It shares the first crash of a request after shareDelay, unless the
 // request is cleared until then, and all crashes of a request at once from the second on. A crash of another request with
-// the same content counts as well, because a caller may change the rest.
+// the same content or another common feature counts as well, because a caller may change the rest.
 func (s *Service) ReportCrash(c wigeonshift.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -30,14 +31,46 @@
 	}
 	s.states[RowKey(c)] = rowLocal
 	related := s.record.Related(c)
-	if len(related) == 1 {
+	if len(related) == 1 && !s.record.SharesFeature(c) {
 		s.deferShareLocked(c)
 		return
 	}
 	s.shareAllLocked(related)
+	s.shareRelatedLocked()
 	s.requestPublish()
 }
 
+// shareRelatedLocked shares the first crashes that wait for their time and have a feature in common with those of other endpoints.
+func (s *Service) shareRelatedLocked() {
+	for _, d := range s.dueShares {
+		if s.record.SharesFeature(d.crash) {
+			s.shareLocked(d.crash)
+		}
+	}
+}
+
+// ReportAnswer adds an answer that this instance received and shares it.
+func (s *Service) ReportAnswer(a wigeonshift.FeatureAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.record.AddAnswer(a) {
+		return
+	}
+	s.unstoredAnswers[a.Feature] = true
+	s.writeAnswerLocked(a)
+	s.requestPublish()
+}
+
+// writeAnswerLocked writes the row of an answer.
+func (s *Service) writeAnswerLocked(a wigeonshift.FeatureAnswer) {
+	value, err := EncodeAnswer(a)
+	if err != nil {
+		s.log.WithError(err).WithField("row", AnswerKey(a.Feature)).Error("failed to encode an answer row")
+		return
+	}
+	s.writer.Add(wigeonshift.Write{Key: AnswerKey(a.Feature), Value: value})
+}
+
 // shareAllLocked shares those of some crashes that only this instance knows.
 func (s *Service) shareAllLocked(crashes []wigeonshift.Crash) {
 	for _, c := range crashes {
@@ -69,25 +102,34 @@
 	s.writeLocked(c)
 }
 
-// Unstored returns crashes that this instance shares and that the store has not shown yet. The caller sends them to other
-// instances, so that these learn of them also while the store is down.
-func (s *Service) Unstored() []wigeonshift.Crash {
+// Unstored returns crashes and answers that this instance shares and that the store has not shown yet, the latest first. The caller
+// sends them to other instances, so that these learn of them also while the store is down.
+func (s *Service) Unstored() wigeonshift.CrashEvidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var unstored []wigeonshift.Crash
+	var unstored wigeonshift.CrashEvidence
 	for _, c := range s.record.All() {
-		if s.states[RowKey(c)] == rowUnstored && len(unstored) < maxUnstored {
-			unstored = append(unstored, c)
+		if s.states[RowKey(c)] == rowUnstored {
+			unstored.Crashes = append(unstored.Crashes, c)
+		}
+	}
+	slices.SortStableFunc(unstored.Crashes, func(a, b wigeonshift.Crash) int { return b.At.Compare(a.At) })
+	for _, a := range s.record.Answers() {
+		if s.unstoredAnswers[a.Feature] {
+			unstored.Answers = append(unstored.Answers, a)
 		}
 	}
+	slices.SortStableFunc(unstored.Answers, func(a, b wigeonshift.FeatureAnswer) int { return b.At.Compare(a.At) })
+	unstored.Crashes = unstored.Crashes[:min(len(unstored.Crashes), maxUnstored)]
+	unstored.Answers = unstored.Answers[:min(len(unstored.Answers), maxUnstored)]
 	return unstored
 }
 
-// Offer adds crashes that another instance has sent.
-func (s *Service) Offer(crashes []wigeonshift.Crash) {
+// Offer adds crashes and answers that another instance has sent.
+func (s *Service) Offer(evidence wigeonshift.CrashEvidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range crashes {
+	for _, c := range evidence.Crashes {
 		if s.record.Add(c) {
 			s.states[RowKey(c)] = rowFromPeer
 			s.shareAllLocked(s.record.Related(c))
@@ -95,6 +137,12 @@
 			s.requestPublish()
 		}
 	}
+	for _, a := range evidence.Answers {
+		if s.record.AddAnswer(a) {
+			s.requestPublish()
+		}
+	}
+	s.shareRelatedLocked()
 }
 
 // sweep forgets expired crashes, removes their rows and does the writes that are due.
@@ -109,6 +157,10 @@
 		s.forgetLocked(key)
 		s.requestPublish()
 	}
+	for _, feature := range s.record.ExpireAnswers(now) {
+		delete(s.unstoredAnswers, feature)
+		s.deferRemovalLocked(AnswerKey(feature))
+	}
 	for _, d := range s.dueShares {
 		if now.After(d.at) {
 			s.shareLocked(d.crash)
--- a/internal/services/wigeonquarantine/table.go
+++ b/internal/services/wigeonquarantine/table.go
@@ -23,6 +23,7 @@
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
+	s.replaceAnswersLocked(listed)
 	for _, c := range s.record.All() {
 		key := RowKey(c)
 		switch {
@@ -39,6 +40,19 @@
 	s.applyLocked(rows)
 }
 
+// replaceAnswersLocked forgets the answers whose rows are gone, and writes those again that the store has lost or never shown.
+func (s *Service) replaceAnswersLocked(listed map[string]bool) {
+	for _, a := range s.record.Answers() {
+		switch {
+		case listed[AnswerKey(a.Feature)]:
+		case s.restored || s.unstoredAnswers[a.Feature]:
+			s.writeAnswerLocked(a)
+		default:
+			s.record.RemoveAnswer(a.Feature)
+		}
+	}
+}
+
 // ApplyChanges applies changed and removed rows.
 func (s *Service) ApplyChanges(rows []wigeonshift.TableRow) {
 	s.mu.Lock()
@@ -50,6 +64,10 @@
 	for _, row := range rows {
 		delete(s.deferred, row.Key)
 		delete(s.dueShares, row.Key)
+		if feature, isAnswer := DecodeAnswerKey(row.Key); isAnswer {
+			s.applyAnswerLocked(feature, row)
+			continue
+		}
 		if row.Deleted {
 			s.removeLocked(row.Key)
 			continue
@@ -71,9 +89,27 @@
 		}
 		s.states[row.Key] = rowStored
 	}
+	s.shareRelatedLocked()
 	s.requestPublish()
 }
 
+// applyAnswerLocked applies the changed or removed row of an answer.
+func (s *Service) applyAnswerLocked(feature wigeonshift.Fingerprint, row wigeonshift.TableRow) {
+	delete(s.unstoredAnswers, feature)
+	if row.Deleted {
+		s.record.RemoveAnswer(feature)
+		return
+	}
+	a, err := DecodeAnswer(feature, row.Value)
+	if err != nil {
+		s.deferRemovalLocked(row.Key)
+		s.scope.Counter("quarantineRowsMalformed").Inc(1)
+		s.log.WithError(err).WithField("row", row.Key).Warn("failed to decode an answer row")
+		return
+	}
+	s.record.AddAnswer(a)
+}
+
 // removeLocked forgets the crash of a row that the store no longer has.
 func (s *Service) removeLocked(key string) {
 	if f, endpoint, err := DecodeKey(key); err == nil {
@@ -86,6 +122,7 @@
 func (s *Service) logLearned(c wigeonshift.Crash, source string) {
 	s.log.WithFields(logrus.Fields{
 		"fingerprint": c.Fingerprint.String(), "content": c.Shared.Content.String(), "endpoint": c.Endpoint, "crashes": len(s.record.Crashes(c.Fingerprint)),
+		"features":    FingerprintTexts(c.Features),
 		"quarantined": s.record.Quarantined(c.Fingerprint), "source": source,
 	}).Info("crash learned")
 }
--- a/internal/services/wigeonquarantine/verdict.go
+++ b/internal/services/wigeonquarantine/verdict.go
@@ -128,7 +128,7 @@
 }
 
 func (r *Record) weighShared(content, shared wigeonshift.Fingerprint) sharedWeight {
-	crashes := r.ContentCrashes(content)
+	crashes := r.unexplained(r.ContentCrashes(content))
 	if shared != content {
 		crashes = slices.DeleteFunc(crashes, func(c wigeonshift.Crash) bool { return !isVariant(c, shared) })
 	}
@@ -139,6 +139,11 @@
 	return sharedWeight{total: total, heaviest: heaviestVariant(crashes, shared), first: firstCrash(crashes)}
 }
 
+// unexplained returns those of some crashes that no feature of the requests explains.
+func (r *Record) unexplained(crashes []wigeonshift.Crash) []wigeonshift.Crash {
+	return slices.DeleteFunc(crashes, func(c wigeonshift.Crash) bool { return r.isExplained(c.Endpoint) })
+}
+
 // ContentCrashes returns the crashes of all requests with a content.
 func (r *Record) ContentCrashes(content wigeonshift.Fingerprint) []wigeonshift.Crash {
 	var crashes []wigeonshift.Crash
--- a/internal/services/wigeonquarantine/verdict_test.go
+++ b/internal/services/wigeonquarantine/verdict_test.go
@@ -54,7 +54,7 @@
 	It("sends variants that were answered, but not for headers that are suspected", func() {
 		addCrashes(3, func(k wigeonshift.Fingerprint) (query, headers wigeonshift.Fingerprint) { return k, 0 })
 		sound := sharedCrash(7, 0, "")
-		answers.Add(0, sound.Fingerprint, sound.Shared)
+		answers.Add(0, Identifiers(sound.Fingerprint, sound.Shared, nil))
 		Expect(judge(7, 0)).To(Equal(VerdictSend))
 		Expect(judge(7, 3)).To(Equal(VerdictSend), "its query was answered")
 		Expect(judge(8, 0)).To(Equal(VerdictTry))
@@ -68,7 +68,7 @@
 		Expect(judge(2, 0)).To(Equal(VerdictTry))
 		Expect(r.MayBeOneVariant(sharedCrash(2, 0, "").Shared)).To(BeTrue())
 		sound := sharedCrash(3, 0, "")
-		answers.Add(0, sound.Fingerprint, sound.Shared)
+		answers.Add(0, Identifiers(sound.Fingerprint, sound.Shared, nil))
 		Expect(judge(2, 0)).To(Equal(VerdictSend))
 		r.Add(sharedCrash(4, 0, "e3@0"))
 		r.Add(sharedCrash(5, 0, "e4@0"))
@@ -102,14 +102,14 @@
 var _ = Describe("AnswerCounter", func() {
 	It("forgets answers after a while, and sooner when there are many", func() {
 		a := NewAnswerCounter()
-		a.Add(0, 7, wigeonshift.SharedFingerprints{})
-		a.Add(answerMemory+1, 8, wigeonshift.SharedFingerprints{})
+		a.Add(0, []wigeonshift.Fingerprint{7})
+		a.Add(answerMemory+1, []wigeonshift.Fingerprint{8})
 		Expect(a.Count(7)).To(Equal(1))
-		a.Add(2*answerMemory+2, 9, wigeonshift.SharedFingerprints{})
+		a.Add(2*answerMemory+2, []wigeonshift.Fingerprint{9})
 		Expect(a.Count(7)).To(BeZero())
 		Expect(a.Count(8)).To(Equal(1))
 		for f := range wigeonshift.Fingerprint(3 * maxAnswered) {
-			a.Add(2*answerMemory+3, 100+f, wigeonshift.SharedFingerprints{})
+			a.Add(2*answerMemory+3, []wigeonshift.Fingerprint{100 + f})
 		}
 		Expect(len(a.current) + len(a.previous)).To(BeNumerically("<=", 2*maxAnswered))
 	})
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -8,6 +8,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeondispatch"
+	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonroute"
 
 	"github.com/sirupsen/logrus"
@@ -96,7 +97,7 @@
 	c.conn, _ = ctx.Conn().(*callerConn)
 	c.job = newJob(h, r, o, c.targetService, now, timeout)
 	c.job.Fingerprint, c.job.Shared = s.fingerprintsOf(&ctx.Request, c.job.Organisation)
-	c.job.Features = featuresOf(h.PromptParts, c.targetService)
+	c.job.Features = featuresOf(h.PromptParts, c.targetService, c.job.Organisation)
 	c.job.Elapsed = s.callerTimeouts.elapsed(c.job.Organisation, r.Name, h.Timeout)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.deadlineTimer = time.AfterFunc(timeout+deadlineMargin, c.onDeadline)
@@ -298,7 +299,7 @@
 		"request":     c.header.RequestID,
 		"fingerprint": c.job.Fingerprint.String(),
 		"content":     c.job.Shared.Content.String(),
-		"features":    fingerprintTexts(c.job.Features),
+		"features":    wigeonquarantine.FingerprintTexts(c.job.Features),
 		"route":       c.route.Name,
 		"service":     c.targetService,
 		"tier":        int(c.job.Tier),
@@ -313,15 +314,6 @@
 	return entry.WithFields(c.resendFields()).WithFields(fields)
 }
 
-// fingerprintTexts returns fingerprints as they stand in logs.
-func fingerprintTexts(fingerprints []wigeonshift.Fingerprint) []string {
-	texts := make([]string, 0, len(fingerprints))
-	for _, f := range fingerprints {
-		texts = append(texts, f.String())
-	}
-	return texts
-}
-
 // resendFields returns the log fields of the latest decision of the retry budget; none if there was no decision.
 func (c *call) resendFields() logrus.Fields {
 	if c.resend == nil {
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -8,6 +8,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
 	"wigeonshift/internal/services/wigeondispatch"
+	"wigeonshift/internal/services/wigeonquarantine"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -52,6 +53,8 @@
 
 func (noCrashRecorder) ReportCrash(wigeonshift.Crash) {}
 
+func (noCrashRecorder) ReportAnswer(wigeonshift.FeatureAnswer) {}
+
 func (noCrashRecorder) ClearCrashes(wigeonshift.Fingerprint) {}
 
 // NewDispatcher returns a dispatcher without endpoints.
@@ -111,9 +114,9 @@
 	d.reduce(wigeondispatch.PeerLost{At: d.Now(), Peer: peer})
 }
 
-// SetCrashes replaces the crashes that the instances know of.
-func (d *Dispatcher) SetCrashes(crashes []wigeonshift.Crash) {
-	d.reduce(wigeondispatch.CrashesListed{At: d.Now(), Crashes: crashes})
+// SetCrashes replaces what the instances know of crashes.
+func (d *Dispatcher) SetCrashes(evidence wigeonshift.CrashEvidence) {
+	d.reduce(wigeondispatch.CrashesListed{At: d.Now(), CrashEvidence: evidence})
 }
 
 // Tick makes the reducer act on the current time.
@@ -215,15 +218,14 @@
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
 				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
-				"features": fingerprintTexts(x.Features), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
+				"features": wigeonquarantine.FingerprintTexts(x.Features), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
 			}).Info("attempt counted as lost")
 		case wigeondispatch.StartTrial:
-			d.scope.Counter("trials").Inc(1)
-			d.log.WithFields(logrus.Fields{
-				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(), "answers": x.Answers,
-			}).Info("request suspected by its content is tried")
+			d.logTrial(x)
 		case wigeondispatch.ReportCrash:
 			d.reportCrash(x)
+		case wigeondispatch.ReportAnswer:
+			d.reportAnswer(x)
 		case wigeondispatch.ClearCrashes:
 			d.clearCrashes(x)
 		case wigeondispatch.Suspect:
@@ -256,11 +258,43 @@
 	}
 	d.log.WithFields(logrus.Fields{
 		"fingerprint": x.Crash.Fingerprint.String(), "content": x.Crash.Shared.Content.String(), "endpoint": x.Crash.Endpoint, "crashes": x.Crashes,
+		"features":    wigeonquarantine.FingerprintTexts(x.Crash.Features),
 		"quarantined": x.Quarantined, "midRun": x.Crash.MidRun,
 	}).Warn("endpoint crashed under a request")
 	d.crashes.ReportCrash(x.Crash)
 }
 
+// logTrial logs and counts a trial.
+func (d *Dispatcher) logTrial(x wigeondispatch.StartTrial) {
+	d.scope.Counter("trials").Inc(1)
+	entry := d.log.WithFields(logrus.Fields{
+		"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(), "answers": x.Answers,
+	})
+	if x.Cause != nil {
+		entry.WithFields(causeFields(x.Cause)).Info("request suspected by its features is tried")
+		return
+	}
+	entry.Info("request suspected by its content is tried")
+}
+
+// causeFields returns the log fields of a cause of crashes.
+func causeFields(c *wigeonquarantine.Cause) logrus.Fields {
+	fields := logrus.Fields{
+		"cause": wigeonquarantine.FingerprintTexts(c.Features), "certain": c.Certain, "crashed": c.Endpoints, "latestCrash": c.LatestAt,
+	}
+	if !c.AnsweredAt.IsZero() {
+		fields["causeAnswered"] = c.AnsweredAt
+	}
+	return fields
+}
+
+// reportAnswer shares the answer of a feature that several crashes have in common.
+func (d *Dispatcher) reportAnswer(x wigeondispatch.ReportAnswer) {
+	d.scope.Counter("featuresAnswered").Inc(1)
+	d.log.WithField("feature", x.Answer.Feature.String()).Info("feature of several crashes was answered")
+	d.crashes.ReportAnswer(x.Answer)
+}
+
 // clearCrashes logs that a request did not cause the crashes that were reported for it, and removes them.
 func (d *Dispatcher) clearCrashes(x wigeondispatch.ClearCrashes) {
 	d.scope.Counter("crashesCleared").Inc(1)
--- a/internal/services/wigeonrelay/fingerprint.go
+++ b/internal/services/wigeonrelay/fingerprint.go
@@ -23,16 +23,20 @@
 }
 
 // featuresOf returns the fingerprints of the parts of a prompt that other requests may have too: all but the last, which belongs
-// to the request or its session alone. Each part has two, its own and that of its use at one service, whose endpoints may run
-// another model.
-func featuresOf(parts []wigeonshift.PromptPart, service string) []wigeonshift.Fingerprint {
+// to the request or its session alone. Each part has three: its own, that of its use at one service, whose endpoints may run another
+// model, and that of its use by one organisation.
+func featuresOf(parts []wigeonshift.PromptPart, service, organisation string) []wigeonshift.Fingerprint {
 	if len(parts) < 2 {
 		return nil
 	}
 	shared := parts[:len(parts)-1]
-	features := make([]wigeonshift.Fingerprint, 0, 2*len(shared))
+	features := make([]wigeonshift.Fingerprint, 0, 3*len(shared))
 	for _, part := range shared {
-		features = append(features, wigeonprompt.Fingerprint("part", part.ID), wigeonprompt.Fingerprint("partAtService", part.ID, service))
+		features = append(features,
+			wigeonprompt.Fingerprint("part", part.ID),
+			wigeonprompt.Fingerprint("partAtService", part.ID, service),
+			wigeonprompt.Fingerprint("partOfOrganisation", part.ID, organisation),
+		)
 	}
 	return features
 }
--- a/internal/services/wigeonrelay/fingerprint_test.go
+++ b/internal/services/wigeonrelay/fingerprint_test.go
@@ -73,13 +73,16 @@
 var _ = Describe("Features", func() {
 	part := func(id string) wigeonshift.PromptPart { return wigeonshift.PromptPart{ID: id, Tokens: 1} }
 
-	It("are those of all parts of a prompt but the last, at one service and at all", func() {
-		both := featuresOf([]wigeonshift.PromptPart{part("a"), part("b"), part("own")}, "s")
-		Expect(both).To(HaveLen(4))
-		Expect(featuresOf([]wigeonshift.PromptPart{part("b"), part("other")}, "s")).To(Equal(both[2:]), "whatever is before or after the part")
-		elsewhere := featuresOf([]wigeonshift.PromptPart{part("a"), part("own")}, "t")
-		Expect(elsewhere[0]).To(Equal(both[0]))
-		Expect(elsewhere[1]).NotTo(Equal(both[1]))
-		Expect(featuresOf([]wigeonshift.PromptPart{part("own")}, "s")).To(BeEmpty(), "the last part belongs to the request")
+	It("are those of all parts of a prompt but the last: at all, at one service and of one organisation", func() {
+		three := featuresOf([]wigeonshift.PromptPart{part("a"), part("b"), part("own")}, "s", "o")
+		Expect(three).To(HaveLen(6))
+		Expect(featuresOf([]wigeonshift.PromptPart{part("b"), part("other")}, "s", "o")).To(Equal(three[3:]), "whatever is before or after the part")
+		elsewhere := featuresOf([]wigeonshift.PromptPart{part("a"), part("own")}, "t", "o")
+		Expect(elsewhere).To(Equal([]wigeonshift.Fingerprint{three[0], elsewhere[1], three[2]}))
+		Expect(elsewhere[1]).NotTo(Equal(three[1]))
+		others := featuresOf([]wigeonshift.PromptPart{part("a"), part("own")}, "s", "p")
+		Expect(others).To(Equal([]wigeonshift.Fingerprint{three[0], three[1], others[2]}))
+		Expect(others[2]).NotTo(Equal(three[2]))
+		Expect(featuresOf([]wigeonshift.PromptPart{part("own")}, "s", "o")).To(BeEmpty(), "the last part belongs to the request")
 	})
 })
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -184,6 +185,9 @@
 	if d.Reason == wigeondispatch.ReasonQuarantined {
 		fields["crashed"] = crashedEndpoints(d.Crashes)
 	}
+	if d.Cause != nil {
+		maps.Copy(fields, causeFields(d.Cause))
+	}
 	c.finish("refused", fields)
 }
 
--- a/peer.go
+++ b/peer.go
@@ -145,8 +145,8 @@
 		Leaving []string
 		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
 		QuarantineRevision uint64
-		// Crashes lists crashes that the sender noticed and that the store does not have yet.
-		Crashes []Crash
+		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
+		CrashEvidence
 	}
 )
 
