Don't count the silence of an endpoint as part of the run that it ended

What callers saw: a stream that silences its endpoint after the first event needed twice as many endpoints to be stopped.

Cause: an attempt whose endpoint falls silent ends when its caller leaves, seconds after the last event. All of that time counted as the run, so the crash counted half, as one in the middle of a run.

Now the length of such a run comes from the number of its events. The new spec failed before (MidRun true after one event and 3 s of silence).

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -65,10 +65,10 @@
 	case OutcomeRejected, OutcomeMisplaced, OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
-			s.recordLoss(e, j, lossUnverified)
+			s.recordLoss(e, j, lossUnverified, ev.Events)
 			return
 		}
-		s.recordLoss(e, j, lossSilent)
+		s.recordLoss(e, j, lossSilent, ev.Events)
 		s.recordFailure(e)
 	case OutcomeLost:
 		// handleStall reserves the resend when it abandons the attempt on a silent endpoint.
@@ -76,7 +76,7 @@
 		if j.resendReserved {
 			kind = lossSilent
 		}
-		s.recordLoss(e, j, kind)
+		s.recordLoss(e, j, kind, ev.Events)
 		s.recordFailure(e)
 	case OutcomeFailed:
 		if j.Fingerprint == 0 || e.failedRequest != j.Fingerprint {
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -91,7 +91,7 @@
 // recordLoss records a lost attempt. Whether the endpoint crashed is not known yet: a connection may break for other
 // reasons. Thus the endpoint is checked, unless it is known to have crashed already, or the attempt was ended too early to
 // tell. A leaving endpoint ends anyway.
-func (s *State) recordLoss(e *endpoint, j *Job, kind lossKind) {
+func (s *State) recordLoss(e *endpoint, j *Job, kind lossKind, events int) {
 	s.blockTrials(j)
 	s.blockCauseTrials(j)
 	if j.Fingerprint == 0 || e.isLeaving() {
@@ -106,7 +106,7 @@
 	if !l.crashed && !l.checking {
 		l.firstAt = s.now
 	}
-	l.add(j, kind, s.now)
+	l.add(j, kind, s.isMidRun(e, j, kind, events), s.now)
 	s.emit(LossRecorded{
 		RequestID: j.RequestID, Fingerprint: j.Fingerprint, Shared: j.Shared, Features: j.Features, EndpointID: i.endpointID,
 		StartedAtMillis: i.startedAtMillis, Kind: kind.String(),
@@ -122,7 +122,7 @@
 }
 
 // add records a lost attempt, unless there is one of the same request that the endpoint's answers have not refuted.
-func (l *losses) add(j *Job, kind lossKind, now time.Duration) {
+func (l *losses) add(j *Job, kind lossKind, midRun bool, now time.Duration) {
 	l.latestAt = now
 	l.silent = l.silent || kind != lossBroken
 	known, exists := l.byFingerprint[j.Fingerprint]
@@ -131,7 +131,7 @@
 		return
 	}
 	l.byFingerprint[j.Fingerprint] = loss{
-		shared: j.Shared, features: j.Features, dispatchedAt: j.dispatchedAt, endedAt: now, midRun: j.isMidRun(now), kind: kind,
+		shared: j.Shared, features: j.Features, dispatchedAt: j.dispatchedAt, endedAt: now, midRun: midRun, kind: kind,
 	}
 }
 
@@ -161,9 +161,17 @@
 	s.dispatchAllWaiting()
 }
 
-// isMidRun reports whether the running attempt had its first event some time ago.
-func (j *Job) isMidRun(at time.Duration) bool {
-	return j.firstEventLatency > 0 && at-j.dispatchedAt-j.firstEventLatency >= midRunTime
+// isMidRun reports whether an attempt that is lost had run for some time since its first event. The time for which the endpoint was
+// silent is no part of that; it is known from the number of events.
+func (s *State) isMidRun(e *endpoint, j *Job, kind lossKind, events int) bool {
+	if j.firstEventLatency == 0 {
+		return false
+	}
+	run := s.now - j.dispatchedAt - j.firstEventLatency
+	if kind != lossBroken {
+		run = min(run, time.Duration(events-1)*e.decodeStep*time.Duration(e.pool.eventTokens()))
+	}
+	return run >= midRunTime
 }
 
 // crashEvidence tells how a crash was noticed.
--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -316,6 +316,20 @@
 		Expect(effectsOf[ReportCrash](lists("b"))).To(ConsistOf(HaveField("Crash.MidRun", false)))
 	})
 
+	// The time for which it was silent is no part of the run.
+	It("counts in full under a stream whose caller left long after its only event", func() {
+		for events, midRun := range map[int]bool{1: false, 1000: true} {
+			h = newHarness(crashRecords("a")...)
+			j := h.newVariant(0, 0)
+			onlyDispatchEndpoint(h.arrive(j))
+			h.at += 10 * time.Millisecond
+			h.state.Reduce(FirstEventReceived{At: h.at, Job: j.ID})
+			h.at += 3 * time.Second
+			h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: OutcomeAbandoned, Events: events})
+			Expect(effectsOf[ReportCrash](lists("b"))).To(ConsistOf(HaveField("Crash.MidRun", midRun)))
+		}
+	})
+
 	It("counts as crashed as soon as another one has its address", func() {
 		abandon(h.newVariant(0, 0))
 		records := crashRecords("a", "b")
