--- a/internal/services/wigeonquarantine/cause.go
+++ b/internal/services/wigeonquarantine/cause.go
@@ -69,42 +69,57 @@
 }
 
 // Causes returns the explanations of the crashes under requests with features. Each step takes the feature with the most crashes that
-// are not explained yet, so that what is only often beside a cause is left without crashes of its own.
+// are not explained yet, so that what is only often beside a cause is left without crashes of its own. Features that were never
+// answered come first: one that is beside two causes has more crashes than either.
 func (r *Record) Causes() []Cause {
 	if r.causesAreKnown {
 		return r.causes
 	}
 	r.causes, r.causesAreKnown = nil, true
-	explained := map[string]bool{}
-	for {
-		weighed := r.sortedByWeight(causeLimit*crashWeight, explained)
-		if len(weighed) == 0 {
-			return r.causes
-		}
+	explained, isCause := map[string]bool{}, map[wigeonshift.Fingerprint]bool{}
+	for weighed := r.sortedByWeight(causeLimit*crashWeight, explained); len(weighed) > 0; {
 		c := r.newCause(weighed, explained)
 		r.causes = append(r.causes, c)
 		for _, endpoint := range c.Endpoints {
 			explained[endpoint] = true
 		}
+		for _, feature := range c.Features {
+			isCause[feature] = true
+		}
+		weighed = r.sortedByWeight(causeLimit*crashWeight, explained)
+	}
+	for _, w := range r.sortedByWeight(causeLimit*crashWeight, nil) {
+		if !w.answered && !isCause[w.feature] {
+			r.causes = append(r.causes, r.newSuspect(w.feature))
+		}
 	}
+	return r.causes
+}
+
+// newSuspect returns the cause that stands for a feature whose crashes another one explains and that was never answered. It is tried
+// until it is.
+func (r *Record) newSuspect(feature wigeonshift.Fingerprint) Cause {
+	e := r.evidenceOn(feature)
+	_, latest := e.period()
+	return Cause{Features: []wigeonshift.Fingerprint{feature}, Endpoints: slices.Sorted(maps.Keys(e)), LatestAt: latest}
 }
 
-// newCause returns the cause that the first of some features stands for, with all features that explain its crashes equally well. Those
-// that were never answered go before those that were answered until the first crash.
+// newCause returns the cause that the first of some features stands for, with all that explain its crashes equally well.
 func (r *Record) newCause(weighed []weighedFeature, explained map[string]bool) Cause {
 	first := r.evidenceOn(weighed[0].feature)
-	features := r.commonIdentifiers(weighed[0].feature, first)
+	features := r.commonIdentifiers(weighed[0], first)
 	endpoints := maps.Clone(first)
 	for _, w := range weighed {
 		e := r.evidenceOn(w.feature)
-		if w.weight < weighed[0].weight || 2*e.countIn(first) < len(first) {
+		if w.answered != weighed[0].answered || w.weight < weighed[0].weight || 2*e.countIn(first) < len(first) {
 			continue
 		}
 		features = append(features, w.feature)
 		maps.Copy(endpoints, e)
 	}
 	maps.DeleteFunc(endpoints, func(endpoint string, _ endpointCrash) bool { return explained[endpoint] })
-	c := Cause{Features: r.preferUnanswered(features), Endpoints: slices.Sorted(maps.Keys(endpoints))}
+	slices.Sort(features)
+	c := Cause{Features: features, Endpoints: slices.Sorted(maps.Keys(endpoints))}
 	for _, feature := range c.Features {
 		if at := r.answeredAt[feature]; at.After(c.AnsweredAt) {
 			c.AnsweredAt = at
@@ -114,17 +129,6 @@
 	return c
 }
 
-// preferUnanswered returns those of some features that were never answered, or all if all were, sorted.
-func (r *Record) preferUnanswered(features []wigeonshift.Fingerprint) []wigeonshift.Fingerprint {
-	slices.Sort(features)
-	isAnswered := func(feature wigeonshift.Fingerprint) bool { return !r.answeredAt[feature].IsZero() }
-	unanswered := slices.DeleteFunc(slices.Clone(features), isAnswered)
-	if len(unanswered) == 0 {
-		return features
-	}
-	return unanswered
-}
-
 // isCertain reports whether crashes suffice to refuse requests, and returns the time of the latest.
 func isCertain(endpoints evidence, answeredAt time.Time) (certain bool, latest time.Time) {
 	first, latest := endpoints.period()
@@ -135,13 +139,13 @@
 	return latest.Sub(first) >= minCrashPeriod && endpoints.weight(nil) >= limit*crashWeight, latest
 }
 
-// commonIdentifiers returns the whole request, content, query and headers that were at all crashes of a feature, if they are the same
-// there and were not answered since: a caller that sends one request again and again must not get a part refused that others use.
-func (r *Record) commonIdentifiers(feature wigeonshift.Fingerprint, crashes evidence) []wigeonshift.Fingerprint {
+// commonIdentifiers returns the whole request, content, query and headers that were at all crashes of a feature and explain them as
+// well: a caller that sends one request again and again must not get a part refused that others use.
+func (r *Record) commonIdentifiers(w weighedFeature, crashes evidence) []wigeonshift.Fingerprint {
 	endpointsOf := map[wigeonshift.Fingerprint]evidence{}
-	for _, c := range r.crashesWith(feature) {
+	for _, c := range r.crashesWith(w.feature) {
 		for _, id := range Identifiers(c.Fingerprint, c.Shared, nil) {
-			if id == 0 || !c.At.After(r.answeredAt[id]) {
+			if id == 0 || r.isAnswered(id) != w.answered || !c.At.After(r.answeredAt[id]) {
 				continue
 			}
 			if endpointsOf[id] == nil {
--- a/internal/services/wigeonquarantine/cause_test.go
+++ b/internal/services/wigeonquarantine/cause_test.go
@@ -80,6 +80,8 @@
 		crash(0, 4, popular, deadly)
 		crash(4, 1, popular)
 		Expect(judge(popular)).To(Equal(VerdictRefuse))
+		Expect(judge(deadly)).To(Equal(VerdictTry), "it was never answered")
+		answer(10*time.Second, deadly)
 		Expect(judge(deadly)).To(Equal(VerdictSend))
 	})
 
@@ -92,6 +94,8 @@
 			}
 		}
 		Expect(judge(deadly)).To(Equal(VerdictRefuse))
+		Expect(judge(other)).To(Equal(VerdictTry), "it was never answered")
+		answer(10*time.Second, other)
 		Expect(judge(other)).To(Equal(VerdictSend))
 	})
 
@@ -104,6 +108,15 @@
 		Expect(judge(popular)).To(Equal(VerdictSend))
 	})
 
+	It("isn't a part that was beside two others which were never answered", func() {
+		answer(-time.Second, popular)
+		crash(0, 5, popular, deadly)
+		crash(5, 5, popular, other)
+		Expect(judge(popular)).To(Equal(VerdictSend))
+		Expect(judge(popular, deadly)).To(Equal(VerdictRefuse))
+		Expect(judge(popular, other)).To(Equal(VerdictRefuse))
+	})
+
 	// The endpoints of one rack end together, under everything that they ran.
 	It("isn't certain if all endpoints ended at once", func() {
 		for k := range 6 {
--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -198,22 +198,38 @@
 	return slices.Compact(features)
 }
 
-// sortedByWeight returns the features with at least a weight of evidence without the endpoints left out, the heaviest first.
+// sortedByWeight returns the features with at least a weight of evidence without the endpoints left out: those that were never
+// answered before the others, and the heaviest first.
 func (r *Record) sortedByWeight(least int, leftOut map[string]bool) []weighedFeature {
 	var weighed []weighedFeature
 	for feature := range r.requestsWith {
 		if weight := r.evidenceOn(feature).weight(leftOut); weight >= least {
-			weighed = append(weighed, weighedFeature{feature: feature, weight: weight})
+			weighed = append(weighed, weighedFeature{feature: feature, weight: weight, answered: r.isAnswered(feature)})
 		}
 	}
-	slices.SortFunc(weighed, func(a, b weighedFeature) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.feature, b.feature))
-	})
+	slices.SortFunc(weighed, weighedFeature.compare)
 	return weighed
 }
 
+// isAnswered reports whether an answer to requests with a feature is known.
+func (r *Record) isAnswered(feature wigeonshift.Fingerprint) bool {
+	return !r.answeredAt[feature].IsZero()
+}
+
 // weighedFeature is a feature with the weight of the crashes under it.
 type weighedFeature struct {
-	feature wigeonshift.Fingerprint
-	weight  int
+	feature  wigeonshift.Fingerprint
+	weight   int
+	answered bool
+}
+
+// compare orders features by how well they explain crashes.
+func (w weighedFeature) compare(other weighedFeature) int {
+	if w.answered != other.answered {
+		if w.answered {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(other.weight, w.weight), cmp.Compare(w.feature, other.feature))
 }
