Date the silent crash of an endpoint from the request that it got

Cause: a silent endpoint is noticed 3.6 s later, and the crash was dated from then. All answers in between, from endpoints that still ran, seemed to be older than the crashes, so eight of these counted against a part that had just been answered.

Now the crash of a silent endpoint is dated from the dispatch of the lost attempt. The new spec failed before.

--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -189,7 +189,7 @@
 	l.crashed = true
 	for _, f := range slices.Sorted(maps.Keys(l.byFingerprint)) {
 		lost := l.byFingerprint[f]
-		c := wigeonshift.Crash{Fingerprint: f, Shared: lost.shared, Features: lost.features, Endpoint: i.String(), MidRun: lost.midRun, At: s.wallClock()}
+		c := wigeonshift.Crash{Fingerprint: f, Shared: lost.shared, Features: lost.features, Endpoint: i.String(), MidRun: lost.midRun, At: s.crashTime(lost)}
 		if !l.mayBeCause(lost, evidence, s.now) || !s.crashes.Add(c) {
 			continue
 		}
@@ -197,6 +197,15 @@
 	}
 }
 
+// crashTime returns the time of the crash of an endpoint. One that falls silent is noticed seconds later, and may have crashed as soon as
+// it got the request: answers to others like it since then tell that they are sound.
+func (s *State) crashTime(lost loss) time.Time {
+	if lost.kind == lossBroken {
+		return s.wallClock()
+	}
+	return s.settings.StartedAt.Add(lost.dispatchedAt)
+}
+
 func (l *losses) mayBeCause(lost loss, evidence crashEvidence, now time.Duration) bool {
 	switch {
 	case lost.dispatchedAt > l.firstAt:
--- a/internal/services/wigeondispatch/suspect_test.go
+++ b/internal/services/wigeondispatch/suspect_test.go
@@ -330,6 +330,15 @@
 		}
 	})
 
+	// Sound requests that were answered between the crash and its notice aren't suspected for it.
+	It("counts as crashed at the time at which it got the request", func() {
+		h.at += time.Second
+		sentAt := h.state.settings.StartedAt.Add(h.at)
+		abandon(h.newVariant(0, 0))
+		h.at += 3 * time.Second
+		Expect(effectsOf[ReportCrash](lists("b"))).To(ConsistOf(HaveField("Crash.At", sentAt)))
+	})
+
 	It("counts as crashed as soon as another one has its address", func() {
 		abandon(h.newVariant(0, 0))
 		records := crashRecords("a", "b")
