List and clear what is refused for crashes; keep what is known of features between publications

wigeonrelay quarantine list shows the causes of crashes and the refused requests as the store has them, quarantine clear FINGERPRINT lets a request, a content or a feature pass again. explain finds lines by features. TestPoisonPart uses both commands against its relays.

--- a/cmd/wigeonrelay/explain.go
+++ b/cmd/wigeonrelay/explain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -15,7 +16,7 @@
 
 // explainCommand prints the log lines of one request, or of all requests with one content, from the logs of all instances.
 type explainCommand struct {
-	Request string   `arg:"" help:"ID of the request, its fingerprint, or the fingerprint of its content."`
+	Request string   `arg:"" help:"ID of the request, its fingerprint, or the fingerprint of its content or of a feature."`
 	Logs    []string `arg:"" optional:"" type:"existingfile" help:"Log files; standard input if none are given."`
 }
 
@@ -27,7 +28,12 @@
 	// change when it sends the request again.
 	Fingerprint string `json:"fingerprint"`
 	Content     string `json:"content"`
-	Message     string `json:"msg"`
+	// Features identify what else requests have in common, Cause those of them for which one is refused or tried, Feature one that was
+	// answered.
+	Features []string `json:"features"`
+	Cause    []string `json:"cause"`
+	Feature  string   `json:"feature"`
+	Message  string   `json:"msg"`
 	// Reason and Outcome are set on lines that report the end of a request.
 	Reason  string `json:"reason"`
 	Outcome string `json:"outcome"`
@@ -35,9 +41,10 @@
 	raw string
 }
 
-// concerns reports whether the line is about a request, given by its ID, its fingerprint or that of its content.
+// concerns reports whether the line is about a request, given by its ID, its fingerprint or that of its content, or about a feature.
 func (l logLine) concerns(request string) bool {
-	return l.Request == request || l.Fingerprint == request || l.Content == request
+	return l.Request == request || l.Fingerprint == request || l.Content == request || l.Feature == request ||
+		slices.Contains(l.Features, request) || slices.Contains(l.Cause, request)
 }
 
 // Run reads the logs and prints the lines of the request in chronological order.
--- a/cmd/wigeonrelay/main.go
+++ b/cmd/wigeonrelay/main.go
@@ -13,6 +13,8 @@
 	Serve   serveCommand   `cmd:"" help:"Run one instance until SIGINT or SIGTERM."`
 	Check   checkCommand   `cmd:"" help:"Validate a settings file and exit."`
 	Explain explainCommand `cmd:"" help:"Print the log lines of one request from all instances."`
+	// Quarantine works on the store, whether or not an instance runs.
+	Quarantine quarantineCommand `cmd:"" help:"Show and clear what is refused because endpoints crashed under it."`
 }
 
 func main() {
--- a/internal/services/wigeondispatch/crash.go
+++ b/internal/services/wigeondispatch/crash.go
@@ -47,13 +47,7 @@
 
 // replaceCrashes replaces the crash record by what the instances know, and refuses queued requests that are quarantined now.
 func (s *State) replaceCrashes(evidence wigeonshift.CrashEvidence) {
-	s.crashes = wigeonquarantine.NewRecord(wigeonquarantine.Limit)
-	for _, c := range evidence.Crashes {
-		s.crashes.Add(c)
-	}
-	for _, a := range evidence.Answers {
-		s.crashes.AddAnswer(a)
-	}
+	s.crashes.Replace(evidence)
 	s.reportOwnAnswers()
 	s.dispatchAllWaiting()
 }
--- a/internal/services/wigeonquarantine/bench_test.go
+++ b/internal/services/wigeonquarantine/bench_test.go
@@ -81,3 +81,28 @@
 		answers.Add(0, Identifiers(f, wigeonshift.SharedFingerprints{Query: f + 1, Headers: f + 2}, nil))
 	}
 }
+
+// BenchmarkCauses measures the explanation of crashes after each change: n endpoints crashed under nine requests each, which have one of
+// 50 first parts, and a part of their own.
+func BenchmarkCauses(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := NewRecord(Limit)
+			for k := range n {
+				for i := range 9 {
+					unique := wigeonshift.Fingerprint(9*k + i + 1)
+					popular := wigeonshift.Fingerprint(1_000_000 + 3*((9*k+i)%50))
+					r.Add(wigeonshift.Crash{
+						Fingerprint: unique << 20, Shared: wigeonshift.SharedFingerprints{Content: unique<<20 + 1, Query: unique<<20 + 2, Headers: unique<<20 + 3},
+						Features: []wigeonshift.Fingerprint{popular, popular + 1, popular + 2, unique<<20 + 4},
+						Endpoint: "i-" + strconv.Itoa(1_000_000_000+k) + "@1796358708000", At: time.Now(),
+					})
+				}
+			}
+			for b.Loop() {
+				r.invalidate([]wigeonshift.Fingerprint{1_000_000, 1_000_001, 1_000_002})
+				r.Causes()
+			}
+		})
+	}
+}
--- a/internal/services/wigeonquarantine/cause_test.go
+++ b/internal/services/wigeonquarantine/cause_test.go
@@ -202,4 +202,40 @@
 		answer(2*time.Second, popular)
 		Expect(r.NeedsAnswer(popular, day.Add(3*time.Second))).To(BeFalse())
 	})
+
+	It("is cleared by an operator, with what explains the same crashes", func() {
+		const atService = 2_000_001
+		crash(0, 4, deadly, atService)
+		Expect(judge(deadly, atService)).To(Equal(VerdictRefuse))
+		writes, err := r.ClearingWrites(deadly, day.Add(time.Minute))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(writes).To(HaveLen(2))
+		for _, w := range writes {
+			Expect(r.addRow(wigeonshift.TableRow{Key: w.Key, Value: w.Value})).To(Succeed())
+		}
+		Expect(judge(deadly, atService)).To(Equal(VerdictSend))
+	})
+
+	It("is read from the rows of the table", func() {
+		crash(0, 4, deadly)
+		rows := []wigeonshift.TableRow{{Key: "?"}, {Key: AnswerKey(other), Value: []byte("?")}}
+		for _, c := range r.All() {
+			rows = append(rows, rowOf(Default, c))
+		}
+		read, unreadable := RecordOf(rows)
+		Expect(unreadable).To(Equal(2))
+		Expect(read.Causes()).To(Equal(r.Causes()))
+	})
+})
+
+var _ = Describe("A quarantined request", func() {
+	It("is cleared by an operator", func() {
+		r := NewRecord(Limit)
+		for _, endpoint := range []string{"a@1", "b@1", "c@1"} {
+			r.Add(crash(7, endpoint))
+		}
+		Expect(r.QuarantinedRequests()).To(ConsistOf(wigeonshift.Fingerprint(7)))
+		Expect(r.ClearingWrites(7, day)).To(HaveLen(3))
+		Expect(r.ClearingWrites(8, day)).To(BeEmpty())
+	})
 })
--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -106,6 +106,15 @@
 	return found
 }
 
+// maxWeight returns a bound of the weight of the evidence on a feature that is quick to compute.
+func (r *Record) maxWeight(feature wigeonshift.Fingerprint) int {
+	crashes := 0
+	for _, f := range r.requestsWith[feature] {
+		crashes += len(r.crashes[f])
+	}
+	return crashes * crashWeight
+}
+
 // crashesWith returns the crashes under requests with a feature.
 func (r *Record) crashesWith(feature wigeonshift.Fingerprint) []wigeonshift.Crash {
 	var crashes []wigeonshift.Crash
@@ -135,7 +144,7 @@
 		return false
 	}
 	r.answeredAt[a.Feature] = a.At
-	r.invalidate()
+	r.invalidate([]wigeonshift.Fingerprint{a.Feature})
 	return true
 }
 
@@ -151,7 +160,23 @@
 // RemoveAnswer forgets the answer of a feature.
 func (r *Record) RemoveAnswer(feature wigeonshift.Fingerprint) {
 	delete(r.answeredAt, feature)
-	r.invalidate()
+	r.invalidate([]wigeonshift.Fingerprint{feature})
+}
+
+// replaceAnswers replaces all answers.
+func (r *Record) replaceAnswers(answers []wigeonshift.FeatureAnswer) {
+	stays := map[wigeonshift.Fingerprint]bool{}
+	for _, a := range answers {
+		stays[a.Feature] = true
+	}
+	for _, a := range r.Answers() {
+		if !stays[a.Feature] {
+			r.RemoveAnswer(a.Feature)
+		}
+	}
+	for _, a := range answers {
+		r.AddAnswer(a)
+	}
 }
 
 // ExpireAnswers removes the answers whose time is over and returns their features.
@@ -187,7 +212,7 @@
 func (r *Record) SuspiciousFeatures() []wigeonshift.Fingerprint {
 	var features []wigeonshift.Fingerprint
 	for feature := range r.requestsWith {
-		if len(r.evidenceOn(feature)) >= minReportedCrashes {
+		if r.maxWeight(feature) >= minReportedCrashes && len(r.evidenceOn(feature)) >= minReportedCrashes {
 			features = append(features, feature)
 		}
 	}
@@ -203,6 +228,9 @@
 func (r *Record) sortedByWeight(least int, leftOut map[string]bool) []weighedFeature {
 	var weighed []weighedFeature
 	for feature := range r.requestsWith {
+		if r.maxWeight(feature) < least {
+			continue
+		}
 		if weight := r.evidenceOn(feature).weight(leftOut); weight >= least {
 			weighed = append(weighed, weighedFeature{feature: feature, weight: weight, answered: r.isAnswered(feature)})
 		}
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -71,14 +71,16 @@
 	r.crashes[c.Fingerprint] = append(known, c)
 	r.addVariant(c)
 	r.addFeatures(c)
-	r.invalidate()
+	r.invalidate(c.Features)
 	return true
 }
 
-// invalidate forgets what was computed from the crashes and answers before a change.
-func (r *Record) invalidate() {
+// invalidate forgets what was computed from crashes before a change of those under some features.
+func (r *Record) invalidate(features []wigeonshift.Fingerprint) {
 	clear(r.sharedWeights)
-	clear(r.evidence)
+	for _, feature := range features {
+		delete(r.evidence, feature)
+	}
 	r.causesAreKnown = false
 }
 
@@ -172,6 +174,26 @@
 	return r.isSuspectedByShared(crashes[0].Shared)
 }
 
+// Replace replaces all crashes and answers. What is computed from those that stay is kept.
+func (r *Record) Replace(evidence wigeonshift.CrashEvidence) {
+	stays := map[wigeonshift.Fingerprint]map[string]bool{}
+	for _, c := range evidence.Crashes {
+		if stays[c.Fingerprint] == nil {
+			stays[c.Fingerprint] = map[string]bool{}
+		}
+		stays[c.Fingerprint][c.Endpoint] = true
+	}
+	for _, c := range r.All() {
+		if !stays[c.Fingerprint][c.Endpoint] {
+			r.RemoveCrash(c.Fingerprint, c.Endpoint)
+		}
+	}
+	for _, c := range evidence.Crashes {
+		r.Add(c)
+	}
+	r.replaceAnswers(evidence.Answers)
+}
+
 // Remove removes a request with all its crashes.
 func (r *Record) Remove(f wigeonshift.Fingerprint) { r.set(f, nil) }
 
@@ -191,12 +213,15 @@
 }
 
 func (r *Record) set(f wigeonshift.Fingerprint, crashes []wigeonshift.Crash) {
-	r.invalidate()
+	known := r.crashes[f]
+	if len(known) > 0 {
+		r.invalidate(known[0].Features)
+	}
 	if len(crashes) > 0 {
 		r.crashes[f] = crashes
 		return
 	}
-	if known := r.crashes[f]; len(known) > 0 {
+	if len(known) > 0 {
 		r.removeVariant(f, known[0].Shared.Content)
 		r.removeFeatures(f, known[0].Features)
 	}
--- a/internal/services/wigeonquarantine/writer.go
+++ b/internal/services/wigeonquarantine/writer.go
@@ -16,8 +16,6 @@
 const (
 	// batchDelay is the time for which changes are collected before they are written together.
 	batchDelay = 50 * time.Millisecond
-	// batchRows is the largest number of rows in one transaction.
-	batchRows = 64
 	// writeTimeout limits one write.
 	writeTimeout = 2 * time.Second
 	// lastWriteTimeout limits the write at a stop, which must not wait for a store that is down.
@@ -114,7 +112,7 @@
 	defer w.mu.Unlock()
 	keys := slices.Sorted(maps.Keys(w.pending))
 	var batch []*wigeonshift.Write
-	for _, key := range keys[:min(len(keys), batchRows)] {
+	for _, key := range keys[:min(len(keys), MaxTransactionRows)] {
 		batch = append(batch, w.pending[key])
 	}
 	return batch
--- a/internal/soak/wigeonsoak/part_test.go
+++ b/internal/soak/wigeonsoak/part_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -309,6 +310,37 @@
 	}
 	s.g.Expect(s.violations).To(BeEmpty())
 	s.checkOnlyPoisonRefused()
+	s.checkQuarantineCommands(len(parts.byPart))
+}
+
+// checkQuarantineCommands checks that an operator sees one cause for each part, and that the relays follow when it is cleared.
+func (s *soakRun) checkQuarantineCommands(causes int) {
+	refused := s.refusedCauses()
+	s.g.Expect(refused).To(HaveLen(causes))
+	for _, cause := range refused {
+		s.runQuarantine("clear", strings.Split(cause, ",")[0])
+	}
+	s.g.Expect(s.refusedCauses()).To(BeEmpty())
+}
+
+// refusedCauses returns the features of the causes that an operator sees as refused.
+func (s *soakRun) refusedCauses() []string {
+	var refused []string
+	for line := range strings.Lines(s.runQuarantine("list")) {
+		fields := strings.Split(line, "\t")
+		if fields[0] == "cause" && fields[2] == "refused" {
+			refused = append(refused, fields[1])
+		}
+	}
+	return refused
+}
+
+// runQuarantine runs a quarantine command with the settings of a relay and returns its output.
+func (s *soakRun) runQuarantine(arguments ...string) string {
+	arguments = append(append([]string{"quarantine"}, arguments...), "--config", s.relays[0].settingsPath)
+	out, err := exec.Command(s.binary, arguments...).CombinedOutput()
+	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	return string(out)
 }
 
 // checkOnlyPoisonRefused checks in the logs of the relays that no sound request was refused for crashes.
