--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -124,6 +124,15 @@
 	return crashes
 }
 
+// heaviestFeature returns the weight of the evidence on the feature of a crash that has most.
+func (r *Record) heaviestFeature(c wigeonshift.Crash) int {
+	heaviest := 0
+	for _, feature := range c.Features {
+		heaviest = max(heaviest, r.evidenceOn(feature).weight(nil))
+	}
+	return heaviest
+}
+
 // SharesFeature reports whether a crash of another endpoint is known under a request that has a feature in common with the request
 // of c, and that this feature was not answered since.
 func (r *Record) SharesFeature(c wigeonshift.Crash) bool {
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -214,6 +214,26 @@
 		})
 	})
 
+	It("offers the crashes first that have a feature in common with most others", func() {
+		runService(func(g Gomega, s *testService) {
+			s.table.down = true
+			for k := range 2 * maxUnstored {
+				c := partCrash(k, 0, wigeonshift.Fingerprint(3_000_000+k))
+				if k < 3 {
+					c = partCrash(k, 0, deadly)
+				}
+				c.At = time.Now().Add(time.Duration(k) * time.Second)
+				s.ReportCrash(c)
+			}
+			advance(2 * shareDelay)
+			crashes := s.Unstored().Crashes
+			g.Expect(crashes).To(HaveLen(maxUnstored))
+			for _, c := range crashes[:3] {
+				g.Expect(c.Features).To(Equal([]wigeonshift.Fingerprint{deadly}))
+			}
+		})
+	})
+
 	It("learns answers from other instances and from the store, and ignores a row that it can't read", func() {
 		runService(func(g Gomega, s *testService) {
 			a := wigeonshift.FeatureAnswer{Feature: popular, At: time.Now().UTC()}
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -1,6 +1,7 @@
 package wigeonquarantine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -102,8 +103,9 @@
 	s.writeLocked(c)
 }
 
-// Unstored returns crashes and answers that this instance shares and that the store has not shown yet, the latest first. The caller
-// sends them to other instances, so that these learn of them also while the store is down.
+// Unstored returns crashes and answers that this instance shares and that the store has not shown yet: first the crashes under what was
+// at most others, and the latest of these. The caller sends them to other instances, so that these learn of them also while the store is
+// down.
 func (s *Service) Unstored() wigeonshift.CrashEvidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,7 +115,9 @@
 			unstored.Crashes = append(unstored.Crashes, c)
 		}
 	}
-	slices.SortStableFunc(unstored.Crashes, func(a, b wigeonshift.Crash) int { return b.At.Compare(a.At) })
+	slices.SortStableFunc(unstored.Crashes, func(a, b wigeonshift.Crash) int {
+		return cmp.Or(cmp.Compare(s.record.heaviestFeature(b), s.record.heaviestFeature(a)), b.At.Compare(a.At))
+	})
 	for _, a := range s.record.Answers() {
 		if s.unstoredAnswers[a.Feature] {
 			unstored.Answers = append(unstored.Answers, a)
