--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -30,7 +30,7 @@
 	maxRewriteDelay = 1500 * time.Millisecond
 	maxExpiryDelay  = 10 * time.Minute
 	// maxUnstored bounds the crashes, and the answers, that Unstored returns.
-	maxUnstored = 5
+	maxUnstored = 4
 )
 
 // Service shares crashes with the other instances through a table of the store. It implements wigeonshift.CrashRecorder.
