--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -11,6 +11,7 @@
 # NODE_PROCS sets GOMAXPROCS of each node; if it is empty, the default applies.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source scripts/processes.sh
 
 count=${1:-1}
 seconds=${2:-20}
@@ -26,31 +27,10 @@
 
 # stop_all stops all processes that this script started.
 stop_all() {
-  local p
-  for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
-  for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+  stop_processes "${pids[@]}"
 }
 trap stop_all EXIT
 
-# start_process starts a background process, logs to $out/NAME.out and $out/NAME.log, and leaves the process id in $!.
-start_process() {
-  local name=$1
-  shift
-  "$@" >"$out/$name.out" 2>"$out/$name.log" &
-  pids+=($!)
-}
-
-# wait_for retries a command until it succeeds, for about 30 s.
-wait_for() {
-  local _
-  for _ in $(seq 150); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.2
-  done
-  echo "timeout: $*" >&2
-  return 1
-}
-
 keygen=$("$binary" config keygen --operator trial --role editor --json)
 # json_field prints a string field of the keygen output.
 json_field() { sed -n "s/.*\"$1\": *\"\([^\"]*\)\".*/\1/p" <<<"$keygen"; }
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -13,6 +13,7 @@
 # metrics.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source scripts/processes.sh
 
 user=${1:?user: instituto or asociacion}
 failure=${2:?failure: none, term-node, kill-node, kill-engine, outage-kill-owner or freeze-owner}
@@ -38,21 +39,6 @@
 pids=()
 nodes=()
 
-# start_process starts a background process, logs to $out/NAME.out and $out/NAME.log, and leaves the process id in $!.
-start_process() {
-  local name=$1
-  shift
-  "$@" >"$out/$name.out" 2>"$out/$name.log" &
-  pids+=($!)
-}
-
-# stop_processes terminates processes by id and waits for them.
-stop_processes() {
-  local p
-  for p in "$@"; do kill -TERM "$p" 2>/dev/null || true; done
-  for p in "$@"; do wait "$p" 2>/dev/null || true; done
-}
-
 # stop_all stops all processes that this script started. It resumes suspended nodes first, and stops the nodes before the
 # stand-ins because a node needs them for its handover.
 stop_all() {
@@ -84,17 +70,6 @@
   printf '\n[[operator.keys]]\n%s\n' "$operator_entry" >>"$file"
 }
 
-# wait_for retries a command until it succeeds, for about 30 s.
-wait_for() {
-  local _
-  for _ in $(seq 150); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.2
-  done
-  echo "timeout: $*" >&2
-  return 1
-}
-
 # find_owner prints the number of the node that owns a shard of the user's model pool.
 find_owner() {
   local i
