--- a/internal/services/wigeonquarantine/answered.go
+++ b/internal/services/wigeonquarantine/answered.go
@@ -77,7 +77,7 @@
 // endpoints crashed under it, and no answer was known, or some of them crashed before this one.
 func (r *Record) NeedsAnswer(feature wigeonshift.Fingerprint, at time.Time) bool {
 	e := r.evidenceOn(feature)
-	if len(e) < minReportedCrashes && !r.isRival(feature) {
+	if len(e) < minReportedCrashes && !r.isPartOfCause(feature) {
 		return false
 	}
 	first, _ := e.period()
--- a/internal/services/wigeonquarantine/cause.go
+++ b/internal/services/wigeonquarantine/cause.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// causeLimit is the number of crashes since its latest answer from which a feature explains them.
+	// causeLimit is the number of crashes since the latest answer to a feature from which the feature may be their cause.
 	causeLimit = 4
-	// answeredCauseLimit is the number of crashes from which a feature is refused that was answered before.
+	// answeredCauseLimit is the number of these crashes from which a feature is refused that was answered before them.
 	answeredCauseLimit = 2 * causeLimit
 	// minCrashPeriod is the shortest time between the first and the latest crash of a feature that is refused. Endpoints that end
 	// together, as those of one rack do, end under everything that they ran.
@@ -111,7 +111,7 @@
 	endpoints := maps.Clone(first)
 	for _, w := range weighed {
 		e := r.evidenceOn(w.feature)
-		if w.answered != weighed[0].answered || w.weight < weighed[0].weight || 2*e.countIn(first) < len(first) {
+		if w.answered != weighed[0].answered || w.weight < weighed[0].weight || 2*e.overlap(first) < len(first) {
 			continue
 		}
 		features = append(features, w.feature)
@@ -156,15 +156,15 @@
 	}
 	var common []wigeonshift.Fingerprint
 	for id, e := range endpointsOf {
-		if e.countIn(crashes) == len(crashes) {
+		if e.overlap(crashes) == len(crashes) {
 			common = append(common, id)
 		}
 	}
 	return common
 }
 
-// isRival reports whether a fingerprint is among the features of a cause.
-func (r *Record) isRival(id wigeonshift.Fingerprint) bool {
+// isPartOfCause reports whether a fingerprint is among the features of a cause, certain or not.
+func (r *Record) isPartOfCause(id wigeonshift.Fingerprint) bool {
 	return slices.ContainsFunc(r.Causes(), func(c Cause) bool { return slices.Contains(c.Features, id) })
 }
 
--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -33,8 +33,8 @@
 	return sum
 }
 
-// countIn returns the number of endpoints that are in both.
-func (e evidence) countIn(other evidence) int {
+// overlap returns the number of endpoints that are in both.
+func (e evidence) overlap(other evidence) int {
 	n := 0
 	for endpoint := range e {
 		if _, both := other[endpoint]; both {
@@ -123,8 +123,8 @@
 	return crashes
 }
 
-// heaviestFeature returns the weight of the evidence on the feature of a crash that has most.
-func (r *Record) heaviestFeature(c wigeonshift.Crash) int {
+// heaviestEvidence returns the largest weight of the evidence on any feature of the request of a crash.
+func (r *Record) heaviestEvidence(c wigeonshift.Crash) int {
 	heaviest := 0
 	for _, feature := range c.Features {
 		heaviest = max(heaviest, r.evidenceOn(feature).weight(nil))
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -116,7 +116,7 @@
 		}
 	}
 	slices.SortStableFunc(unstored.Crashes, func(a, b wigeonshift.Crash) int {
-		return cmp.Or(cmp.Compare(s.record.heaviestFeature(b), s.record.heaviestFeature(a)), b.At.Compare(a.At))
+		return cmp.Or(cmp.Compare(s.record.heaviestEvidence(b), s.record.heaviestEvidence(a)), b.At.Compare(a.At))
 	})
 	for _, a := range s.record.Answers() {
 		if s.unstoredAnswers[a.Feature] {
