Keep evidence only for features with crashes

Cause: each answer to a request with a prompt asked for the evidence on its fingerprint, content, query and headers, and the empty result was kept for ever since the record is changed in place: some hundred bytes for each, without bound. The new spec failed before. The result is the same, an evidence without endpoints.

--- a/internal/services/wigeonquarantine/cause_test.go
+++ b/internal/services/wigeonquarantine/cause_test.go
@@ -191,6 +191,14 @@
 		Expect(r.Causes()).To(HaveLen(1))
 	})
 
+	It("remembers nothing of requests without crashes", func() {
+		crash(0, 2, popular)
+		for n := range wigeonshift.Fingerprint(1000) {
+			r.NeedsAnswer(9_000_000+n, day)
+		}
+		Expect(len(r.evidence)).To(BeNumerically("<=", len(r.requestsWith)))
+	})
+
 	It("needs answers once two endpoints crashed, and no more than one for each crash", func() {
 		crash(0, 1, popular)
 		Expect(r.NeedsAnswer(popular, day.Add(time.Second))).To(BeFalse())
--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -89,8 +89,11 @@
 	}
 }
 
-// evidenceOn returns the evidence on a feature.
+// evidenceOn returns the evidence on a feature. It keeps it only for features with crashes, which are bounded.
 func (r *Record) evidenceOn(feature wigeonshift.Fingerprint) evidence {
+	if len(r.requestsWith[feature]) == 0 {
+		return nil
+	}
 	known, exists := r.evidence[feature]
 	if exists {
 		return known
