Log the limits that endpoints name

The logs held nothing of what an endpoint says of its limit, so the three hypotheses couldn't be told apart. The adapter decodes the header; a line and a counter tell when an instance hears of a limit, of a change and of its end, with the number of requests that it has sent since, and 'request dispatched' has the limit of its endpoint. No decision changes.

A response ends a limit only if its request was sent after the endpoint had last named one; a response to another request and a value that can't be read say nothing.

--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -109,6 +109,11 @@
 	if j.attempts > 1 {
 		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
 	}
+	if e.isLimited() {
+		limit := e.signals.limit
+		limit.sent++
+		d.IsLimited, d.RequestsPerSecond = true, limit.perSecond
+	}
 	s.emit(d)
 }
 
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -64,6 +64,10 @@
 		DecidedAt, MaxSendDelay time.Duration
 		// Resend is the decision of the retry budget; nil if the request was not sent before.
 		Resend *ResendDecision
+		// IsLimited is set if the endpoint has named a limit, RequestsPerSecond. What the response says of it must then be
+		// reported, also if it says nothing.
+		IsLimited         bool
+		RequestsPerSecond float64
 	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
@@ -122,6 +126,20 @@
 		// Backoff is how long it wants no requests, if that is new.
 		Backoff time.Duration
 	}
+	// LimitRecorded reports that an endpoint has named a limit, has changed it or no longer names one.
+	LimitRecorded struct {
+		EndpointID      string
+		StartedAtMillis int64
+		// RequestID is that of the request whose response says so.
+		RequestID string
+		Ended     bool
+		// RequestsPerSecond is the limit that holds now, or the one that has ended.
+		RequestsPerSecond float64
+		// Sent is the number of requests that this instance has sent to the endpoint while it named a limit, and Duration how
+		// long it has done so.
+		Sent     int
+		Duration time.Duration
+	}
 	// LossRecorded reports that an attempt counts as lost, because its endpoint may have crashed.
 	LossRecorded struct {
 		RequestID       string
@@ -173,6 +191,7 @@
 func (Suspect) effect()        {}
 func (CheckEndpoint) effect()  {}
 func (SignalRecorded) effect() {}
+func (LimitRecorded) effect()  {}
 func (LossRecorded) effect()   {}
 func (ReportCrash) effect()    {}
 func (StartTrial) effect()     {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -100,6 +100,10 @@
 		// Leaving and Backoff are those of wigeonshift.ResponseHeader.
 		Leaving bool
 		Backoff time.Duration
+		// Limit is that of wigeonshift.ResponseHeader, and DispatchedAt the time of the decision to send the request. Limit is
+		// Unreadable for a response to another request, so that a late one doesn't end a limit.
+		Limit        wigeonshift.EndpointLimit
+		DispatchedAt time.Duration
 	}
 	// EndpointChecked reports the result of a CheckEndpoint effect.
 	EndpointChecked struct {
--- a/internal/services/wigeondispatch/signal.go
+++ b/internal/services/wigeondispatch/signal.go
@@ -20,6 +20,8 @@
 	// backoffUntil is the end of the time for which the endpoint wants no requests from this instance; zero if it never
 	// asked for any.
 	backoffUntil time.Duration
+	// limit is the rate of requests that the endpoint takes from all instances; nil if it names none.
+	limit *rateLimit
 	// listedAt is the latest time at which the endpoint was listed or sent a signal.
 	listedAt time.Duration
 }
@@ -32,6 +34,7 @@
 		return
 	}
 	g := s.signalsOf(e)
+	s.recordLimit(g, ev)
 	change := SignalRecorded{EndpointID: ev.EndpointID, StartedAtMillis: ev.StartedAtMillis, RequestID: ev.RequestID}
 	if ev.Leaving && !g.leaving {
 		g.leaving, change.Leaving = true, true
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -49,7 +49,7 @@
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
 		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
 		"content": c.job.Shared.Content.String(),
-	}).WithFields(c.resendFields()).Info("request dispatched")
+	}).WithFields(c.resendFields()).WithFields(limitFields(d)).Info("request dispatched")
 	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
@@ -80,7 +80,13 @@
 		return nil
 	}
 	observe := func(h wigeonshift.ResponseHeader) {
-		if (h.Leaving || h.Backoff > 0) && !h.Misdirected {
+		if h.Misdirected {
+			return
+		}
+		if h.RequestID != "" && h.RequestID != c.header.RequestID {
+			h.Limit = wigeonshift.EndpointLimit{Unreadable: true}
+		}
+		if h.Leaving || h.Backoff > 0 || h.Limit.Stated || d.IsLimited && !h.Limit.Unreadable {
 			c.reportSignal(d, h)
 		}
 	}
@@ -91,7 +97,7 @@
 func (c *call) reportSignal(d wigeondispatch.Dispatch, h wigeonshift.ResponseHeader) {
 	c.service.dispatcher.reduce(wigeondispatch.EndpointSignalled{
 		At: c.service.dispatcher.MeasureNow(), EndpointID: d.EndpointID, StartedAtMillis: d.StartedAtMillis,
-		RequestID: c.header.RequestID, Leaving: h.Leaving, Backoff: h.Backoff,
+		RequestID: c.header.RequestID, Leaving: h.Leaving, Backoff: h.Backoff, Limit: h.Limit, DispatchedAt: d.DecidedAt,
 	})
 }
 
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -206,6 +206,8 @@
 			d.startCheck(x)
 		case wigeondispatch.SignalRecorded:
 			d.logSignal(x)
+		case wigeondispatch.LimitRecorded:
+			d.logLimit(x)
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
 				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
--- a/wire.go
+++ b/wire.go
@@ -58,6 +58,16 @@
 	Leaving bool
 	// Backoff is how long the endpoint wants no requests from this instance; zero if not given.
 	Backoff time.Duration
+	Limit   EndpointLimit
+}
+
+// EndpointLimit is what a response of an endpoint says of the rate of requests that it takes from all instances together.
+type EndpointLimit struct {
+	// Stated is set if the response names a limit. Unreadable is set instead if it names one that can't be read, which says
+	// nothing about the limit.
+	Stated, Unreadable bool
+	// RequestsPerSecond is the named limit, zero or more. It is valid only if Stated is set.
+	RequestsPerSecond float64
 }
 
 // WireDialect translates between HTTP headers and the types above.
