--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -248,6 +248,10 @@
 	// so after the first event.
 	parts             *partLog
 	crashesAfterEvent bool
+	// limit records the requests at an endpoint that names a limit for a while; nil if it never does.
+	limit *limitLog
+	// runTime is how long each request runs in addition.
+	runTime time.Duration
 	// crash is what the request that crashes endpoints does to this one.
 	crash func()
 	// stable reports whether the store and the relays have had no fault for long enough that every relay must know that
@@ -368,6 +372,11 @@
 	saysLeaving, backoffRatio := e.saysLeaving, e.backoffRatio
 	e.mu.Unlock()
 	e.signals.recordArrival(e, id)
+	if e.limit != nil {
+		if limit := e.limit.recordArrival(id); limit != "" {
+			w.Header().Set("Server-Limit", limit)
+		}
+	}
 	if saysLeaving {
 		w.Header().Set("Server-Leaving", "1")
 		e.signals.recordLeaving(e, id)
@@ -408,7 +417,7 @@
 	}
 	w.Header().Set("Server-Signature", e.identity())
 	if !isStream {
-		time.Sleep(time.Duration(10+20*e.randomFloat()) * time.Millisecond)
+		time.Sleep(time.Duration(10+20*e.randomFloat())*time.Millisecond + e.runTime)
 		fmt.Fprint(w, plainResponse(id))
 		return
 	}
