Keep the limits that endpoints name, all instances together

What callers and operators saw: an endpoint in need that named a limit of 5.3 requests a second got 60 in 4 s (37 allowed).

Cause: no instance read the limit. Class: what an endpoint says of what it takes isn't part of the decision where a request goes.

Fix: the members of the endpoint's group share the rate. Each keeps a token bucket of the whole, subtracts what it sends and what the others report in their load notices, and refills it only for the members that it can reach. With a bucket of 1.5 tokens and half a second of the rate, and one send in 150 ms, what comes in 4 s stays below 1.5 times the limit + 5 for each rate, by computation. The bucket is empty when the limit becomes known; what one instance hears, the others learn by its report. Placement, free slots and throughput count a limited endpoint with what the limit allows. In larger fleets the endpoint's own group alone sends, or one group at a time where endpoints aren't divided among groups.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -42,6 +42,12 @@
 	for _, a := range m.Answers {
 		out.Answers = append(out.Answers, &FeatureAnswer{Feature: uint64(a.Feature), AtMs: a.At.UnixMilli()})
 	}
+	for _, l := range m.Limits {
+		out.Limits = append(out.Limits, &EndpointLimitUse{
+			Endpoint: l.Endpoint, StartedAtMs: l.StartedAtMillis, RequestsPerSecond: l.RequestsPerSecond, Ended: l.Ended,
+			AgeMs: encodeCount(int(l.Age.Milliseconds())), Sent: l.Sent,
+		})
+	}
 	return out
 }
 
@@ -89,6 +95,12 @@
 			Feature: wigeonshift.Fingerprint(a.GetFeature()), At: time.UnixMilli(a.GetAtMs()),
 		})
 	}
+	for _, l := range m.GetLimits() {
+		out.Limits = append(out.Limits, wigeonshift.EndpointLimitUse{
+			Endpoint: l.GetEndpoint(), StartedAtMillis: l.GetStartedAtMs(), RequestsPerSecond: l.GetRequestsPerSecond(), Ended: l.GetEnded(),
+			Age: time.Duration(l.GetAgeMs()) * time.Millisecond, Sent: l.GetSent(),
+		})
+	}
 	return out
 }
 
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -77,6 +77,9 @@
 			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
 			Leaving:            []string{"f"},
 			QuarantineRevision: 6,
+			Limits: []wigeonshift.EndpointLimitUse{
+				{Endpoint: "e", StartedAtMillis: 7, RequestsPerSecond: 4.1, Age: 20 * time.Millisecond, Sent: 9}, {Endpoint: "f", Ended: true},
+			},
 			CrashEvidence: wigeonshift.CrashEvidence{
 				Crashes: []wigeonshift.Crash{{
 					Fingerprint: 1 << 63, Endpoint: "e@7", MidRun: true, At: time.UnixMilli(12),
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -71,11 +71,11 @@
 // refused instead of queued.
 func (s *State) expectedWait(p *pool, j *Job, b backlog) time.Duration {
 	level := p.priorityLevel(j, s.now)
-	ahead := b.own.countUpTo(level) + b.peers.countUpTo(level) - p.freeSlots(s.now)
+	ahead := b.own.countUpTo(level) + b.peers.countUpTo(level) - s.freeSlots(p)
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / max(p.throughput(s.now), 1) * float64(time.Second))
+	return time.Duration(float64(ahead) / max(s.throughput(p), 1) * float64(time.Second))
 }
 
 // shouldShedLate reports whether a request will miss its latency objective and has so many others queued before it
@@ -121,8 +121,8 @@
 	s.forget(j)
 	p := s.pool(j.Service)
 	refuse := Refuse{
-		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: p.freeSlots(s.now),
-		Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(),
+		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: s.freeSlots(p),
+		Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(), LimitHolds: j.limitHolds, Limited: p.limited(),
 	}
 	if reason == ReasonQuarantined {
 		refuse.Cause = s.causeAgainst(j)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -105,14 +105,14 @@
 		IsHome:          e == e.pool.home(j),
 		QueueTime:       s.now - j.Arrived,
 		DecidedAt:       s.now,
+		LimitHolds:      j.limitHolds,
 	}
 	if j.attempts > 1 {
 		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
 	}
 	if e.isLimited() {
-		limit := e.signals.limit
-		limit.sent++
-		d.IsLimited, d.RequestsPerSecond = true, limit.perSecond
+		s.countLimited(e)
+		d.IsLimited, d.RequestsPerSecond = true, e.signals.limit.perSecond
 	}
 	s.emit(d)
 }
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -68,6 +68,8 @@
 		// reported, also if it says nothing.
 		IsLimited         bool
 		RequestsPerSecond float64
+		// LimitHolds is the number of decisions before in which a limit kept the request from an endpoint.
+		LimitHolds int
 	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
@@ -90,6 +92,9 @@
 		QuotaRoundAge  time.Duration
 		// QuotaWindowUsed is what all instances have used in the quota's window, as far as this one knows, in units.
 		QuotaWindowUsed float64
+		// LimitHolds is the number of decisions in which a limit kept the request from an endpoint. Limited is the number of
+		// endpoints of the service that name limits.
+		LimitHolds, Limited int
 		// Crashes holds the crashes at which the request was there, or others with the same content if it is refused for these.
 		Crashes []wigeonshift.Crash
 		// Cause is the cause of crashes for which the request is refused; nil if there is none.
@@ -130,15 +135,21 @@
 	LimitRecorded struct {
 		EndpointID      string
 		StartedAtMillis int64
-		// RequestID is that of the request whose response says so.
+		// RequestID is that of the request whose response says so; empty if another instance does.
 		RequestID string
 		Ended     bool
 		// RequestsPerSecond is the limit that holds now, or the one that has ended.
 		RequestsPerSecond float64
 		// Sent is the number of requests that this instance has sent to the endpoint while it named a limit, and Duration how
 		// long it has done so.
-		Sent     int
+		Sent     uint64
 		Duration time.Duration
+		// Held is the number of decisions in which the endpoint got no request of this instance because of the limit.
+		Held int
+		// Members is the number of instances among which the limit is divided, of which this one can reach Reporting.
+		Members, Reporting int
+		// Age is the time since the latest answer that named the limit.
+		Age time.Duration
 	}
 	// LossRecorded reports that an attempt counts as lost, because its endpoint may have crashed.
 	LossRecorded struct {
--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -71,6 +71,18 @@
 // SameGroup reports whether two instances are in the same group.
 func (g *Groups) SameGroup(a, b string) bool { return g.groupByInstance[a] == g.groupByInstance[b] }
 
+// turnGroup returns the group whose turn it is with something that is done by one group at a time; empty if there are no groups.
+func (g *Groups) turnGroup(subject string, turn int64) string {
+	best, bestScore := "", uint64(0)
+	key := subject + "/" + strconv.FormatInt(turn, 10)
+	for _, name := range g.names {
+		if score := wigeonshift.RendezvousScore(key, name); best == "" || score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
 // candidates returns the groups to which the endpoints of a zone can be assigned: the groups of the zone, or all groups
 // if the zone has none.
 func (g *Groups) candidates(zone string) []string {
@@ -142,6 +154,12 @@
 	for _, i := range instances {
 		s.instanceIDs = append(s.instanceIDs, i.ID)
 	}
+	s.groupIDs = s.groupIDs[:0]
+	for _, id := range s.instanceIDs {
+		if id != s.settings.Instance && s.groups.SameGroup(id, s.settings.Instance) {
+			s.groupIDs = append(s.groupIDs, id)
+		}
+	}
 	for name, p := range s.peers {
 		p.inGroup = s.groups.SameGroup(name, s.settings.Instance)
 	}
@@ -156,11 +174,11 @@
 func (s *State) markOtherGroupEndpoints() {
 	own := s.groups.groupByInstance[s.settings.Instance]
 	for _, p := range s.pools {
-		divided := len(p.endpoints) >= minEndpointsPerGroup*s.groups.Count()
+		p.divided = len(p.endpoints) >= minEndpointsPerGroup*s.groups.Count()
 		ownCount := 0
 		owners := s.endpointGroups(p)
 		for _, e := range p.endpoints {
-			e.otherGroup = divided && own != "" && owners[e.record.ID] != own
+			e.otherGroup = p.divided && own != "" && owners[e.record.ID] != own
 			if !e.otherGroup {
 				ownCount++
 			}
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -89,6 +89,8 @@
 	// resend whose arrival isn't known yet.
 	resendSlot    int64
 	resendPending bool
+	// limitHolds is the number of decisions in which a limit kept the request from an endpoint.
+	limitHolds int
 	// isTrial is set if the request is sent although others like it are suspected of crashes.
 	isTrial bool
 	// triedCause is the key of the cause of crashes in spite of which the request is sent; zero if there is none.
--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -1,17 +1,65 @@
 package wigeondispatch
 
 import (
+	"slices"
+	"strings"
 	"time"
+
+	"wigeonshift"
+)
+
+// An endpoint in need names the rate of requests that it takes from all instances together. The members of the endpoint's group
+// share the rate: each keeps a token bucket of the whole, from which it subtracts what it sends and what the others report. As
+// reports are late, they take turns, so that only some of them send in the same moment.
+const (
+	// minLimitRate is the rate, in requests per second, of endpoints that take less, so that the end of the limit is noticed.
+	minLimitRate = 0.2
+	// limitReportDelay is the time within which the members of a group know of a request that one of them has sent.
+	limitReportDelay = 150 * time.Millisecond
+	// limitTurn is the time after which the members of a group change places.
+	limitTurn = 150 * time.Millisecond
+	// limitGroupTurn is the time after which another group sends to a limited endpoint that isn't assigned to one.
+	limitGroupTurn = 8 * time.Second
+	// minPlaceTokens is the smallest difference between the numbers of tokens that members at consecutive places need to send.
+	minPlaceTokens = 0.2
+	// burstTokens and burstTime give the size of the bucket: burstTokens, and what is added in burstTime.
+	burstTokens = 1.5
+	burstTime   = 500 * time.Millisecond
+	// endedLimitMemory is how long the end of a limit is reported.
+	endedLimitMemory = 5 * time.Second
+	// maxLimitReports bounds the limits in a report.
+	maxLimitReports = 64
 )
 
 // rateLimit is the rate of requests that an endpoint takes from all instances together.
 type rateLimit struct {
 	// perSecond is the rate in requests per second, zero or more.
 	perSecond float64
-	// since is the time at which the endpoint first named a limit, namedAt that of the latest answer which named one.
+	// since is the time at which this instance learned of the limit, namedAt that of the latest answer which named one, also
+	// at other instances.
 	since, namedAt time.Duration
 	// sent is the number of requests that this instance has sent to the endpoint since then.
-	sent int
+	sent uint64
+	// peerSent holds what the other members of the group reported as sent. A member that is silent for a while is removed, as it
+	// has used its own part meanwhile.
+	peerSent map[string]uint64
+	// balance is the number of tokens that are left in the bucket. It is negative if several members have sent at once.
+	balance    float64
+	refilledAt time.Duration
+	// burst is the number of requests that this instance has sent since burstAt, at most limitReportDelay ago.
+	burst   float64
+	burstAt time.Duration
+	// held is the number of decisions in which the endpoint got no request because of the limit.
+	held int
+}
+
+// limitShare is this instance's place among the members of its group that share a limit.
+type limitShare struct {
+	// place is zero for the member that comes first now. Each one sends only if a few tokens more are left than the one before
+	// needs.
+	place int
+	// members is the number of members, of which reporting can be reached, this one included.
+	members, reporting int
 }
 
 // isLimited reports whether the endpoint names a limit.
@@ -19,26 +67,229 @@
 
 // recordLimit records what an endpoint says of its limit in a response. A response without a limit ends the limit only if its
 // request was sent after the endpoint had last named one: the response to an earlier request may be late.
-func (s *State) recordLimit(g *signals, ev EndpointSignalled) {
-	change := LimitRecorded{EndpointID: ev.EndpointID, StartedAtMillis: ev.StartedAtMillis, RequestID: ev.RequestID}
-	limit := g.limit
+func (s *State) recordLimit(e *endpoint, g *signals, ev EndpointSignalled) {
 	switch {
-	case ev.Limit.Stated && limit == nil:
-		g.limit = &rateLimit{perSecond: ev.Limit.RequestsPerSecond, since: s.now, namedAt: s.now}
 	case ev.Limit.Stated:
-		limit.namedAt = s.now
-		if limit.perSecond == ev.Limit.RequestsPerSecond {
-			return
-		}
-		limit.perSecond = ev.Limit.RequestsPerSecond
-	case ev.Limit.Unreadable || limit == nil || ev.DispatchedAt <= limit.namedAt:
+		s.nameLimit(e, g, ev.Limit.RequestsPerSecond, s.now, ev.RequestID)
+	case !ev.Limit.Unreadable:
+		s.endLimit(e, g, ev.DispatchedAt, ev.RequestID)
+	}
+}
+
+// nameLimit records a limit that an endpoint named at a time. The bucket is empty at first: the endpoint is in need, and what the
+// instances send before they know of the limit reaches it as well.
+func (s *State) nameLimit(e *endpoint, g *signals, perSecond float64, at time.Duration, requestID string) {
+	limit := g.limit
+	switch {
+	case limit == nil && g.limitEndedAt > 0 && at <= g.limitEndedAt:
+		return
+	case limit == nil:
+		limit = &rateLimit{perSecond: perSecond, since: s.now, namedAt: at, refilledAt: s.now, peerSent: map[string]uint64{}}
+		g.limit = limit
+	case at < limit.namedAt:
 		return
 	default:
-		change.Ended, g.limit = true, nil
+		limit.namedAt = at
+		if limit.perSecond == perSecond {
+			return
+		}
+		s.refillLimit(e)
+		limit.perSecond = perSecond
+		limit.balance = min(limit.balance, limit.capacity())
 	}
-	if limit == nil {
-		limit = g.limit
+	s.emitLimit(e, limit, LimitRecorded{RequestID: requestID})
+}
+
+// endLimit ends a limit if an endpoint named none in the response to a request that was sent at a time.
+func (s *State) endLimit(e *endpoint, g *signals, at time.Duration, requestID string) {
+	limit := g.limit
+	if limit == nil || at <= limit.namedAt {
+		return
 	}
-	change.RequestsPerSecond, change.Sent, change.Duration = limit.perSecond, limit.sent, s.now-limit.since
+	s.emitLimit(e, limit, LimitRecorded{RequestID: requestID, Ended: true})
+	g.limit, g.limitEndedAt, g.rampFrom = nil, at, s.now
+}
+
+// emitLimit reports a change of a limit.
+func (s *State) emitLimit(e *endpoint, limit *rateLimit, change LimitRecorded) {
+	share := s.limitShareOf(e)
+	change.EndpointID, change.StartedAtMillis = e.record.ID, e.record.StartedAtMillis
+	change.RequestsPerSecond, change.Sent, change.Held = limit.perSecond, limit.sent, limit.held
+	change.Duration, change.Age = s.now-limit.since, s.now-limit.namedAt
+	change.Members, change.Reporting = share.members, share.reporting
 	s.emit(change)
 }
+
+// capacity returns the number of tokens that the bucket holds.
+func (l *rateLimit) capacity() float64 { return burstTokens + l.rate()*burstTime.Seconds() }
+
+// rate returns the rate of all instances together in requests per second.
+func (l *rateLimit) rate() float64 { return max(l.perSecond, minLimitRate) }
+
+// placeTokens returns the number of tokens that a member at a place must leave to those before it.
+func (l *rateLimit) placeTokens(place int) float64 {
+	return float64(place) * max(minPlaceTokens, l.rate()*limitReportDelay.Seconds())
+}
+
+// maxBurst returns the number of requests that one instance may send before the others know of them.
+func (l *rateLimit) maxBurst() float64 {
+	return max(1, float64(int(l.rate()*limitReportDelay.Seconds())))
+}
+
+// refillLimit adds the tokens since the last refill. Members that can't be reached use their own parts, and so does this
+// instance if it reaches no other.
+func (s *State) refillLimit(e *endpoint) limitShare {
+	limit, share := e.signals.limit, s.limitShareOf(e)
+	part := float64(share.reporting) / float64(share.members)
+	limit.balance = min(limit.balance+limit.rate()*part*(s.now-limit.refilledAt).Seconds(), limit.capacity())
+	limit.refilledAt = s.now
+	return share
+}
+
+// limitShareOf returns this instance's place among the members of its group at an endpoint. The places change with time, by the
+// wall clock, and differ between endpoints.
+func (s *State) limitShareOf(e *endpoint) limitShare {
+	share := limitShare{members: 1, reporting: 1 + len(s.members)}
+	own := wigeonshift.RendezvousScore(e.record.ID, s.settings.Instance)
+	for _, id := range s.groupIDs {
+		share.members++
+		if wigeonshift.RendezvousScore(e.record.ID, id) > own {
+			share.place++
+		}
+	}
+	share.members = max(share.members, share.reporting)
+	turn := s.wallClock().UnixMilli() / limitTurn.Milliseconds()
+	share.place = (share.place + int(turn%int64(share.members))) % share.members
+	return share
+}
+
+// limitTokens returns the number of requests that this instance may send to an endpoint with a limit now.
+func (s *State) limitTokens(e *endpoint) int {
+	limit := e.signals.limit
+	share := s.refillLimit(e)
+	if !s.sharesLimit(e) {
+		return 0
+	}
+	if s.now-limit.burstAt >= limitReportDelay {
+		limit.burst, limit.burstAt = 0, s.now
+	}
+	return int(max(0, min(limit.balance-limit.placeTokens(share.place), limit.maxBurst()-limit.burst)))
+}
+
+// sharesLimit reports whether this instance's group sends to an endpoint with a limit. Groups learn of each other's requests too
+// late to share a limit.
+func (s *State) sharesLimit(e *endpoint) bool {
+	own := s.groups.groupByInstance[s.settings.Instance]
+	if own == "" {
+		return true
+	}
+	if e.pool.divided {
+		return !e.otherGroup
+	}
+	turn := s.wallClock().UnixMilli() / limitGroupTurn.Milliseconds()
+	return s.groups.turnGroup(e.record.ID, turn) == own
+}
+
+// groupTokens returns the number of requests that all members of the group together may send to an endpoint with a limit now.
+func (s *State) groupTokens(e *endpoint) int {
+	s.refillLimit(e)
+	if !s.sharesLimit(e) {
+		return 0
+	}
+	return int(max(e.signals.limit.balance, 0))
+}
+
+// groupRate returns the number of requests per second that the members of the group may send to an endpoint with a limit.
+func (s *State) groupRate(e *endpoint) float64 {
+	if !s.sharesLimit(e) {
+		return 0
+	}
+	return e.signals.limit.rate()
+}
+
+// allowsRequest reports whether the limit of an endpoint allows a request of this instance now.
+func (s *State) allowsRequest(e *endpoint, j *Job) bool {
+	if !e.isLimited() || s.limitTokens(e) > 0 {
+		return true
+	}
+	e.signals.limit.held++
+	j.limitHolds++
+	return false
+}
+
+// countLimited counts a request that is sent to an endpoint with a limit.
+func (s *State) countLimited(e *endpoint) {
+	limit := e.signals.limit
+	limit.sent++
+	limit.balance--
+	limit.burst++
+}
+
+// handlePeerLimits records what another instance knows of limits, and what it has sent if it is a member of the group.
+func (s *State) handlePeerLimits(name string, p *peer, reports []wigeonshift.EndpointLimitUse) {
+	for _, r := range reports {
+		e := s.endpoints[r.Endpoint]
+		if e == nil || e.record.StartedAtMillis != r.StartedAtMillis {
+			continue
+		}
+		g, at := s.signalsOf(e), s.now-r.Age
+		if r.Ended {
+			s.endLimit(e, g, at, "")
+			continue
+		}
+		s.nameLimit(e, g, r.RequestsPerSecond, at, "")
+		if g.limit != nil && p.inGroup {
+			s.countPeerLimited(e, name, r.Sent)
+		}
+	}
+}
+
+// countPeerLimited subtracts what a member of the group has sent since its last report. The first report is only compared with later
+// ones. A member that sent less than before has started again.
+func (s *State) countPeerLimited(e *endpoint, name string, sent uint64) {
+	s.refillLimit(e)
+	limit := e.signals.limit
+	before, known := limit.peerSent[name]
+	limit.peerSent[name] = sent
+	if !known {
+		return
+	}
+	if sent < before {
+		before = 0
+	}
+	limit.balance -= float64(sent - before)
+	limit.balance = max(limit.balance, -limit.capacity()-float64(len(s.members)))
+}
+
+// forgetPeerLimits forgets what a member of the group has sent, because it can no longer be reached.
+func (s *State) forgetPeerLimits(name string) {
+	for _, g := range s.signals {
+		if g.limit != nil {
+			delete(g.limit.peerSent, name)
+		}
+	}
+}
+
+// limitReports returns what this instance reports of limits: the latest ones if there are too many.
+func (s *State) limitReports() []wigeonshift.EndpointLimitUse {
+	var out []wigeonshift.EndpointLimitUse
+	for i, g := range s.signals {
+		report := wigeonshift.EndpointLimitUse{Endpoint: i.endpointID, StartedAtMillis: i.startedAtMillis}
+		switch {
+		case g.limit != nil:
+			report.RequestsPerSecond, report.Sent, report.Age = g.limit.perSecond, g.limit.sent, s.now-g.limit.namedAt
+		case g.limitEndedAt > 0 && s.now-g.limitEndedAt < endedLimitMemory:
+			report.Ended, report.Age = true, s.now-g.limitEndedAt
+		default:
+			continue
+		}
+		out = append(out, report)
+	}
+	slices.SortFunc(out, func(a, b wigeonshift.EndpointLimitUse) int {
+		if a.Age != b.Age {
+			return int(a.Age - b.Age)
+		}
+		return strings.Compare(a.Endpoint, b.Endpoint)
+	})
+	return out[:min(len(out), maxLimitReports)]
+}
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -45,6 +45,7 @@
 		fresh[l.Endpoint] = load{running: l.Running, prefill: l.PrefillTokens, reservedTokens: l.ReservedTokens}
 	}
 	s.replacePeerLoads(p, fresh)
+	s.handlePeerLimits(name, p, notice.Limits)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -140,6 +141,7 @@
 	for _, q := range s.quotas {
 		q.removePeerUse(name)
 	}
+	s.forgetPeerLimits(name)
 	s.updateQuotaShares()
 }
 
@@ -206,6 +208,7 @@
 			out.Services = append(out.Services, wigeonshift.ServiceWait{Service: name, QueuedByLevel: counts.trimmed()})
 		}
 	}
+	out.Limits = s.limitReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -80,16 +80,20 @@
 	if e.ownLoad.running >= e.rampLimit(s.now) {
 		return false
 	}
+	if e.isLimited() {
+		queueLimit = 0
+	}
 	if e.running() >= e.slots()+queueLimit {
 		return false
 	}
 	if e.running() >= e.slots() && e.queueWait() > maxEndpointQueueWait {
 		return false
 	}
-	if p := e.pool.profile; p != nil && p.CacheTokens > 0 && e.running() > 0 {
-		return e.ownLoad.reservedTokens+e.peerLoad.reservedTokens+j.tokenFootprint() <= p.CacheTokens
+	p, reserved := e.pool.profile, e.ownLoad.reservedTokens+e.peerLoad.reservedTokens
+	if p != nil && p.CacheTokens > 0 && e.running() > 0 && reserved+j.tokenFootprint() > p.CacheTokens {
+		return false
 	}
-	return true
+	return s.allowsRequest(e, j)
 }
 
 // placementRound is the state of one pass over the queued requests of a service.
@@ -116,7 +120,7 @@
 // the requests of the highest priority. peers counts the requests that are queued at the other instances of the group.
 func (s *State) contentionFor(p *pool, j *Job, peers waitingCounts) contention {
 	c := contention{level: p.priorityLevel(j, s.now)}
-	free := p.freeSlots(s.now)
+	free := s.freeSlots(p)
 	c.yield = peers.countBefore(c.level) > 0 && peers.countBefore(c.level) >= free
 	c.contested = peers.countUpTo(c.level) > 0 && peers.countUpTo(c.level) >= free
 	return c
@@ -160,7 +164,7 @@
 		if canMeetDeadline && est.total > j.Deadline-s.now {
 			continue
 		}
-		if c.contested && e != round.freedEndpoint && !s.hasPrecedence(e, c.level) {
+		if c.contested && e != round.freedEndpoint && !e.isLimited() && !s.hasPrecedence(e, c.level) {
 			continue
 		}
 		if withSuspects[e] {
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -17,6 +17,8 @@
 	endpoints []*endpoint
 	// ownEndpoints are those of endpoints that aren't assigned to another group, in the same order.
 	ownEndpoints []*endpoint
+	// divided is set if the endpoints are divided among the groups of instances.
+	divided bool
 	// generation counts the changes of endpoints, from 1.
 	generation uint64
 	queue      queue
@@ -95,29 +97,51 @@
 }
 
 // freeSlots returns the number of free slots on the available endpoints of this instance's group. Endpoints of other
-// groups don't count, because they are used only if no endpoint of the own group can accept a request.
-func (p *pool) freeSlots(at time.Duration) int {
+// groups don't count, because they are used only if no endpoint of the own group can accept a request. An endpoint with a limit
+// counts with what the limit allows the group.
+func (s *State) freeSlots(p *pool) int {
 	n := 0
 	for _, e := range p.ownEndpoints {
-		if e.available(at) {
-			n += max(e.slots()-e.running(), 0)
+		if !e.available(s.now) {
+			continue
 		}
+		free := max(e.slots()-e.running(), 0)
+		if e.isLimited() {
+			free = min(free, s.groupTokens(e))
+		}
+		n += free
 	}
 	return n
 }
 
 // throughput returns the number of requests per second that the available endpoints of this instance's group can
 // finish. It converts the number of queued requests into an expected wait.
-func (p *pool) throughput(at time.Duration) float64 {
-	slots := 0
-	for _, e := range p.ownEndpoints {
-		if e.available(at) {
-			slots += e.slots()
-		}
-	}
+func (s *State) throughput(p *pool) float64 {
 	mean := p.meanSlotTime
 	if mean <= 0 {
 		mean = defaultTimings.plain
 	}
-	return float64(slots) / mean.Seconds()
+	sum := 0.0
+	for _, e := range p.ownEndpoints {
+		if !e.available(s.now) {
+			continue
+		}
+		rate := float64(e.slots()) / mean.Seconds()
+		if e.isLimited() {
+			rate = min(rate, s.groupRate(e))
+		}
+		sum += rate
+	}
+	return sum
+}
+
+// limited returns the number of endpoints that name limits.
+func (p *pool) limited() int {
+	n := 0
+	for _, e := range p.endpoints {
+		if e.isLimited() {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -35,6 +35,8 @@
 	signals map[incarnation]*signals
 	// instanceIDs are the IDs of all instances.
 	instanceIDs []string
+	// groupIDs are the IDs of the other instances of this one's group, also of those that can't be reached.
+	groupIDs []string
 	// share is the part of what all instances share that this instance may use until shareUntil.
 	share      float64
 	shareUntil time.Duration
--- a/internal/services/wigeondispatch/signal.go
+++ b/internal/services/wigeondispatch/signal.go
@@ -20,8 +20,12 @@
 	// backoffUntil is the end of the time for which the endpoint wants no requests from this instance; zero if it never
 	// asked for any.
 	backoffUntil time.Duration
-	// limit is the rate of requests that the endpoint takes from all instances; nil if it names none.
-	limit *rateLimit
+	// limit is the rate of requests that the endpoint takes from all instances; nil if it names none. limitEndedAt is the time
+	// of the evidence that the latest limit has ended; zero if none has.
+	limit        *rateLimit
+	limitEndedAt time.Duration
+	// rampFrom is the time at which the latest limit ended for this instance.
+	rampFrom time.Duration
 	// listedAt is the latest time at which the endpoint was listed or sent a signal.
 	listedAt time.Duration
 }
@@ -34,7 +38,7 @@
 		return
 	}
 	g := s.signalsOf(e)
-	s.recordLimit(g, ev)
+	s.recordLimit(e, g, ev)
 	change := SignalRecorded{EndpointID: ev.EndpointID, StartedAtMillis: ev.StartedAtMillis, RequestID: ev.RequestID}
 	if ev.Leaving && !g.leaving {
 		g.leaving, change.Leaving = true, true
@@ -85,13 +89,17 @@
 	return max(e.signals.backoffUntil-at, 0)
 }
 
-// rampLimit returns the number of requests of this instance that an endpoint may run. After a backoff it grows step by step,
-// so that the requests that have been waiting don't arrive all at once.
+// rampLimit returns the number of requests of this instance that an endpoint may run. After a backoff and after a limit it
+// grows step by step, so that the requests that have been waiting don't arrive all at once.
 func (e *endpoint) rampLimit(at time.Duration) int {
-	if e.signals == nil || e.signals.backoffUntil == 0 || at-e.signals.backoffUntil >= backoffRamp {
+	if e.signals == nil {
+		return e.slots() + maxFailoverEndpointQueue
+	}
+	from := max(e.signals.backoffUntil, e.signals.rampFrom)
+	if from == 0 || at-from >= backoffRamp {
 		return e.slots() + maxFailoverEndpointQueue
 	}
-	return 1 + int(float64(e.slots())*float64(at-e.signals.backoffUntil)/float64(backoffRamp))
+	return 1 + int(float64(e.slots())*float64(at-from)/float64(backoffRamp))
 }
 
 // backoffWait returns the time until the first endpoint of a service wants requests again. It is zero if some endpoint does
@@ -121,8 +129,12 @@
 	return min(wait, j.Deadline-s.now), wait > 0 && wait > mayWait
 }
 
-// MaySend reports whether an endpoint still wants the requests that were dispatched to it.
-func (s *State) MaySend(endpointID string, at time.Duration) bool {
-	e := s.endpoints[endpointID]
-	return e == nil || e.signals == nil || !e.signals.leaving && e.backoffLeft(at) == 0
+// MaySend reports whether an endpoint still wants a request that was dispatched to it. One that was dispatched before its limit
+// was known isn't counted in the limit.
+func (s *State) MaySend(d Dispatch, at time.Duration) bool {
+	e := s.endpoints[d.EndpointID]
+	if e == nil || e.signals == nil {
+		return true
+	}
+	return !e.signals.leaving && e.backoffLeft(at) == 0 && (d.IsLimited || !e.isLimited())
 }
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -74,7 +74,7 @@
 		if d.MaxSendDelay > 0 && age > d.MaxSendDelay {
 			return errSendDelayed
 		}
-		if age > sendRecheckAge && !c.service.dispatcher.maySend(d.EndpointID) {
+		if age > sendRecheckAge && !c.service.dispatcher.maySend(d) {
 			return errEndpointUnwilling
 		}
 		return nil
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -140,11 +140,11 @@
 	return d.state.InService(endpointID)
 }
 
-// maySend reports whether an endpoint still wants the requests that were dispatched to it.
-func (d *Dispatcher) maySend(endpointID string) bool {
+// maySend reports whether an endpoint still wants a request that was dispatched to it.
+func (d *Dispatcher) maySend(x wigeondispatch.Dispatch) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.MaySend(endpointID, d.Now())
+	return d.state.MaySend(x, d.Now())
 }
 
 // InFlight returns the number of requests that are queued or running.
@@ -186,7 +186,7 @@
 // events and dispatches that may change the load (see loadChanges). The caller must hold mu.
 func (d *Dispatcher) apply(e wigeondispatch.Event) {
 	switch e.(type) {
-	case wigeondispatch.RequestArrived, wigeondispatch.FirstEventReceived, wigeondispatch.AttemptEnded:
+	case wigeondispatch.RequestArrived, wigeondispatch.FirstEventReceived, wigeondispatch.AttemptEnded, wigeondispatch.EndpointSignalled:
 		d.loadChanges++
 	}
 	for _, effect := range d.state.Reduce(e) {
--- a/internal/services/wigeonrelay/limit.go
+++ b/internal/services/wigeonrelay/limit.go
@@ -6,19 +6,24 @@
 	"github.com/sirupsen/logrus"
 )
 
-// limitFields returns the log fields of the limit of the endpoint that a request is sent to; none if it names no limit.
+// limitFields returns the log fields of the limit of the endpoint that a request is sent to, and of limits that held it back.
 func limitFields(d wigeondispatch.Dispatch) logrus.Fields {
-	if !d.IsLimited {
-		return nil
+	fields := logrus.Fields{}
+	if d.IsLimited {
+		fields["limit"] = d.RequestsPerSecond
 	}
-	return logrus.Fields{"limit": d.RequestsPerSecond}
+	if d.LimitHolds > 0 {
+		fields["limitHolds"] = d.LimitHolds
+	}
+	return fields
 }
 
 // logLimit logs and counts that an endpoint has named a limit, has changed it or no longer names one.
 func (d *Dispatcher) logLimit(x wigeondispatch.LimitRecorded) {
 	entry := d.log.WithFields(logrus.Fields{
 		"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "request": x.RequestID, "limit": x.RequestsPerSecond,
-		"sent": x.Sent, "limitedMs": x.Duration.Milliseconds(),
+		"sent": x.Sent, "limitedMs": x.Duration.Milliseconds(), "held": x.Held, "members": x.Members, "reporting": x.Reporting,
+		"ageMs": x.Age.Milliseconds(),
 	})
 	if x.Ended {
 		d.scope.Counter("endpointLimitsEnded").Inc(1)
--- a/peer.go
+++ b/peer.go
@@ -1,6 +1,9 @@
 package wigeonshift
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // PeerMessage is a message between instances. The wire codec must support every implementation.
 type PeerMessage interface {
@@ -130,6 +133,19 @@
 		// QueuedByLevel counts the requests by priority level; level 0 is served first.
 		QueuedByLevel []int
 	}
+	// EndpointLimitUse reports the limit of an endpoint, as the sender knows it, and how much of it the sender has used.
+	EndpointLimitUse struct {
+		Endpoint string
+		// StartedAtMillis tells the incarnations of the endpoint apart.
+		StartedAtMillis int64
+		// RequestsPerSecond is the latest limit. Ended is set if the endpoint no longer names one.
+		RequestsPerSecond float64
+		Ended             bool
+		// Age is the time since the latest evidence of it.
+		Age time.Duration
+		// Sent is the number of requests that the sender has sent to the endpoint since it knows of a limit.
+		Sent uint64
+	}
 	// LoadNotice reports the load that the sender puts on endpoints, its quota use and its queues.
 	LoadNotice struct {
 		// ConfigurationVersion is the sender's active version; 0 if it has none.
@@ -143,6 +159,8 @@
 		Services []ServiceWait
 		// Leaving lists the endpoints that the sender knows to be leaving or removed.
 		Leaving []string
+		// Limits lists endpoints that name limits, or did so until a short while ago.
+		Limits []EndpointLimitUse
 		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
 		QuarantineRevision uint64
 		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
