--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -45,7 +45,7 @@
 	for _, l := range m.Limits {
 		out.Limits = append(out.Limits, &EndpointLimitUse{
 			Endpoint: l.Endpoint, StartedAtMs: l.StartedAtMillis, RequestsPerSecond: l.RequestsPerSecond, Ended: l.Ended,
-			AgeMs: encodeCount(int(l.Age.Milliseconds())), Sent: l.Sent,
+			Generation: l.Generation, Sent: l.Sent,
 		})
 	}
 	return out
@@ -98,7 +98,7 @@
 	for _, l := range m.GetLimits() {
 		out.Limits = append(out.Limits, wigeonshift.EndpointLimitUse{
 			Endpoint: l.GetEndpoint(), StartedAtMillis: l.GetStartedAtMs(), RequestsPerSecond: l.GetRequestsPerSecond(), Ended: l.GetEnded(),
-			Age: time.Duration(l.GetAgeMs()) * time.Millisecond, Sent: l.GetSent(),
+			Generation: l.GetGeneration(), Sent: l.GetSent(),
 		})
 	}
 	return out
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -78,7 +78,7 @@
 			Leaving:            []string{"f"},
 			QuarantineRevision: 6,
 			Limits: []wigeonshift.EndpointLimitUse{
-				{Endpoint: "e", StartedAtMillis: 7, RequestsPerSecond: 4.1, Age: 20 * time.Millisecond, Sent: 9}, {Endpoint: "f", Ended: true},
+				{Endpoint: "e", StartedAtMillis: 7, RequestsPerSecond: 4.1, Generation: 3, Sent: 9}, {Endpoint: "f", Ended: true},
 			},
 			CrashEvidence: wigeonshift.CrashEvidence{
 				Crashes: []wigeonshift.Crash{{
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -96,6 +96,12 @@
 	return &endpoint{record: record, pool: p, timings: p.typicalTimings(), hash: xxhash.Sum64String(record.ID)}
 }
 
+// resetTimings replaces what was measured on the endpoint by the mean of its pool.
+func (e *endpoint) resetTimings() {
+	e.timings, e.hasDecodeSample = e.pool.typicalTimings(), false
+	e.pool.cachedTimingsValid = false
+}
+
 // running returns the number of requests that all instances together run on the endpoint.
 func (e *endpoint) running() int { return e.ownLoad.running + e.peerLoad.running }
 
--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -35,8 +35,8 @@
 type rateLimit struct {
 	// perSecond is the rate in requests per second, zero or more.
 	perSecond float64
-	// since is the time at which this instance learned of the limit, namedAt that of the latest answer which named one, also
-	// at other instances.
+	// since is the time at which this instance learned of the limit, namedAt that of the latest answer to it which named the limit,
+	// or of the latest change.
 	since, namedAt time.Duration
 	// sent is the number of requests that this instance has sent to the endpoint since then.
 	sent uint64
@@ -65,49 +65,45 @@
 // isLimited reports whether the endpoint names a limit.
 func (e *endpoint) isLimited() bool { return e.signals != nil && e.signals.limit != nil }
 
-// recordLimit records what an endpoint says of its limit in a response. A response without a limit ends the limit only if its
-// request was sent after the endpoint had last named one: the response to an earlier request may be late.
+// recordLimit records what an endpoint says of its limit in a response. A response without a limit, or with a higher one, counts only
+// if its request was sent after the latest change was known: the response to an earlier request may be late.
 func (s *State) recordLimit(e *endpoint, g *signals, ev EndpointSignalled) {
-	switch {
-	case ev.Limit.Stated:
-		s.nameLimit(e, g, ev.Limit.RequestsPerSecond, s.now, ev.RequestID)
-	case !ev.Limit.Unreadable:
-		s.endLimit(e, g, ev.DispatchedAt, ev.RequestID)
+	limit, perSecond := g.limit, ev.Limit.RequestsPerSecond
+	if ev.Limit.Unreadable || limit == nil && !ev.Limit.Stated {
+		return
 	}
-}
-
-// nameLimit records a limit that an endpoint named at a time. The bucket is empty at first: the endpoint is in need, and what the
-// instances send before they know of the limit reaches it as well.
-func (s *State) nameLimit(e *endpoint, g *signals, perSecond float64, at time.Duration, requestID string) {
-	limit := g.limit
+	isLater := limit == nil || ev.DispatchedAt > limit.namedAt
 	switch {
-	case limit == nil && g.limitEndedAt > 0 && at <= g.limitEndedAt:
-		return
-	case limit == nil:
-		limit = &rateLimit{perSecond: perSecond, since: s.now, namedAt: at, refilledAt: s.now, peerSent: map[string]uint64{}}
-		g.limit = limit
-	case at < limit.namedAt:
-		return
-	default:
-		limit.namedAt = at
-		if limit.perSecond == perSecond {
-			return
+	case !ev.Limit.Stated:
+		if isLater {
+			s.endLimit(e, g, g.limitGeneration+1, ev.RequestID)
 		}
-		s.refillLimit(e)
-		limit.perSecond = perSecond
-		limit.balance = min(limit.balance, limit.capacity())
+	case limit == nil || perSecond < limit.perSecond || perSecond > limit.perSecond && isLater:
+		s.setLimit(e, g, perSecond, g.limitGeneration+1, ev.RequestID)
+	default:
+		limit.namedAt = s.now
 	}
-	s.emitLimit(e, limit, LimitRecorded{RequestID: requestID})
 }
 
-// endLimit ends a limit if an endpoint named none in the response to a request that was sent at a time.
-func (s *State) endLimit(e *endpoint, g *signals, at time.Duration, requestID string) {
-	limit := g.limit
-	if limit == nil || at <= limit.namedAt {
-		return
+// setLimit sets a new or changed limit. The bucket of a new one is empty at first: the endpoint is in need, and what the instances
+// send before they know of the limit reaches it as well.
+func (s *State) setLimit(e *endpoint, g *signals, perSecond float64, generation uint64, requestID string) {
+	if g.limit == nil {
+		g.limit = &rateLimit{since: s.now, refilledAt: s.now, peerSent: map[string]uint64{}}
 	}
-	s.emitLimit(e, limit, LimitRecorded{RequestID: requestID, Ended: true})
-	g.limit, g.limitEndedAt, g.rampFrom = nil, at, s.now
+	s.refillLimit(e)
+	g.limitGeneration = generation
+	g.limit.perSecond, g.limit.namedAt = perSecond, s.now
+	g.limit.balance = min(g.limit.balance, g.limit.capacity())
+	s.emitLimit(e, g.limit, LimitRecorded{RequestID: requestID})
+}
+
+// endLimit ends a limit. What was measured while the endpoint was in need says nothing of its speed now, and with few samples it
+// could keep a wrong one for long.
+func (s *State) endLimit(e *endpoint, g *signals, generation uint64, requestID string) {
+	s.emitLimit(e, g.limit, LimitRecorded{RequestID: requestID, Ended: true})
+	e.resetTimings()
+	g.limit, g.limitGeneration, g.limitEndedAt = nil, generation, s.now
 }
 
 // emitLimit reports a change of a limit.
@@ -232,18 +228,31 @@
 		if e == nil || e.record.StartedAtMillis != r.StartedAtMillis {
 			continue
 		}
-		g, at := s.signalsOf(e), s.now-r.Age
-		if r.Ended {
-			s.endLimit(e, g, at, "")
-			continue
-		}
-		s.nameLimit(e, g, r.RequestsPerSecond, at, "")
+		g := s.signalsOf(e)
+		s.adoptLimit(e, g, r)
 		if g.limit != nil && p.inGroup {
 			s.countPeerLimited(e, name, r.Sent)
 		}
 	}
 }
 
+// adoptLimit takes over what another instance knows of a limit if it knows of a later change. Of two changes that were noticed at the
+// same time, the lower limit holds.
+func (s *State) adoptLimit(e *endpoint, g *signals, r wigeonshift.EndpointLimitUse) {
+	if r.Generation < g.limitGeneration {
+		return
+	}
+	isLater := r.Generation > g.limitGeneration
+	switch {
+	case r.Ended && isLater && g.limit != nil:
+		s.endLimit(e, g, r.Generation, "")
+	case r.Ended:
+		g.limitGeneration = r.Generation
+	case isLater || g.limit == nil || r.RequestsPerSecond < g.limit.perSecond:
+		s.setLimit(e, g, r.RequestsPerSecond, r.Generation, "")
+	}
+}
+
 // countPeerLimited subtracts what a member of the group has sent since its last report. The first report is only compared with later
 // ones. A member that sent less than before has started again.
 func (s *State) countPeerLimited(e *endpoint, name string, sent uint64) {
@@ -270,26 +279,20 @@
 	}
 }
 
-// limitReports returns what this instance reports of limits: the latest ones if there are too many.
+// limitReports returns what this instance reports of limits, at most maxLimitReports of them.
 func (s *State) limitReports() []wigeonshift.EndpointLimitUse {
 	var out []wigeonshift.EndpointLimitUse
 	for i, g := range s.signals {
-		report := wigeonshift.EndpointLimitUse{Endpoint: i.endpointID, StartedAtMillis: i.startedAtMillis}
-		switch {
-		case g.limit != nil:
-			report.RequestsPerSecond, report.Sent, report.Age = g.limit.perSecond, g.limit.sent, s.now-g.limit.namedAt
-		case g.limitEndedAt > 0 && s.now-g.limitEndedAt < endedLimitMemory:
-			report.Ended, report.Age = true, s.now-g.limitEndedAt
-		default:
-			continue
+		report := wigeonshift.EndpointLimitUse{
+			Endpoint: i.endpointID, StartedAtMillis: i.startedAtMillis, Generation: g.limitGeneration, Ended: g.limit == nil,
 		}
-		out = append(out, report)
-	}
-	slices.SortFunc(out, func(a, b wigeonshift.EndpointLimitUse) int {
-		if a.Age != b.Age {
-			return int(a.Age - b.Age)
+		if g.limit != nil {
+			report.RequestsPerSecond, report.Sent = g.limit.perSecond, g.limit.sent
+		}
+		if g.limit != nil || g.limitGeneration > 0 && s.now-g.limitEndedAt < endedLimitMemory {
+			out = append(out, report)
 		}
-		return strings.Compare(a.Endpoint, b.Endpoint)
-	})
+	}
+	slices.SortFunc(out, func(a, b wigeonshift.EndpointLimitUse) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return out[:min(len(out), maxLimitReports)]
 }
--- a/internal/services/wigeondispatch/limit_test.go
+++ b/internal/services/wigeondispatch/limit_test.go
@@ -50,3 +50,88 @@
 		Expect(h.state.endpoints["a"].isLimited()).To(BeFalse())
 	})
 })
+
+var _ = Describe("What other instances report of limits", func() {
+	var h *reducerHarness
+	report := func(x wigeonshift.EndpointLimitUse) {
+		x.Endpoint, x.StartedAtMillis = "a", h.state.endpoints["a"].record.StartedAtMillis
+		h.state.Reduce(PeerReported{At: h.at, Peer: "peer", Load: wigeonshift.LoadNotice{Limits: []wigeonshift.EndpointLimitUse{x}}})
+	}
+	sendsWithin := func(d time.Duration) int {
+		n := 0
+		for end := h.at + d; h.at < end; h.at += 20 * time.Millisecond {
+			for _, x := range effectsOf[Dispatch](h.arrive(h.newJob())) {
+				n++
+				h.state.Reduce(AttemptEnded{At: h.at, Job: x.Job, Outcome: OutcomeDone, Succeeded: true})
+			}
+		}
+		return n
+	}
+	BeforeEach(func() { h = newHarness(crashRecords("a")...) })
+
+	It("limits an instance that was never told", func() {
+		report(wigeonshift.EndpointLimitUse{RequestsPerSecond: 2, Generation: 1})
+		Expect(sendsWithin(10 * time.Second)).To(BeNumerically("~", 20, 2))
+	})
+
+	It("leaves this instance what the others don't use", func() {
+		for sent := uint64(0); sent < 20; sent++ {
+			report(wigeonshift.EndpointLimitUse{RequestsPerSecond: 4, Generation: 1, Sent: sent})
+			Expect(sendsWithin(500 * time.Millisecond)).To(BeNumerically("<=", 2))
+		}
+		Expect(h.state.endpoints["a"].signals.limit.sent).To(BeNumerically("~", 20, 2))
+	})
+
+	It("ends a limit, but not a later one", func() {
+		h.answerLimit("a", limitOf(2), 0)
+		report(wigeonshift.EndpointLimitUse{Generation: 2, Ended: true})
+		Expect(h.state.endpoints["a"].isLimited()).To(BeFalse())
+		h.answerLimit("a", limitOf(2), 0)
+		report(wigeonshift.EndpointLimitUse{Generation: 2, Ended: true})
+		report(wigeonshift.EndpointLimitUse{RequestsPerSecond: 9, Generation: 1})
+		Expect(h.state.endpoints["a"].signals.limit.perSecond).To(Equal(2.0))
+	})
+
+	It("doesn't grow the part of an instance that can't reach the others", func() {
+		h.state.Reduce(InstancesListed{At: h.at, Complete: true, Instances: []wigeonshift.Instance{
+			{ID: h.state.settings.Instance}, {ID: "b"}, {ID: "c"}, {ID: "d"},
+		}})
+		h.answerLimit("a", limitOf(4), 0)
+		Expect(sendsWithin(20*time.Second)).To(BeNumerically("~", 20, 2), "a quarter of the rate")
+	})
+
+	It("is kept by the endpoint's next request alone if the limit is zero", func() {
+		h.answerLimit("a", limitOf(0), 0)
+		Expect(sendsWithin(20*time.Second)).To(BeNumerically("~", 4, 1), "or nobody would learn of the end")
+	})
+
+	It("reports its own use and the end", func() {
+		h.answerLimit("a", limitOf(4), 0)
+		sendsWithin(time.Second)
+		Expect(h.state.Load().Limits).To(ConsistOf(And(HaveField("RequestsPerSecond", 4.0), HaveField("Sent", Not(BeZero())))))
+		h.answerLimit("a", wigeonshift.EndpointLimit{}, 0)
+		Expect(h.state.Load().Limits).To(ConsistOf(HaveField("Ended", true)))
+		h.at += endedLimitMemory
+		h.state.Reduce(Tick{At: h.at})
+		Expect(h.state.Load().Limits).To(BeEmpty())
+	})
+})
+
+var _ = Describe("A request that waits for a limit", func() {
+	It("is refused with what held it back", func() {
+		h := newHarness(crashRecords("a")...)
+		h.answerLimit("a", limitOf(0), 0)
+		j := h.newJob()
+		h.arrive(j)
+		h.at = j.Deadline
+		refusals := effectsOf[Refuse](h.state.Reduce(Tick{At: h.at}))
+		Expect(refusals).To(ConsistOf(And(HaveField("Limited", 1), HaveField("LimitHolds", Not(BeZero())))))
+	})
+
+	It("isn't sent if its endpoint named a limit after it was dispatched", func() {
+		h := newHarness(crashRecords("a")...)
+		d := effectsOf[Dispatch](h.arrive(h.newJob()))[0]
+		h.answerLimit("a", limitOf(4), 0)
+		Expect(h.state.MaySend(d, h.at)).To(BeFalse())
+	})
+})
--- a/internal/services/wigeondispatch/signal.go
+++ b/internal/services/wigeondispatch/signal.go
@@ -21,11 +21,11 @@
 	// asked for any.
 	backoffUntil time.Duration
 	// limit is the rate of requests that the endpoint takes from all instances; nil if it names none. limitEndedAt is the time
-	// of the evidence that the latest limit has ended; zero if none has.
+	// at which this instance learned of the end of the latest limit.
 	limit        *rateLimit
 	limitEndedAt time.Duration
-	// rampFrom is the time at which the latest limit ended for this instance.
-	rampFrom time.Duration
+	// limitGeneration counts the changes of the limit, so that instances can tell which of two states is the later one.
+	limitGeneration uint64
 	// listedAt is the latest time at which the endpoint was listed or sent a signal.
 	listedAt time.Duration
 }
@@ -95,7 +95,7 @@
 	if e.signals == nil {
 		return e.slots() + maxFailoverEndpointQueue
 	}
-	from := max(e.signals.backoffUntil, e.signals.rampFrom)
+	from := max(e.signals.backoffUntil, e.signals.limitEndedAt)
 	if from == 0 || at-from >= backoffRamp {
 		return e.slots() + maxFailoverEndpointQueue
 	}
--- a/internal/services/wigeonrelay/limit.go
+++ b/internal/services/wigeonrelay/limit.go
@@ -27,6 +27,7 @@
 	})
 	if x.Ended {
 		d.scope.Counter("endpointLimitsEnded").Inc(1)
+		d.scope.Counter("limitHolds").Inc(int64(x.Held))
 		entry.Info("endpoint no longer names a limit")
 		return
 	}
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -182,6 +182,9 @@
 		"quotaRoundLeft": d.QuotaRoundLeft, "quotaRoundAgeMs": d.QuotaRoundAge.Milliseconds(),
 		"quotaWindowUsed": d.QuotaWindowUsed,
 	}
+	if d.Limited > 0 {
+		fields["limitedEndpoints"], fields["limitHolds"] = d.Limited, d.LimitHolds
+	}
 	if d.Reason == wigeondispatch.ReasonQuarantined {
 		fields["crashed"] = crashedEndpoints(d.Crashes)
 	}
--- a/peer.go
+++ b/peer.go
@@ -1,9 +1,6 @@
 package wigeonshift
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // PeerMessage is a message between instances. The wire codec must support every implementation.
 type PeerMessage interface {
@@ -138,11 +135,11 @@
 		Endpoint string
 		// StartedAtMillis tells the incarnations of the endpoint apart.
 		StartedAtMillis int64
+		// Generation counts the changes of the limit.
+		Generation uint64
 		// RequestsPerSecond is the latest limit. Ended is set if the endpoint no longer names one.
 		RequestsPerSecond float64
 		Ended             bool
-		// Age is the time since the latest evidence of it.
-		Age time.Duration
 		// Sent is the number of requests that the sender has sent to the endpoint since it knows of a limit.
 		Sent uint64
 	}
