A refusal that an endpoint writes once more is no answer to the next request

Cause: a response without an id was taken for the answer to the request on its connection, also on a kept one, and a head that breaks off inside an earlier refusal merges with the head of the answer after it: its status and Not-Executed, the id of the request. Class: an answer attributed by its position.

Fix: on a connection that has carried other requests, a response to a request with an id must have one; a head inside which another status line begins is malformed. Both end the connection with the outcome unknown.

--- a/internal/services/wigeonupstream/connection.go
+++ b/internal/services/wigeonupstream/connection.go
@@ -22,6 +22,8 @@
 	// sendCheckError is the error of sendCheck for the current request.
 	sendCheckError error
 	idleUntil      time.Time
+	// reused is set once the connection has carried a request.
+	reused bool
 }
 
 func newConnection(raw net.Conn, t Target) *connection {
@@ -51,6 +53,7 @@
 		idle = max(keepAliveTimeout-idleTimeoutMargin, keepAliveTimeout/2)
 	}
 	c.idleUntil = time.Now().Add(idle)
+	c.reused = true
 	c.mayHaveSent.Store(false)
 	c.sendCheck, c.sendCheckError = nil, nil
 }
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"regexp"
 
 	"wigeonshift"
 
@@ -30,8 +31,18 @@
 	maxSyncBodyBytes = 4 << 10
 )
 
-// errStrayResponse reports that the connection delivered only responses to other requests.
-var errStrayResponse = errors.New("response belongs to another request")
+// Reasons why a response can't be the one to the request.
+var (
+	// errStrayResponse reports that the connection delivered only responses to other requests.
+	errStrayResponse = errors.New("response belongs to another request")
+	// errUnidentifiedResponse reports a response without an id on a connection that has carried other requests.
+	errUnidentifiedResponse = errors.New("response doesn't say to which request it belongs")
+	// errMergedHeaders reports a header inside which another one begins.
+	errMergedHeaders = errors.New("header contains the beginning of another response")
+)
+
+// statusLineStart matches the beginning of a response.
+var statusLineStart = regexp.MustCompile(`HTTP/1\.[01] ?[0-9]*`)
 
 // Response is an endpoint's response with a streamed body. Close must be called exactly once.
 type Response struct {
@@ -140,17 +151,23 @@
 }
 
 // readHeader reads the header of the response to a request and discards late responses to earlier requests, which carry
-// another request id. It accepts a response without an id. After more than maxStrayResponses it gives up the
-// connection.
+// another request id. It accepts a response without an id only as the first one on its connection, because an endpoint may write
+// an earlier one once more. After more than maxStrayResponses it gives up the connection.
 func (r *Response) readHeader(requestID string, skipBody bool) error {
-	for range maxStrayResponses + 1 {
+	for i := range maxStrayResponses + 1 {
 		r.HTTP = fasthttp.AcquireResponse()
 		r.HTTP.StreamBody = true
 		r.HTTP.SkipBody = skipBody
 		if err := r.HTTP.ReadLimitBody(r.conn.reader, 0); err != nil {
 			return err
 		}
+		if isMerged(&r.HTTP.Header) {
+			return errMergedHeaders
+		}
 		r.Header = r.pool.dialect.ReadResponse(&r.HTTP.Header)
+		if r.Header.RequestID == "" && requestID != "" && (i > 0 || r.conn.reused) {
+			return errUnidentifiedResponse
+		}
 		if r.onHeader != nil {
 			r.onHeader(r.Header)
 		}
@@ -164,6 +181,19 @@
 	return errStrayResponse
 }
 
+// isMerged reports whether another response begins inside a header, because the endpoint broke off before.
+func isMerged(h *fasthttp.ResponseHeader) bool {
+	if statusLineStart.Match(h.StatusMessage()) {
+		return true
+	}
+	for name, value := range h.All() {
+		if statusLineStart.Match(name) || statusLineStart.Match(value) {
+			return true
+		}
+	}
+	return false
+}
+
 // discardStray reads a response to another request to its end, where the next response begins. It fails if the response
 // ends only with the connection or is too long.
 func (r *Response) discardStray() error {
