Give brittle endpoints only requests for which a slot is surely free

Cause: nothing read the word, and each relay took the free slots that it saw for its own, with one more request to wait. Class: as in LIMIT, each instance takes what an endpoint has for the whole fleet for its own.

Fix, with the same places among the members of a group as for limits: while the endpoints of a service are brittle, nothing is sent to wait at them. An instance sends to a slot that its own request has just left, or if fewer members come before it than slots are free, one request in 150 ms; half a second after a rejection none. An instance that can't reach all others leaves a slot to each of them.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -62,7 +62,9 @@
 			e.pool.meanSlotTime = elapsed
 		}
 		e.pool.meanSlotTime += (elapsed - e.pool.meanSlotTime) / slotTimeSamples
-	case OutcomeRejected, OutcomeMisplaced, OutcomeDelayed:
+	case OutcomeRejected:
+		s.recordRejection(e)
+	case OutcomeMisplaced, OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
 			s.recordLoss(e, j, lossUnverified, ev.Events)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -110,6 +110,7 @@
 	if j.attempts > 1 {
 		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
 	}
+	e.dispatchedAt, d.IsBrittle = s.now, e.pool.brittle != nil
 	if e.isLimited() {
 		s.countLimited(e)
 		d.IsLimited, d.RequestsPerSecond = true, e.signals.limit.perSecond
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -70,6 +70,9 @@
 		RequestsPerSecond float64
 		// LimitHolds is the number of decisions before in which a limit kept the request from an endpoint.
 		LimitHolds int
+		// IsBrittle is set if the endpoint is brittle. What the response says of that must then be reported, also if it says
+		// nothing.
+		IsBrittle bool
 	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
@@ -151,6 +154,17 @@
 		// Age is the time since the latest answer that named the limit.
 		Age time.Duration
 	}
+	// BrittleRecorded reports that the endpoints of a service have become brittle, or no longer are.
+	BrittleRecorded struct {
+		Service, EndpointID string
+		Ended               bool
+		// RejectionsPerSecond is the rate beyond which they fall over.
+		RejectionsPerSecond float64
+		// Rejected is the number of requests of this instance that they have rejected meanwhile, and Held the number of decisions in
+		// which an endpoint got no request because its room wasn't sure.
+		Rejected, Held int
+		Duration       time.Duration
+	}
 	// LossRecorded reports that an attempt counts as lost, because its endpoint may have crashed.
 	LossRecorded struct {
 		RequestID       string
@@ -195,16 +209,17 @@
 	}
 )
 
-func (Dispatch) effect()       {}
-func (Refuse) effect()         {}
-func (Failure) effect()        {}
-func (Abandon) effect()        {}
-func (Suspect) effect()        {}
-func (CheckEndpoint) effect()  {}
-func (SignalRecorded) effect() {}
-func (LimitRecorded) effect()  {}
-func (LossRecorded) effect()   {}
-func (ReportCrash) effect()    {}
-func (StartTrial) effect()     {}
-func (ReportAnswer) effect()   {}
-func (ClearCrashes) effect()   {}
+func (Dispatch) effect()        {}
+func (Refuse) effect()          {}
+func (Failure) effect()         {}
+func (Abandon) effect()         {}
+func (Suspect) effect()         {}
+func (CheckEndpoint) effect()   {}
+func (SignalRecorded) effect()  {}
+func (LimitRecorded) effect()   {}
+func (BrittleRecorded) effect() {}
+func (LossRecorded) effect()    {}
+func (ReportCrash) effect()     {}
+func (StartTrial) effect()      {}
+func (ReportAnswer) effect()    {}
+func (ClearCrashes) effect()    {}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -82,6 +82,9 @@
 	otherGroup bool
 	// signals are what the endpoint has said of itself; nil if nothing.
 	signals *signals
+	// dispatchedAt is the time of this instance's latest dispatch to the endpoint, rejectedAt that of the latest request of this
+	// instance which it rejected; zero if there was none.
+	dispatchedAt, rejectedAt time.Duration
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
 	// hash is a hash of the endpoint's ID.
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -104,6 +104,8 @@
 		// Unreadable for a response to another request, so that a late one doesn't end a limit.
 		Limit        wigeonshift.EndpointLimit
 		DispatchedAt time.Duration
+		// Brittle is that of wigeonshift.ResponseHeader, with the same exception as Limit.
+		Brittle wigeonshift.EndpointLimit
 	}
 	// EndpointChecked reports the result of a CheckEndpoint effect.
 	EndpointChecked struct {
--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -14,10 +14,6 @@
 const (
 	// minLimitRate is the rate, in requests per second, of endpoints that take less, so that the end of the limit is noticed.
 	minLimitRate = 0.2
-	// limitReportDelay is the time within which the members of a group know of a request that one of them has sent.
-	limitReportDelay = 150 * time.Millisecond
-	// limitTurn is the time after which the members of a group change places.
-	limitTurn = 150 * time.Millisecond
 	// limitGroupTurn is the time after which another group sends to a limited endpoint that isn't assigned to one.
 	limitGroupTurn = 8 * time.Second
 	// minPlaceTokens is the smallest difference between the numbers of tokens that members at consecutive places need to send.
@@ -46,22 +42,13 @@
 	// balance is the number of tokens that are left in the bucket. It is negative if several members have sent at once.
 	balance    float64
 	refilledAt time.Duration
-	// burst is the number of requests that this instance has sent since burstAt, at most limitReportDelay ago.
+	// burst is the number of requests that this instance has sent since burstAt, at most groupReportDelay ago.
 	burst   float64
 	burstAt time.Duration
 	// held is the number of decisions in which the endpoint got no request because of the limit.
 	held int
 }
 
-// limitShare is this instance's place among the members of its group that share a limit.
-type limitShare struct {
-	// place is zero for the member that comes first now. Each one sends only if a few tokens more are left than the one before
-	// needs.
-	place int
-	// members is the number of members, of which reporting can be reached, this one included.
-	members, reporting int
-}
-
 // isLimited reports whether the endpoint names a limit.
 func (e *endpoint) isLimited() bool { return e.signals != nil && e.signals.limit != nil }
 
@@ -108,7 +95,7 @@
 
 // emitLimit reports a change of a limit.
 func (s *State) emitLimit(e *endpoint, limit *rateLimit, change LimitRecorded) {
-	share := s.limitShareOf(e)
+	share := s.groupShareOf(e)
 	change.EndpointID, change.StartedAtMillis = e.record.ID, e.record.StartedAtMillis
 	change.RequestsPerSecond, change.Sent, change.Held = limit.perSecond, limit.sent, limit.held
 	change.Duration, change.Age = s.now-limit.since, s.now-limit.namedAt
@@ -124,41 +111,24 @@
 
 // placeTokens returns the number of tokens that a member at a place must leave to those before it.
 func (l *rateLimit) placeTokens(place int) float64 {
-	return float64(place) * max(minPlaceTokens, l.rate()*limitReportDelay.Seconds())
+	return float64(place) * max(minPlaceTokens, l.rate()*groupReportDelay.Seconds())
 }
 
 // maxBurst returns the number of requests that one instance may send before the others know of them.
 func (l *rateLimit) maxBurst() float64 {
-	return max(1, float64(int(l.rate()*limitReportDelay.Seconds())))
+	return max(1, float64(int(l.rate()*groupReportDelay.Seconds())))
 }
 
 // refillLimit adds the tokens since the last refill. Members that can't be reached use their own parts, and so does this
 // instance if it reaches no other.
-func (s *State) refillLimit(e *endpoint) limitShare {
-	limit, share := e.signals.limit, s.limitShareOf(e)
+func (s *State) refillLimit(e *endpoint) groupShare {
+	limit, share := e.signals.limit, s.groupShareOf(e)
 	part := float64(share.reporting) / float64(share.members)
 	limit.balance = min(limit.balance+limit.rate()*part*(s.now-limit.refilledAt).Seconds(), limit.capacity())
 	limit.refilledAt = s.now
 	return share
 }
 
-// limitShareOf returns this instance's place among the members of its group at an endpoint. The places change with time, by the
-// wall clock, and differ between endpoints.
-func (s *State) limitShareOf(e *endpoint) limitShare {
-	share := limitShare{members: 1, reporting: 1 + len(s.members)}
-	own := wigeonshift.RendezvousScore(e.record.ID, s.settings.Instance)
-	for _, id := range s.groupIDs {
-		share.members++
-		if wigeonshift.RendezvousScore(e.record.ID, id) > own {
-			share.place++
-		}
-	}
-	share.members = max(share.members, share.reporting)
-	turn := s.wallClock().UnixMilli() / limitTurn.Milliseconds()
-	share.place = (share.place + int(turn%int64(share.members))) % share.members
-	return share
-}
-
 // limitTokens returns the number of requests that this instance may send to an endpoint with a limit now.
 func (s *State) limitTokens(e *endpoint) int {
 	limit := e.signals.limit
@@ -166,7 +136,7 @@
 	if !s.sharesLimit(e) {
 		return 0
 	}
-	if s.now-limit.burstAt >= limitReportDelay {
+	if s.now-limit.burstAt >= groupReportDelay {
 		limit.burst, limit.burstAt = 0, s.now
 	}
 	return int(max(0, min(limit.balance-limit.placeTokens(share.place), limit.maxBurst()-limit.burst)))
--- a/internal/services/wigeondispatch/limit_test.go
+++ b/internal/services/wigeondispatch/limit_test.go
@@ -75,7 +75,7 @@
 	})
 
 	It("leaves this instance what the others don't use", func() {
-		for sent := uint64(0); sent < 20; sent++ {
+		for sent := range uint64(20) {
 			report(wigeonshift.EndpointLimitUse{RequestsPerSecond: 4, Generation: 1, Sent: sent})
 			Expect(sendsWithin(500 * time.Millisecond)).To(BeNumerically("<=", 2))
 		}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -80,7 +80,7 @@
 	if e.ownLoad.running >= e.rampLimit(s.now) {
 		return false
 	}
-	if e.isLimited() {
+	if e.isLimited() || e.pool.brittle != nil {
 		queueLimit = 0
 	}
 	if e.running() >= e.slots()+queueLimit {
@@ -164,7 +164,10 @@
 		if canMeetDeadline && est.total > j.Deadline-s.now {
 			continue
 		}
-		if c.contested && e != round.freedEndpoint && !e.isLimited() && !s.hasPrecedence(e, c.level) {
+		if c.contested && e != round.freedEndpoint && !e.isLimited() && p.brittle == nil && !s.hasPrecedence(e, c.level) {
+			continue
+		}
+		if !s.hasSureRoom(e, round.freedEndpoint, j) {
 			continue
 		}
 		if withSuspects[e] {
@@ -199,6 +202,9 @@
 // requests prefer different endpoints. Otherwise many instances would choose the same one, because they all see the same
 // old reports.
 func (s *State) chooseOtherGroupEndpoint(p *pool, j *Job) *endpoint {
+	if p.brittle != nil {
+		return nil
+	}
 	var best *endpoint
 	bestScore := uint64(0)
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -22,6 +22,8 @@
 	// generation counts the changes of endpoints, from 1.
 	generation uint64
 	queue      queue
+	// brittle is what the endpoints say while they are brittle; nil if they aren't.
+	brittle *brittleness
 	// meanSlotTime is the moving average of the time that a request occupies its slot.
 	meanSlotTime time.Duration
 	// meanSizes holds the mean size of the requests of each route, in prompt tokens.
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -218,6 +218,7 @@
 	s.expireTrials()
 	s.expireCauseTrials()
 	s.expireSignals()
+	s.expireBrittle()
 	s.expireKeptPrompts()
 	s.dispatchAllWaiting()
 }
--- a/internal/services/wigeondispatch/signal.go
+++ b/internal/services/wigeondispatch/signal.go
@@ -39,6 +39,7 @@
 	}
 	g := s.signalsOf(e)
 	s.recordLimit(e, g, ev)
+	s.recordBrittle(e, ev)
 	change := SignalRecorded{EndpointID: ev.EndpointID, StartedAtMillis: ev.StartedAtMillis, RequestID: ev.RequestID}
 	if ev.Leaving && !g.leaving {
 		g.leaving, change.Leaving = true, true
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -84,9 +84,9 @@
 			return
 		}
 		if h.RequestID != "" && h.RequestID != c.header.RequestID {
-			h.Limit = wigeonshift.EndpointLimit{Unreadable: true}
+			h.Limit, h.Brittle = wigeonshift.EndpointLimit{Unreadable: true}, wigeonshift.EndpointLimit{Unreadable: true}
 		}
-		if h.Leaving || h.Backoff > 0 || h.Limit.Stated || d.IsLimited && !h.Limit.Unreadable {
+		if h.Leaving || h.Backoff > 0 || h.Limit.Stated || h.Brittle.Stated || d.IsLimited || d.IsBrittle {
 			c.reportSignal(d, h)
 		}
 	}
@@ -97,7 +97,7 @@
 func (c *call) reportSignal(d wigeondispatch.Dispatch, h wigeonshift.ResponseHeader) {
 	c.service.dispatcher.reduce(wigeondispatch.EndpointSignalled{
 		At: c.service.dispatcher.MeasureNow(), EndpointID: d.EndpointID, StartedAtMillis: d.StartedAtMillis,
-		RequestID: c.header.RequestID, Leaving: h.Leaving, Backoff: h.Backoff, Limit: h.Limit, DispatchedAt: d.DecidedAt,
+		RequestID: c.header.RequestID, Leaving: h.Leaving, Backoff: h.Backoff, Limit: h.Limit, Brittle: h.Brittle, DispatchedAt: d.DecidedAt,
 	})
 }
 
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -208,6 +208,8 @@
 			d.logSignal(x)
 		case wigeondispatch.LimitRecorded:
 			d.logLimit(x)
+		case wigeondispatch.BrittleRecorded:
+			d.logBrittle(x)
 		case wigeondispatch.LossRecorded:
 			d.log.WithFields(logrus.Fields{
 				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
--- a/internal/services/wigeonrelay/limit.go
+++ b/internal/services/wigeonrelay/limit.go
@@ -34,3 +34,18 @@
 	d.scope.Counter("endpointLimits").Inc(1)
 	entry.Info("endpoint names a limit")
 }
+
+// logBrittle logs and counts that the endpoints of a service have become brittle, or no longer are.
+func (d *Dispatcher) logBrittle(x wigeondispatch.BrittleRecorded) {
+	entry := d.log.WithFields(logrus.Fields{
+		"service": x.Service, "endpoint": x.EndpointID, "rejectionsPerSecond": x.RejectionsPerSecond, "rejected": x.Rejected, "held": x.Held,
+		"brittleMs": x.Duration.Milliseconds(),
+	})
+	if x.Ended {
+		d.scope.Counter("brittleRejections").Inc(int64(x.Rejected))
+		entry.Info("endpoints of a service are no longer brittle")
+		return
+	}
+	d.scope.Counter("brittleServices").Inc(1)
+	entry.Info("endpoints of a service are brittle")
+}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -28,8 +29,9 @@
 	smallFleetRelays = 3
 	largeFleetRelays = 7
 
-	engineCount = 4
-	callerCount = 12
+	engineCount        = 4
+	defaultEngineSlots = 8
+	callerCount        = 12
 	// drainGracePeriod is the time for which a draining endpoint may still receive requests.
 	drainGracePeriod = 3 * time.Second
 	// finalSiblings is the number of sound requests, with the content of the one that crashes endpoints, after the faults.
@@ -52,6 +54,8 @@
 	relays               []*relayProcess
 	engines              []*engine
 	configurationVersion int
+	// engineSlots is the number of slots of each endpoint.
+	engineSlots int
 	// timeoutMillis is the timeout of all routes.
 	timeoutMillis int
 	// dir holds the relays' settings and logs; binary is their program.
@@ -109,6 +113,8 @@
 	binary string
 	relays int
 	limit  wigeonwindow.RepeatLimit
+	// engineSlots is the number of slots of each endpoint; zero means defaultEngineSlots.
+	engineSlots int
 }
 
 func newSoakRun(t *testing.T, seed uint64, binary string) *soakRun {
@@ -119,7 +125,7 @@
 	s := &soakRun{
 		g: NewWithT(t), seed: o.seed, random: rand.New(rand.NewPCG(o.seed, 1)), store: newStore(),
 		executions: &executionLog{countByID: map[string]int{}}, repeats: newRepeatLog(o.limit),
-		faults: map[string]int{}, outcomes: map[int]int{}, timeoutMillis: 4000, signals: newSignalLog(),
+		engineSlots: cmp.Or(o.engineSlots, defaultEngineSlots), faults: map[string]int{}, outcomes: map[int]int{}, timeoutMillis: 4000, signals: newSignalLog(),
 	}
 	dir := t.TempDir()
 	if keep := os.Getenv("WIGEONSHIFT_SOAK_LOGS"); keep != "" {
--- a/internal/soak/wigeonsoak/standin_test.go
+++ b/internal/soak/wigeonsoak/standin_test.go
@@ -250,6 +250,10 @@
 	crashesAfterEvent bool
 	// limit records the requests at an endpoint that names a limit for a while; nil if it never does.
 	limit *limitLog
+	// brittle records the requests at an endpoint that falls over if it has to reject too many; nil if it never does.
+	brittle *brittleLog
+	// slots is the number of requests that it runs at once.
+	slots int
 	// runTime is how long each request runs in addition.
 	runTime time.Duration
 	// crash is what the request that crashes endpoints does to this one.
@@ -300,7 +304,7 @@
 func newEngine(id string, seed uint64, s *soakRun) *engine {
 	e := &engine{
 		id: id, firstID: id, executions: s.executions, poison: &s.poison, repeats: s.repeats, truncations: &s.truncations, signals: s.signals, stable: s.stable, random: rand.New(rand.NewPCG(seed, 3)),
-		startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.identity(), e.row("ready")) },
+		slots: s.engineSlots, startedAt: time.Now(), announce: func(e *engine) { s.store.put("servers", e.identity(), e.row("ready")) },
 	}
 	e.withdraw = func(id string) { s.store.put("servers", id, nil) }
 	e.crash = e.end
@@ -320,7 +324,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"service": "s", "address": e.proxy.address(), "zone": "z", "slots": 8, "state": state, "born": e.startedAt.UnixMilli(),
+		"service": "s", "address": e.proxy.address(), "zone": "z", "slots": e.slots, "state": state, "born": e.startedAt.UnixMilli(),
 	}
 }
 
@@ -388,6 +392,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if e.brittle != nil {
+		if !e.serveBrittle(w) {
+			return
+		}
+		time.Sleep(brittleRunTime)
+		e.brittle.leave(true)
+	}
 	faulty := e.randomFloat() < faultRatio
 	faultDraw := e.randomFloat()
 	if strings.HasPrefix(id, rejectedIDPrefix) || faulty && (kind == faultReject || kind == faultMixed && faultDraw < 0.2) {
--- a/wire.go
+++ b/wire.go
@@ -58,15 +58,18 @@
 	Leaving bool
 	// Backoff is how long the endpoint wants no requests from this instance; zero if not given.
 	Backoff time.Duration
-	Limit   EndpointLimit
+	// Limit is the rate of requests that the endpoint takes from all instances together.
+	Limit EndpointLimit
+	// Brittle is the rate of rejected requests beyond which the endpoint falls over.
+	Brittle EndpointLimit
 }
 
-// EndpointLimit is what a response of an endpoint says of the rate of requests that it takes from all instances together.
+// EndpointLimit is a rate that a response of an endpoint names.
 type EndpointLimit struct {
 	// Stated is set if the response names a limit. Unreadable is set instead if it names one that can't be read, which says
 	// nothing about the limit.
 	Stated, Unreadable bool
-	// RequestsPerSecond is the named limit, zero or more. It is valid only if Stated is set.
+	// RequestsPerSecond is the named rate, zero or more. It is valid only if Stated is set.
 	RequestsPerSecond float64
 }
 
