Bound the index of features over all requests

With up to 189 features a request, the index could hold 2.3 million entries for 12,288 requests, more than a small instance's memory. It holds 65,536 now; beyond that the requests that were added first lose their features, not their crashes. The crashes of a request share one list of features.

--- a/internal/services/wigeonquarantine/cause_test.go
+++ b/internal/services/wigeonquarantine/cause_test.go
@@ -247,3 +247,26 @@
 		Expect(r.ClearingWrites(8, day)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("The index of features", func() {
+	It("is bounded over all requests, and the crashes stay", func() {
+		const parts = 63
+		r := NewRecord(Limit)
+		for n := range 2 * maxIndexedFeatures / parts {
+			c := wigeonshift.Crash{Fingerprint: wigeonshift.Fingerprint(n + 1), Endpoint: "e", At: time.Unix(int64(n), 0)}
+			for k := range parts {
+				c.Features = append(c.Features, wigeonshift.Fingerprint(1_000_000+n*parts+k))
+			}
+			Expect(r.Add(c)).To(BeTrue())
+		}
+		Expect(len(r.requestsWith)).To(And(BeNumerically("<=", maxIndexedFeatures), BeNumerically(">", maxIndexedFeatures-2*parts)))
+		Expect(r.crashes).To(HaveLen(2 * maxIndexedFeatures / parts))
+		Expect(r.Crashes(1)[0].Features).To(BeEmpty(), "the first request")
+		for _, c := range r.All() {
+			r.Remove(c.Fingerprint)
+		}
+		Expect(r.requestsWith).To(BeEmpty())
+		Expect(r.indexed).To(BeEmpty())
+		Expect(r.indexedFeatures).To(BeZero())
+	})
+})
--- a/internal/services/wigeonquarantine/evidence.go
+++ b/internal/services/wigeonquarantine/evidence.go
@@ -12,6 +12,10 @@
 // are left out.
 const maxFeatureRequests = 256
 
+// maxIndexedFeatures bounds the features in the index over all requests. Beyond it the requests that were indexed first lose
+// theirs.
+const maxIndexedFeatures = 1 << 16
+
 // endpointCrash is the crash of one endpoint.
 type endpointCrash struct {
 	weight int
@@ -65,6 +69,13 @@
 
 // addFeatures adds the request of a crash to those with its features.
 func (r *Record) addFeatures(c wigeonshift.Crash) {
+	if len(r.crashes[c.Fingerprint]) == 1 {
+		r.indexed = append(r.indexed, c.Fingerprint)
+		r.indexedFeatures += len(c.Features)
+	}
+	for r.indexedFeatures > maxIndexedFeatures {
+		r.forgetFeatures(r.indexed[0])
+	}
 	for _, feature := range c.Features {
 		known := r.requestsWith[feature]
 		if slices.Contains(known, c.Fingerprint) {
@@ -77,8 +88,24 @@
 	}
 }
 
+// forgetFeatures makes the record forget the features of a request, but not its crashes.
+func (r *Record) forgetFeatures(f wigeonshift.Fingerprint) {
+	crashes := slices.Clone(r.crashes[f])
+	features := crashes[0].Features
+	r.invalidate(features)
+	r.removeFeatures(f, features)
+	for i := range crashes {
+		crashes[i].Features = nil
+	}
+	r.crashes[f] = crashes
+}
+
 // removeFeatures removes a request without crashes from those with its features.
 func (r *Record) removeFeatures(f wigeonshift.Fingerprint, features []wigeonshift.Fingerprint) {
+	if i := slices.Index(r.indexed, f); i >= 0 {
+		r.indexed = slices.Delete(r.indexed, i, i+1)
+		r.indexedFeatures -= len(features)
+	}
 	for _, feature := range features {
 		left := slices.DeleteFunc(slices.Clone(r.requestsWith[feature]), func(w wigeonshift.Fingerprint) bool { return w == f })
 		if len(left) == 0 {
--- a/internal/services/wigeonquarantine/record.go
+++ b/internal/services/wigeonquarantine/record.go
@@ -37,6 +37,10 @@
 	sharedWeights map[wigeonshift.Fingerprint]sharedWeight
 	// requestsWith holds the requests with crashes by their features, at most maxFeatureRequests for each.
 	requestsWith map[wigeonshift.Fingerprint][]wigeonshift.Fingerprint
+	// indexed lists the requests in requestsWith in the order in which they were added. indexedFeatures is the number of their
+	// features, at most maxIndexedFeatures.
+	indexed         []wigeonshift.Fingerprint
+	indexedFeatures int
 	// answeredAt holds the time of the latest answer by feature.
 	answeredAt map[wigeonshift.Fingerprint]time.Time
 	// evidence and causes are what was computed since the latest change; causes only if causesAreKnown is set.
@@ -68,6 +72,10 @@
 	if r.Has(c) {
 		return false
 	}
+	if exists {
+		// All crashes of a request share one list of features.
+		c.Features = known[0].Features
+	}
 	r.crashes[c.Fingerprint] = append(known, c)
 	r.addVariant(c)
 	r.addFeatures(c)
