Report the limits of the group's own endpoints, and probe endpoints whose limit may have ended

A report held the first 64 limits by ID, those of other groups too, so members of a group didn't learn of each other's requests to the rest. Reports now hold the limits of the endpoints that the sender's group shares, and their latest changes.

--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -21,9 +21,12 @@
 	// burstTokens and burstTime give the size of the bucket: burstTokens, and what is added in burstTime.
 	burstTokens = 1.5
 	burstTime   = 500 * time.Millisecond
-	// endedLimitMemory is how long the end of a limit is reported.
-	endedLimitMemory = 5 * time.Second
-	// maxLimitReports bounds the limits in a report.
+	// limitProbeInterval is the time without requests after which an endpoint with a limit gets the next one that the limit allows, so
+	// that its end is noticed.
+	limitProbeInterval = time.Second
+	// limitChangeMemory is how long a change of a limit is reported that this instance's group doesn't share.
+	limitChangeMemory = 5 * time.Second
+	// maxLimitReports bounds such changes in a report.
 	maxLimitReports = 64
 )
 
@@ -34,6 +37,8 @@
 	// since is the time at which this instance learned of the limit, namedAt that of the latest answer to it which named the limit,
 	// or of the latest change.
 	since, namedAt time.Duration
+	// changedAt is the time of the latest change, usedAt that of the latest request of any member of the group.
+	changedAt, usedAt time.Duration
 	// sent is the number of requests that this instance has sent to the endpoint since then.
 	sent uint64
 	// peerSent holds what the other members of the group reported as sent. A member that is silent for a while is removed, as it
@@ -76,11 +81,11 @@
 // send before they know of the limit reaches it as well.
 func (s *State) setLimit(e *endpoint, g *signals, perSecond float64, generation uint64, requestID string) {
 	if g.limit == nil {
-		g.limit = &rateLimit{since: s.now, refilledAt: s.now, peerSent: map[string]uint64{}}
+		g.limit = &rateLimit{since: s.now, usedAt: s.now, refilledAt: s.now, peerSent: map[string]uint64{}}
 	}
 	s.refillLimit(e)
 	g.limitGeneration = generation
-	g.limit.perSecond, g.limit.namedAt = perSecond, s.now
+	g.limit.perSecond, g.limit.namedAt, g.limit.changedAt = perSecond, s.now, s.now
 	g.limit.balance = min(g.limit.balance, g.limit.capacity())
 	s.emitLimit(e, g.limit, LimitRecorded{RequestID: requestID})
 }
@@ -183,9 +188,15 @@
 	return false
 }
 
+// needsProbe reports whether an endpoint with a limit has had no request for so long that the end of the limit may have been missed.
+func (e *endpoint) needsProbe(at time.Duration) bool {
+	return e.isLimited() && at-e.signals.limit.usedAt >= limitProbeInterval
+}
+
 // countLimited counts a request that is sent to an endpoint with a limit.
 func (s *State) countLimited(e *endpoint) {
 	limit := e.signals.limit
+	limit.usedAt = s.now
 	limit.sent++
 	limit.balance--
 	limit.burst++
@@ -230,9 +241,10 @@
 	limit := e.signals.limit
 	before, known := limit.peerSent[name]
 	limit.peerSent[name] = sent
-	if !known {
+	if !known || sent == before {
 		return
 	}
+	limit.usedAt = s.now
 	if sent < before {
 		before = 0
 	}
@@ -249,20 +261,32 @@
 	}
 }
 
-// limitReports returns what this instance reports of limits, at most maxLimitReports of them.
+// limitReports returns what this instance reports of limits: the use of those that its group shares, and at most maxLimitReports latest
+// changes of others. Each group reports its own endpoints to all others.
 func (s *State) limitReports() []wigeonshift.EndpointLimitUse {
-	var out []wigeonshift.EndpointLimitUse
+	var shared, others []wigeonshift.EndpointLimitUse
 	for i, g := range s.signals {
+		e := s.endpoints[i.endpointID]
+		if e == nil || e.signals != g || e.otherGroup || g.limitGeneration == 0 {
+			continue
+		}
 		report := wigeonshift.EndpointLimitUse{
 			Endpoint: i.endpointID, StartedAtMillis: i.startedAtMillis, Generation: g.limitGeneration, Ended: g.limit == nil,
 		}
+		changedAt := g.limitEndedAt
 		if g.limit != nil {
 			report.RequestsPerSecond, report.Sent = g.limit.perSecond, g.limit.sent
+			changedAt = g.limit.changedAt
 		}
-		if g.limit != nil || g.limitGeneration > 0 && s.now-g.limitEndedAt < endedLimitMemory {
-			out = append(out, report)
+		switch {
+		case g.limit != nil && s.sharesLimit(e):
+			shared = append(shared, report)
+		case s.now-changedAt < limitChangeMemory:
+			others = append(others, report)
 		}
 	}
-	slices.SortFunc(out, func(a, b wigeonshift.EndpointLimitUse) int { return strings.Compare(a.Endpoint, b.Endpoint) })
-	return out[:min(len(out), maxLimitReports)]
+	byEndpoint := func(a, b wigeonshift.EndpointLimitUse) int { return strings.Compare(a.Endpoint, b.Endpoint) }
+	slices.SortFunc(shared, byEndpoint)
+	slices.SortFunc(others, byEndpoint)
+	return append(shared, others[:min(len(others), maxLimitReports)]...)
 }
--- a/internal/services/wigeondispatch/limitlab_test.go
+++ b/internal/services/wigeondispatch/limitlab_test.go
@@ -404,3 +404,13 @@
 	}
 	checkLimitsEnded(g, l)
 }
+
+// TestManyLimits plays a fleet of several groups before more endpoints with limits than a report holds.
+func TestManyLimits(t *testing.T) {
+	skipTestIfKnownRed(t)
+	const endpoints = maxLimitReports + 16
+	checkLimitLab(t, runLimitLab(1, limitSchedule{
+		instances: 14, endpoints: endpoints, limited: endpoints, slots: 4, perSecond: 2, requestsPerSecond: 500,
+		runTime: 30 * time.Millisecond, maxReportDelay: 20 * time.Millisecond,
+	}))
+}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -19,6 +19,8 @@
 	// sharedSuspicionCost is the additional cost, in nanoseconds, of an endpoint that runs another request suspected of a
 	// crash, for a suspected one. It outweighs all other costs.
 	sharedSuspicionCost = float64(time.Hour)
+	// probeSaving is subtracted from the cost, in nanoseconds, of an endpoint whose limit may have ended unnoticed.
+	probeSaving = float64(time.Minute)
 )
 
 // estimate holds the expected times and the cost of running a request on an endpoint.
@@ -170,6 +172,9 @@
 		if !s.hasSureRoom(e, round.freedEndpoint, j) {
 			continue
 		}
+		if e.needsProbe(s.now) {
+			est.cost -= probeSaving
+		}
 		if withSuspects[e] {
 			est.cost += sharedSuspicionCost
 		}
