--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -10,7 +10,7 @@
 
 // An endpoint in need names the rate of requests that it takes from all instances together. The members of the endpoint's group
 // share the rate: each keeps a token bucket of the whole, from which it subtracts what it sends and what the others report. As
-// reports are late, they take turns, so that only some of them send in the same moment.
+// reports are late, members at later places leave tokens to those before them (see docs/decisions/endpoint-limits.md).
 const (
 	// minLimitRate is the rate, in requests per second, of endpoints that take less, so that the end of the limit is noticed.
 	minLimitRate = 0.2
@@ -39,7 +39,7 @@
 	since, namedAt time.Duration
 	// changedAt is the time of the latest change, usedAt that of the latest request of any member of the group.
 	changedAt, usedAt time.Duration
-	// sent is the number of requests that this instance has sent to the endpoint since then.
+	// sent is the number of requests that this instance has sent to the endpoint since it learned of the limit.
 	sent uint64
 	// peerSent holds what the other members of the group reported as sent. A member that is silent for a while is removed, as it
 	// has used its own part meanwhile.
--- a/internal/services/wigeondispatch/limit_test.go
+++ b/internal/services/wigeondispatch/limit_test.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"testing"
 	"time"
 
 	"wigeonshift"
@@ -135,3 +136,25 @@
 		Expect(h.state.MaySend(d, h.at)).To(BeFalse())
 	})
 })
+
+// BenchmarkLimitedPlacement measures a request that finds five endpoints with limits in a group of eight.
+func BenchmarkLimitedPlacement(b *testing.B) {
+	h := newHarness(crashRecords("a", "b", "c", "d", "e")...)
+	var instances []wigeonshift.Instance
+	for _, id := range []string{h.state.settings.Instance, "p", "q", "r", "s", "t", "u", "v"} {
+		instances = append(instances, wigeonshift.Instance{ID: id})
+	}
+	h.state.Reduce(InstancesListed{Instances: instances, Complete: true})
+	for id := range h.state.endpoints {
+		h.answerLimit(id, limitOf(4), 0)
+	}
+	for b.Loop() {
+		h.at += time.Millisecond
+		j := h.newJob()
+		h.arrive(j)
+		if j.assignedEndpoint != nil {
+			h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: OutcomeDone, Succeeded: true})
+		}
+		h.state.Reduce(RequestWithdrawn{At: h.at, Job: j.ID})
+	}
+}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -74,7 +74,7 @@
 // canAccept reports whether an endpoint can get a request in addition to those that it runs. queueLimit is the number
 // of requests that it may have beyond its slots; they wait in its own queue, so the wait there is limited too. The
 // requests must also fit into the engine's memory if its size is known, except that an idle engine accepts a request
-// of any size.
+// of any size. Nothing waits at endpoints that name a limit or are brittle.
 func (s *State) canAccept(e *endpoint, j *Job, queueLimit int) bool {
 	if !e.available(s.now) || j.hasFailedOn(e.record.ID) {
 		return false
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -211,10 +211,7 @@
 		case wigeondispatch.BrittleRecorded:
 			d.logBrittle(x)
 		case wigeondispatch.LossRecorded:
-			d.log.WithFields(logrus.Fields{
-				"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
-				"features": wigeonquarantine.FingerprintTexts(x.Features), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
-			}).Info("attempt counted as lost")
+			d.logLoss(x)
 		case wigeondispatch.StartTrial:
 			d.logTrial(x)
 		case wigeondispatch.ReportCrash:
@@ -224,14 +221,27 @@
 		case wigeondispatch.ClearCrashes:
 			d.clearCrashes(x)
 		case wigeondispatch.Suspect:
-			d.scope.Counter("suspects").Inc(1)
-			d.log.WithFields(logrus.Fields{
-				"endpoint": x.EndpointID, "failures": x.Failures, "pauseMs": x.Duration.Milliseconds(),
-			}).Warn("endpoint paused after failures")
+			d.logSuspect(x)
 		}
 	}
 }
 
+// logLoss logs that an attempt counts as lost.
+func (d *Dispatcher) logLoss(x wigeondispatch.LossRecorded) {
+	d.log.WithFields(logrus.Fields{
+		"request": x.RequestID, "fingerprint": x.Fingerprint.String(), "content": x.Shared.Content.String(),
+		"features": wigeonquarantine.FingerprintTexts(x.Features), "endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "kind": x.Kind,
+	}).Info("attempt counted as lost")
+}
+
+// logSuspect logs and counts that an endpoint gets no requests for a while.
+func (d *Dispatcher) logSuspect(x wigeondispatch.Suspect) {
+	d.scope.Counter("suspects").Inc(1)
+	d.log.WithFields(logrus.Fields{
+		"endpoint": x.EndpointID, "failures": x.Failures, "pauseMs": x.Duration.Milliseconds(),
+	}).Warn("endpoint paused after failures")
+}
+
 // logSignal logs and counts what an endpoint has said of itself.
 func (d *Dispatcher) logSignal(x wigeondispatch.SignalRecorded) {
 	entry := d.log.WithFields(logrus.Fields{"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "request": x.RequestID})
