--- a/internal/services/wigeondispatch/brittle_test.go
+++ b/internal/services/wigeondispatch/brittle_test.go
@@ -90,6 +90,20 @@
 		Expect(dispatchesWithin(time.Second)).NotTo(BeZero())
 	})
 
+	It("are used but for one slot while one of the other instances is down", func() {
+		skipIfKnownRed()
+		listInstances("b", "c", "d")
+		h.state.Reduce(PeerLost{At: h.at, Peer: "d"})
+		say("a", limitOf(4))
+		for range 60 {
+			h.at += 50 * time.Millisecond
+			h.state.Reduce(PeerReported{At: h.at, Peer: "b"})
+			h.state.Reduce(PeerReported{At: h.at, Peer: "c"})
+			h.arrive(h.newJob())
+		}
+		Expect(h.state.endpoints["a"].running()).To(BeNumerically(">=", h.state.endpoints["a"].slots()-1))
+	})
+
 	It("get little from an instance that can't reach the others", func() {
 		listInstances("b", "c")
 		for _, id := range []string{"b", "c"} {
