--- a/internal/services/wigeondispatch/limitlab_test.go
+++ b/internal/services/wigeondispatch/limitlab_test.go
@@ -24,7 +24,7 @@
 	// name changed from the middle of that time on.
 	limited            int
 	perSecond, changed float64
-	// kills, joins, freezes, cuts and resets are the times at which an instance is killed and started again, is added, stands still, or is
+	// kills, joins, freezes and cuts are the times at which an instance is killed and started again, is added, stands still, or is
 	// cut off from the others.
 	kills, joins, freezes, cuts []time.Duration
 	// skew is the largest difference of a clock from the true time.
