--- a/internal/services/wigeondispatch/limit.go
+++ b/internal/services/wigeondispatch/limit.go
@@ -261,8 +261,8 @@
 	}
 }
 
-// limitReports returns what this instance reports of limits: the use of those that its group shares, and at most maxLimitReports latest
-// changes of others. Each group reports its own endpoints to all others.
+// limitReports returns what this instance reports of limits: the use of those that its group shares now, and recent changes of other
+// limits of its group's endpoints, at most maxLimitReports of these, the first by ID.
 func (s *State) limitReports() []wigeonshift.EndpointLimitUse {
 	var shared, others []wigeonshift.EndpointLimitUse
 	for i, g := range s.signals {
