Add a setting for the address at which other instances reach this one

Behind a translation of addresses, or a proxy that a test puts between two instances, the address to listen on isn't the one that others dial. The soak's relays reach each other through proxies now, so that a test can make their links silent.

--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -38,14 +38,16 @@
 
 // Network implements wigeonshift.PeerNetwork. Handlers may be called from several goroutines at once.
 type Network struct {
-	self        wigeonshift.Instance
-	serverTLS   *tls.Config
-	clientTLS   *tls.Config
-	dial        DialFunc
-	listener    net.Listener
-	scope       tally.Scope
-	log         logrus.FieldLogger
-	idleTimeout time.Duration
+	self      wigeonshift.Instance
+	serverTLS *tls.Config
+	clientTLS *tls.Config
+	dial      DialFunc
+	listener  net.Listener
+	// listenAddress is where the network listens unless there is a listener.
+	listenAddress string
+	scope         tally.Scope
+	log           logrus.FieldLogger
+	idleTimeout   time.Duration
 
 	counters           *counters
 	messageHandlers    []wigeonshift.PeerHandler
@@ -71,16 +73,17 @@
 	running bool
 }
 
-// New returns a network for the instance self. It listens on the address of self unless WithListener is given.
+// New returns a network for the instance self. It listens on the address of self unless an option says otherwise.
 func New(self wigeonshift.Instance, opts ...Option) *Network {
 	n := &Network{
-		self:        self,
-		scope:       tally.NoopScope,
-		log:         discardLogger(),
-		idleTimeout: defaultIdleTimeout,
-		dial:        dialTCP,
-		peers:       map[string]*peer{},
-		localQueue:  newSendQueue[wigeonshift.PeerMessage](maxLocalQueueMessages, maxMainQueueBytes),
+		self:          self,
+		listenAddress: self.Address,
+		scope:         tally.NoopScope,
+		log:           discardLogger(),
+		idleTimeout:   defaultIdleTimeout,
+		dial:          dialTCP,
+		peers:         map[string]*peer{},
+		localQueue:    newSendQueue[wigeonshift.PeerMessage](maxLocalQueueMessages, maxMainQueueBytes),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -106,9 +109,9 @@
 // Start opens the listener and starts accepting sessions.
 func (n *Network) Start(_ context.Context) error {
 	if n.listener == nil {
-		l, err := net.Listen("tcp", n.self.Address)
+		l, err := net.Listen("tcp", n.listenAddress)
 		if err != nil {
-			return oops.In("session").With("address", n.self.Address).Wrap(err)
+			return oops.In("session").With("address", n.listenAddress).Wrap(err)
 		}
 		n.listener = l
 	}
--- a/internal/modules/wigeonsession/option.go
+++ b/internal/modules/wigeonsession/option.go
@@ -31,6 +31,11 @@
 	return func(n *Network) { n.listener = l }
 }
 
+// WithListenAddress sets the address to listen on, if it differs from the one at which others reach the instance.
+func WithListenAddress(address string) Option {
+	return func(n *Network) { n.listenAddress = address }
+}
+
 // WithScope sets the metrics scope. By default no metrics are kept.
 func WithScope(s tally.Scope) Option {
 	return func(n *Network) { n.scope = s }
--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -36,9 +36,12 @@
 	Ready string `toml:"ready" validate:"required,hostname_port"`
 }
 
-// RelayPeer holds the address for sessions from other instances.
+// RelayPeer holds the addresses for sessions from other instances.
 type RelayPeer struct {
+	// Listen is the IP address and port on which the instance accepts sessions.
 	Listen string `toml:"listen" validate:"required,hostname_port"`
+	// Advertise is the IP address and port at which other instances reach this one; empty means Listen.
+	Advertise string `toml:"advertise" validate:"omitempty,hostname_port"`
 }
 
 // RelayPlatform holds the address of the platform's store.
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -2,6 +2,7 @@
 package wigeongateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -92,7 +93,7 @@
 		metrics:  wigeonmetric.New("wigeonrelay"),
 		self: wigeonshift.Instance{
 			ID:      s.Node.Name + "-" + uuid.NewString()[:8],
-			Address: s.Peer.Listen,
+			Address: cmp.Or(s.Peer.Advertise, s.Peer.Listen),
 			Zone:    s.Node.Zone,
 			Region:  s.Node.Region,
 			State:   wigeonshift.InstanceLive,
@@ -135,7 +136,8 @@
 		Quarantine:    g.quarantine,
 		StoreRestored: g.share.RenewSoon,
 	}, log)
-	g.network = wigeonsession.New(g.self, wigeonsession.WithLogger(log), wigeonsession.WithScope(scope))
+	g.network = wigeonsession.New(g.self, wigeonsession.WithListenAddress(s.Peer.Listen), wigeonsession.WithLogger(log),
+		wigeonsession.WithScope(scope))
 	g.network.Subscribe(g.handleMessage)
 	g.network.SubscribePeerLost(g.handlePeerLost)
 	g.network.SubscribeDiscovered(g.handlePeerDiscovered)
--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -23,7 +23,9 @@
 	callerAddress string
 	readyAddress  string
 	storeProxy    *proxy
-	logFile       *os.File
+	// peerProxy is the way from other relays to this one.
+	peerProxy *proxy
+	logFile   *os.File
 
 	// restartMu is held from the signal that ends the process until it is started again.
 	restartMu sync.Mutex
@@ -70,6 +72,8 @@
 		name: fmt.Sprintf("relay-%d", index), binary: binary, callerAddress: freeAddress(), readyAddress: freeAddress(),
 		storeProxy: newProxy(storeAddress),
 	}
+	peerAddress := freeAddress()
+	p.peerProxy = newProxy(peerAddress)
 	p.settingsPath = filepath.Join(dir, p.name+".toml")
 	text := fmt.Sprintf(`[node]
 name = %q
@@ -80,6 +84,7 @@
 ready = %q
 [peer]
 listen = %q
+advertise = %q
 [platform]
 address = %q
 [limits]
@@ -96,7 +101,7 @@
 [drain]
 timeout = "5s"
 notice = "1500ms"
-`, p.name, p.callerAddress, p.readyAddress, freeAddress(), p.storeProxy.address(),
+`, p.name, p.callerAddress, p.readyAddress, peerAddress, p.peerProxy.address(), p.storeProxy.address(),
 		limit.Ratio, limit.Slack, limit.Window, quotaOverage, quotaSlack, quotaWindow)
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
