Log the age of the store's latest answer, connections and sessions, and the age of a version

No decision is changed. The logs couldn't tell whether a late version comes from a poll on a silent connection, from siblings that are asked too late, or from a second call on another silent connection: a poll's line now says how long the store has been silent, each new connection to the store and each session has a line, and a request's line tells how long its version had been in force.

--- a/cmd/wigeonrelay/serve.go
+++ b/cmd/wigeonrelay/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,7 +54,7 @@
 	r.start()
 	defer r.stop()
 	gateway := wigeongateway.New(settings, wigeongateway.Platform{
-		Store:   platform.NewStore(settings.Platform.Address, dialStore),
+		Store:   platform.NewStore(settings.Platform.Address, (&storeDialer{log: log}).dial),
 		Codec:   platform.Codec{},
 		Dialect: platform.Dialect{},
 	}, log)
@@ -68,6 +69,22 @@
 	return net.DialTimeout("tcp", address, storeDialTimeout)
 }
 
+// storeDialer opens connections to the store and logs them.
+type storeDialer struct {
+	log logrus.FieldLogger
+	// dials counts the connections that were opened.
+	dials atomic.Int64
+}
+
+func (d *storeDialer) dial(address string) (net.Conn, error) {
+	c, err := dialStore(address)
+	if err != nil {
+		return nil, err
+	}
+	d.log.WithFields(logrus.Fields{"local": c.LocalAddr().String(), "dials": d.dials.Add(1)}).Info("connected to the store")
+	return c, nil
+}
+
 // reloader checks the settings file on SIGHUP and logs whether it changed. Changes only take effect at the next start
 // because addresses and limits are fixed while the process runs.
 type reloader struct {
--- a/internal/modules/wigeonsession/link.go
+++ b/internal/modules/wigeonsession/link.go
@@ -9,6 +9,7 @@
 	"wigeonshift/internal/modules/wigeonwire"
 
 	"github.com/hashicorp/yamux"
+	"github.com/sirupsen/logrus"
 )
 
 // goodbyeFrame announces the end of a session.
@@ -73,6 +74,7 @@
 // start runs the readers and writers of all lanes and queues the first heartbeat.
 func (l *link) start() {
 	l.stopReadersOnClose()
+	l.network.log.WithFields(logrus.Fields{"instance": l.remote.ID, "outbound": l.outbound}).Info("peer session opened")
 	for _, ln := range l.lanes {
 		ok := l.network.goIfRunning(ln.runRead) && l.network.goIfRunning(ln.runWrite)
 		if !ok {
@@ -96,7 +98,10 @@
 	l.endOnce.Do(func() {
 		close(l.done)
 		l.network.counters.countSessionEnd(reason)
-		l.network.log.WithField("instance", l.remote.ID).WithField("reason", reason).Debug("Peer session ended")
+		silence := l.network.now() - time.Duration(l.lastReceivedAt.Load())
+		l.network.log.WithFields(logrus.Fields{
+			"instance": l.remote.ID, "reason": reason, "outbound": l.outbound, "silentMs": silence.Milliseconds(),
+		}).Info("peer session ended")
 		l.peer.handleLinkEnd(l, clean || l.goodbyeStarted.Load())
 		l.stopReaders()
 		l.conn.SetDeadline(time.Now()) //nolint:errcheck // The connection is closed next.
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -135,7 +135,7 @@
 		Instances:     g.setInstances,
 		Quarantine:    g.quarantine,
 		StoreRestored: g.share.RenewSoon,
-	}, log)
+	}, log, wigeonfollow.WithScope(scope))
 	g.network = wigeonsession.New(g.self, wigeonsession.WithListenAddress(s.Peer.Listen), wigeonsession.WithLogger(log),
 		wigeonsession.WithScope(scope))
 	g.network.Subscribe(g.handleMessage)
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -11,6 +11,7 @@
 	"wigeonshift/internal/modules/wigeonclock"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -62,6 +63,8 @@
 	name    string
 	handler rowHandler
 	log     logrus.FieldLogger
+	// answerAge is the time between the latest two answers of the store.
+	answerAge tally.Gauge
 	// nextWait returns how long the store holds the next poll without changes.
 	nextWait func() time.Duration
 	// batchDelay returns the pause after a change, so that the next poll returns further changes as one batch.
@@ -83,6 +86,8 @@
 	pollImmediately bool
 	failing         bool
 	failureCount    int
+	// answeredAt is the time of the latest answer of the store, or of the start.
+	answeredAt time.Time
 }
 
 // errRepoll reports that a poll was cancelled in favour of a new one.
@@ -95,6 +100,7 @@
 // was only cancelled for a new one. If the store has dropped the changes since the last poll or has returned from an older
 // copy, the table must be listed again.
 func (f *follower) run(ctx context.Context) {
+	f.answeredAt = time.Now()
 	for ctx.Err() == nil {
 		err := f.callStore(ctx)
 		if err == nil {
@@ -105,7 +111,9 @@
 			return
 		}
 		if errors.Is(err, errRepoll) {
-			f.log.WithField("table", f.name).Info("polling the store again")
+			f.log.WithFields(logrus.Fields{
+				"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+			}).Info("polling the store again")
 			f.pollImmediately = true
 			continue
 		}
@@ -256,6 +264,9 @@
 // recordSuccess ends the failure state after a successful call and tells the handler if the store had been failing.
 func (f *follower) recordSuccess() {
 	f.pollImmediately = false
+	now := time.Now()
+	f.answerAge.Update(now.Sub(f.answeredAt).Seconds())
+	f.answeredAt = now
 	if f.failing {
 		f.failing = false
 		f.handler.handleStoreRecovery()
@@ -272,7 +283,9 @@
 		f.failing = true
 		f.handler.handleStoreFailure()
 		f.onFailure()
-		f.log.WithError(err).WithField("table", f.name).Warn("store is unreachable")
+		f.log.WithError(err).WithFields(logrus.Fields{
+			"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+		}).Warn("store is unreachable")
 	}
 }
 
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 )
 
 // Sinks receive the content of the tables. Calls for the same table never overlap.
@@ -55,6 +56,7 @@
 	endpointsFollower, quarantineFollower *follower
 
 	seed   uint64
+	scope  tally.Scope
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
 }
@@ -65,6 +67,9 @@
 // WithSeed sets the random seed of the poll waits.
 func WithSeed(seed uint64) Option { return func(s *Service) { s.seed = seed } }
 
+// WithScope sets the metrics scope.
+func WithScope(scope tally.Scope) Option { return func(s *Service) { s.scope = scope } }
+
 // New returns a service that is ready to Start. Each table has its own follower; the first failure of any of them makes
 // all poll again (onFailure).
 func New(
@@ -72,6 +77,7 @@
 ) *Service {
 	s := &Service{
 		seed:          rand.Uint64(), //nolint:gosec // The poll waits need no cryptographic randomness.
+		scope:         tally.NoopScope,
 		configuration: &configurationTable{codec: codec, sink: sinks.Configuration, log: log},
 		endpoints:     newEndpointTable(codec, sinks.Endpoints, log),
 		instances: &instanceTable{
@@ -105,6 +111,7 @@
 	}
 	for _, f := range s.followers {
 		f.store, f.log = store, log
+		f.answerAge = s.scope.Tagged(map[string]string{"table": f.name}).Gauge("storeAnswerAge")
 		f.repollRequests = make(chan struct{}, 1)
 		f.onFailure = s.repollAll
 	}
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -40,7 +40,9 @@
 	header  wigeonshift.RequestHeader
 	route   *wigeonshift.Route
 	// version is the version of the configuration that routed the call.
-	version       uint64
+	version uint64
+	// versionAge is how long that version had been in force when the request arrived.
+	versionAge    time.Duration
 	targetService string
 	job           *wigeondispatch.Job
 	decisions     chan decision
@@ -91,6 +93,7 @@
 		header:        h,
 		route:         r,
 		version:       t.Configuration.Version,
+		versionAge:    time.Since(t.BuiltAt),
 		targetService: wigeonroute.PickService(r),
 		decisions:     make(chan decision, decisionBufferSize),
 	}
@@ -296,20 +299,21 @@
 // logEntry returns a log entry with the call's identity, its times and fields.
 func (c *call) logEntry(fields logrus.Fields) *logrus.Entry {
 	entry := c.service.log.WithFields(logrus.Fields{
-		"request":     c.header.RequestID,
-		"fingerprint": c.job.Fingerprint.String(),
-		"content":     c.job.Shared.Content.String(),
-		"features":    wigeonquarantine.FingerprintTexts(c.job.Features),
-		"route":       c.route.Name,
-		"service":     c.targetService,
-		"tier":        int(c.job.Tier),
-		"rank":        int(c.job.RouteTier),
-		"version":     c.version,
-		"attempts":    c.attempts,
-		"endpoint":    c.endpoint,
-		"waitedMs":    c.queueTime.Milliseconds(),
-		"firstMs":     c.firstByteLatency.Milliseconds(),
-		"tookMs":      (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
+		"request":      c.header.RequestID,
+		"fingerprint":  c.job.Fingerprint.String(),
+		"content":      c.job.Shared.Content.String(),
+		"features":     wigeonquarantine.FingerprintTexts(c.job.Features),
+		"route":        c.route.Name,
+		"service":      c.targetService,
+		"tier":         int(c.job.Tier),
+		"rank":         int(c.job.RouteTier),
+		"version":      c.version,
+		"versionAgeMs": c.versionAge.Milliseconds(),
+		"attempts":     c.attempts,
+		"endpoint":     c.endpoint,
+		"waitedMs":     c.queueTime.Milliseconds(),
+		"firstMs":      c.firstByteLatency.Milliseconds(),
+		"tookMs":       (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
 	})
 	return entry.WithFields(c.resendFields()).WithFields(fields)
 }
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -145,13 +145,14 @@
 	ctx *fasthttp.RequestCtx, h wigeonshift.RequestHeader, status int, reason string, retryAfter time.Duration,
 ) {
 	s.setRefusal(ctx, h.RequestID, status, retryAfter)
-	version := uint64(0)
+	var version uint64
+	var age time.Duration
 	if t := s.table.Load(); t != nil {
-		version = t.Configuration.Version
+		version, age = t.Configuration.Version, time.Since(t.BuiltAt)
 	}
 	s.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
 	s.log.WithFields(logrus.Fields{
-		"request": h.RequestID, "status": status, "reason": reason, "version": version,
+		"request": h.RequestID, "status": status, "reason": reason, "version": version, "versionAgeMs": age.Milliseconds(),
 	}).Info("request rejected")
 }
 
--- a/internal/services/wigeonroute/table.go
+++ b/internal/services/wigeonroute/table.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"wigeonshift"
 )
@@ -14,6 +15,8 @@
 type Table struct {
 	// Configuration is the version that the table was built from.
 	Configuration *wigeonshift.RoutingConfiguration
+	// BuiltAt is the time of New, from which on the version is in force.
+	BuiltAt time.Time
 	// routesByHost maps a lower-case host name to its routes, longest path prefix first.
 	routesByHost map[string][]*wigeonshift.Route
 	// organisationsByKey maps an API key to the organisation that it belongs to.
@@ -25,6 +28,7 @@
 func New(c *wigeonshift.RoutingConfiguration) *Table {
 	t := &Table{
 		Configuration:      c,
+		BuiltAt:            time.Now(),
 		routesByHost:       map[string][]*wigeonshift.Route{},
 		organisationsByKey: map[string]*wigeonshift.RoutedOrganisation{},
 	}
