Open another session beside one whose peer should have sent something

The old one stays until the new one has shown that the peer is there, so a slow peer isn't reported as lost.

--- a/internal/modules/wigeonsession/heartbeat.go
+++ b/internal/modules/wigeonsession/heartbeat.go
@@ -64,8 +64,12 @@
 func (n *Network) checkLinks() {
 	now := n.now()
 	links := n.links.all()
+	expected := n.expected.Load()
 	for _, l := range links {
 		l.checkLiveness(now)
+		if expected != nil && expected.peers[l.remote.ID] {
+			l.peer.checkSilence(l, now, expected.maxSilence)
+		}
 	}
 	n.counters.sessions.Update(float64(len(links)))
 }
--- a/internal/modules/wigeonsession/network.go
+++ b/internal/modules/wigeonsession/network.go
@@ -63,6 +63,8 @@
 	// dialCount numbers the dials of this instance.
 	dialCount atomic.Uint64
 	links     linkSet
+	// expected holds the peers that send frames at short intervals; nil if there are none.
+	expected atomic.Pointer[expectation]
 
 	ctx    context.Context //nolint:containedctx // It spans the lifetime of the network, from Start to Stop.
 	cancel context.CancelFunc
@@ -106,6 +108,25 @@
 	p.probe()
 }
 
+// expectation is how often frames of some peers must arrive.
+type expectation struct {
+	// peers holds the IDs of the peers.
+	peers map[string]bool
+	// maxSilence is the longest time without a frame from one of them.
+	maxSilence time.Duration
+}
+
+// ExpectFrames sets the peers that send frames at intervals below maxSilence, in place of those that were set before. If nothing
+// arrives from one for longer, its session may be dead, so another one is opened beside it and replaces it. The peer counts as
+// lost only when its session ends.
+func (n *Network) ExpectFrames(peers []wigeonshift.Instance, maxSilence time.Duration) {
+	e := &expectation{peers: make(map[string]bool, len(peers)), maxSilence: maxSilence}
+	for _, p := range peers {
+		e.peers[p.ID] = true
+	}
+	n.expected.Store(e)
+}
+
 // Start opens the listener and starts accepting sessions.
 func (n *Network) Start(_ context.Context) error {
 	if n.listener == nil {
--- a/internal/modules/wigeonsession/peer.go
+++ b/internal/modules/wigeonsession/peer.go
@@ -9,6 +9,7 @@
 	"wigeonshift"
 
 	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
 )
 
 // Limits of the exponential backoff after failed dials. Each backoff gets a random jitter of up to half in both directions.
@@ -17,6 +18,12 @@
 	maxRedialBackoff = 2 * time.Second
 )
 
+// Limits of the exponential backoff between two dials beside a silent link.
+const (
+	minReplaceBackoff = time.Second
+	maxReplaceBackoff = 8 * time.Second
+)
+
 // outgoingFrame is one encoded message in a send queue.
 type outgoingFrame struct {
 	kind         int
@@ -42,6 +49,8 @@
 	dialFailures    int
 	nextDialAt      time.Duration
 	lastUsedAt      time.Duration
+	// nextReplaceAt is the earliest time of the next dial beside a silent link, replaceBackoff the pause before it.
+	nextReplaceAt, replaceBackoff time.Duration
 }
 
 func newPeer(n *Network, i wigeonshift.Instance) *peer {
@@ -95,6 +104,13 @@
 		p.mu.Unlock()
 		return
 	}
+	p.mu.Unlock()
+	p.runReplace()
+}
+
+// runReplace opens one link, also beside the current one. If it fails, the queued messages are dropped, unless there is a link.
+func (p *peer) runReplace() {
+	p.mu.Lock()
 	instance, acceptedDial := p.instance, p.maxAcceptedDial
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.network.ctx, dialTimeout+handshakeTimeout)
@@ -106,11 +122,33 @@
 	}
 	p.mu.Lock()
 	p.dialing = false
-	p.adopt(l, 0)
+	p.adopt(l, acceptedDial)
 	p.mu.Unlock()
 	l.start()
 }
 
+// checkSilence dials beside a link from which nothing has arrived for longer than maxSilence. The link stays until another one
+// replaces it or its silence timeout has passed, as the peer may only be slow.
+func (p *peer) checkSilence(l *link, now, maxSilence time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silence := now - time.Duration(l.lastReceivedAt.Load())
+	if p.current != l || silence < maxSilence {
+		return
+	}
+	if p.dialing || now < p.nextReplaceAt {
+		return
+	}
+	if now-p.nextReplaceAt > maxReplaceBackoff {
+		p.replaceBackoff = 0
+	}
+	p.replaceBackoff = min(max(2*p.replaceBackoff, minReplaceBackoff), maxReplaceBackoff)
+	p.nextReplaceAt = now + p.replaceBackoff
+	p.network.log.WithFields(logrus.Fields{"instance": p.instance.ID, "silentMs": silence.Milliseconds()}).
+		Info("peer session is silent; opening another one")
+	p.dialing = p.network.goIfRunning(p.runReplace)
+}
+
 // handleDialFailure drops the queued messages, starts the backoff and notifies the subscribers, unless the peer has
 // connected in the meantime.
 func (p *peer) handleDialFailure(err error) {
@@ -156,8 +194,9 @@
 
 // adopt adds a link and decides which link sends; the caller holds the lock. Both sides make the same choice: a dial by an
 // instance that already knew the other link replaces that link, and of two simultaneous dials the one by the instance with
-// the smaller ID is kept. dialKnownToPeer is the largest number of our dials that the peer had accepted when it dialled.
-func (p *peer) adopt(l *link, dialKnownToPeer uint64) {
+// the smaller ID is kept. knownDial is the largest number of the other side's dials that the side which dialled l had accepted by
+// then.
+func (p *peer) adopt(l *link, knownDial uint64) {
 	p.links[l] = true
 	p.network.links.add(l)
 	p.dialFailures, p.nextDialAt = 0, 0
@@ -167,7 +206,7 @@
 		p.maxAcceptedDial = max(p.maxAcceptedDial, l.dialNumber)
 	}
 	previous := p.current
-	if previous != nil && !p.shouldReplace(l, previous, dialKnownToPeer) {
+	if previous != nil && !p.shouldReplace(l, previous, knownDial) {
 		l.retire()
 		return
 	}
@@ -181,14 +220,14 @@
 }
 
 // shouldReplace reports whether a new link replaces the current one as the sender.
-func (p *peer) shouldReplace(l, current *link, dialKnownToPeer uint64) bool {
+func (p *peer) shouldReplace(l, current *link, knownDial uint64) bool {
 	switch {
 	case l.outbound == current.outbound:
 		return true
+	case current.dialNumber <= knownDial:
+		return true
 	case l.outbound:
 		return p.network.self.ID < p.instance.ID
-	case current.dialNumber <= dialKnownToPeer:
-		return true
 	default:
 		return p.instance.ID < p.network.self.ID
 	}
