Find silent connections to the store by the fleet, not by each poll's end

- The polls for the configuration end in turns, one each 0.6 s over the fleet, on the store's clock.
The first that gets no answer shows the silence; it makes its instance poll all tables again and tell all others.
- A long poll is relied on only while two peers are heard.
Once fewer are, or after a pause of the process or its machine, all tables are polled again on new connections, and then each 1.2 s.
- A version that a peer names is also asked for at the store, on a new connection; a second peer is asked after 0.25 s if the first one doesn't answer.
A change of what an instance knows makes a notice due at once.
- A call without an answer closes the store's idle connections, which may be silent as well.

The specs of followers name instances in place of seeds, and set that peers are heard where a fleet is meant.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -71,6 +71,10 @@
 	// configurationRequests and endpointsRequests limit how often newer data that peers report is fetched.
 	configurationRequests, endpointsRequests, quarantineRequests peerRequestThrottle
 	membership                                                   *membership
+	// heard holds when each peer was heard.
+	heard peerHearing
+	// announcing is set while all peers are due a notice of what this instance knows.
+	announcing atomic.Bool
 	// registered is set once this instance's row has been written.
 	registered atomic.Bool
 	// registerRequests holds a pending request to write this instance's row again.
@@ -135,7 +139,8 @@
 		Instances:     g.setInstances,
 		Quarantine:    g.quarantine,
 		StoreRestored: g.share.RenewSoon,
-	}, log, wigeonfollow.WithScope(scope))
+		Missed:        func() { g.announcing.Store(true) },
+	}, log, wigeonfollow.WithScope(scope), wigeonfollow.WithInstance(g.self.ID))
 	g.network = wigeonsession.New(g.self, wigeonsession.WithListenAddress(s.Peer.Listen), wigeonsession.WithLogger(log),
 		wigeonsession.WithScope(scope))
 	g.network.Subscribe(g.handleMessage)
@@ -245,6 +250,8 @@
 	g.dispatcher.SetInstances(instances, g.knowsInstances.Load())
 	g.quarantine.SetInstanceCount(len(instances))
 	g.share.SetInstanceCount(len(instances))
+	sameGroup, _ := g.membership.peers()
+	g.network.ExpectFrames(sameGroup, maxPeerSilence)
 }
 
 // setCrashes passes what the instances know of crashes to the dispatcher.
--- a/internal/routers/wigeongateway/gateway_test.go
+++ b/internal/routers/wigeongateway/gateway_test.go
@@ -29,6 +29,8 @@
 	holdDuration time.Duration
 }
 
+func (*blockingStore) Reconnect() {}
+
 func (s *blockingStore) List(_ context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
 	page := wigeonshift.TablePage{Revision: 1}
 	if table == wigeonshift.TableConfiguration {
@@ -59,6 +61,8 @@
 	writes atomic.Int32
 }
 
+func (*staticStore) Reconnect() {}
+
 func (s *staticStore) List(_ context.Context, table wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
 	if s.rows == nil {
 		return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -25,6 +25,13 @@
 	otherGroupNoticeInterval = 2 * time.Second
 	// newInstanceNoticeInterval replaces otherGroupNoticeInterval while the sender or the receiver is new.
 	newInstanceNoticeInterval = 300 * time.Millisecond
+	// announceInterval is the shortest time between two notices to all instances of what the store has withheld.
+	announceInterval = 300 * time.Millisecond
+	// livenessInterval is the time between two checks of which peers are heard.
+	livenessInterval = 100 * time.Millisecond
+	// maxPause is the time without a check after which this process counts as paused: the store and the peers may have given up
+	// its connections.
+	maxPause = time.Second
 	// pruneInterval is the time between two checks for idle connections to endpoints.
 	pruneInterval = time.Second
 	// registerTimeout bounds one write of the instance's row.
@@ -37,7 +44,7 @@
 
 // startLoops starts the background tasks.
 func (g *Gateway) startLoops(ctx context.Context) {
-	for _, l := range []func(context.Context){g.runTicks, g.runLoadNotices, g.runPrune, g.runRegister} {
+	for _, l := range []func(context.Context){g.runTicks, g.runLoadNotices, g.runLiveness, g.runPrune, g.runRegister} {
 		g.tasks.Go(func() { l(ctx) })
 	}
 }
@@ -62,6 +69,7 @@
 	t := time.NewTicker(minNoticeInterval)
 	defer t.Stop()
 	var reportedChanges uint64
+	var reported knownVersions
 	var sameGroupSentAt, otherGroupsSentAt, newInstancesSentAt, crashesSentAt time.Time
 	for {
 		select {
@@ -70,10 +78,12 @@
 			return
 		}
 		sameGroup, otherGroups := g.membership.peers()
-		if !isNoticeDue(time.Since(sameGroupSentAt), g.dispatcher.LoadChanges() != reportedChanges, 1+len(sameGroup)+len(otherGroups)) {
+		changed := g.dispatcher.LoadChanges() != reportedChanges || g.knownVersions() != reported
+		if !isNoticeDue(time.Since(sameGroupSentAt), changed, 1+len(sameGroup)+len(otherGroups)) {
 			continue
 		}
-		loadNotice, changes := g.loadNotice()
+		reported = g.knownVersions()
+		loadNotice, changes := g.loadNotice(reported)
 		reportedChanges, sameGroupSentAt = changes, time.Now()
 		if time.Since(crashesSentAt) >= crashNoticeInterval {
 			crashesSentAt = sameGroupSentAt
@@ -81,7 +91,8 @@
 		}
 		g.sendLoadNotice(ctx, sameGroup, loadNotice)
 		switch {
-		case time.Since(otherGroupsSentAt) >= otherGroupNoticeInterval:
+		case time.Since(otherGroupsSentAt) >= otherGroupNoticeInterval,
+			time.Since(otherGroupsSentAt) >= announceInterval && g.announcing.Swap(false):
 			otherGroupsSentAt, newInstancesSentAt = sameGroupSentAt, sameGroupSentAt
 			g.sendLoadNotice(ctx, otherGroups, loadNotice)
 		case time.Since(newInstancesSentAt) >= newInstanceNoticeInterval:
@@ -100,17 +111,55 @@
 	return instances <= maxFastNoticeInstances || sinceLatest >= minLargeFleetNoticeInterval-minNoticeInterval/2
 }
 
-// loadNotice returns this instance's load notice and the number of changes that it covers.
-func (g *Gateway) loadNotice() (wigeonshift.LoadNotice, uint64) {
-	loadNotice, changes := g.dispatcher.Load()
+// knownVersions is what this instance knows of the tables that instances report to each other.
+type knownVersions struct {
+	// configuration is the version in force, endpoints and quarantine are the highest revisions of any row.
+	configuration, endpoints, quarantine uint64
+}
+
+func (g *Gateway) knownVersions() knownVersions {
+	var v knownVersions
 	if table := g.relay.Table(); table != nil {
-		loadNotice.ConfigurationVersion = table.Configuration.Version
+		v.configuration = table.Configuration.Version
 	}
-	loadNotice.EndpointsRevision, _ = g.follower.EndpointsRevision()
-	loadNotice.QuarantineRevision, _ = g.follower.QuarantineRevision()
+	v.endpoints, _ = g.follower.EndpointsRevision()
+	v.quarantine, _ = g.follower.QuarantineRevision()
+	return v
+}
+
+// loadNotice returns this instance's load notice and the number of changes that it covers.
+func (g *Gateway) loadNotice(v knownVersions) (wigeonshift.LoadNotice, uint64) {
+	loadNotice, changes := g.dispatcher.Load()
+	loadNotice.ConfigurationVersion = v.configuration
+	loadNotice.EndpointsRevision, loadNotice.QuarantineRevision = v.endpoints, v.quarantine
 	return loadNotice, changes
 }
 
+// runLiveness tells the follower which peers are heard, and makes it poll again after a pause of this process or its machine.
+func (g *Gateway) runLiveness(ctx context.Context) {
+	t := time.NewTicker(livenessInterval)
+	defer t.Stop()
+	checkedAt := g.dispatcher.Now()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		// The dispatcher's time includes suspensions of the machine.
+		at := g.dispatcher.Now()
+		pause := at - checkedAt
+		checkedAt = at
+		if pause >= maxPause {
+			g.log.WithField("pausedMs", pause.Milliseconds()).Warn("process was paused; polling the store again")
+			g.heard.forget()
+			g.follower.Repoll()
+		}
+		sameGroup, _ := g.membership.peers()
+		g.follower.SetPeersHeard(g.heard.count(sameGroup, time.Now()))
+	}
+}
+
 func (g *Gateway) sendLoadNotice(ctx context.Context, peers []wigeonshift.Instance, notice wigeonshift.LoadNotice) {
 	// The network reports unreachable peers itself.
 	_ = g.network.Broadcast(ctx, peers, notice)
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -13,10 +13,11 @@
 func (g *Gateway) handleMessage(from wigeonshift.Instance, m wigeonshift.PeerMessage) {
 	switch m := m.(type) {
 	case wigeonshift.LoadNotice:
+		g.heard.record(from.ID, time.Now())
 		g.dispatcher.SetPeerLoad(from.ID, m)
 		g.quarantine.Offer(m.CrashEvidence)
 		g.fetchNewerQuarantine(from, m.QuarantineRevision)
-		g.requestNewerConfiguration(from, m.ConfigurationVersion)
+		g.fetchNewerConfiguration(from, m.ConfigurationVersion)
 		g.fetchNewerEndpoints(from, m.EndpointsRevision)
 	case wigeonshift.ConfigurationAsk:
 		g.sendConfiguration(from, m.Have)
@@ -33,16 +34,17 @@
 	}
 }
 
-// requestNewerConfiguration requests the configuration from a peer if the peer has a newer version that the store has not
-// delivered in time.
-func (g *Gateway) requestNewerConfiguration(from wigeonshift.Instance, peerVersion uint64) {
+// fetchNewerConfiguration queries the store for the configuration again if a peer has a newer version that the store has not
+// delivered in time. It also requests that version from the peer, as the store may be out of reach.
+func (g *Gateway) fetchNewerConfiguration(from wigeonshift.Instance, peerVersion uint64) {
 	localVersion := uint64(0)
 	if table := g.relay.Table(); table != nil {
 		localVersion = table.Configuration.Version
 	}
-	if !g.configurationRequests.shouldRequest(peerVersion, localVersion, time.Now()) {
+	if !g.configurationRequests.shouldRequest(from.ID, peerVersion, localVersion, time.Now()) {
 		return
 	}
+	g.follower.RepollConfiguration()
 	g.log.WithFields(logrus.Fields{"from": from.ID, "version": peerVersion, "own": localVersion}).
 		Info("requesting a newer configuration from a peer")
 	if err := g.network.Send(context.Background(), from, wigeonshift.ConfigurationAsk{Have: localVersion}); err != nil {
@@ -54,7 +56,7 @@
 // here. It also requests the endpoints from the peer if this instance has never had any list of endpoints.
 func (g *Gateway) fetchNewerEndpoints(from wigeonshift.Instance, peerRevision uint64) {
 	_, localRevision := g.follower.EndpointsRevision()
-	if !g.endpointsRequests.shouldRequest(peerRevision, localRevision, time.Now()) {
+	if !g.endpointsRequests.shouldRequest(from.ID, peerRevision, localRevision, time.Now()) {
 		return
 	}
 	g.log.WithFields(logrus.Fields{"from": from.ID, "revision": peerRevision, "own": localRevision}).
@@ -72,7 +74,7 @@
 // here.
 func (g *Gateway) fetchNewerQuarantine(from wigeonshift.Instance, peerRevision uint64) {
 	_, localRevision := g.follower.QuarantineRevision()
-	if !g.quarantineRequests.shouldRequest(peerRevision, localRevision, time.Now()) {
+	if !g.quarantineRequests.shouldRequest(from.ID, peerRevision, localRevision, time.Now()) {
 		return
 	}
 	g.log.WithFields(logrus.Fields{"from": from.ID, "revision": peerRevision, "own": localRevision}).
--- a/internal/routers/wigeongateway/peerrequest.go
+++ b/internal/routers/wigeongateway/peerrequest.go
@@ -1,6 +1,7 @@
 package wigeongateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -8,25 +9,35 @@
 const (
 	// peerRequestDelay gives the store time to deliver a newer version before this instance requests it from a peer.
 	peerRequestDelay = 300 * time.Millisecond
-	// peerRequestTimeout is the time after which a request counts as unanswered and the next one may be sent.
+	// peerRequestTimeout is the time after which a request counts as unanswered.
 	peerRequestTimeout = time.Second
+	// nextPeerDelay is the time after which another peer is asked beside one that hasn't answered.
+	nextPeerDelay = 250 * time.Millisecond
+	// maxPeerRequests is the number of peers that may be asked at the same time.
+	maxPeerRequests = 2
 )
 
 // peerRequestThrottle limits how often an instance fetches a version that peers have and the store has not delivered.
-// Every load notice of every peer carries a version and a response may be large, so at most one request is outstanding.
+// Every load notice of every peer carries a version and a response may be large, so only few requests are outstanding.
 type peerRequestThrottle struct {
 	mu sync.Mutex
 	// newestVersion is the newest version that any peer has reported.
 	newestVersion uint64
 	// behindSince is when a peer first reported a version newer than the local one.
 	behindSince time.Time
-	// requestedAt is the time of the latest request.
-	requestedAt time.Time
+	// outstanding holds the latest requests, oldest first.
+	outstanding []peerRequest
 }
 
-// shouldRequest reports whether to request the version that a peer has just reported. If so, it records at as the time of
-// the latest request.
-func (t *peerRequestThrottle) shouldRequest(peerVersion, localVersion uint64, at time.Time) bool {
+// peerRequest is a request for a version that a peer has reported.
+type peerRequest struct {
+	peer    string
+	version uint64
+	at      time.Time
+}
+
+// shouldRequest reports whether to request the version that a peer has just reported. If so, it records the request.
+func (t *peerRequestThrottle) shouldRequest(peer string, peerVersion, localVersion uint64, at time.Time) bool {
 	if peerVersion <= localVersion {
 		return false
 	}
@@ -36,9 +47,17 @@
 		t.behindSince = at
 	}
 	t.newestVersion = max(t.newestVersion, peerVersion)
-	if at.Sub(t.behindSince) < peerRequestDelay || at.Sub(t.requestedAt) < peerRequestTimeout {
+	t.outstanding = slices.DeleteFunc(t.outstanding, func(r peerRequest) bool {
+		return r.version <= localVersion || at.Sub(r.at) >= peerRequestTimeout
+	})
+	if at.Sub(t.behindSince) < peerRequestDelay || len(t.outstanding) >= maxPeerRequests {
 		return false
 	}
-	t.requestedAt = at
+	for _, r := range t.outstanding {
+		if r.peer == peer || at.Sub(r.at) < nextPeerDelay {
+			return false
+		}
+	}
+	t.outstanding = append(t.outstanding, peerRequest{peer: peer, at: at, version: peerVersion})
 	return true
 }
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -38,19 +38,27 @@
 	// compactedRevision is the revision up to which the change history has been dropped.
 	compactedRevision uint64
 	// era counts the returns of the store from an older copy.
-	era     uint64
-	calls   int
-	changed chan struct{}
+	era uint64
+	// calls and reconnects count those of the followers.
+	calls, reconnects int
+	changed           chan struct{}
+	// startedAt is the start of the store's clock. Calls that began before silencedAt get no response.
+	startedAt, silencedAt time.Time
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		rows:    map[wigeonshift.RoutingTable]map[string]wigeonshift.TableRow{},
 		changes: map[wigeonshift.RoutingTable][]wigeonshift.TableRow{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), startedAt: time.Now(),
 	}
 }
 
+// silenceOpen makes the connections of all open calls silent for good. New calls work.
+func (s *fakeStore) silenceOpen() {
+	s.update(func(s *fakeStore) { s.silencedAt = time.Now() })
+}
+
 func (s *fakeStore) put(table wigeonshift.RoutingTable, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,6 +76,9 @@
 	s.changed = make(chan struct{})
 }
 
+// nowMillis returns the time on the store's clock.
+func (s *fakeStore) nowMillis() int64 { return 1 + time.Since(s.startedAt).Milliseconds() }
+
 // update changes the store under its lock.
 func (s *fakeStore) update(change func(*fakeStore)) {
 	s.mu.Lock()
@@ -132,7 +143,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.mu.Lock()
-	silent := s.silent
+	silent, began := s.silent, time.Now()
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -149,7 +160,12 @@
 			s.mu.Unlock()
 			return wigeonshift.TablePage{}, wigeonshift.ErrHistoryLost
 		}
-		page := wigeonshift.TablePage{Revision: s.revision, Era: s.era}
+		if !began.After(s.silencedAt) {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return wigeonshift.TablePage{}, wigeonshift.ErrOutcomeUnknown
+		}
+		page := wigeonshift.TablePage{Revision: s.revision, Era: s.era, NowMillis: s.nowMillis()}
 		for _, r := range s.changes[table] {
 			if r.Revision > after {
 				page.Rows = append(page.Rows, r)
@@ -163,6 +179,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			page.NowMillis = s.nowMillis()
 			return page, nil
 		case <-ctx.Done():
 			return page, ctx.Err()
@@ -170,6 +187,8 @@
 	}
 }
 
+func (s *fakeStore) Reconnect() { s.update(func(s *fakeStore) { s.reconnects++ }) }
+
 func (s *fakeStore) Commit(context.Context, wigeonshift.RoutingTable, wigeonshift.Transaction) (uint64, error) {
 	return 0, nil
 }
@@ -225,7 +244,7 @@
 	return append([]uint64(nil), f.versions...)
 }
 
-func startFollower(s *fakeStore, seed uint64) *testFollower {
+func startFollower(s *fakeStore, instance string) *testFollower {
 	f := &testFollower{}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
@@ -242,7 +261,7 @@
 			f.endpoints = records
 		},
 		Instances: func([]wigeonshift.Instance) {},
-	}, log, wigeonfollow.WithSeed(seed))
+	}, log, wigeonfollow.WithInstance(instance))
 	f.Start(context.Background())
 	return f
 }
@@ -262,10 +281,10 @@
 		s.put(config, "config", `{"version":1}`)
 		s.put(endpoints, "a", ready)
 		s.put(endpoints, "b", ready)
-		f := startFollower(s, 1)
+		f := startFollower(s, "i0")
+		defer f.Stop()
 		synctest.Wait()
 		test(NewWithT(t), s, f)
-		f.Stop()
 	})
 }
 
@@ -321,7 +340,7 @@
 			g, s := NewWithT(t), newFakeStore()
 			s.update(func(s *fakeStore) { s.down = true })
 			s.put(endpoints, "b", ready)
-			f := startFollower(s, 1)
+			f := startFollower(s, "i0")
 			advance(time.Second)
 			offer := wigeonshift.EndpointsSnapshot{Revision: 9, Rows: []wigeonshift.TableRow{
 				{Key: "a", Value: []byte(ready), Revision: 8}, {Key: "b", Value: []byte(leaving), Revision: 9},
@@ -431,25 +450,28 @@
 
 	Describe("in a large fleet", func() {
 		// addInstances registers other instances and waits until the polls with the short wait have ended.
-		addInstances := func(s *fakeStore, count int) {
+		addInstances := func(s *fakeStore, count int, all ...*testFollower) {
 			for i := range count {
 				s.put(instances, fmt.Sprint("i", i), fmt.Sprintf(`{"ID":"i%d","Address":"192.0.2.%d:1"}`, i, i))
 			}
+			for _, f := range all {
+				f.SetPeersHeard(count - 1)
+			}
 			advance(5 * time.Second)
 		}
 
 		It("polls the store rarely", func() {
-			runWithFakeClock(func(g Gomega, s *fakeStore, _ *testFollower) {
-				addInstances(s, 10)
+			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+				addInstances(s, 10, f)
 				s.update(func(s *fakeStore) { s.calls = 0 })
 				advance(time.Minute)
-				g.Expect(s.calls).To(BeNumerically("<", 28), "38 calls with the poll wait of a small fleet")
+				g.Expect(s.calls).To(BeNumerically("<", 28), "38 calls with a poll wait of 3.5 s for two tables")
 			})
 		})
 
 		It("polls again for crashes on request while a poll gets no response", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
-				addInstances(s, 10)
+				addInstances(s, 10, f)
 				s.update(func(s *fakeStore) { s.silent = true })
 				advance(15 * time.Second)
 				s.update(func(s *fakeStore) { s.silent = false })
@@ -465,7 +487,7 @@
 
 		It("polls again for endpoints on request while a poll gets no response", func() {
 			runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
-				addInstances(s, 10)
+				addInstances(s, 10, f)
 				s.update(func(s *fakeStore) { s.silent = true })
 				advance(15 * time.Second)
 				s.update(func(s *fakeStore) { s.silent = false })
@@ -486,10 +508,10 @@
 				for end := 16 * time.Second; end < 20*time.Second; end += 500 * time.Millisecond {
 					runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
 						all := []*testFollower{f}
-						for seed := range uint64(instanceCount - 1) {
-							all = append(all, startFollower(s, seed+2))
+						for n := 1; n < instanceCount; n++ {
+							all = append(all, startFollower(s, fmt.Sprint("i", n)))
 						}
-						addInstances(s, max(instanceCount-1, 10))
+						addInstances(s, max(instanceCount, 10), all...)
 						s.update(func(s *fakeStore) { s.silent = true })
 						advance(end)
 						s.put(config, "config", `{"version":5}`)
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -15,19 +15,6 @@
 )
 
 const (
-	// pollWait is how long the store holds a long poll without changes. It limits how long a dead connection stays
-	// undetected.
-	pollWait = 3500 * time.Millisecond
-	// minLargeFleetPollWait and maxLargeFleetPollWait bound the poll wait in a large fleet. It may be longer there because
-	// instances also pass changes to each other. It is random so that some instance soon notices an unresponsive store. The
-	// longest wait grows by pollWaitPerInstance up to storePollLimit, the longest that the store allows, so that the polls of all
-	// instances together stay frequent enough.
-	minLargeFleetPollWait = 2500 * time.Millisecond
-	maxLargeFleetPollWait = 15 * time.Second
-	pollWaitPerInstance   = 1250 * time.Millisecond
-	storePollLimit        = 30 * time.Second
-	// largeFleetInstances is the smallest number of instances of a large fleet.
-	largeFleetInstances = 6
 	// responseTimeout limits the time for a response on top of the poll wait.
 	responseTimeout = 800 * time.Millisecond
 	// listTimeout limits the time for a response that contains a whole table.
@@ -71,6 +58,10 @@
 	batchDelay func() time.Duration
 	// onFailure is called at the first failed call to the store.
 	onFailure func()
+	// onMissed is called if a repeated call finds changes that an earlier one has not delivered.
+	onMissed func()
+	// schedule learns the time on the store's clock.
+	schedule *schedule
 	// repollRequests holds a pending request to cancel the running poll and to poll again.
 	repollRequests chan struct{}
 
@@ -115,6 +106,7 @@
 				"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
 			}).Info("polling the store again")
 			f.pollImmediately = true
+			f.store.Reconnect()
 			continue
 		}
 		if errors.Is(err, wigeonshift.ErrHistoryLost) || errors.Is(err, errStoreRestored) {
@@ -176,8 +168,12 @@
 	if page.Era != f.era {
 		return errStoreRestored
 	}
+	repeated := f.failing || f.pollImmediately
 	f.recordSuccess()
 	f.recordRevisions(page)
+	if repeated && len(page.Rows) > 0 {
+		f.onMissed()
+	}
 	if len(page.Rows) > 0 {
 		f.handler.applyChanges(page.Rows)
 		wigeonclock.Sleep(ctx, f.batchDelay())
@@ -202,6 +198,7 @@
 
 // recordRevisions raises the known revisions to those of a page. The next poll asks for changes after knownRevision.
 func (f *follower) recordRevisions(page wigeonshift.TablePage) {
+	f.schedule.setStoreTime(page.NowMillis)
 	raise(&f.knownRevision, page.Revision)
 	for _, row := range page.Rows {
 		raise(&f.newestRowRevision, row.Revision)
@@ -223,7 +220,8 @@
 func (f *follower) poll(ctx context.Context, wait time.Duration) (wigeonshift.TablePage, error) {
 	select {
 	case <-f.repollRequests:
-		// Drops a request from before this poll.
+		// This poll serves a request from before it, if it goes on a new connection.
+		f.store.Reconnect()
 	default:
 	}
 	r := &pollRequest{
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -60,12 +60,6 @@
 	t.sink(instances)
 }
 
-func (t *instanceTable) count() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.instances)
-}
-
 func (t *instanceTable) handleStoreFailure()  {}
 func (t *instanceTable) handleStoreRecovery() {}
 func (t *instanceTable) handleStoreRestored() {
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +22,8 @@
 	Instances func(instances []wigeonshift.Instance)
 	// Quarantine receives the rows of the quarantine table.
 	Quarantine RowSink
+	// Missed is called if changes were found that a connection to the store has withheld; nil if nobody needs to know.
+	Missed func()
 	// StoreRestored is called when the store has returned from an older copy; nil if nobody needs to know.
 	StoreRestored func()
 }
@@ -52,10 +53,11 @@
 	endpoints     *endpointTable
 	instances     *instanceTable
 	followers     []*follower
-	// endpointsFollower and quarantineFollower are also in followers.
-	endpointsFollower, quarantineFollower *follower
+	// configurationFollower, endpointsFollower and quarantineFollower are also in followers.
+	configurationFollower, endpointsFollower, quarantineFollower *follower
+	schedule                                                     *schedule
+	log                                                          logrus.FieldLogger
 
-	seed   uint64
 	scope  tally.Scope
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
@@ -64,8 +66,8 @@
 // Option configures a Service.
 type Option func(*Service)
 
-// WithSeed sets the random seed of the poll waits.
-func WithSeed(seed uint64) Option { return func(s *Service) { s.seed = seed } }
+// WithInstance sets the ID of this instance, by which it finds its turn among the listed ones.
+func WithInstance(id string) Option { return func(s *Service) { s.schedule.self = id } }
 
 // WithScope sets the metrics scope.
 func WithScope(scope tally.Scope) Option { return func(s *Service) { s.scope = scope } }
@@ -76,41 +78,51 @@
 	store wigeonshift.RoutingStore, codec wigeonshift.RoutingCodec, sinks Sinks, log logrus.FieldLogger, opts ...Option,
 ) *Service {
 	s := &Service{
-		seed:          rand.Uint64(), //nolint:gosec // The poll waits need no cryptographic randomness.
+		schedule:      &schedule{rank: -1},
+		log:           log,
 		scope:         tally.NoopScope,
 		configuration: &configurationTable{codec: codec, sink: sinks.Configuration, log: log},
 		endpoints:     newEndpointTable(codec, sinks.Endpoints, log),
 		instances: &instanceTable{
-			sink: sinks.Instances, onRestored: sinks.StoreRestored, log: log, instances: map[string]wigeonshift.Instance{},
+			onRestored: sinks.StoreRestored, log: log, instances: map[string]wigeonshift.Instance{},
 		},
 	}
+	s.instances.sink = func(instances []wigeonshift.Instance) {
+		s.schedule.setInstances(instances)
+		sinks.Instances(instances)
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.configurationFollower = &follower{
+		table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.schedule.turnWait,
+		batchDelay: func() time.Duration { return 0 },
+	}
 	s.endpointsFollower = &follower{
-		table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.pollWaitFunc(2),
+		table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.schedule.guardedWait,
 		batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
 	}
 	s.quarantineFollower = &follower{
 		table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
-		nextWait:   s.longestPollWait,
+		nextWait:   s.schedule.longWait,
 		batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
 	}
 	s.followers = []*follower{
-		{
-			table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.pollWaitFunc(1),
-			batchDelay: func() time.Duration { return 0 },
-		},
+		s.configurationFollower,
 		s.endpointsFollower,
 		{
 			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
-			nextWait:   s.longestPollWait,
+			nextWait:   s.schedule.longWait,
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
 		s.quarantineFollower,
 	}
 	for _, f := range s.followers {
-		f.store, f.log = store, log
+		f.store, f.log, f.schedule = store, log, s.schedule
+		f.onMissed = sinks.Missed
+		if f.onMissed == nil {
+			f.onMissed = func() {}
+		}
 		f.answerAge = s.scope.Tagged(map[string]string{"table": f.name}).Gauge("storeAnswerAge")
 		f.repollRequests = make(chan struct{}, 1)
 		f.onFailure = s.repollAll
@@ -126,24 +138,17 @@
 	}
 }
 
-// pollWaitFunc returns a function that gives the next poll wait: how long the store holds a poll without changes. In a
-// large fleet the wait is longer, because instances also pass changes to each other, and random, so that some instance
-// soon notices an unresponsive store. randomStream gives each follower its own sequence.
-func (s *Service) pollWaitFunc(randomStream uint64) func() time.Duration {
-	random := rand.New(rand.NewPCG(s.seed, randomStream)) //nolint:gosec // The poll waits need no cryptographic randomness.
-	return func() time.Duration {
-		if s.instances.count() < largeFleetInstances {
-			return pollWait
-		}
-		return minLargeFleetPollWait + time.Duration(random.Int64N(int64(s.longestPollWait()-minLargeFleetPollWait)))
+// SetPeersHeard sets the number of peers that were heard lately. Once too few are left to report what a silent connection to the
+// store withholds, all tables are polled again on new connections.
+func (s *Service) SetPeersHeard(n int) {
+	if s.schedule.setPeersHeard(n) {
+		s.log.WithField("peersHeard", n).Info("too few peers are heard; polling the store again")
+		s.repollAll()
 	}
 }
 
-// longestPollWait returns the longest poll wait of a large fleet.
-func (s *Service) longestPollWait() time.Duration {
-	byCount := time.Duration(s.instances.count()) * pollWaitPerInstance
-	return min(max(byCount, maxLargeFleetPollWait), storePollLimit)
-}
+// Repoll cancels all running polls and polls again on new connections. It is called when the present ones may be dead.
+func (s *Service) Repoll() { s.repollAll() }
 
 // repollAll makes all followers poll again, because one failed call may mean that the other polls will fail as well.
 func (s *Service) repollAll() {
@@ -174,6 +179,9 @@
 	return true
 }
 
+// RepollConfiguration does for the configuration what RepollEndpoints does for endpoints.
+func (s *Service) RepollConfiguration() { s.configurationFollower.requestRepoll() }
+
 // RepollEndpoints cancels the running poll for endpoints and polls again. It is called when another instance knows of a
 // change that the running poll has not delivered.
 func (s *Service) RepollEndpoints() { s.endpointsFollower.requestRepoll() }
@@ -200,7 +208,7 @@
 // batchDelay returns the pause after a change. It is longer in a larger fleet, because every instance polls the store
 // again after the pause.
 func (s *Service) batchDelay(longest time.Duration) time.Duration {
-	return min(batchBaseDelay+time.Duration(s.instances.count())*batchDelayPerInstance, longest)
+	return min(batchBaseDelay+time.Duration(s.schedule.instanceCount())*batchDelayPerInstance, longest)
 }
 
 // Stop stops watching and waits for the followers to end.
--- a/internal/soak/wigeonsoak/store_test.go
+++ b/internal/soak/wigeonsoak/store_test.go
@@ -180,7 +180,7 @@
 			return
 		}
 		if len(rows) > 0 || timedOut {
-			_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version})
+			_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version, "now_ms": s.nowMillis()})
 			return
 		}
 		select {
--- a/routing.go
+++ b/routing.go
@@ -156,6 +156,8 @@
 	// Commit applies a transaction to rows of a table and returns the era in which the store applied it. Its error wraps
 	// ErrConditionFailed, ErrUnavailable or ErrThrottled if the transaction had no effect, and otherwise ErrOutcomeUnknown.
 	Commit(ctx context.Context, table RoutingTable, tx Transaction) (era uint64, err error)
+	// Reconnect makes the next calls use new connections, because those that are open may be dead.
+	Reconnect()
 }
 
 // RoutingTable identifies a table of the routing store.
