Refuse rows of other writers that name no usable endpoint or instance

Another writer left odd rows among those of the endpoints. Rows with the ports 99999, -1, 0 and abc, with 2 * 10^9 or 2^63-1 slots, at 0.0.0.0 or with a line break in the key were taken as endpoints: each request to one cost an attempt, and the key would have been sent as a header's value. Instances with such addresses were dialled again and again. Nothing ended or stopped following.

A refused row has one line until it is readable or gone, and is counted.

--- a/internal/services/wigeonfollow/endpoint.go
+++ b/internal/services/wigeonfollow/endpoint.go
@@ -24,8 +24,9 @@
 type endpointTable struct {
 	codec wigeonshift.RoutingCodec
 	// sink receives all known endpoints after each change.
-	sink func([]wigeonshift.EndpointRecord)
-	log  logrus.FieldLogger
+	sink    func([]wigeonshift.EndpointRecord)
+	log     logrus.FieldLogger
+	refused *refusedRows
 
 	mu sync.Mutex
 	// endpoints maps row keys to endpoints.
@@ -43,12 +44,13 @@
 }
 
 func newEndpointTable(
-	codec wigeonshift.RoutingCodec, sink func([]wigeonshift.EndpointRecord), log logrus.FieldLogger,
+	codec wigeonshift.RoutingCodec, sink func([]wigeonshift.EndpointRecord), log logrus.FieldLogger, refused *refusedRows,
 ) *endpointTable {
 	return &endpointTable{
 		codec:     codec,
 		sink:      sink,
 		log:       log,
+		refused:   refused,
 		endpoints: map[string]knownEndpoint{},
 		missing:   map[string]bool{},
 	}
@@ -126,10 +128,11 @@
 	delete(t.missing, row.Key)
 	r, err := t.codec.Endpoint(row)
 	if err != nil {
-		t.log.WithError(err).WithField("row", row.Key).Warn("failed to decode an endpoint row")
+		t.refused.refuse(row.Key, err)
 		delete(t.endpoints, row.Key)
 		return
 	}
+	t.refused.accept(row.Key)
 	t.endpoints[row.Key] = knownEndpoint{record: r, row: row}
 	if !exists || previous.record != r {
 		t.log.WithFields(logrus.Fields{
@@ -142,6 +145,7 @@
 // removeRow removes the endpoint of a deleted row. During and shortly after a store outage it only marks the endpoint
 // as missing and keeps it in use, because the endpoint may have lost no more than its registration.
 func (t *endpointTable) removeRow(id string) {
+	t.refused.accept(id)
 	if _, exists := t.endpoints[id]; !exists {
 		return
 	}
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sort"
 	"sync"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonsocket"
 
 	"github.com/sirupsen/logrus"
 )
@@ -17,11 +19,33 @@
 	// onRestored is called when the store has returned from an older copy; it may be nil.
 	onRestored func()
 	log        logrus.FieldLogger
+	refused    *refusedRows
 
 	mu        sync.Mutex
 	instances map[string]wigeonshift.Instance
 }
 
+// maxInstanceText is the longest ID, zone or region of an instance, in bytes.
+const maxInstanceText = 200
+
+// errMalformedInstanceRow reports an instance's row that can't be decoded or has values that can't be used.
+var errMalformedInstanceRow = errors.New("malformed instance row")
+
+// decodeInstance decodes the value of an instance's row. Its error wraps errMalformedInstanceRow.
+func decodeInstance(value []byte) (wigeonshift.Instance, error) {
+	var i wigeonshift.Instance
+	if err := json.Unmarshal(value, &i); err != nil {
+		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
+	}
+	if i.ID == "" || max(len(i.ID), len(i.Zone), len(i.Region)) > maxInstanceText {
+		return wigeonshift.Instance{}, errMalformedInstanceRow
+	}
+	if _, err := wigeonsocket.ParseAddress(i.Address); err != nil {
+		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
+	}
+	return i, nil
+}
+
 // replaceRows forgets all instances and adds those of rows, because a new listing of the table shows deleted rows only
 // by their absence.
 func (t *instanceTable) replaceRows(rows []wigeonshift.TableRow) {
@@ -39,16 +63,18 @@
 	defer t.mu.Unlock()
 	for _, row := range rows {
 		if row.Deleted {
+			t.refused.accept(row.Key)
 			delete(t.instances, row.Key)
 			t.log.WithField("instance", row.Key).Info("instance removed")
 			continue
 		}
-		var i wigeonshift.Instance
-		if err := json.Unmarshal(row.Value, &i); err != nil || i.ID == "" || i.Address == "" {
-			t.log.WithField("row", row.Key).Warn("failed to decode an instance row")
+		i, err := decodeInstance(row.Value)
+		if err != nil {
+			t.refused.refuse(row.Key, err)
 			delete(t.instances, row.Key)
 			continue
 		}
+		t.refused.accept(row.Key)
 		t.instances[row.Key] = i
 		t.log.WithFields(logrus.Fields{"instance": i.ID, "address": i.Address, "zone": i.Zone}).Info("instance added or changed")
 	}
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -78,22 +78,23 @@
 	store wigeonshift.RoutingStore, codec wigeonshift.RoutingCodec, sinks Sinks, log logrus.FieldLogger, opts ...Option,
 ) *Service {
 	s := &Service{
-		schedule:      &schedule{rank: -1},
-		log:           log,
-		scope:         tally.NoopScope,
-		configuration: &configurationTable{codec: codec, sink: sinks.Configuration, log: log},
-		endpoints:     newEndpointTable(codec, sinks.Endpoints, log),
-		instances: &instanceTable{
-			onRestored: sinks.StoreRestored, log: log, instances: map[string]wigeonshift.Instance{},
-		},
-	}
-	s.instances.sink = func(instances []wigeonshift.Instance) {
-		s.schedule.setInstances(instances)
-		sinks.Instances(instances)
+		schedule: &schedule{rank: -1},
+		log:      log,
+		scope:    tally.NoopScope,
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.configuration = &configurationTable{codec: codec, sink: sinks.Configuration, log: log}
+	s.endpoints = newEndpointTable(codec, sinks.Endpoints, log, newRefusedRows("endpoints", log, s.scope))
+	s.instances = &instanceTable{
+		sink: func(instances []wigeonshift.Instance) {
+			s.schedule.setInstances(instances)
+			sinks.Instances(instances)
+		},
+		onRestored: sinks.StoreRestored, log: log, refused: newRefusedRows("instances", log, s.scope),
+		instances: map[string]wigeonshift.Instance{},
+	}
 	s.configurationFollower = &follower{
 		table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.schedule.turnWait,
 		batchDelay: func() time.Duration { return 0 },
