Answer what is still waiting or running shortly before the end of a planned stop

In a planned stop, requests that came shortly before new ones are refused and ran until after the end were cut without an answer, among them requests that may not be repeated; waiting ones and resends were still sent to endpoints then. The deadlines of requests ignored that the instance ends.

From the moment at which new requests are refused, no request may last longer than 0.8 s before the timeout of the stop: endpoints are told so, waiting requests that can't end by then are refused as not run, nothing is resent that late, and what still runs is answered 504, as its outcome is unknown.

--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -15,13 +15,15 @@
 const (
 	// exitReserve is the part of the drain timeout that is kept free so that the process exits before it is killed.
 	exitReserve = 500 * time.Millisecond
+	// answerReserve is the time before the end of a stop in which requests are answered that are not done by then.
+	answerReserve = 300 * time.Millisecond
 	// drainCheckInterval is the time between two checks for requests in flight.
 	drainCheckInterval = 50 * time.Millisecond
 )
 
 // Stop drains and stops the instance. It reports not ready but still serves requests for the notice time, in which the load
 // balancer stops sending new ones. It then refuses new requests and waits for those in flight, at most until exitReserve
-// before the drain timeout.
+// before the drain timeout. Requests that are still waiting or running shortly before that are answered, as not run or unknown.
 func (g *Gateway) Stop() error {
 	started := time.Now()
 	g.draining.Store(true)
@@ -31,6 +33,7 @@
 	defer cancel()
 	wigeonclock.Sleep(ctx, time.Until(started.Add(g.settings.Drain.Notice.Duration)))
 	g.relay.RejectNew()
+	g.dispatcher.EndBy(time.Until(started.Add(g.settings.Drain.Timeout.Duration - exitReserve - answerReserve)))
 	f := &followerStopper{follower: g.follower}
 	go f.run()
 	h := &shareStopper{share: g.share, stopped: make(chan struct{})}
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -9,6 +9,9 @@
 // refused later.
 func (s *State) handleArrival(j *Job) {
 	s.jobs[j.ID] = j
+	if s.endsAt > 0 {
+		j.Deadline = min(j.Deadline, s.endsAt)
+	}
 	j.promptKeys = newPromptKeys(j)
 	j.identifiers = newIdentifiers(j)
 	if s.mustRefuse(j) {
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -25,6 +25,8 @@
 	ReasonAttempts Reason = "attempts"
 	// ReasonDeadline means that the request ran out of time while it was queued.
 	ReasonDeadline Reason = "deadline"
+	// ReasonStopping means that the instance stopped before the request could be sent.
+	ReasonStopping Reason = "stopping"
 	// ReasonBackoff means that all endpoints of the service want no requests for a while.
 	ReasonBackoff Reason = "backoff"
 	// ReasonQuarantined means that the request was there when several endpoints crashed. It is refused, or fails if it may
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -150,6 +150,10 @@
 		// Complete is set if these are all instances, not only those that have been found so far.
 		Complete bool
 	}
+	// StopAnnounced reports that the instance stops and that no request may last longer than EndsAt.
+	StopAnnounced struct {
+		At, EndsAt time.Duration
+	}
 	// Tick is the periodic event that expires old peer reports and places queued requests.
 	Tick struct {
 		At time.Duration
@@ -170,4 +174,5 @@
 func (e PeerLost) at() time.Duration             { return e.At }
 func (e ShareGranted) at() time.Duration         { return e.At }
 func (e InstancesListed) at() time.Duration      { return e.At }
+func (e StopAnnounced) at() time.Duration        { return e.At }
 func (e Tick) at() time.Duration                 { return e.At }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -45,6 +45,8 @@
 	tickedAt, pausedAt time.Duration
 	// promptsExpiredAt is the time of the latest expireKeptPrompts that did anything.
 	promptsExpiredAt time.Duration
+	// endsAt is the time at which the instance ends; zero while it doesn't stop.
+	endsAt time.Duration
 	// listIsComplete is set once all instances are known.
 	listIsComplete bool
 	// instances is the number of instances including this one, at least 1.
@@ -109,12 +111,22 @@
 	case InstancesListed:
 		s.listIsComplete = s.listIsComplete || e.Complete
 		s.updateGroups(e.Instances)
+	case StopAnnounced:
+		s.shortenDeadlines(e.EndsAt)
 	case Tick:
 		s.handleTick()
 	}
 	return s.effects
 }
 
+// shortenDeadlines lets no request last longer than the instance, so that none is sent so late that it can't end.
+func (s *State) shortenDeadlines(endsAt time.Duration) {
+	s.endsAt = endsAt
+	for _, j := range s.jobs {
+		j.Deadline = min(j.Deadline, endsAt)
+	}
+}
+
 // advanceClock moves the clock forward. The clock never goes back, even if events come out of order.
 func (s *State) advanceClock(at time.Duration) { s.now = max(s.now, at) }
 
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -19,6 +19,7 @@
 var (
 	errCallerDisconnected = errors.New("caller closed the connection")
 	errDeadlinePassed     = errors.New("request deadline passed")
+	errInstanceStops      = errors.New("instance stops")
 	errAbandoned          = errors.New("attempt abandoned")
 )
 
@@ -172,6 +173,9 @@
 
 func (c *call) onDeadline() { c.cancel(errDeadlinePassed) }
 
+// onStop ends the call shortly before the instance ends, so that it still gets an answer.
+func (c *call) onStop() { c.cancel(errInstanceStops) }
+
 func (c *call) onCallerDisconnect() { c.cancel(errCallerDisconnected) }
 
 // abandonAttempt cancels the running attempt. The reducer then decides whether the request is sent to another endpoint.
@@ -273,6 +277,10 @@
 		c.finish("callerGone", logrus.Fields{})
 		return
 	}
+	if c.attempts == 0 && errors.Is(context.Cause(c.ctx), errInstanceStops) {
+		c.refuse(wigeondispatch.Refuse{Job: c.job.ID, Reason: wigeondispatch.ReasonStopping, RetryAfter: stoppingRetryAfter})
+		return
+	}
 	if c.attempts == 0 {
 		c.refuse(wigeondispatch.Refuse{Job: c.job.ID, Reason: wigeondispatch.ReasonDeadline})
 		return
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -32,6 +32,8 @@
 	// calls holds the calls that are queued or running.
 	calls  map[wigeondispatch.JobID]*call
 	lastID wigeondispatch.JobID
+	// endsAt is the time at which all calls end because the instance stops; zero while it doesn't.
+	endsAt time.Duration
 	// crashes shares crashes with the other instances.
 	crashes wigeonshift.CrashRecorder
 	// startCheck starts a check of an endpoint; its result must come back as an EndpointChecked event. It must not block.
@@ -118,6 +120,18 @@
 	d.reduce(wigeondispatch.ShareGranted{At: d.Now(), Share: share, Until: until})
 }
 
+// EndBy ends all calls within a duration, those that haven't begun as soon as they can't be on time: the instance stops then.
+func (d *Dispatcher) EndBy(left time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	d.endsAt = now + left
+	for _, c := range d.calls {
+		time.AfterFunc(left, c.onStop)
+	}
+	d.apply(wigeondispatch.StopAnnounced{At: now, EndsAt: d.endsAt})
+}
+
 // Load returns the instance's own load and the value of LoadChanges that belongs to it.
 func (d *Dispatcher) Load() (wigeonshift.LoadNotice, uint64) {
 	d.mu.Lock()
@@ -162,6 +176,9 @@
 	d.lastID++
 	c.job.ID = d.lastID
 	d.calls[c.job.ID] = c
+	if d.endsAt > 0 {
+		time.AfterFunc(d.endsAt-d.Now(), c.onStop)
+	}
 	d.apply(wigeondispatch.RequestArrived{At: c.job.Arrived, Job: c.job})
 }
 
--- a/internal/soak/wigeonsoak/caller_test.go
+++ b/internal/soak/wigeonsoak/caller_test.go
@@ -18,6 +18,10 @@
 	lastError error
 	random    *rand.Rand
 	stop      chan struct{}
+	// bodyPause is a pause in the middle of each request's body. keepsConnection makes the caller use a connection again although
+	// the relay has announced its end.
+	bodyPause       time.Duration
+	keepsConnection bool
 	// headers are additional header lines of the next request, each with its end.
 	headers string
 	conn    net.Conn
@@ -94,7 +98,9 @@
 		c.conn, c.reader, c.relay = conn, bufio.NewReader(conn), p
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
-	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: %d\r\n%s\r\n%s", path, id, len(body), c.headers, body)
+	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 3500\r\nContent-Length: %d\r\n%s\r\n%s", path, id, len(body), c.headers, body[:len(body)/2])
+	time.Sleep(c.bodyPause)
+	fmt.Fprint(c.conn, body[len(body)/2:])
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		c.lastError = err
@@ -103,7 +109,7 @@
 	}
 	content, err := io.ReadAll(response.Body)
 	response.Body.Close()
-	if err != nil || response.Close {
+	if err != nil || response.Close && !c.keepsConnection {
 		c.closeConnection()
 	}
 	return response.StatusCode, string(content), err == nil, response.Header.Get("Server-Signature") != ""
