--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -58,11 +58,14 @@
 	// dir holds the relays' settings and logs; binary is their program.
 	dir, binary string
 
-	mu           sync.Mutex
-	faults       map[string]int
-	outcomes     map[int]int
-	violations   []string
-	requestCount int
+	mu sync.Mutex
+	// versionAcknowledgedAt is the time at which the store acknowledged the newest version of the configuration, silencedAt that
+	// at which connections last fell silent.
+	versionAcknowledgedAt, silencedAt time.Time
+	faults                            map[string]int
+	outcomes                          map[int]int
+	violations                        []string
+	requestCount                      int
 }
 
 // regressionSeeds are seeds that failed before, each with the cause of the failure.
@@ -186,7 +189,10 @@
 // putConfiguration writes the next version of the configuration. Each version has a route /vN/, so that a request to it
 // shows whether a relay uses that version.
 func (s *soakRun) putConfiguration() {
+	s.mu.Lock()
 	s.configurationVersion++
+	s.versionAcknowledgedAt = time.Time{}
+	s.mu.Unlock()
 	routes := []map[string]any{}
 	for prefix, kind := range map[string]string{
 		"/safe/": "idempotent", "/unsafe/": "non_idempotent", "/stream/": "streaming", "/resume/": "streaming",
@@ -197,6 +203,7 @@
 			"service": "s", "max_attempts": 2, "gap_target_ms": 400, "resumable": prefix == "/resume/",
 		})
 	}
+	defer s.recordVersion()
 	s.store.put("op", "config", map[string]any{
 		"version": s.configurationVersion, "routes": routes, "services": []map[string]any{{"name": "s"}},
 	})
@@ -222,6 +229,8 @@
 	tasks.Go(func() { s.runEndpointFaults(s.seed, stop) })
 	tasks.Go(s.newPoisonCaller(s.seed, "/safe/", stop).run)
 	tasks.Go(s.newSiblingCaller(0, "/safe/", freshQuery, &siblingLog{}, stop).run)
+	tasks.Go(func() { s.runSilences(rand.New(rand.NewPCG(s.seed, 17)), stop) })
+	tasks.Go((&newestVersionProber{caller: caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 13)), stop: stop}}).run)
 	rejected := &caller{soak: s, random: rand.New(rand.NewPCG(s.seed, 7)), stop: stop}
 	tasks.Go(rejected.runRejected)
 	for end := time.Now().Add(duration); time.Now().Before(end); {
