Give up pooled connections to endpoints that have fallen silent

Connections to endpoints and to the store are probed by the kernel while they are idle, after a second, and given up after two lost probes; a sound endpoint may be silent for a second or so. A request that is lost closes the idle connections to its endpoint, unless its caller left; so do, for all endpoints, a pause of the process and the silence of all but one peer.

The soak's silence is one of the kernel now: what arrives is dropped, probes too.

--- a/cmd/wigeonrelay/serve.go
+++ b/cmd/wigeonrelay/serve.go
@@ -13,6 +13,7 @@
 
 	"wigeonshift/internal/modules/wigeonlog"
 	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/modules/wigeonsocket"
 	"wigeonshift/internal/routers/wigeongateway"
 	"wigeonshift/platform"
 
@@ -66,7 +67,7 @@
 }
 
 func dialStore(address string) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, storeDialTimeout)
+	return wigeonsocket.DialTimeout(address, storeDialTimeout)
 }
 
 // storeDialer opens connections to the store and logs them.
--- /dev/null
+++ b/internal/modules/wigeonsocket/dial.go
@@ -0,0 +1,24 @@
+package wigeonsocket
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// keepAlive shows within three seconds that an idle connection has fallen silent, without traffic of the protocol above. Two probes
+// are lost before it is given up, since a sound peer may be silent for a second.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// Dial opens a TCP connection that is probed while it is idle.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// DialTimeout is Dial with a timeout instead of a context.
+func DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return Dial(ctx, address)
+}
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -153,10 +153,13 @@
 		if pause >= maxPause {
 			g.log.WithField("pausedMs", pause.Milliseconds()).Warn("process was paused; polling the store again")
 			g.heard.forget()
+			g.pool.DropAllIdle()
 			g.follower.Repoll()
 		}
 		sameGroup, _ := g.membership.peers()
-		g.follower.SetPeersHeard(g.heard.count(sameGroup, time.Now()))
+		if g.follower.SetPeersHeard(g.heard.count(sameGroup, time.Now())) {
+			g.pool.DropAllIdle()
+		}
 	}
 }
 
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -140,12 +140,14 @@
 }
 
 // SetPeersHeard sets the number of peers that were heard lately. Once too few are left to report what a silent connection to the
-// store withholds, all tables are polled again on new connections.
-func (s *Service) SetPeersHeard(n int) {
-	if s.schedule.setPeersHeard(n) {
-		s.log.WithField("peersHeard", n).Info("too few peers are heard; polling the store again")
-		s.repollAll()
+// store withholds, it polls all tables again on new connections and reports true.
+func (s *Service) SetPeersHeard(n int) bool {
+	if !s.schedule.setPeersHeard(n) {
+		return false
 	}
+	s.log.WithField("peersHeard", n).Info("too few peers are heard; polling the store again")
+	s.repollAll()
+	return true
 }
 
 // Repoll cancels all running polls and polls again on new connections. It is called when the present ones may be dead.
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -53,7 +53,12 @@
 	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
 	request := c.newEndpointRequest(d, lastEventID)
 	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
-	return c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
+	response, err := c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
+	if errors.Is(err, wigeonupstream.ErrLost) && !errors.Is(context.Cause(c.ctx), errCallerDisconnected) {
+		// If the connection has fallen silent, the idle ones beside it have, too.
+		c.service.pool.DropIdle(target)
+	}
+	return response, err
 }
 
 var (
--- a/internal/services/wigeonupstream/pool.go
+++ b/internal/services/wigeonupstream/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonsocket"
 
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
@@ -58,13 +59,10 @@
 func New(dialect wigeonshift.WireDialect, opts ...Option) *Pool {
 	p := &Pool{
 		dialect:     dialect,
+		dial:        wigeonsocket.Dial,
 		dialTimeout: defaultDialTimeout,
 		idle:        map[Target][]*connection{},
 	}
-	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", address)
-	}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -137,6 +135,17 @@
 	}
 }
 
+// DropIdle closes the idle connections to an endpoint, because they may be dead.
+func (p *Pool) DropIdle(t Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	closeAll(p.idle[t])
+	delete(p.idle, t)
+}
+
+// DropAllIdle closes all idle connections.
+func (p *Pool) DropAllIdle() { p.Retain(nil) }
+
 // Prune closes the connections whose idle timeout has expired. It is called periodically, because acquire checks only
 // the connections of the endpoint that it needs.
 func (p *Pool) Prune() {
--- a/internal/soak/wigeonsoak/proxy_test.go
+++ b/internal/soak/wigeonsoak/proxy_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // proxyMode selects the network fault that a proxy simulates.
@@ -99,14 +101,28 @@
 	}
 }
 
-// silenceOpen makes the connections that are open now silent for good. New ones work.
+// silenceOpen makes the connections that are open now silent for good, also to the probes of the kernel. New ones work.
 func (p *proxy) silenceOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.changedAt = time.Now()
 	for c := range p.conns {
 		p.conns[c] = true
+		dropReceived(c)
+	}
+}
+
+// dropReceived makes the kernel drop all packets that arrive for a connection, as if they were lost on the way.
+func dropReceived(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
 	}
+	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+	// It fails only for a connection that is closed already.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll[0]})
+	})
 }
 
 func (p *proxy) isSilenced(c net.Conn) bool {
