Keep the connection of a buffered answer for the next request

Each request with a buffered answer dialled its endpoint anew: the call was ended, and with it the context of the connection, before the response was closed. The response is now taken whole and closed first. The spec failed before: five requests made five connections, three errors of an endpoint three.

--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -175,8 +175,7 @@
 // forwarded unless the request is sent to another endpoint. It reports whether the caller's response is set. endAttempt
 // delivers the reducer's decision before it returns, so without a decision the request is queued for another endpoint.
 func (c *call) handleEndpointError(r *wigeonupstream.Response) bool {
-	defer r.Close()
-	body, complete := c.readBody(r)
+	whole, complete := c.takeResponse(r)
 	if !complete {
 		return false
 	}
@@ -184,7 +183,7 @@
 	select {
 	case d := <-c.decisions:
 		if f, ok := d.(wigeondispatch.Failure); ok && f.Reason == wigeondispatch.ReasonEndpointFailed {
-			c.setResponse(r, body)
+			c.setResponse(whole)
 			return true
 		}
 		return c.applyDecision(d)
@@ -201,17 +200,36 @@
 // interrupted response can still be replaced by that of another endpoint. It reports whether the caller's response is
 // set.
 func (c *call) forwardBuffered(r *wigeonupstream.Response) bool {
-	defer r.Close()
-	body, complete := c.readBody(r)
+	whole, complete := c.takeResponse(r)
 	if !complete {
 		return false
 	}
 	c.reportBegan()
 	c.endAttempt(wigeondispatch.OutcomeDone, 0, false)
-	c.setResponse(r, body)
+	c.setResponse(whole)
 	return true
 }
 
+// wholeResponse is an endpoint's response that has been read completely.
+type wholeResponse struct {
+	header  fasthttp.ResponseHeader
+	body    []byte
+	framing wigeonframing.Framing
+}
+
+// takeResponse reads a whole response and returns the connection to its pool, which it can't do after the end of the call. It
+// reports whether the response is complete, as readBody does.
+func (c *call) takeResponse(r *wigeonupstream.Response) (*wholeResponse, bool) {
+	defer r.Close()
+	body, complete := c.readBody(r)
+	if !complete {
+		return nil, false
+	}
+	whole := &wholeResponse{body: body, framing: wigeonframing.FramingOf(r.HTTP)}
+	r.HTTP.Header.CopyTo(&whole.header)
+	return whole, true
+}
+
 // readBody reads a response body and reports whether it is complete. If it isn't, readBody ends the attempt as
 // answerable, because the caller has received nothing yet.
 func (c *call) readBody(r *wigeonupstream.Response) ([]byte, bool) {
@@ -230,20 +248,20 @@
 }
 
 // setResponse makes an endpoint's response the caller's response and finishes the call.
-func (c *call) setResponse(r *wigeonupstream.Response, body []byte) {
-	c.copyHeader(r)
-	c.httpCtx.Response.SetBodyRaw(body)
+func (c *call) setResponse(r *wholeResponse) {
+	c.copyHeader(&r.header)
+	c.httpCtx.Response.SetBodyRaw(r.body)
 	c.finish("answered", logrus.Fields{
-		"status": r.HTTP.StatusCode(), "framing": wigeonframing.FramingOf(r.HTTP), "receivedBytes": len(body),
+		"status": r.header.StatusCode(), "framing": r.framing, "receivedBytes": len(r.body),
 	})
 }
 
 // copyHeader copies the header of an endpoint's response to the caller's response, without the headers that concern
 // only the endpoint's connection. While the relay drains, it adds Connection: close, so that the caller reconnects to
 // another instance.
-func (c *call) copyHeader(r *wigeonupstream.Response) {
+func (c *call) copyHeader(from *fasthttp.ResponseHeader) {
 	h := &c.httpCtx.Response.Header
-	r.HTTP.Header.CopyTo(h)
+	from.CopyTo(h)
 	c.service.dialect.RemoveHopByHopHeaders(h)
 	h.ResetConnectionClose()
 	if c.service.draining.Load() {
--- a/internal/services/wigeonrelay/fake_endpoint_test.go
+++ b/internal/services/wigeonrelay/fake_endpoint_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// connectionCount returns the number of connections so far.
+func (e *fakeEndpoint) connectionCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connections
+}
+
 // receivedRequests returns the requests so far.
 func (e *fakeEndpoint) receivedRequests() []*http.Request {
 	e.mu.Lock()
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -58,7 +58,7 @@
 		c.endAttemptWithError(c.interruptedOutcome(), 0, true, st.err)
 		return false
 	}
-	c.copyHeader(r)
+	c.copyHeader(&r.HTTP.Header)
 	length := r.HTTP.Header.ContentLength()
 	if length < 0 || st.content.isEvents() && st.content.bytes > 0 {
 		length = -1
