--- a/internal/soak/wigeonsoak/store_test.go
+++ b/internal/soak/wigeonsoak/store_test.go
@@ -22,6 +22,8 @@
 	rows    map[string]map[string]storeRow
 	log     []storeRow
 	changed chan struct{}
+	// compacted is the version up to which changes were dropped.
+	compacted uint64
 	// unavailable makes every call fail with status 503; responseDelay delays every call.
 	unavailable   bool
 	responseDelay time.Duration
@@ -105,6 +107,13 @@
 	return !unavailable
 }
 
+// dropHistory drops all changes up to now. Relays that don't know them have to list the tables again.
+func (s *store) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.compacted = nil, s.version
+}
+
 func (s *store) currentEra() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,11 +180,11 @@
 				rows = append(rows, row)
 			}
 		}
-		version, changed := s.version, s.changed
+		version, changed, compacted := s.version, s.changed, s.compacted
 		s.mu.Unlock()
 		// The store may have returned from an older copy during the wait.
 		w.Header().Set("Store-Era", strconv.Itoa(s.currentEra()))
-		if after > version {
+		if after > version || after < compacted {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/internal/soak/wigeonsoak/version_test.go
+++ b/internal/soak/wigeonsoak/version_test.go
@@ -194,6 +194,26 @@
 			time.Sleep(3 * time.Second)
 			s.store.setFault(false, 0)
 		}},
+		{name: "one cut from the store", disturb: func(s *soakRun) { stall(s.relays[:1], true, false) }},
+		{name: "one cut from the others", disturb: func(s *soakRun) { stall(s.relays[:1], false, true) }},
+		{name: "one silent and cut from the others", disturb: func(s *soakRun) {
+			silence(s.relays[:1], true, true)
+			stall(s.relays[:1], false, true)
+		}},
+		{name: "history dropped after a stall", disturb: func(s *soakRun) {
+			stall(s.relays, true, false)
+			s.store.dropHistory()
+		}},
+		{name: "all killed", disturb: func(s *soakRun) { s.restartAll(syscall.SIGKILL) }},
+		{name: "three stopped in turn", disturb: func(s *soakRun) {
+			for _, p := range s.relays[:3] {
+				s.restart(p, syscall.SIGTERM)
+			}
+		}},
+		{name: "all silent after a pause of half", disturb: func(s *soakRun) {
+			pause(s.relays[:4], 2*time.Second)
+			silenceAll(s)
+		}},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			skipIfKnownRed(t)
@@ -221,6 +241,35 @@
 	}
 }
 
+// stallTime is the time for which stall holds back all data.
+const stallTime = 3 * time.Second
+
+// stall holds back all data to and from relays for a time: to the store, from other relays, or both.
+func stall(relays []*relayProcess, store, peers bool) {
+	set := func(m proxyMode) {
+		for _, p := range relays {
+			if store {
+				p.storeProxy.setMode(m)
+			}
+			if peers {
+				p.peerProxy.setMode(m)
+			}
+		}
+	}
+	set(modeStall)
+	time.Sleep(stallTime)
+	set(modeForward)
+}
+
+// restartAll ends all relays at once with a signal and starts them again.
+func (s *soakRun) restartAll(sig syscall.Signal) {
+	var tasks sync.WaitGroup
+	for _, p := range s.relays {
+		tasks.Go(func() { s.restart(p, sig) })
+	}
+	tasks.Wait()
+}
+
 // runWithVersions writes versions, makes the disturbance three times, and checks what probers at all relays found.
 func runWithVersions(t *testing.T, binary string, scenario versionScenario) {
 	s := newRun(t, runOptions{
