Pass requests on to peers while the instance reaches no endpoint

- Three endpoints that fail with no sign of any other, or attempts that hang at two for a second, make the instance probe three endpoints with new connections.
If none is reached, it is cut off until a probe or an answer shows otherwise; it probes each 0.3 s.
- Meanwhile requests that arrive, wait, or may be sent again go to the members of its group in turn, on their callers' addresses, which the instances' rows name; at most 64 at a time, each to at most three.
The other's admission, quota and answer apply, byte for byte.
One hop at most: a request that was passed on is refused by an instance that is cut off itself, and goes to the next.
- What a peer may have run is never called not run, and runs again only if it may.
Connections that are refused are no proof of a crash meanwhile.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -96,11 +96,12 @@
 		log:      log,
 		metrics:  wigeonmetric.New("wigeonrelay"),
 		self: wigeonshift.Instance{
-			ID:      s.Node.Name + "-" + uuid.NewString()[:8],
-			Address: cmp.Or(s.Peer.Advertise, s.Peer.Listen),
-			Zone:    s.Node.Zone,
-			Region:  s.Node.Region,
-			State:   wigeonshift.InstanceLive,
+			ID:            s.Node.Name + "-" + uuid.NewString()[:8],
+			Address:       cmp.Or(s.Peer.Advertise, s.Peer.Listen),
+			CallerAddress: s.Caller.Listen,
+			Zone:          s.Node.Zone,
+			Region:        s.Node.Region,
+			State:         wigeonshift.InstanceLive,
 		},
 	}
 	g.membership = &membership{self: g.self}
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -18,6 +18,9 @@
 		s.refuseQuarantined(j)
 		return
 	}
+	if s.passOnIfCutOff(j) {
+		return
+	}
 	s.countRequest(j)
 	if !s.chargeQuota(j) {
 		return
@@ -110,6 +113,7 @@
 	if j == nil || j.assignedEndpoint != nil {
 		return
 	}
+	s.endPassing(j)
 	p := s.pool(j.Service)
 	if p.queue.remove(j) {
 		s.refund(j)
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -46,8 +46,12 @@
 // was waited for.
 func (s *State) recordOutcome(e *endpoint, j *Job, ev AttemptEnded) {
 	elapsed := s.now - j.dispatchedAt
-	if ev.Outcome.answered() {
+	switch {
+	case ev.Outcome.answered():
 		s.recordAlive(e, j)
+		s.recordSign()
+	case ev.Outcome == OutcomeLost && !j.answerStarted, ev.Outcome == OutcomeNotSent:
+		s.recordSilence(e)
 	}
 	switch ev.Outcome {
 	case OutcomeDone:
@@ -164,7 +168,9 @@
 	retry = retry && j.Deadline-s.now > minResendTimeLeft
 	if retry && (j.attempts == 0 || j.resendReserved || s.reserveResend(j)) {
 		j.failedOver = j.failedOver || possiblyRan
-		p.queue.add(j)
+		if !s.passOnIfCutOff(j) {
+			p.queue.add(j)
+		}
 		return
 	}
 	if ev.Outcome == OutcomeFailed {
@@ -176,6 +182,9 @@
 
 // giveUp refuses or fails a request that can't be sent to another endpoint.
 func (s *State) giveUp(p *pool, j *Job) {
+	if j.attempts == 0 && s.passOnIfCutOff(j) {
+		return
+	}
 	switch {
 	case j.mayHaveRun || j.answerStarted:
 		s.fail(j, ReasonLost)
--- /dev/null
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -0,0 +1,292 @@
+package wigeondispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// An instance may reach no endpoint while its peers do. It then passes requests on to members of its group, whose admission decides
+// on them, until an endpoint answers again.
+const (
+	// cutOffEndpoints is the number of endpoints that must have failed, with no sign of any other one since, for the instance to
+	// suspect that it is cut off. Of fewer endpoints all must have failed.
+	cutOffEndpoints = 3
+	// hangingEndpoints is the number of endpoints with attempts without an answer, and hangingTime the time without a sign of any
+	// endpoint, after which a cut is suspected as well: connections may hang without an error.
+	hangingEndpoints = 2
+	hangingTime      = time.Second
+	// cutOffProbes is the number of endpoints that are probed at a time, and cutOffProbeInterval the time between two probes.
+	cutOffProbes        = 3
+	cutOffProbeInterval = 300 * time.Millisecond
+	// maxPassedOn is the number of requests that may be passed on at the same time.
+	maxPassedOn = 64
+	// maxPassAttempts is the number of peers to which a request may be passed on one after the other.
+	maxPassAttempts = 3
+	// peerRefusalPause is the time for which a peer gets no requests that reaches no endpoint itself, or can't be reached.
+	peerRefusalPause = 2 * time.Second
+	// cutOffRetryAfter is the Retry-After of a request that no peer takes.
+	cutOffRetryAfter = 200 * time.Millisecond
+)
+
+// reach is what an instance knows of its way to the endpoints.
+type reach struct {
+	// signAt is the time of the latest sign of any endpoint.
+	signAt time.Duration
+	// failed holds the endpoints that have failed since signAt.
+	failed map[string]bool
+	// isCutOff is set once probes of other endpoints have failed as well, at cutOffAt.
+	isCutOff bool
+	cutOffAt time.Duration
+	// probing holds the endpoints whose probes wait for a result. probedAt is the time of the latest probes.
+	probing  map[string]bool
+	probedAt time.Duration
+	// probeFailures counts the probes that failed since signAt.
+	probeFailures int
+	// passing counts the requests that are passed on, passed those since cutOffAt.
+	passing, passed int
+	// refusedUntil holds the time until which a peer gets no requests.
+	refusedUntil map[string]time.Duration
+	// latestPeer is the peer that got the latest request.
+	latestPeer string
+}
+
+func newReach() reach {
+	return reach{
+		failed: map[string]bool{}, probing: map[string]bool{}, refusedUntil: map[string]time.Duration{},
+	}
+}
+
+// recordSign records that an endpoint has answered. It ends the cut.
+func (s *State) recordSign() {
+	r := &s.reach
+	r.signAt, r.probeFailures = s.now, 0
+	clear(r.failed)
+	if !r.isCutOff {
+		return
+	}
+	r.isCutOff = false
+	s.emit(CutOffRecorded{Ended: true, Duration: s.now - r.cutOffAt, Passed: r.passed})
+	s.endPauses()
+}
+
+// IsCutOff reports whether the instance reaches no endpoint, as far as it knows.
+func (s *State) IsCutOff() bool { return s.reach.isCutOff || s.isSuspected() }
+
+// endPauses lets endpoints that failed during the cut take requests at once.
+func (s *State) endPauses() {
+	for _, e := range s.endpoints {
+		e.consecutiveFailures, e.suspectUntil = 0, 0
+	}
+	s.dispatchAllWaiting()
+}
+
+// recordSilence records that an attempt on an endpoint failed without any sign of it.
+func (s *State) recordSilence(e *endpoint) {
+	s.reach.failed[e.record.ID] = true
+	s.probeIfSuspected()
+}
+
+// isSuspected reports whether what happened since the latest sign may come from a cut.
+func (s *State) isSuspected() bool {
+	if len(s.endpoints) == 0 {
+		return false
+	}
+	return len(s.reach.failed) >= min(cutOffEndpoints, len(s.endpoints)) || s.isHanging()
+}
+
+// isHanging reports whether attempts on several endpoints have had no answer for long, nor has any other.
+func (s *State) isHanging() bool {
+	if s.now-s.reach.signAt < hangingTime {
+		return false
+	}
+	hanging := map[*endpoint]bool{}
+	for _, j := range s.jobs {
+		if j.assignedEndpoint != nil && s.now-j.dispatchedAt >= hangingTime {
+			hanging[j.assignedEndpoint] = true
+		}
+	}
+	return len(hanging) >= min(hangingEndpoints, len(s.endpoints))
+}
+
+// probeIfSuspected probes endpoints while a cut is suspected or known.
+func (s *State) probeIfSuspected() {
+	r := &s.reach
+	if !r.isCutOff && !s.isSuspected() || len(r.probing) > 0 || s.now-r.probedAt < cutOffProbeInterval && r.probedAt > 0 {
+		return
+	}
+	r.probedAt = s.now
+	for _, e := range s.probeTargets() {
+		r.probing[e.record.ID] = true
+		s.emit(ProbeEndpoint{EndpointID: e.record.ID, Address: e.record.Address})
+	}
+}
+
+// probeTargets returns the endpoints to probe: others than those that have failed, if there are any, and others each time.
+func (s *State) probeTargets() []*endpoint {
+	var sound, failed []*endpoint
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
+		switch e := s.endpoints[id]; {
+		case e.isLeaving():
+		case s.reach.failed[id] && !s.reach.isCutOff:
+			failed = append(failed, e)
+		default:
+			sound = append(sound, e)
+		}
+	}
+	candidates := slices.Concat(sound, failed)
+	if len(sound) > cutOffProbes {
+		first := int(s.now/cutOffProbeInterval) % len(sound)
+		candidates = slices.Concat(sound[first:], sound[:first])
+	}
+	return candidates[:min(cutOffProbes, len(candidates))]
+}
+
+// handleProbed records the result of a probe. The instance is cut off once all probes of a round have failed.
+func (s *State) handleProbed(ev EndpointProbed) {
+	r := &s.reach
+	delete(r.probing, ev.EndpointID)
+	if ev.Reached {
+		s.recordSign()
+		return
+	}
+	r.probeFailures++
+	if r.isCutOff || len(r.probing) > 0 || !s.isSuspected() || r.probeFailures < min(cutOffProbes, len(s.endpoints)) {
+		return
+	}
+	r.isCutOff, r.cutOffAt, r.passed = true, s.now, 0
+	s.emit(CutOffRecorded{Endpoints: len(s.endpoints), Since: s.now - r.signAt, Peers: len(s.members)})
+	s.passOnWaiting()
+	s.abandonHanging()
+}
+
+// passOnWaiting passes all queued requests on.
+func (s *State) passOnWaiting() {
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+		p := s.pools[name]
+		for _, j := range slices.Clone(p.queue.jobs) {
+			switch {
+			case s.mayPassOn(j):
+				p.queue.remove(j)
+				s.passOn(j)
+			case j.PassedOn && !j.mayHaveRun:
+				p.queue.remove(j)
+				s.refuse(j, ReasonCutOff, cutOffRetryAfter)
+			}
+		}
+	}
+}
+
+// abandonHanging ends attempts that have had no answer and may be made again elsewhere.
+func (s *State) abandonHanging() {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if j.assignedEndpoint == nil || j.answerStarted || !j.canFailOver() || j.Deadline-s.now < minResendTimeLeft {
+			continue
+		}
+		if s.reserveResend(j) {
+			j.failedOver = true
+			s.emit(Abandon{Job: j.ID})
+		}
+	}
+}
+
+// mayPassOn reports whether a request may be passed on now.
+func (s *State) mayPassOn(j *Job) bool {
+	return !j.PassedOn && !j.answerStarted && (!j.mayHaveRun || j.repeatable()) && s.reach.passing < maxPassedOn &&
+		j.passAttempts < maxPassAttempts && j.Deadline-s.now > minResendTimeLeft && s.choosePeer() != ""
+}
+
+// choosePeer returns the next member of the group that takes requests, or an empty ID.
+func (s *State) choosePeer() string {
+	var first, next string
+	for _, m := range s.members {
+		if s.now < s.reach.refusedUntil[m.name] {
+			continue
+		}
+		if first == "" {
+			first = m.name
+		}
+		if next == "" && m.name > s.reach.latestPeer {
+			next = m.name
+		}
+	}
+	if next != "" {
+		return next
+	}
+	return first
+}
+
+// passOn passes a request on to a peer, which charges the quota. What may have run stays charged here.
+func (s *State) passOn(j *Job) {
+	if !j.mayHaveRun {
+		s.refund(j)
+	}
+	peer := s.choosePeer()
+	j.passAttempts++
+	j.passingTo = peer
+	s.reach.latestPeer = peer
+	s.reach.passing++
+	s.reach.passed++
+	s.emit(PassOn{Job: j.ID, Peer: peer, Attempt: j.passAttempts, Timeout: j.Deadline - s.now, QueueTime: s.now - j.Arrived})
+}
+
+// passOnIfCutOff passes a request on if the instance is cut off, and reports whether it did. One that another instance has passed on
+// goes back to it, unless it may have run.
+func (s *State) passOnIfCutOff(j *Job) bool {
+	switch {
+	case !s.reach.isCutOff:
+		return false
+	case s.mayPassOn(j):
+		s.passOn(j)
+		return true
+	case j.PassedOn && !j.mayHaveRun:
+		s.refuse(j, ReasonCutOff, cutOffRetryAfter)
+		return true
+	default:
+		return false
+	}
+}
+
+// handlePassEnded records the end of a request that was passed on. One that the peer hasn't got, or couldn't send itself, goes to
+// another peer.
+func (s *State) handlePassEnded(ev PassEnded) {
+	j := s.jobs[ev.Job]
+	if j == nil || j.passingTo == "" {
+		return
+	}
+	if ev.Outcome == OutcomeNotSent || ev.Outcome == OutcomeMisplaced {
+		s.reach.refusedUntil[j.passingTo] = s.now + peerRefusalPause
+	}
+	s.endPassing(j)
+	switch ev.Outcome {
+	case OutcomeDone, OutcomeAbandoned:
+		s.forget(j)
+		return
+	case OutcomeLost:
+		j.mayHaveRun = true
+	}
+	if ev.Answerable && s.mayPassOn(j) {
+		s.passOn(j)
+		return
+	}
+	if j.mayHaveRun {
+		s.fail(j, ReasonLost)
+		return
+	}
+	s.refuse(j, ReasonCutOff, cutOffRetryAfter)
+}
+
+// endPassing ends the passing on of a request, if it is passed on.
+func (s *State) endPassing(j *Job) {
+	if j.passingTo != "" {
+		j.passingTo = ""
+		s.reach.passing--
+	}
+}
+
+// expireReach forgets pauses of peers that are over, and probes endpoints while the instance is cut off.
+func (s *State) expireReach() {
+	maps.DeleteFunc(s.reach.refusedUntil, func(_ string, until time.Duration) bool { return s.now >= until })
+	s.probeIfSuspected()
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -0,0 +1,185 @@
+package wigeondispatch
+
+import (
+	"time"
+
+	"wigeonshift"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("An instance that reaches no endpoint", func() {
+	var h *reducerHarness
+	// lose sends a request and loses it without a sign of its endpoint.
+	lose := func(o Outcome) []Effect {
+		j := h.newJob()
+		h.dispatch(j)
+		return h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: o, Answerable: true})
+	}
+	// answerProbes reports the results of all probes among effects and returns the effects of the last one.
+	answerProbes := func(effects []Effect, reached bool) []Effect {
+		var out []Effect
+		for _, p := range effectsOf[ProbeEndpoint](effects) {
+			out = h.state.Reduce(EndpointProbed{At: h.at, EndpointID: p.EndpointID, Reached: reached})
+		}
+		return out
+	}
+	// suspect makes the reducer probe endpoints, and returns the effects with the probes.
+	suspect := func() []Effect {
+		lose(OutcomeLost)
+		lose(OutcomeLost)
+		return lose(OutcomeLost)
+	}
+	cutOff := func() []Effect { return answerProbes(suspect(), false) }
+	passedTo := func(effects []Effect) string {
+		GinkgoHelper()
+		passes := effectsOf[PassOn](effects)
+		Expect(passes).To(HaveLen(1))
+		return passes[0].Peer
+	}
+	BeforeEach(func() {
+		h = newHarness(crashRecords("a", "b", "c", "d", "e", "f")...)
+		h.at = time.Second
+		instances := []wigeonshift.Instance{{ID: h.state.settings.Instance}, {ID: "p1"}, {ID: "p2"}}
+		h.state.Reduce(InstancesListed{At: h.at, Instances: instances, Complete: true})
+		for _, i := range instances[1:] {
+			h.state.Reduce(PeerReported{At: h.at, Peer: i.ID})
+		}
+	})
+
+	It("probes other endpoints before it believes so", func() {
+		Expect(effectsOf[ProbeEndpoint](lose(OutcomeLost))).To(BeEmpty())
+		Expect(effectsOf[ProbeEndpoint](lose(OutcomeNotSent))).To(BeEmpty())
+		probes := effectsOf[ProbeEndpoint](lose(OutcomeLost))
+		Expect(probes).To(HaveLen(cutOffProbes))
+		for _, p := range probes {
+			Expect(h.state.reach.failed).NotTo(HaveKey(p.EndpointID))
+		}
+	})
+
+	It("isn't cut off if a probe reaches an endpoint", func() {
+		probes := effectsOf[ProbeEndpoint](suspect())
+		h.state.Reduce(EndpointProbed{At: h.at, EndpointID: probes[0].EndpointID})
+		h.state.Reduce(EndpointProbed{At: h.at, EndpointID: probes[1].EndpointID, Reached: true})
+		h.state.Reduce(EndpointProbed{At: h.at, EndpointID: probes[2].EndpointID})
+		Expect(effectsOf[PassOn](h.arrive(h.newJob()))).To(BeEmpty())
+		Expect(h.state.IsCutOff()).To(BeFalse())
+	})
+
+	It("isn't cut off if an endpoint answers between failures", func() {
+		lose(OutcomeLost)
+		lose(OutcomeLost)
+		answered := h.newJob()
+		h.dispatch(answered)
+		h.end(answered, OutcomeRejected, true)
+		Expect(effectsOf[ProbeEndpoint](lose(OutcomeLost))).To(BeEmpty())
+	})
+
+	It("suspects it when attempts hang at two endpoints and nothing answers", func() {
+		h.dispatch(h.newJob())
+		h.dispatch(h.newJob())
+		h.at += hangingTime - time.Millisecond
+		Expect(effectsOf[ProbeEndpoint](h.state.Reduce(Tick{At: h.at}))).To(BeEmpty())
+		h.at += time.Millisecond
+		Expect(effectsOf[ProbeEndpoint](h.state.Reduce(Tick{At: h.at}))).To(HaveLen(cutOffProbes))
+	})
+
+	It("passes requests on to its peers in turn", func() {
+		Expect(effectsOf[CutOffRecorded](cutOff())).To(ConsistOf(HaveField("Ended", false)))
+		first := passedTo(h.arrive(h.newJob()))
+		second := passedTo(h.arrive(h.newJob()))
+		Expect([]string{first, second}).To(ConsistOf("p1", "p2"))
+		Expect(passedTo(h.arrive(h.newJob()))).To(Equal(first))
+	})
+
+	It("passes on what waits", func() {
+		for len(effectsOf[Dispatch](h.arrive(h.newJob()))) > 0 {
+		}
+		h.at += hangingTime - 10*time.Millisecond
+		Expect(effectsOf[Dispatch](h.arrive(h.newJob()))).To(BeEmpty())
+		h.at += 10 * time.Millisecond
+		Expect(effectsOf[PassOn](answerProbes(h.state.Reduce(Tick{At: h.at}), false))).NotTo(BeEmpty())
+	})
+
+	It("passes no more on at once than its bound", func() {
+		cutOff()
+		n := 0
+		for range 2 * maxPassedOn {
+			n += len(effectsOf[PassOn](h.arrive(h.newJob())))
+		}
+		Expect(n).To(Equal(maxPassedOn))
+	})
+
+	It("passes nothing on that another instance has passed on to it", func() {
+		cutOff()
+		j := h.newJob()
+		j.PassedOn = true
+		Expect(onlyRefusal(h.arrive(j)).Reason).To(Equal(ReasonCutOff))
+	})
+
+	It("gives a request to another peer if the first hasn't got it, and refuses it as not run in the end", func() {
+		cutOff()
+		j := h.newJob()
+		first := passedTo(h.arrive(j))
+		second := passedTo(h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeNotSent, Answerable: true}))
+		Expect(second).NotTo(Equal(first))
+		ended := h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeMisplaced, Answerable: true})
+		Expect(onlyRefusal(ended).Reason).To(Equal(ReasonCutOff))
+		Expect(h.state.reach.passing).To(BeZero())
+	})
+
+	It("never says not run of a request that a peer may have run", func() {
+		cutOff()
+		j := h.newJob()
+		h.arrive(j)
+		ended := h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeLost, Answerable: true})
+		Expect(effectsOf[Refuse](ended)).To(BeEmpty())
+		Expect(effectsOf[PassOn](ended)).To(BeEmpty(), "it must not run twice")
+		Expect(effectsOf[Failure](ended)).To(ConsistOf(HaveField("Reason", ReasonLost)))
+	})
+
+	It("passes a request on once more that may run twice", func() {
+		cutOff()
+		j := h.newJob()
+		j.Kind = wigeonshift.RouteIdempotent
+		first := passedTo(h.arrive(j))
+		Expect(passedTo(h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeLost, Answerable: true}))).NotTo(Equal(first))
+	})
+
+	It("forgets a passed-on request whose caller left", func() {
+		cutOff()
+		j := h.newJob()
+		h.arrive(j)
+		h.state.Reduce(RequestWithdrawn{At: h.at, Job: j.ID})
+		Expect(h.state.reach.passing).To(BeZero())
+		Expect(h.state.jobs).NotTo(HaveKey(j.ID))
+	})
+
+	It("counts no crash while connections are refused", func() {
+		cutOff()
+		j := h.newJob()
+		j.Fingerprint = 7
+		e := h.state.endpoints["a"]
+		h.state.losses[e.incarnation()] = &losses{byFingerprint: map[wigeonshift.Fingerprint]loss{7: {}}}
+		effects := h.state.Reduce(EndpointChecked{At: h.at, EndpointID: "a", StartedAtMillis: e.record.StartedAtMillis, Liveness: wigeonshift.LivenessEnded})
+		Expect(effectsOf[ReportCrash](effects)).To(BeEmpty())
+	})
+
+	It("serves by itself once a probe reaches an endpoint", func() {
+		cutOff()
+		h.at += cutOffProbeInterval
+		ended := answerProbes(h.state.Reduce(Tick{At: h.at}), true)
+		Expect(effectsOf[CutOffRecorded](ended)).To(BeEmpty(), "the first probe has ended it")
+		Expect(h.state.IsCutOff()).To(BeFalse())
+		Expect(effectsOf[Dispatch](h.arrive(h.newJob()))).To(HaveLen(1))
+	})
+
+	It("refuses what no peer takes", func() {
+		cutOff()
+		for _, id := range []string{"p1", "p2"} {
+			h.state.Reduce(PeerLost{At: h.at, Peer: id})
+		}
+		Expect(effectsOf[PassOn](h.arrive(h.newJob()))).To(BeEmpty())
+	})
+})
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -27,6 +27,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonStopping means that the instance stopped before the request could be sent.
 	ReasonStopping Reason = "stopping"
+	// ReasonCutOff means that the instance reaches no endpoint, and no other instance took the request.
+	ReasonCutOff Reason = "cutOff"
 	// ReasonBackoff means that all endpoints of the service want no requests for a while.
 	ReasonBackoff Reason = "backoff"
 	// ReasonQuarantined means that the request was there when several endpoints crashed. It is refused, or fails if it may
@@ -118,6 +120,31 @@
 	Abandon struct {
 		Job JobID
 	}
+	// PassOn passes a request on to another instance, as this one reaches no endpoint. A PassEnded event must follow.
+	PassOn struct {
+		Job JobID
+		// Peer is the ID of the instance.
+		Peer string
+		// Attempt is 1 for the first peer.
+		Attempt int
+		// Timeout is the time until the request's deadline, QueueTime that since it arrived.
+		Timeout, QueueTime time.Duration
+	}
+	// ProbeEndpoint opens a new connection to an endpoint. An EndpointProbed event must follow.
+	ProbeEndpoint struct {
+		EndpointID, Address string
+	}
+	// CutOffRecorded reports that the instance reaches no endpoint, or reaches one again.
+	CutOffRecorded struct {
+		Ended bool
+		// Endpoints is the number of endpoints that are listed, Peers that of the peers to which requests can be passed on, and Since
+		// the time since the latest sign of an endpoint.
+		Endpoints, Peers int
+		Since            time.Duration
+		// Duration is how long the instance was cut off, and Passed the number of requests that it has passed on meanwhile.
+		Duration time.Duration
+		Passed   int
+	}
 	// CheckEndpoint checks whether the process of an endpoint still runs, after an attempt on it was lost. An
 	// EndpointChecked event must follow.
 	CheckEndpoint struct {
@@ -216,6 +243,9 @@
 func (Failure) effect()         {}
 func (Abandon) effect()         {}
 func (Suspect) effect()         {}
+func (PassOn) effect()          {}
+func (ProbeEndpoint) effect()   {}
+func (CutOffRecorded) effect()  {}
 func (CheckEndpoint) effect()   {}
 func (SignalRecorded) effect()  {}
 func (LimitRecorded) effect()   {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -150,6 +150,22 @@
 		// Complete is set if these are all instances, not only those that have been found so far.
 		Complete bool
 	}
+	// EndpointProbed reports the result of a ProbeEndpoint effect.
+	EndpointProbed struct {
+		At         time.Duration
+		EndpointID string
+		// Reached is set if a new connection could be opened.
+		Reached bool
+	}
+	// PassEnded reports the end of a request that was passed on to a peer. OutcomeMisplaced means that the peer has refused it as it
+	// reaches no endpoint itself, and OutcomeDone that it has answered, whatever the answer.
+	PassEnded struct {
+		At      time.Duration
+		Job     JobID
+		Outcome Outcome
+		// Answerable is that of AttemptEnded.
+		Answerable bool
+	}
 	// StopAnnounced reports that the instance stops and that no request may last longer than EndsAt.
 	StopAnnounced struct {
 		At, EndsAt time.Duration
@@ -174,5 +190,7 @@
 func (e PeerLost) at() time.Duration             { return e.At }
 func (e ShareGranted) at() time.Duration         { return e.At }
 func (e InstancesListed) at() time.Duration      { return e.At }
+func (e EndpointProbed) at() time.Duration       { return e.At }
+func (e PassEnded) at() time.Duration            { return e.At }
 func (e StopAnnounced) at() time.Duration        { return e.At }
 func (e Tick) at() time.Duration                 { return e.At }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -51,6 +51,8 @@
 	AnswerTokens int
 	// ExpectedAnswerTokens is the estimated number of tokens of the answer, at most AnswerTokens.
 	ExpectedAnswerTokens int
+	// PassedOn is set if another instance has passed the request on to this one. It isn't passed on again.
+	PassedOn bool
 	// Units is the part of the organisation's quota that the request uses.
 	Units float64
 
@@ -67,6 +69,9 @@
 	keptTokens   int
 	// attempts is the number of endpoints that the request was sent to.
 	attempts int
+	// passAttempts is the number of peers that the request was passed on to, passingTo the one that has it now; empty if none.
+	passAttempts int
+	passingTo    string
 	// failedEndpoints lists the IDs of the endpoints that must not get the request again.
 	failedEndpoints []string
 	// assignedEndpoint is the endpoint of the running attempt, or nil while the request is queued.
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -152,6 +152,11 @@
 		return
 	}
 	l.checking, l.liveness = false, ev.Liveness
+	if ev.Liveness == wigeonshift.LivenessEnded && s.reach.isCutOff {
+		// Refused connections may come from a cut. The list of endpoints shows whether this one has ended.
+		l.liveness, l.silent = wigeonshift.LivenessUnknown, true
+		return
+	}
 	switch {
 	case ev.Liveness == wigeonshift.LivenessEnded:
 		s.recordCrash(i, l, crashEvidence{endedJustNow: true})
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -52,7 +52,9 @@
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
-	effects   []Effect
+	// reach is what the instance knows of its way to the endpoints.
+	reach   reach
+	effects []Effect
 }
 
 // New returns the state of an instance without configuration, endpoints and requests.
@@ -72,6 +74,7 @@
 		trials:       map[wigeonshift.Fingerprint]*trials{},
 		causeTrials:  map[wigeonshift.Fingerprint]*causeTrials{},
 		instances:    1,
+		reach:        newReach(),
 		groups:       NewGroups(nil),
 	}
 }
@@ -111,6 +114,10 @@
 	case InstancesListed:
 		s.listIsComplete = s.listIsComplete || e.Complete
 		s.updateGroups(e.Instances)
+	case EndpointProbed:
+		s.handleProbed(e)
+	case PassEnded:
+		s.handlePassEnded(e)
 	case StopAnnounced:
 		s.shortenDeadlines(e.EndsAt)
 	case Tick:
@@ -232,6 +239,7 @@
 	s.expireSignals()
 	s.expireBrittle()
 	s.expireKeptPrompts()
+	s.expireReach()
 	s.dispatchAllWaiting()
 }
 
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -43,6 +43,9 @@
 	if _, err := wigeonsocket.ParseAddress(i.Address); err != nil {
 		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
 	}
+	if _, err := wigeonsocket.ParseAddress(i.CallerAddress); i.CallerAddress != "" && err != nil {
+		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
+	}
 	return i, nil
 }
 
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -289,6 +289,9 @@
 	if c.firstByteLatency == 0 {
 		c.firstByteLatency = now - c.job.Arrived
 	}
+	if c.passedTo != "" {
+		return
+	}
 	c.service.dispatcher.reduce(wigeondispatch.FirstEventReceived{At: now, Job: c.job.ID})
 }
 
@@ -305,6 +308,10 @@
 // is sent again. events is the number of complete events of a stream. answerable means that another attempt can still
 // answer the caller, because it has received nothing or the stream can be resumed.
 func (c *call) endAttempt(outcome wigeondispatch.Outcome, events int, answerable bool) {
+	if c.passedTo != "" {
+		c.endPass(outcome, answerable)
+		return
+	}
 	c.setStallTimeout(0)
 	c.service.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("attempts").Inc(1)
 	if outcome != wigeondispatch.OutcomeDone {
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -64,6 +64,12 @@
 	// succeeded is set if the latest response has a status of success.
 	succeeded bool
 	attempts  int
+	// passedTo is the instance that has the request now; empty if none. passedOn is set if another instance has passed the request
+	// on to this one.
+	passedTo string
+	passedOn bool
+	// latestPeer is the instance to which the request was last passed on; empty if none.
+	latestPeer string
 	// resend is the latest decision of the retry budget, for the log; nil if there was none.
 	resend *wigeondispatch.ResendDecision
 	// queueTime is the time from the arrival of the request to its first dispatch.
@@ -244,6 +250,8 @@
 	case wigeondispatch.Dispatch:
 		c.recordResend(d.Resend)
 		return c.runAttempt(d)
+	case wigeondispatch.PassOn:
+		return c.runPassOn(d)
 	case wigeondispatch.Refuse:
 		c.recordResend(d.Resend)
 		c.refuse(d)
@@ -319,6 +327,8 @@
 		"versionAgeMs": c.versionAge.Milliseconds(),
 		"attempts":     c.attempts,
 		"endpoint":     c.endpoint,
+		"passedTo":     c.latestPeer,
+		"passedOn":     c.passedOn,
 		"waitedMs":     c.queueTime.Milliseconds(),
 		"firstMs":      c.firstByteLatency.Milliseconds(),
 		"tookMs":       (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -32,6 +32,10 @@
 	// calls holds the calls that are queued or running.
 	calls  map[wigeondispatch.JobID]*call
 	lastID wigeondispatch.JobID
+	// callerAddresses holds the addresses at which instances serve callers, by ID.
+	callerAddresses map[string]string
+	// startProbe starts a ProbeEndpoint effect, as startCheck does for a check.
+	startProbe func(x wigeondispatch.ProbeEndpoint)
 	// endsAt is the time at which all calls end because the instance stops; zero while it doesn't.
 	endsAt time.Duration
 	// crashes shares crashes with the other instances.
@@ -94,6 +98,13 @@
 
 // SetInstances replaces the instances, this one included. complete is set if these are all instances.
 func (d *Dispatcher) SetInstances(instances []wigeonshift.Instance, complete bool) {
+	addresses := make(map[string]string, len(instances))
+	for _, i := range instances {
+		addresses[i.ID] = i.CallerAddress
+	}
+	d.mu.Lock()
+	d.callerAddresses = addresses
+	d.mu.Unlock()
 	d.reduce(wigeondispatch.InstancesListed{At: d.Now(), Instances: instances, Complete: complete})
 }
 
@@ -219,6 +230,13 @@
 			if c := d.calls[x.Job]; c != nil {
 				c.abandonAttempt()
 			}
+		case wigeondispatch.PassOn:
+			d.loadChanges++
+			d.deliver(x.Job, x)
+		case wigeondispatch.ProbeEndpoint:
+			d.startProbe(x)
+		case wigeondispatch.CutOffRecorded:
+			d.logCutOff(x)
 		case wigeondispatch.CheckEndpoint:
 			d.startCheck(x)
 		case wigeondispatch.SignalRecorded:
@@ -259,6 +277,33 @@
 	}).Warn("endpoint paused after failures")
 }
 
+// logCutOff logs that the instance reaches no endpoint, or one again.
+func (d *Dispatcher) logCutOff(x wigeondispatch.CutOffRecorded) {
+	if x.Ended {
+		d.log.WithFields(logrus.Fields{"durationMs": x.Duration.Milliseconds(), "passedOn": x.Passed}).Info("endpoints are reached again")
+		return
+	}
+	d.scope.Counter("cutOffs").Inc(1)
+	d.log.WithFields(logrus.Fields{
+		"endpoints": x.Endpoints, "peers": x.Peers, "sinceMs": x.Since.Milliseconds(),
+	}).Warn("no endpoint is reached; passing requests on to peers")
+}
+
+// isCutOff reports whether the instance reaches no endpoint.
+func (d *Dispatcher) isCutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.IsCutOff()
+}
+
+// peerAddress returns the address at which a peer serves callers, and false if it isn't known.
+func (d *Dispatcher) peerAddress(id string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	address := d.callerAddresses[id]
+	return address, address != ""
+}
+
 // logSignal logs and counts what an endpoint has said of itself.
 func (d *Dispatcher) logSignal(x wigeondispatch.SignalRecorded) {
 	entry := d.log.WithFields(logrus.Fields{"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "request": x.RequestID})
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -51,6 +51,7 @@
 		scope:      scope,
 	}
 	dispatcher.startCheck = s.startCheck
+	dispatcher.startProbe = s.startProbe
 	s.server = &fasthttp.Server{
 		Handler:                      s.handle,
 		ReadBufferSize:               limits.MaxHeaderBytes,
@@ -106,6 +107,7 @@
 // handle routes and authenticates one request and serves it. It rejects the request at once if the instance stops, has
 // no configuration yet, knows no such route, or does not know the API key that the route needs.
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	passedOn := takePassedOn(&ctx.Request.Header)
 	h := s.dialect.ReadRequest(&ctx.Request.Header)
 	table := s.table.Load()
 	if s.refusing.Load() {
@@ -130,7 +132,9 @@
 			return
 		}
 	}
-	s.newCall(ctx, h, table, route, organisation).run()
+	c := s.newCall(ctx, h, table, route, organisation)
+	c.passedOn, c.job.PassedOn = passedOn, passedOn
+	c.run()
 }
 
 // stoppingRetryAfter is the Retry-After of an instance that stops. It is short because other instances accept the
@@ -175,6 +179,9 @@
 		status = fasthttp.StatusTooManyRequests
 	}
 	c.service.setRefusal(c.httpCtx, c.header.RequestID, status, d.RetryAfter)
+	if c.passedOn && c.service.dispatcher.isCutOff() {
+		c.httpCtx.Response.Header.Set(headerCutOff, "1")
+	}
 	c.service.scope.Tagged(map[string]string{"reason": string(d.Reason)}).Counter("refusals").Inc(1)
 	fields := logrus.Fields{
 		"status": status, "reason": string(d.Reason), "retryAfterMs": d.RetryAfter.Milliseconds(), "waiting": d.Waiting,
--- a/internal/services/wigeonupstream/check.go
+++ b/internal/services/wigeonupstream/check.go
@@ -8,6 +8,20 @@
 	"wigeonshift"
 )
 
+// Probe opens a new connection to an endpoint, which goes to the pool for the next request.
+func (p *Pool) Probe(ctx context.Context, t Target) error {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, t.Address)
+	if err != nil {
+		return wrapError(ErrNotSent, t, err)
+	}
+	c := newConnection(raw, t)
+	c.markIdle(0)
+	p.addIdle(c)
+	return nil
+}
+
 // Check reports whether the process of an endpoint still runs. An idle connection that the endpoint holds open shows
 // that it does. Without one, Check dials: a process that has ended refuses connections, while one that only closed some
 // connections accepts them. The connection goes back to the pool for the next request.
--- /dev/null
+++ b/internal/soak/wigeonsoak/cutoff_test.go
@@ -0,0 +1,178 @@
+package wigeonsoak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	cutOffRelays  = 6
+	cutOffEngines = 8
+	// Relays are cut off from cutOffStart to cutOffEnd. cutOffRunTime is the length of a run.
+	cutOffStart   = 3 * time.Second
+	cutOffEnd     = 13 * time.Second
+	cutOffRunTime = 18 * time.Second
+	// cutOffCallers is the number of callers for each relay.
+	cutOffCallers = 4
+	// minServedByCutOff is the share of what the others serve that must be served by relays that are cut off, from contactTime
+	// after the cut on.
+	minServedByCutOff = 0.9
+	// healTime is the time after the end of the cut from which on minServedAfterCut of the requests must be served.
+	healTime          = 2 * time.Second
+	minServedAfterCut = 0.99
+)
+
+// addOwnPaths makes paths to all endpoints for the next relay, and returns the address of a store whose rows name these.
+func (s *soakRun) addOwnPaths(t *testing.T) string {
+	paths := map[string]*proxy{}
+	for _, e := range s.engines {
+		paths[e.proxy.address()] = newProxy(e.server.Listener.Addr().String())
+	}
+	s.latestPaths = paths
+	view := s.store.newView(func(r storeRow) storeRow {
+		var row map[string]any
+		if r.Table != "servers" || json.Unmarshal(r.Value, &row) != nil {
+			return r
+		}
+		if address, ok := row["address"].(string); ok && paths[address] != nil {
+			row["address"] = paths[address].address()
+			r.Value, _ = json.Marshal(row)
+		}
+		return r
+	})
+	t.Cleanup(view.CloseClientConnections)
+	return view.Listener.Addr().String()
+}
+
+// cutOffScenario is a partition between some relays and all endpoints.
+type cutOffScenario struct {
+	name, path   string
+	cut          int
+	hang, liveOn bool
+}
+
+// tries counts first tries and those of them that were served.
+type tries struct{ sent, served int }
+
+func (n tries) share() float64 { return float64(n.served) / float64(max(n.sent, 1)) }
+
+func (n tries) String() string { return fmt.Sprintf("%d of %d", n.served, n.sent) }
+
+// cutOffCounts counts first tries by the kind of relay and the time.
+type cutOffCounts struct {
+	mu sync.Mutex
+	// duringCut and afterCut hold the tries at relays that are cut off, duringOthers and afterOthers those at the others.
+	duringCut, duringOthers, afterCut, afterOthers tries
+	failures                                       map[int]int
+}
+
+// TestCutOffRelays guards against callers who aren't served because their relay reaches no endpoint, while others do.
+func TestCutOffRelays(t *testing.T) {
+	binary := buildRelay(t)
+	for _, scenario := range []cutOffScenario{
+		{name: "connections hang", path: "/safe/", cut: 2, hang: true},
+		{name: "connections are reset", path: "/safe/", cut: 2},
+		{name: "open connections live on", path: "/safe/", cut: 2, liveOn: true},
+		{name: "not repeatable, hang", path: "/unsafe/", cut: 2, hang: true},
+		{name: "streams, reset", path: "/stream/", cut: 2},
+		{name: "streams, hang", path: "/stream/", cut: 2, hang: true},
+		{name: "three of six, reset", path: "/safe/", cut: 3},
+		{name: "four of six, hang", path: "/safe/", cut: 4, hang: true},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			skipIfKnownRed(t)
+			t.Parallel()
+			runCutOff(t, binary, scenario)
+		})
+	}
+}
+
+func runCutOff(t *testing.T, binary string, scenario cutOffScenario) {
+	s := newRun(t, runOptions{
+		seed: uint64(environmentInt("WIGEONSHIFT_SOAK_FIRST", 1)), binary: binary, relays: cutOffRelays, limit: repeatLimit,
+		ownPaths: true, engines: cutOffEngines,
+	})
+	counts, stop, startedAt := &cutOffCounts{failures: map[int]int{}}, make(chan struct{}), time.Now()
+	var tasks sync.WaitGroup
+	for i, p := range s.relays {
+		for k := range cutOffCallers {
+			c := &caller{soak: s, random: rand.New(rand.NewPCG(uint64(i*cutOffCallers+k), 7)), stop: stop}
+			tasks.Go(func() {
+				c.runFirstTries(scenario.path, p, func(sentAt time.Time, status int) {
+					counts.record(sentAt.Sub(startedAt), i < scenario.cut, status)
+				})
+			})
+		}
+	}
+	time.Sleep(time.Until(startedAt.Add(cutOffStart)))
+	s.eachPath(scenario.cut, func(p *proxy) { p.cutOff(scenario.hang, scenario.liveOn) })
+	time.Sleep(time.Until(startedAt.Add(cutOffEnd)))
+	s.eachPath(scenario.cut, func(p *proxy) { s.g.Expect(p.heal()).To(Succeed()) })
+	time.Sleep(time.Until(startedAt.Add(cutOffRunTime)))
+	close(stop)
+	tasks.Wait()
+	counts.check(t, s)
+}
+
+// eachPath calls f for all paths of the first relays to endpoints.
+func (s *soakRun) eachPath(relays int, f func(p *proxy)) {
+	for _, p := range s.relays[:relays] {
+		for _, path := range p.enginePaths {
+			f(path)
+		}
+	}
+}
+
+// runFirstTries sends requests to one relay until stop is closed. None is sent again.
+func (c *caller) runFirstTries(path string, p *relayProcess, record func(sentAt time.Time, status int)) {
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(time.Duration(20+c.random.IntN(60)) * time.Millisecond):
+		}
+		sentAt := time.Now()
+		record(sentAt, c.request(path, p))
+	}
+}
+
+func (n *cutOffCounts) record(at time.Duration, cut bool, status int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var counted *tries
+	switch {
+	case at > cutOffStart+contactTime && at < cutOffEnd && cut:
+		counted = &n.duringCut
+	case at > cutOffStart+contactTime && at < cutOffEnd:
+		counted = &n.duringOthers
+	case at > cutOffEnd+healTime && cut:
+		counted = &n.afterCut
+	case at > cutOffEnd+healTime:
+		counted = &n.afterOthers
+	default:
+		return
+	}
+	counted.sent++
+	if status == http.StatusOK {
+		counted.served++
+	} else {
+		n.failures[status]++
+	}
+}
+
+func (n *cutOffCounts) check(t *testing.T, s *soakRun) {
+	t.Logf("during the cut: %v, others %v; after it: %v, others %v; failures by status %v; %.300q", n.duringCut, n.duringOthers,
+		n.afterCut, n.afterOthers, n.failures, s.violations)
+	s.g.Expect(n.duringCut.sent).To(BeNumerically(">", 0))
+	s.g.Expect(n.duringCut.share()).To(BeNumerically(">=", minServedByCutOff*n.duringOthers.share()), "relays that are cut off")
+	s.g.Expect(n.duringOthers.share()).To(BeNumerically(">=", minServedAfterCut), "the others")
+	s.g.Expect(n.afterCut.share()).To(BeNumerically(">=", minServedAfterCut), "after the cut")
+	s.g.Expect(s.violations).To(BeEmpty())
+}
--- a/internal/soak/wigeonsoak/process_test.go
+++ b/internal/soak/wigeonsoak/process_test.go
@@ -25,7 +25,9 @@
 	storeProxy    *proxy
 	// peerProxy is the way from other relays to this one.
 	peerProxy *proxy
-	logFile   *os.File
+	// enginePaths are the relay's own ways to endpoints; nil if it shares those of others.
+	enginePaths map[string]*proxy
+	logFile     *os.File
 
 	// restartMu is held from the signal that ends the process until it is started again.
 	restartMu sync.Mutex
--- a/internal/soak/wigeonsoak/proxy_test.go
+++ b/internal/soak/wigeonsoak/proxy_test.go
@@ -1,10 +1,12 @@
 package wigeonsoak_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -58,10 +60,10 @@
 
 // open accepts connections, for the first time or after shutDown.
 func (p *proxy) open() error {
-	l, err := net.Listen("tcp", p.listenAddress)
+	l, err := listenTCP(p.listenAddress)
 	for deadline := time.Now().Add(openTimeout); err != nil && time.Now().Before(deadline); {
 		time.Sleep(10 * time.Millisecond)
-		l, err = net.Listen("tcp", p.listenAddress)
+		l, err = listenTCP(p.listenAddress)
 	}
 	if err != nil {
 		return err
@@ -73,6 +75,13 @@
 	return nil
 }
 
+// listenTCP listens without Multipath TCP, whose sockets take no filter.
+func listenTCP(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
+
 // shutDown resets all connections and refuses new ones until open, like a process that ends. It reports false if the
 // proxy is shut down already.
 func (p *proxy) shutDown() bool {
@@ -112,9 +121,42 @@
 	}
 }
 
-// dropReceived makes the kernel drop all packets that arrive for a connection, as if they were lost on the way.
-func dropReceived(c net.Conn) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+// cutOff simulates a partition. With hang, all packets on open connections and for new ones are dropped; otherwise new connections
+// are refused, and open ones are reset unless they live on.
+func (p *proxy) cutOff(hang, liveOn bool) {
+	if hang {
+		p.silenceOpen()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		dropReceived(p.listener)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changedAt = time.Now()
+	p.listener.Close()
+	p.listener = nil
+	if !liveOn {
+		for c := range p.conns {
+			resetConnection(c)
+		}
+	}
+}
+
+// heal ends a partition.
+func (p *proxy) heal() error {
+	p.mu.Lock()
+	if p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	return p.open()
+}
+
+// dropReceived makes the kernel drop all packets that arrive for a connection or listener, as if they were lost on the way.
+func dropReceived(c any) {
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return
 	}
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -55,6 +55,10 @@
 	engineSlots int
 	// timeoutMillis is the timeout of all routes.
 	timeoutMillis int
+	// ownPaths gives each relay a path of its own to each endpoint. latestPaths are those of the latest relay, by the address of the
+	// endpoint's common path.
+	ownPaths    bool
+	latestPaths map[string]*proxy
 	// dir holds the relays' settings and logs; binary is their program.
 	dir, binary string
 
@@ -115,6 +119,9 @@
 	limit  wigeonwindow.RepeatLimit
 	// engineSlots is the number of slots of each endpoint; zero means defaultEngineSlots.
 	engineSlots int
+	// ownPaths gives each relay a path of its own to each endpoint. engines is the number of endpoints; zero means engineCount.
+	ownPaths bool
+	engines  int
 }
 
 func newSoakRun(t *testing.T, seed uint64, binary string) *soakRun {
@@ -133,7 +140,8 @@
 		s.g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
 	}
 	s.putConfiguration()
-	for range engineCount {
+	s.ownPaths = o.ownPaths
+	for range cmp.Or(o.engines, engineCount) {
 		s.addEngine()
 	}
 	s.dir, s.binary = dir, o.binary
@@ -148,8 +156,15 @@
 
 // addRelay starts another relay, which runs until the end of the test.
 func (s *soakRun) addRelay(t *testing.T) {
-	p, err := newRelayProcess(s.dir, s.binary, len(s.relays), s.store.server.Listener.Addr().String(), s.repeats.limit)
+	storeAddress := s.store.server.Listener.Addr().String()
+	if s.ownPaths {
+		storeAddress = s.addOwnPaths(t)
+	}
+	p, err := newRelayProcess(s.dir, s.binary, len(s.relays), storeAddress, s.repeats.limit)
 	s.g.Expect(err).NotTo(HaveOccurred())
+	if s.ownPaths {
+		p.enginePaths = s.latestPaths
+	}
 	s.g.Expect(p.start()).To(Succeed())
 	s.mu.Lock()
 	s.relays = append(s.relays, p)
--- a/internal/soak/wigeonsoak/store_test.go
+++ b/internal/soak/wigeonsoak/store_test.go
@@ -1,6 +1,7 @@
 package wigeonsoak_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -13,6 +14,7 @@
 // store is a stand-in for the platform's store. It keeps the latest rows and a log of all changes.
 type store struct {
 	server    *httptest.Server
+	handler   http.Handler
 	startedAt time.Time
 
 	mu      sync.Mutex
@@ -48,10 +50,32 @@
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
 	mux.HandleFunc("POST /-/rows-tx", s.commit)
+	s.handler = mux
 	s.server = httptest.NewServer(mux)
 	return s
 }
 
+// viewKey is the key of a storeView in the context of a call.
+type viewKey struct{}
+
+// storeView changes the rows that one reader gets.
+type storeView func(r storeRow) storeRow
+
+// newView returns a server of the store whose rows are changed by a view.
+func (s *store) newView(v storeView) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), viewKey{}, v)))
+	}))
+}
+
+// seenBy returns a row as the reader of a call sees it.
+func (r storeRow) seenBy(call *http.Request) storeRow {
+	if v, ok := call.Context().Value(viewKey{}).(storeView); ok {
+		return v(r)
+	}
+	return r
+}
+
 // put writes a row, or removes it when value is nil.
 func (s *store) put(table, key string, value any) {
 	s.mu.Lock()
@@ -155,7 +179,7 @@
 	defer s.mu.Unlock()
 	rows := []storeRow{}
 	for _, row := range s.rows[r.URL.Query().Get("table")] {
-		rows = append(rows, row)
+		rows = append(rows, row.seenBy(r))
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "truncated": false, "ver": s.version, "now_ms": s.nowMillis()})
 }
@@ -177,7 +201,7 @@
 		rows := []storeRow{}
 		for _, row := range s.log {
 			if row.Table == q.Get("table") && row.Version > after {
-				rows = append(rows, row)
+				rows = append(rows, row.seenBy(r))
 			}
 		}
 		version, changed, compacted := s.version, s.changed, s.compacted
--- a/platform.go
+++ b/platform.go
@@ -72,10 +72,12 @@
 	// ID is unique for each start of a process; a restarted process has a new ID.
 	ID string `json:"id"`
 	// Address is the IP number and port at which peers reach the instance.
-	Address string        `json:"address"`
-	Zone    string        `json:"zone"`
-	Region  string        `json:"region"`
-	State   InstanceState `json:"state"`
+	Address string `json:"address"`
+	// CallerAddress is the IP number and port at which the instance serves callers; empty if unknown.
+	CallerAddress string        `json:"callerAddress,omitempty"`
+	Zone          string        `json:"zone"`
+	Region        string        `json:"region"`
+	State         InstanceState `json:"state"`
 }
 
 // InstanceList is the platform's list of instances. It may be outdated: it may contain terminated instances and miss
