Name an address for passed-on requests also when the listener for callers has no host

The row of an instance that listens for callers on all addresses named 0.0.0.0, and was refused whole by the others as an odd row.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -15,6 +15,7 @@
 	"wigeonshift/internal/modules/wigeonmetric"
 	"wigeonshift/internal/modules/wigeonsession"
 	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/modules/wigeonsocket"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonfollow"
 	"wigeonshift/internal/services/wigeonquarantine"
@@ -98,7 +99,7 @@
 		self: wigeonshift.Instance{
 			ID:            s.Node.Name + "-" + uuid.NewString()[:8],
 			Address:       cmp.Or(s.Peer.Advertise, s.Peer.Listen),
-			CallerAddress: s.Caller.Listen,
+			CallerAddress: callerAddress(s),
 			Zone:          s.Node.Zone,
 			Region:        s.Node.Region,
 			State:         wigeonshift.InstanceLive,
@@ -151,6 +152,20 @@
 	return g
 }
 
+// callerAddress returns the address at which other instances reach the listener for callers. If that listens on all addresses, it is
+// the host of the address for peers.
+func callerAddress(s wigeonsetting.Relay) string {
+	if _, err := wigeonsocket.ParseAddress(s.Caller.Listen); err == nil {
+		return s.Caller.Listen
+	}
+	host, _, hostErr := net.SplitHostPort(cmp.Or(s.Peer.Advertise, s.Peer.Listen))
+	_, port, portErr := net.SplitHostPort(s.Caller.Listen)
+	if hostErr != nil || portErr != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
 // Start opens all listeners and starts following the store.
 func (g *Gateway) Start(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(ctx)
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -43,8 +43,9 @@
 	if _, err := wigeonsocket.ParseAddress(i.Address); err != nil {
 		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
 	}
-	if _, err := wigeonsocket.ParseAddress(i.CallerAddress); i.CallerAddress != "" && err != nil {
-		return wigeonshift.Instance{}, errors.Join(errMalformedInstanceRow, err)
+	if _, err := wigeonsocket.ParseAddress(i.CallerAddress); err != nil {
+		// The instance is a peer, but no request can be passed on to it.
+		i.CallerAddress = ""
 	}
 	return i, nil
 }
