--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -49,7 +49,7 @@
 	switch {
 	case ev.Outcome.answered():
 		s.recordAlive(e, j)
-		s.recordSign()
+		s.recordReachable()
 	case ev.Outcome == OutcomeLost && !j.answerStarted, ev.Outcome == OutcomeNotSent:
 		s.recordSilence(e)
 	}
--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -9,10 +9,10 @@
 // An instance may reach no endpoint while its peers do. It then passes requests on to members of its group, whose admission decides
 // on them, until an endpoint answers again.
 const (
-	// cutOffEndpoints is the number of endpoints that must have failed, with no sign of any other one since, for the instance to
+	// cutOffEndpoints is the number of endpoints that must have failed, and none have answered since, for the instance to
 	// suspect that it is cut off. Of fewer endpoints all must have failed.
 	cutOffEndpoints = 3
-	// hangingEndpoints is the number of endpoints with attempts without an answer, and hangingTime the time without a sign of any
+	// hangingEndpoints is the number of endpoints with attempts without an answer, and hangingTime the time without an answer of any
 	// endpoint, after which a cut is suspected as well: connections may hang without an error.
 	hangingEndpoints = 2
 	hangingTime      = time.Second
@@ -31,9 +31,9 @@
 
 // reach is what an instance knows of its way to the endpoints.
 type reach struct {
-	// signAt is the time of the latest sign of any endpoint.
-	signAt time.Duration
-	// failed holds the endpoints that have failed since signAt.
+	// reachedAt is the time at which any endpoint was last known to be reachable.
+	reachedAt time.Duration
+	// failed holds the endpoints that have failed since reachedAt.
 	failed map[string]bool
 	// isCutOff is set once probes of other endpoints have failed as well, at cutOffAt.
 	isCutOff bool
@@ -41,7 +41,7 @@
 	// probing holds the endpoints whose probes wait for a result. probedAt is the time of the latest probes.
 	probing  map[string]bool
 	probedAt time.Duration
-	// probeFailures counts the probes that failed since signAt.
+	// probeFailures counts the probes that failed since reachedAt.
 	probeFailures int
 	// passing counts the requests that are passed on, passed those since cutOffAt.
 	passing, passed int
@@ -57,10 +57,10 @@
 	}
 }
 
-// recordSign records that an endpoint has answered. It ends the cut.
-func (s *State) recordSign() {
+// recordReachable records that an endpoint has answered or accepted a connection. It ends the cut.
+func (s *State) recordReachable() {
 	r := &s.reach
-	r.signAt, r.probeFailures = s.now, 0
+	r.reachedAt, r.probeFailures = s.now, 0
 	clear(r.failed)
 	if !r.isCutOff {
 		return
@@ -81,7 +81,7 @@
 	s.dispatchAllWaiting()
 }
 
-// recordSilence records that an attempt on an endpoint failed without any sign of it.
+// recordSilence records that an attempt on an endpoint failed without any answer.
 func (s *State) recordSilence(e *endpoint) {
 	s.reach.failed[e.record.ID] = true
 	s.probeIfSuspected()
@@ -97,7 +97,7 @@
 
 // isHanging reports whether attempts on several endpoints have had no answer for long, nor has any other.
 func (s *State) isHanging() bool {
-	if s.now-s.reach.signAt < hangingTime {
+	if s.now-s.reach.reachedAt < hangingTime {
 		return false
 	}
 	hanging := map[*endpoint]bool{}
@@ -147,7 +147,7 @@
 	r := &s.reach
 	delete(r.probing, ev.EndpointID)
 	if ev.Reached {
-		s.recordSign()
+		s.recordReachable()
 		return
 	}
 	r.probeFailures++
@@ -155,7 +155,7 @@
 		return
 	}
 	r.isCutOff, r.cutOffAt, r.passed = true, s.now, 0
-	s.emit(CutOffRecorded{Endpoints: len(s.endpoints), Since: s.now - r.signAt, Peers: len(s.members)})
+	s.emit(CutOffRecorded{Endpoints: len(s.endpoints), Since: s.now - r.reachedAt, Peers: len(s.members)})
 	s.passOnWaiting()
 	s.abandonHanging()
 }
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -128,7 +128,7 @@
 	}
 	j.firstEventLatency = max(s.now-j.dispatchedAt, 1)
 	j.answerStarted = true
-	s.recordSign()
+	s.recordReachable()
 	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
--- a/internal/services/wigeonrelay/passon.go
+++ b/internal/services/wigeonrelay/passon.go
@@ -79,7 +79,7 @@
 	c.mu.Unlock()
 	request := &fasthttp.Request{}
 	c.httpCtx.Request.Header.CopyTo(&request.Header)
-	c.service.dialect.WriteForwarded(&request.Header, max(x.Timeout, time.Millisecond))
+	c.service.dialect.WritePassedOn(&request.Header, max(x.Timeout, time.Millisecond))
 	request.Header.ResetConnectionClose()
 	request.Header.Set(headerPassedOn, "1")
 	request.SetBodyRaw(c.httpCtx.Request.Body())
--- a/wire.go
+++ b/wire.go
@@ -82,9 +82,9 @@
 	VisitContentHeaders(h *fasthttp.RequestHeader, visit func(name, value []byte))
 	// WriteRequest turns a copy of a caller's request headers into those of the request to an endpoint.
 	WriteRequest(h *fasthttp.RequestHeader, call EndpointCall)
-	// WriteForwarded turns a copy of a caller's request headers into those of the same request to another instance, which has timeout
-	// left for it.
-	WriteForwarded(h *fasthttp.RequestHeader, timeout time.Duration)
+	// WritePassedOn turns a copy of a caller's request headers into those of the same request to another instance, which has
+	// timeout left for it.
+	WritePassedOn(h *fasthttp.RequestHeader, timeout time.Duration)
 	// ReadResponse decodes the headers of an endpoint's response.
 	ReadResponse(h *fasthttp.ResponseHeader) ResponseHeader
 	// RemoveHopByHopHeaders removes the headers that apply only to the connection to the endpoint.
