--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -87,7 +87,7 @@
 	s.probeIfSuspected()
 }
 
-// isSuspected reports whether what happened since the latest sign may come from a cut.
+// isSuspected reports whether what happened since an endpoint was last reached may come from a cut.
 func (s *State) isSuspected() bool {
 	if len(s.endpoints) == 0 {
 		return false
