Never say not run of a request that may have run before it was passed on

A request that may be repeated was lost at an endpoint, passed on, and refused by the peer; its caller got that refusal (503), although the request had run. The decision now says whether the request may have run, and a peer's promise is then taken as a failed try: the next peer gets it, and in the end the caller hears that the outcome is unknown.

--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -228,7 +228,9 @@
 	s.reach.latestPeer = peer
 	s.reach.passing++
 	s.reach.passed++
-	s.emit(PassOn{Job: j.ID, Peer: peer, Attempt: j.passAttempts, Timeout: j.Deadline - s.now, QueueTime: s.now - j.Arrived})
+	s.emit(PassOn{
+		Job: j.ID, Peer: peer, Attempt: j.passAttempts, MayHaveRun: j.mayHaveRun, Timeout: j.Deadline - s.now, QueueTime: s.now - j.Arrived,
+	})
 }
 
 // passOnIfCutOff passes a request on if the instance is cut off, and reports whether it did. One that another instance has passed on
--- a/internal/services/wigeondispatch/cutoff_test.go
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -139,6 +139,25 @@
 		Expect(effectsOf[Failure](ended)).To(ConsistOf(HaveField("Reason", ReasonLost)))
 	})
 
+	// A request whose first attempt was lost was refused by the peer, and its caller was told that it had not run.
+	It("tells with a request whether it may have run before, and fails it when the peers refuse it", func() {
+		j := h.newJob()
+		j.Kind, j.MaxAttempts = wigeonshift.RouteIdempotent, 2
+		h.dispatch(j)
+		lose(OutcomeLost)
+		lose(OutcomeLost)
+		probes := lose(OutcomeLost)
+		answerProbes(probes, false)
+		effects := h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: OutcomeLost, Answerable: true})
+		passes := effectsOf[PassOn](effects)
+		Expect(passes).To(ConsistOf(HaveField("MayHaveRun", true)))
+		for range maxPassAttempts {
+			effects = h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeRejected, Answerable: true})
+		}
+		Expect(effectsOf[Refuse](effects)).To(BeEmpty())
+		Expect(effectsOf[Failure](effects)).To(ConsistOf(HaveField("Reason", ReasonLost)))
+	})
+
 	It("passes a request on once more that may run twice", func() {
 		cutOff()
 		j := h.newJob()
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -127,6 +127,9 @@
 		Peer string
 		// Attempt is 1 for the first peer.
 		Attempt int
+		// MayHaveRun is set if an endpoint may have run the request before. A refusal of the peer, which says that it has not run, must
+		// then not reach the caller; it is reported with OutcomeRejected.
+		MayHaveRun bool
 		// Timeout is the time until the request's deadline, QueueTime that since it arrived.
 		Timeout, QueueTime time.Duration
 	}
--- a/internal/services/wigeonrelay/passon.go
+++ b/internal/services/wigeonrelay/passon.go
@@ -21,8 +21,12 @@
 	headerCutOff = "Wigeonshift-Cut-Off"
 )
 
-// errPeerCutOff reports that the peer reaches no endpoint either.
-var errPeerCutOff = errors.New("peer reaches no endpoint")
+var (
+	// errPeerCutOff reports that the peer reaches no endpoint either.
+	errPeerCutOff = errors.New("peer reaches no endpoint")
+	// errPeerRefused reports that the peer has refused a request which an endpoint of this instance may have run.
+	errPeerRefused = errors.New("peer refused a request that may have run before")
+)
 
 // takePassedOn reports whether another instance has passed a request on, and removes the mark.
 func takePassedOn(h *fasthttp.RequestHeader) bool {
@@ -48,6 +52,10 @@
 		response.Close()
 		err = errPeerCutOff
 	}
+	if err == nil && x.MayHaveRun && promisesNotRun(response.HTTP.StatusCode()) {
+		response.Close()
+		err = errPeerRefused
+	}
 	if err != nil {
 		c.endPassWithError(passOutcome(c.ctx, err), err)
 		return false
@@ -88,10 +96,24 @@
 
 // passOutcome returns the outcome of a request that was passed on and failed with err.
 func passOutcome(ctx context.Context, err error) wigeondispatch.Outcome {
-	if errors.Is(err, errPeerCutOff) {
+	switch {
+	case errors.Is(err, errPeerCutOff):
 		return wigeondispatch.OutcomeMisplaced
+	case errors.Is(err, errPeerRefused):
+		return wigeondispatch.OutcomeRejected
+	default:
+		return classifyError(ctx, err)
+	}
+}
+
+// promisesNotRun reports whether a status says that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
 	}
-	return classifyError(ctx, err)
 }
 
 // endPassWithError logs an error and ends the passing on of the request. The reducer decides what becomes of the request.
--- a/internal/soak/wigeonsoak/soak_test.go
+++ b/internal/soak/wigeonsoak/soak_test.go
@@ -74,8 +74,9 @@
 
 // regressionSeeds are seeds that failed before, each with the cause of the failure.
 var regressionSeeds = []int{
-	35,     // A stop waited for a long poll that the store holds for 15 s, and exceeded its timeout.
-	608036, // A relay's port had been taken by another soak that ran at the same time.
+	35,      // A stop waited for a long poll that the store holds for 15 s, and exceeded its timeout.
+	1205007, // A request that may have run was passed on to a peer, whose refusal said that it had not.
+	608036,  // A relay's port had been taken by another soak that ran at the same time.
 }
 
 // TestSoak runs the regression seeds, and then the seeds that the environment selects.
