--- a/internal/soak/wigeonsoak/version_test.go
+++ b/internal/soak/wigeonsoak/version_test.go
@@ -32,6 +32,9 @@
 
 // versionLog records when the store acknowledged each version, and what probers found.
 type versionLog struct {
+	// otherRoutes are in each version and get no requests.
+	otherRoutes []map[string]any
+
 	mu sync.Mutex
 	// acknowledgedAt holds the time of version n+1 at index n.
 	acknowledgedAt []time.Time
@@ -137,12 +140,9 @@
 	l.mu.Lock()
 	version := len(l.acknowledgedAt) + 1
 	l.mu.Unlock()
-	routes := []map[string]any{}
+	routes := slices.Clone(l.otherRoutes)
 	for n := max(version-keptVersions, 1); n <= version; n++ {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprint("v", n), "host": "h", "prefix": fmt.Sprintf("/v%d/", n), "kind": "idempotent",
-			"timeout_ms": s.timeoutMillis, "target_latency_ms": 500, "service": "s", "max_attempts": 2,
-		})
+		routes = append(routes, s.newVersionRoute(fmt.Sprint("v", n)))
 	}
 	s.store.put("op", "config", map[string]any{
 		// Versions increase in uneven steps and are above those of the start.
@@ -153,10 +153,29 @@
 	l.acknowledgedAt = append(l.acknowledgedAt, time.Now())
 }
 
+// newVersionRoute returns a route for the paths below its name.
+func (s *soakRun) newVersionRoute(name string) map[string]any {
+	return map[string]any{
+		"name": name, "host": "h", "prefix": "/" + name + "/", "kind": "idempotent",
+		"timeout_ms": s.timeoutMillis, "target_latency_ms": 500, "service": "s", "max_attempts": 2,
+	}
+}
+
+// newOtherRoutes returns routes that get no requests.
+func (s *soakRun) newOtherRoutes(count int) []map[string]any {
+	var routes []map[string]any
+	for n := range count {
+		routes = append(routes, s.newVersionRoute(fmt.Sprint("other", n)))
+	}
+	return routes
+}
+
 // versionScenario is a disturbance while the configuration changes.
 type versionScenario struct {
 	name   string
 	relays int
+	// otherRoutes is the number of routes that each version has in addition to those of the latest versions.
+	otherRoutes int
 	// disturb makes the disturbance and returns at its end.
 	disturb func(s *soakRun)
 }
@@ -176,6 +195,16 @@
 // silenceAll makes all open connections of all relays silent.
 func silenceAll(s *soakRun) { silence(s.relays, true, true) }
 
+// resetConnections resets all open connections of relays to the store and to other relays.
+func resetConnections(relays []*relayProcess) {
+	for _, p := range relays {
+		for _, x := range []*proxy{p.storeProxy, p.peerProxy} {
+			x.setMode(modeReset)
+			x.setMode(modeForward)
+		}
+	}
+}
+
 // TestConfigurationInTime guards against versions that come into force late, or are replaced by older ones, because a relay waits
 // on a connection that has fallen silent.
 func TestConfigurationInTime(t *testing.T) {
@@ -214,6 +243,29 @@
 			pause(s.relays[:4], 2*time.Second)
 			silenceAll(s)
 		}},
+		{name: "all reset", disturb: func(s *soakRun) { resetConnections(s.relays) }},
+		{name: "reset again and again", disturb: func(s *soakRun) {
+			for range 5 {
+				resetConnections(s.relays)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}},
+		{name: "store silent, others reset, then silent", disturb: func(s *soakRun) {
+			silence(s.relays, true, false)
+			for _, p := range s.relays {
+				p.peerProxy.setMode(modeReset)
+				p.peerProxy.setMode(modeForward)
+			}
+			time.Sleep(time.Second)
+			silenceAll(s)
+		}},
+		{name: "silent three times in three seconds", disturb: func(s *soakRun) {
+			for range 3 {
+				silenceAll(s)
+				time.Sleep(time.Second)
+			}
+		}},
+		{name: "all silent, two thousand routes", otherRoutes: 2000, disturb: silenceAll},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			skipIfKnownRed(t)
@@ -275,7 +327,7 @@
 	s := newRun(t, runOptions{
 		seed: uint64(environmentInt("WIGEONSHIFT_SOAK_FIRST", 1)), binary: binary, relays: cmp.Or(scenario.relays, 9), limit: repeatLimit,
 	})
-	log, stop, startedAt := &versionLog{}, make(chan struct{}), time.Now()
+	log, stop, startedAt := &versionLog{otherRoutes: s.newOtherRoutes(scenario.otherRoutes)}, make(chan struct{}), time.Now()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { log.writeVersions(s, stop) })
 	for _, p := range s.relays {
