Spread requests without tokens over endpoints whose times differ by chance only

Cause: a request went to the endpoint with the lowest mean time, and only that one was measured anew. An endpoint with a mean that was too high by chance, or that started with the pool's, got nothing until the others' means had risen: each of six relays used two or three of eight endpoints, endpoints without any limit got 24 where 70 were usual, and one instance before eight like endpoints sent 400 of 400 requests to one (placement_test).

Change: beside the mean, the mean distance of a sample from it is kept (as for TCP's retransmission timer). Endpoints without tokens whose cost is at most two such distances above the lowest are alike: the least loaded of them gets the request, then the one that has waited longest. Steadily faster ones are still preferred; other availability zones than the best one's don't count.

Ruled out: the ramp after a limit (one second, over by then); expiry of idle connections.

The spec on earlier refusals that come once more sent its one refusal to the endpoint that got the next request. Now each endpoint refuses one, and the check is that the next request comes on a connection with an earlier refusal, as before.

--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -37,10 +37,14 @@
 	// decodeStep is the time for one output token, prefill the time for one prompt token, and plain the time for a request
 	// without tokens.
 	decodeStep, prefill, plain time.Duration
+	// plainDeviation is the mean distance of a single sample of plain from plain.
+	plainDeviation time.Duration
 }
 
 // defaultTimings are the initial timings of the first endpoint of a service, before any answer was measured.
-var defaultTimings = timings{decodeStep: 4 * time.Millisecond, prefill: 20 * time.Microsecond, plain: 30 * time.Millisecond}
+var defaultTimings = timings{
+	decodeStep: 4 * time.Millisecond, prefill: 20 * time.Microsecond, plain: 30 * time.Millisecond, plainDeviation: 15 * time.Millisecond,
+}
 
 // meanTimings returns the mean of the endpoints' timings, or defaultTimings if there are none. The mean is the initial
 // value for a new endpoint, and the basis for estimates of queued requests whose endpoint isn't known yet. The time
@@ -55,8 +59,11 @@
 		sum.decodeStep += e.decodeStep
 		sum.prefill += e.prefill
 		sum.plain += e.plain
+		sum.plainDeviation += e.plainDeviation
+	}
+	return timings{
+		decodeStep: sum.decodeStep / n, prefill: sum.prefill / n, plain: sum.plain / n, plainDeviation: sum.plainDeviation / n,
 	}
-	return timings{decodeStep: sum.decodeStep / n, prefill: sum.prefill / n, plain: sum.plain / n}
 }
 
 // endpoint is one endpoint as this instance sees it.
@@ -186,6 +193,7 @@
 func (e *endpoint) recordFirstEvent(j *Job, first time.Duration) {
 	e.pool.cachedTimingsValid = false
 	if !j.HasTokens {
+		e.plainDeviation = movingAverage(e.plainDeviation, (first - e.plain).Abs())
 		e.plain = movingAverage(e.plain, first)
 		return
 	}
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -1,7 +1,7 @@
 package wigeondispatch
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -19,6 +19,9 @@
 	// sharedSuspicionCost is the additional cost, in nanoseconds, of an endpoint that runs another request suspected of a
 	// crash, for a suspected one. It outweighs all other costs.
 	sharedSuspicionCost = float64(time.Hour)
+	// chanceDeviations is the number of mean distances of a single sample by which the measured times of endpoints that are equally
+	// fast may differ.
+	chanceDeviations = 2
 	// probeSaving is subtracted from the cost, in nanoseconds, of an endpoint whose limit may have ended unnoticed.
 	probeSaving = float64(time.Minute)
 )
@@ -128,7 +131,8 @@
 	return c
 }
 
-// chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. It considers the
+// chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. Of several plain endpoints
+// whose times differ by chance only, it returns the one that has waited longest for a request. It considers the
 // endpoints of this instance's group (the instances that report every change of their load to each other) and, if few of its
 // slots are in use, the one of another group that is the home of the request's prompt; the others only if none of these can. It
 // returns nil if the group's other instances have enough requests of a higher priority to use all free slots. If the free
@@ -150,8 +154,7 @@
 	if s.suspected(j) {
 		withSuspects = s.endpointsWithSuspects(j.Fingerprint)
 	}
-	var best *endpoint
-	bestCost := math.Inf(1)
+	var choice endpointChoice
 	canMeetDeadline := s.deadlineFeasible(p, j)
 	home := p.home(j)
 	candidates := p.ownEndpoints
@@ -178,13 +181,52 @@
 		if withSuspects[e] {
 			est.cost += sharedSuspicionCost
 		}
-		if est.cost -= e.promptSaving(j, home, s.now); est.cost < bestCost {
-			best, bestCost = e, est.cost
-		}
+		choice.add(e, est.cost-e.promptSaving(j, home, s.now))
 	}
-	if best == nil {
+	if len(choice.candidates) == 0 {
 		return s.chooseOtherGroupEndpoint(p, j)
 	}
+	if j.HasTokens {
+		return choice.best.endpoint
+	}
+	return choice.longestWaiting()
+}
+
+// candidate is an endpoint that can accept a request, with its cost in nanoseconds.
+type candidate struct {
+	endpoint *endpoint
+	cost     float64
+}
+
+// endpointChoice holds the endpoints that can accept a request. best is the one with the lowest cost.
+type endpointChoice struct {
+	best       candidate
+	candidates []candidate
+}
+
+func (c *endpointChoice) add(e *endpoint, cost float64) {
+	x := candidate{endpoint: e, cost: cost}
+	if len(c.candidates) == 0 || cost < c.best.cost {
+		c.best = x
+	}
+	c.candidates = append(c.candidates, x)
+}
+
+// longestWaiting returns, of the endpoints that differ from the best one by chance only, the one with the smallest share of its slots in
+// use, then the one whose last request is longest ago. A measurement that is too high by chance would otherwise stay so, as the
+// endpoint gets no further requests. Endpoints of another availability zone than the best one's don't count.
+func (c *endpointChoice) longestWaiting() *endpoint {
+	best := c.best.endpoint
+	limit := c.best.cost + chanceDeviations*float64(best.plainDeviation)
+	for _, x := range c.candidates {
+		e := x.endpoint
+		if x.cost > limit || e.record.Zone != c.best.endpoint.record.Zone {
+			continue
+		}
+		if order := cmp.Compare(e.loadShare(), best.loadShare()); order < 0 || order == 0 && e.dispatchedAt < best.dispatchedAt {
+			best = e
+		}
+	}
 	return best
 }
 
--- a/internal/services/wigeonrelay/answer_test.go
+++ b/internal/services/wigeonrelay/answer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,21 +88,26 @@
 			for _, path := range []string{"/unsafe/", "/safe/"} {
 				for cut := 1; cut <= len(refusal); cut++ {
 					var runs atomic.Int32
-					var refusedOn atomic.Value
+					// refusedOn holds the connections on which r0 was refused, one at each endpoint.
+					var refusedOn sync.Map
 					var isKept atomic.Bool
 					respond := func(c net.Conn, r *http.Request, _ []byte) {
 						if r.Header.Get("Request-Id") == "r0" {
-							refusedOn.Store(c)
+							refusedOn.Store(c, true)
 							writeText(c, "HTTP/1.1 503 Busy\r\nRequest-Id: r0\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy")
 							return
 						}
 						if runs.Add(1) == 1 {
-							isKept.Store(c == refusedOn.Load())
+							_, known := refusedOn.Load(c)
+							isKept.Store(known)
 						}
 						writeText(c, refusal[:cut]+plainAnswer)
 					}
 					r := newTestRelay(newFakeEndpoint(respond), newFakeEndpoint(respond))
-					Expect(r.readAnswer(requestWithID("/unsafe/", "r0")).status).To(Equal(http.StatusServiceUnavailable))
+					// Each endpoint refuses one.
+					for range 2 {
+						Expect(r.readAnswer(requestWithID("/unsafe/", "r0")).status).To(Equal(http.StatusServiceUnavailable))
+					}
 					got := r.readAnswer(requestText("POST", path, "", "x"))
 					Expect(promisesNoRun(got.status)).To(BeFalse(), "%s, cut at %d: %v", path, cut, got)
 					if got.status == http.StatusOK && got.complete {
