Count a crash whose time lies ahead as one of now

A crash row or report of a writer whose clock was ahead kept its requests suspected or refused until that time and 30 minutes or 24 hours more, and the Retry-After of the refusal was as long. Such a time now counts as the moment at which the instance learns of the crash. The spec (store and peer) failed before: still known after 31 minutes.

--- a/internal/services/wigeonquarantine/service.go
+++ b/internal/services/wigeonquarantine/service.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// learnLocked adds a crash that another writer noticed and reports whether it is new. A time ahead of this instance's clock counts as now,
+// so that it doesn't keep the request refused for longer than any other crash.
+func (s *Service) learnLocked(c wigeonshift.Crash) bool {
+	if now := time.Now(); c.At.After(now) {
+		c.At = now
+	}
+	return s.record.Add(c)
+}
+
 // Evidence returns all that is known.
 func (s *Service) Evidence() wigeonshift.CrashEvidence {
 	s.mu.Lock()
--- a/internal/services/wigeonquarantine/service_test.go
+++ b/internal/services/wigeonquarantine/service_test.go
@@ -166,6 +166,28 @@
 		})
 	})
 
+	// The row of a writer whose clock was a year ahead kept a request refused for a year.
+	It("keeps no crash for longer because its time lies ahead", func() {
+		for name, learn := range map[string]func(g Gomega, s *testService, c wigeonshift.Crash){
+			"store": func(g Gomega, s *testService, c wigeonshift.Crash) {
+				s.ApplyChanges([]wigeonshift.TableRow{rowOf(g, c)})
+			},
+			"peer": func(_ Gomega, s *testService, c wigeonshift.Crash) {
+				s.Offer(wigeonshift.CrashEvidence{Crashes: []wigeonshift.Crash{c}})
+			},
+		} {
+			runService(func(g Gomega, s *testService) {
+				ahead := freshCrash(7, "a@1")
+				ahead.At = ahead.At.AddDate(1, 0, 0)
+				learn(g, s, ahead)
+				advance(suspectLifetime - time.Minute)
+				g.Expect(s.published).To(HaveLen(1), name)
+				advance(2 * time.Minute)
+				g.Expect(s.published).To(BeEmpty(), name)
+			})
+		}
+	})
+
 	It("removes rows of expired crashes and rows that can't be decoded", func() {
 		runService(func(g Gomega, s *testService) {
 			s.ReplaceRows([]wigeonshift.TableRow{rowOf(g, freshCrash(7, "a@1")), {Key: "x", Value: []byte("y")}})
--- a/internal/services/wigeonquarantine/share.go
+++ b/internal/services/wigeonquarantine/share.go
@@ -134,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range evidence.Crashes {
-		if s.record.Add(c) {
+		if s.learnLocked(c) {
 			s.states[RowKey(c)] = rowFromPeer
 			s.shareAllLocked(s.record.Related(c))
 			s.logLearned(c, "peer")
--- a/internal/services/wigeonquarantine/table.go
+++ b/internal/services/wigeonquarantine/table.go
@@ -79,7 +79,7 @@
 			s.log.WithError(err).WithField("row", row.Key).Warn("failed to decode a crash row")
 			continue
 		}
-		if s.record.Add(c) {
+		if s.learnLocked(c) {
 			s.shareAllLocked(s.record.Related(c))
 			s.logLearned(c, "store")
 		}
