Keep idle connections to endpoints for 2.5 s at most

Cause: the kernel's probes were to show a silent connection in three seconds. If the last bytes of the peer get no acknowledgement it sends them again and again, and each time that counts as a sign of life here. Shown with a single connection whose peer's kernel drops what arrives: no probe unanswered until 3 s, given up after 6.5 s. So it depended on whether a stream ended within the last 40 ms before the silence.

Change: idle connections were kept for 4 s or what the endpoint announces; now for 2.5 s at most. That holds whatever keeps a silent connection alive. The spec fails before.

Tried: asking the kernel for unanswered probes before a connection is used again (TCP_INFO); the same request were lost, as above.

--- a/internal/services/wigeonupstream/connection.go
+++ b/internal/services/wigeonupstream/connection.go
@@ -45,12 +45,12 @@
 	return c.Conn.Write(b)
 }
 
-// markIdle computes how long the idle connection may be reused, so that it is given up before the endpoint closes it. A
-// zero keepAliveTimeout means that the endpoint announced none.
+// markIdle computes how long the idle connection may be reused: at most maxIdleTime, and so that it is given up before the endpoint
+// closes it. A zero keepAliveTimeout means that the endpoint announced none.
 func (c *connection) markIdle(keepAliveTimeout time.Duration) {
-	idle := defaultIdleTimeout
+	idle := maxIdleTime
 	if keepAliveTimeout > 0 {
-		idle = max(keepAliveTimeout-idleTimeoutMargin, keepAliveTimeout/2)
+		idle = min(idle, max(keepAliveTimeout-idleTimeoutMargin, keepAliveTimeout/2))
 	}
 	c.idleUntil = time.Now().Add(idle)
 	c.reused = true
--- a/internal/services/wigeonupstream/exchange_test.go
+++ b/internal/services/wigeonupstream/exchange_test.go
@@ -192,6 +192,21 @@
 		Expect(e.connections.Load()).To(BeEquivalentTo(2))
 	})
 
+	// A connection that had fallen silent was reused after three seconds, since the kernel took what the peer sent again for a sign of
+	// life.
+	It("does not reuse a connection after the longest idle time, whatever the endpoint announces", func() {
+		e := newScriptedEndpoint(func(c *net.TCPConn, request *http.Request, _ int) bool {
+			writeResponse(c, request.Header.Get("Id"), "body", "Idle: 1m")
+			return true
+		})
+		fetch(target(e), "1")
+		time.Sleep(2600 * time.Millisecond)
+		fetch(target(e), "2")
+		Expect(e.connections.Load()).To(BeEquivalentTo(2))
+		fetch(target(e), "3")
+		Expect(e.connections.Load()).To(BeEquivalentTo(2), "used again at once")
+	})
+
 	It("reports ErrNotSent when no connection can be opened", func() {
 		e := newScriptedEndpoint(echoID)
 		Expect(e.Close()).To(Succeed())
--- a/internal/services/wigeonupstream/pool.go
+++ b/internal/services/wigeonupstream/pool.go
@@ -16,8 +16,9 @@
 // Limits of connections.
 const (
 	defaultDialTimeout = 700 * time.Millisecond
-	// defaultIdleTimeout applies to endpoints that announce no keep-alive timeout.
-	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTime is how long an idle connection is kept at most, so that one that has fallen silent is reused no later. The probes of
+	// the kernel may show that later: what the peer sends again, because it gets no acknowledgement, counts as a sign of life.
+	maxIdleTime = 2500 * time.Millisecond
 	// idleTimeoutMargin is subtracted from the announced keep-alive timeout because the endpoint may have started to
 	// count earlier.
 	idleTimeoutMargin = time.Second
