Send nothing to endpoints that can't be reached while peers take requests

What waited was looked at once, at the begin of the cut, and never again.

Change: while an instance is cut off and has peers, what may be passed on waits for a peer, and is passed on as soon as a request comes back or a peer's pause is over.

--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -160,18 +160,16 @@
 	s.abandonHanging()
 }
 
-// passOnWaiting passes all queued requests on.
+// passOnWaiting passes the queued requests on while the instance is cut off, as many as its bound allows.
 func (s *State) passOnWaiting() {
+	if !s.reach.isCutOff {
+		return
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
 		p := s.pools[name]
 		for _, j := range slices.Clone(p.queue.jobs) {
-			switch {
-			case s.mayPassOn(j):
-				p.queue.remove(j)
-				s.passOn(j)
-			case j.PassedOn && !j.mayHaveRun:
+			if s.passOnIfCutOff(j) {
 				p.queue.remove(j)
-				s.refuse(j, ReasonCutOff, cutOffRetryAfter)
 			}
 		}
 	}
@@ -191,12 +189,25 @@
 	}
 }
 
+// canPassOn reports whether a request may be passed on, now or once a peer takes it.
+func (s *State) canPassOn(j *Job) bool {
+	return !j.PassedOn && !j.answerStarted && (!j.mayHaveRun || j.repeatable()) &&
+		j.passAttempts < maxPassAttempts && j.Deadline-s.now > minResendTimeLeft
+}
+
 // mayPassOn reports whether a request may be passed on now.
 func (s *State) mayPassOn(j *Job) bool {
-	return !j.PassedOn && !j.answerStarted && (!j.mayHaveRun || j.repeatable()) && s.reach.passing < maxPassedOn &&
-		j.passAttempts < maxPassAttempts && j.Deadline-s.now > minResendTimeLeft && s.choosePeer() != ""
+	return s.canPassOn(j) && s.reach.passing < maxPassedOn && s.choosePeer() != ""
+}
+
+// awaitsPeer reports whether a queued request waits to be passed on instead of being sent to an endpoint that can't be reached.
+func (s *State) awaitsPeer(j *Job) bool {
+	return s.reach.isCutOff && len(s.members) > 0 && s.canPassOn(j)
 }
 
+// isRefusedByPeers reports whether there are peers, but none takes requests.
+func (s *State) isRefusedByPeers() bool { return len(s.members) > 0 && s.choosePeer() == "" }
+
 // choosePeer returns the next member of the group that takes requests, or an empty ID.
 func (s *State) choosePeer() string {
 	var first, next string
@@ -233,8 +244,8 @@
 	})
 }
 
-// passOnIfCutOff passes a request on if the instance is cut off, and reports whether it did. One that another instance has passed on
-// goes back to it, unless it may have run.
+// passOnIfCutOff passes a request on if the instance is cut off, or refuses it if no peer takes it, and reports whether it did. One
+// that another instance has passed on goes back to it. What may have run isn't refused.
 func (s *State) passOnIfCutOff(j *Job) bool {
 	switch {
 	case !s.reach.isCutOff:
@@ -242,7 +253,7 @@
 	case s.mayPassOn(j):
 		s.passOn(j)
 		return true
-	case j.PassedOn && !j.mayHaveRun:
+	case (j.PassedOn || s.isRefusedByPeers()) && !j.mayHaveRun:
 		s.refuse(j, ReasonCutOff, cutOffRetryAfter)
 		return true
 	default:
@@ -261,6 +272,12 @@
 		s.reach.refusedUntil[j.passingTo] = s.now + peerRefusalPause
 	}
 	s.endPassing(j)
+	s.continuePassed(j, ev)
+	s.passOnWaiting()
+}
+
+// continuePassed forgets a request that was passed on, passes it on once more, or refuses or fails it.
+func (s *State) continuePassed(j *Job, ev PassEnded) {
 	switch ev.Outcome {
 	case OutcomeDone, OutcomeAbandoned:
 		s.forget(j)
@@ -287,8 +304,10 @@
 	}
 }
 
-// expireReach forgets pauses of peers that are over, and probes endpoints while the instance is cut off.
+// expireReach forgets pauses of peers that are over, passes on what waited for them, and probes endpoints while the instance is cut
+// off.
 func (s *State) expireReach() {
 	maps.DeleteFunc(s.reach.refusedUntil, func(_ string, until time.Duration) bool { return s.now >= until })
+	s.passOnWaiting()
 	s.probeIfSuspected()
 }
--- a/internal/services/wigeondispatch/cutoff_test.go
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -111,6 +111,31 @@
 		Expect(n).To(Equal(maxPassedOn))
 	})
 
+	It("passes on what waited for its bound as soon as a request has come back", func() {
+		cutOff()
+		first := h.newJob()
+		h.arrive(first)
+		for range maxPassedOn {
+			h.arrive(h.newJob())
+		}
+		ended := h.state.Reduce(PassEnded{At: h.at, Job: first.ID, Outcome: OutcomeDone})
+		Expect(effectsOf[PassOn](ended)).To(HaveLen(1))
+		Expect(h.state.reach.passing).To(Equal(maxPassedOn))
+	})
+
+	It("refuses at once while its peers reach no endpoint either, and asks them again after a while", func() {
+		cutOff()
+		j := h.newJob()
+		h.arrive(j)
+		for range 2 {
+			h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeMisplaced, Answerable: true})
+		}
+		Expect(onlyRefusal(h.arrive(h.newJob())).Reason).To(Equal(ReasonCutOff))
+		h.at += peerRefusalPause
+		h.state.Reduce(Tick{At: h.at})
+		passedTo(h.arrive(h.newJob()))
+	})
+
 	It("passes nothing on that another instance has passed on to it", func() {
 		cutOff()
 		j := h.newJob()
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -32,7 +32,7 @@
 		if s.refuseWaiting(p, j, &round) {
 			continue
 		}
-		if s.waitsForTrial(j) {
+		if s.waitsForTrial(j) || s.awaitsPeer(j) {
 			continue
 		}
 		e := s.chooseEndpoint(p, j, round)
