Ask on for a peer until one isn't cut off itself

Such a peer refuses at once and gets nothing for two seconds then, so it no longer counts among the three peers that a request is passed on to.

--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -21,7 +21,8 @@
 	cutOffProbeInterval = 300 * time.Millisecond
 	// maxPassedOn is the number of requests that may be passed on at the same time.
 	maxPassedOn = 64
-	// maxPassAttempts is the number of peers to which a request may be passed on one after the other.
+	// maxPassAttempts is the number of peers to which a request may be passed on one after the other. Those that reach no endpoint
+	// themselves don't count.
 	maxPassAttempts = 3
 	// peerRefusalPause is the time for which a peer gets no requests that reaches no endpoint itself, or can't be reached.
 	peerRefusalPause = 2 * time.Second
@@ -284,6 +285,9 @@
 		return
 	case OutcomeLost:
 		j.mayHaveRun = true
+	case OutcomeMisplaced:
+		// Each peer that reaches no endpoint either refuses at once, and only one request in a while.
+		j.passAttempts--
 	}
 	if ev.Answerable && s.mayPassOn(j) {
 		s.passOn(j)
--- a/internal/services/wigeondispatch/cutoff_test.go
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"fmt"
 	"time"
 
 	"wigeonshift"
@@ -123,6 +124,26 @@
 		Expect(h.state.reach.passing).To(Equal(maxPassedOn))
 	})
 
+	It("finds the one peer among many that isn't cut off", func() {
+		instances := []wigeonshift.Instance{{ID: h.state.settings.Instance}}
+		for n := range 2 * maxPassAttempts {
+			instances = append(instances, wigeonshift.Instance{ID: fmt.Sprint("p", n)})
+		}
+		h.state.Reduce(InstancesListed{At: h.at, Instances: instances, Complete: true})
+		for _, i := range instances[1:] {
+			h.state.Reduce(PeerReported{At: h.at, Peer: i.ID})
+		}
+		cutOff()
+		j := h.newJob()
+		effects, asked := h.arrive(j), map[string]bool{}
+		for range instances[2:] {
+			asked[passedTo(effects)] = true
+			effects = h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeMisplaced, Answerable: true})
+		}
+		Expect(asked).NotTo(HaveKey(passedTo(effects)))
+		Expect(asked).To(HaveLen(len(instances) - 2))
+	})
+
 	It("refuses at once while its peers reach no endpoint either, and asks them again after a while", func() {
 		cutOff()
 		j := h.newJob()
