Treat silent connections to peers as those to endpoints, and don't pass a begun stream on

Two small faults read in the code of requests that are passed on; no test showed them: - After a loss on a connection to a peer, its other idle connections stayed in use, though they fall silent together. One function sends to both now. - A stream that a peer forwarded and that broke off was reported to the reducer as one that can go on; the reducer passed it on once more, and nobody carried that out. The request held one of 64 places until its caller's connection ended.

--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -52,8 +52,14 @@
 	}).WithFields(c.resendFields()).WithFields(limitFields(d)).Info("request dispatched")
 	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
 	request := c.newEndpointRequest(d, lastEventID)
-	target := wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}
-	response, err := c.service.pool.Send(ctx, target, c.header.RequestID, request, c.sendOptions(d)...)
+	return c.send(ctx, wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}, request, c.sendOptions(d)...)
+}
+
+// send sends a request to an endpoint or a peer.
+func (c *call) send(
+	ctx context.Context, target wigeonupstream.Target, request *fasthttp.Request, opts ...wigeonupstream.SendOption,
+) (*wigeonupstream.Response, error) {
+	response, err := c.service.pool.Send(ctx, target, c.header.RequestID, request, opts...)
 	if errors.Is(err, wigeonupstream.ErrLost) && !errors.Is(context.Cause(c.ctx), errCallerDisconnected) {
 		// If the connection has fallen silent, the idle ones beside it have, too.
 		c.service.pool.DropIdle(target)
--- a/internal/services/wigeonrelay/passon.go
+++ b/internal/services/wigeonrelay/passon.go
@@ -95,7 +95,7 @@
 	request.Header.ResetConnectionClose()
 	request.Header.Set(headerPassedOn, "1")
 	request.SetBodyRaw(c.httpCtx.Request.Body())
-	return c.service.pool.Send(ctx, wigeonupstream.Target{ID: x.Peer, Address: address}, c.header.RequestID, request)
+	return c.send(ctx, wigeonupstream.Target{ID: x.Peer, Address: address}, request)
 }
 
 // passOutcome returns the outcome of a request that was passed on and failed with err.
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -138,7 +138,8 @@
 }
 
 // resume ends the interrupted attempt, continues the stream at another endpoint after the last complete event and
-// reports whether that succeeded. It needs the id of an event to resume after, and a call that has not been cancelled.
+// reports whether that succeeded. It needs the id of an event to resume after, and a call that has not been cancelled. A stream that a
+// peer forwards isn't resumed here, since the peer does so.
 // The reducer (the decision logic in wigeondispatch) picks the endpoint; resume tries each one that it picks until it
 // gives up.
 func (st *streamBody) resume() bool {
@@ -146,7 +147,7 @@
 	if st.response == nil {
 		return false
 	}
-	resumable := c.route.Resumable && st.content.tracker.LastID != "" && c.ctx.Err() == nil
+	resumable := c.route.Resumable && st.content.tracker.LastID != "" && c.ctx.Err() == nil && c.passedTo == ""
 	st.response.Close()
 	st.response = nil
 	c.endAttemptWithError(c.interruptedOutcome(), st.attemptEvents(), resumable, st.err)
