Pass requests on to other groups while a whole group is cut off

In a fleet of more than 12 instances, an instance passed requests on to members of its group only. With the seven of fourteen relays of one group cut off from all endpoints, their callers got 0 of 3,695 requests served (503), the others' 2,788 of 2,788.

When no member of the group takes requests, instances of other groups are asked now, in turn, three at most for one request: their refusals count, since in a fleet that is cut off as a whole each of them refuses. Spec: all members first, then three of other groups, then refused.

--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -1,13 +1,15 @@
 package wigeondispatch
 
 import (
+	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
 )
 
-// An instance may reach no endpoint while its peers do. It then passes requests on to members of its group, whose admission decides
-// on them, until an endpoint answers again.
+// An instance may reach no endpoint while its peers do. It then passes requests on to members of its group, or to other instances if none
+// of these takes them. Their admission decides on the requests. It ends when an endpoint answers again.
 const (
 	// cutOffEndpoints is the number of endpoints that must have failed, and none have answered since, for the instance to
 	// suspect that it is cut off. Of fewer endpoints all must have failed.
@@ -21,8 +23,8 @@
 	cutOffProbeInterval = 300 * time.Millisecond
 	// maxPassedOn is the number of requests that may be passed on at the same time.
 	maxPassedOn = 64
-	// maxPassAttempts is the number of peers to which a request may be passed on one after the other. Those that reach no endpoint
-	// themselves don't count.
+	// maxPassAttempts is the number of peers to which a request may be passed on one after the other. Members of the group that reach no
+	// endpoint themselves don't count.
 	maxPassAttempts = 3
 	// peerRefusalPause is the time for which a peer gets no requests that reaches no endpoint itself, or can't be reached.
 	peerRefusalPause = 2 * time.Second
@@ -203,30 +205,65 @@
 
 // awaitsPeer reports whether a queued request waits to be passed on instead of being sent to an endpoint that can't be reached.
 func (s *State) awaitsPeer(j *Job) bool {
-	return s.reach.isCutOff && len(s.members) > 0 && s.canPassOn(j)
+	return s.reach.isCutOff && s.canPassOn(j) && s.hasPeers()
 }
 
 // isRefusedByPeers reports whether there are peers, but none takes requests.
-func (s *State) isRefusedByPeers() bool { return len(s.members) > 0 && s.choosePeer() == "" }
+func (s *State) isRefusedByPeers() bool { return s.hasPeers() && s.choosePeer() == "" }
 
-// choosePeer returns the next member of the group that takes requests, or an empty ID.
+// choosePeer returns the next member of the group that takes requests, or else the next instance of another group, or an empty ID.
 func (s *State) choosePeer() string {
+	if peer := s.nextPeer(s.memberNames()); peer != "" {
+		return peer
+	}
+	return s.nextPeer(s.otherGroupInstances())
+}
+
+// nextPeer returns the instance that follows the one that got the latest request, of those that take requests, or an empty ID.
+func (s *State) nextPeer(names iter.Seq[string]) string {
 	var first, next string
-	for _, m := range s.members {
-		if s.now < s.reach.refusedUntil[m.name] {
+	for name := range names {
+		if s.now < s.reach.refusedUntil[name] {
 			continue
 		}
-		if first == "" {
-			first = m.name
+		if first == "" || name < first {
+			first = name
 		}
-		if next == "" && m.name > s.reach.latestPeer {
-			next = m.name
+		if name > s.reach.latestPeer && (next == "" || name < next) {
+			next = name
 		}
 	}
-	if next != "" {
-		return next
+	return cmp.Or(next, first)
+}
+
+// memberNames yields the other members of the group that report their load.
+func (s *State) memberNames() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, m := range s.members {
+			if !yield(m.name) {
+				return
+			}
+		}
 	}
-	return first
+}
+
+// otherGroupInstances yields the instances of other groups.
+func (s *State) otherGroupInstances() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, id := range s.instanceIDs {
+			if !s.groups.SameGroup(id, s.settings.Instance) && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// hasPeers reports whether there are other instances to which a request could be passed on.
+func (s *State) hasPeers() bool {
+	for range s.otherGroupInstances() {
+		return true
+	}
+	return len(s.members) > 0
 }
 
 // passOn passes a request on to a peer, which charges the quota. What may have run stays charged here.
@@ -272,6 +309,10 @@
 	if ev.Outcome == OutcomeNotSent || ev.Outcome == OutcomeMisplaced {
 		s.reach.refusedUntil[j.passingTo] = s.now + peerRefusalPause
 	}
+	if ev.Outcome == OutcomeMisplaced && s.groups.SameGroup(j.passingTo, s.settings.Instance) {
+		// Each member that reaches no endpoint either refuses at once, and only one request in a while.
+		j.passAttempts--
+	}
 	s.endPassing(j)
 	s.continuePassed(j, ev)
 	s.passOnWaiting()
@@ -285,9 +326,6 @@
 		return
 	case OutcomeLost:
 		j.mayHaveRun = true
-	case OutcomeMisplaced:
-		// Each peer that reaches no endpoint either refuses at once, and only one request in a while.
-		j.passAttempts--
 	}
 	if ev.Answerable && s.mayPassOn(j) {
 		s.passOn(j)
--- a/internal/services/wigeondispatch/cutoff_test.go
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -144,6 +144,30 @@
 		Expect(asked).To(HaveLen(len(instances) - 2))
 	})
 
+	It("asks instances of other groups if its whole group is cut off, three of them for one request", func() {
+		var instances []wigeonshift.Instance
+		for n := range 2 * maxUngroupedInstances {
+			instances = append(instances, wigeonshift.Instance{ID: fmt.Sprint("p", n), Address: fmt.Sprint("p", n), Zone: "z"})
+		}
+		instances = append(instances, wigeonshift.Instance{ID: h.state.settings.Instance, Address: "p", Zone: "z"})
+		h.state.Reduce(InstancesListed{At: h.at, Instances: instances, Complete: true})
+		for _, i := range instances[:len(instances)-1] {
+			h.state.Reduce(PeerReported{At: h.at, Peer: i.ID})
+		}
+		cutOff()
+		j := h.newJob()
+		effects := h.arrive(j)
+		for range h.state.members {
+			Expect(h.state.groups.SameGroup(passedTo(effects), h.state.settings.Instance)).To(BeTrue())
+			effects = h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeMisplaced, Answerable: true})
+		}
+		for range maxPassAttempts {
+			Expect(h.state.groups.SameGroup(passedTo(effects), h.state.settings.Instance)).To(BeFalse())
+			effects = h.state.Reduce(PassEnded{At: h.at, Job: j.ID, Outcome: OutcomeMisplaced, Answerable: true})
+		}
+		Expect(onlyRefusal(effects).Reason).To(Equal(ReasonCutOff))
+	})
+
 	It("refuses at once while its peers reach no endpoint either, and asks them again after a while", func() {
 		cutOff()
 		j := h.newJob()
--- a/internal/soak/wigeonsoak/cutoff_test.go
+++ b/internal/soak/wigeonsoak/cutoff_test.go
@@ -1,14 +1,19 @@
 package wigeonsoak_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeondispatch"
+
 	. "github.com/onsi/gomega"
 )
 
@@ -53,8 +58,11 @@
 
 // cutOffScenario is a partition between some relays and all endpoints.
 type cutOffScenario struct {
-	name, path   string
-	cut          int
+	name, path string
+	// relays is the number of relays, cutOffRelays if zero. The first cut of them are cut off, or if wholeGroup is set all that are in
+	// the group of the first.
+	relays, cut  int
+	wholeGroup   bool
 	hang, liveOn bool
 	// runTime is how long each request runs in addition. With one beyond the callers' deadlines, only the promises are checked.
 	runTime time.Duration
@@ -88,6 +96,7 @@
 		{name: "streams, hang", path: "/stream/", cut: 2, hang: true},
 		{name: "three of six, reset", path: "/safe/", cut: 3},
 		{name: "four of six, hang", path: "/safe/", cut: 4, hang: true},
+		{name: "a whole group of fourteen, hang", path: "/safe/", relays: 14, wholeGroup: true, hang: true},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			skipIfKnownRed(t)
@@ -99,37 +108,58 @@
 
 func runCutOff(t *testing.T, binary string, scenario cutOffScenario) {
 	s := newRun(t, runOptions{
-		seed: uint64(environmentInt("WIGEONSHIFT_SOAK_FIRST", 1)), binary: binary, relays: cutOffRelays, limit: repeatLimit,
+		seed: uint64(environmentInt("WIGEONSHIFT_SOAK_FIRST", 1)), binary: binary, relays: cmp.Or(scenario.relays, cutOffRelays), limit: repeatLimit,
 		ownPaths: true, engines: cutOffEngines,
 	})
 	for _, e := range s.engines {
 		e.runTime = scenario.runTime
 	}
 	counts, stop, startedAt := &cutOffCounts{failures: map[int]int{}}, make(chan struct{}), time.Now()
+	cut := s.relaysToCut(scenario)
 	var tasks sync.WaitGroup
 	for i, p := range s.relays {
 		for k := range cutOffCallers {
 			c := &caller{soak: s, random: rand.New(rand.NewPCG(uint64(i*cutOffCallers+k), 7)), stop: stop}
 			tasks.Go(func() {
 				c.runFirstTries(scenario.path, p, func(sentAt time.Time, status int) {
-					counts.record(sentAt.Sub(startedAt), i < scenario.cut, status)
+					counts.record(sentAt.Sub(startedAt), slices.Contains(cut, p), status)
 				})
 			})
 		}
 	}
 	time.Sleep(time.Until(startedAt.Add(cutOffStart)))
-	s.eachPath(scenario.cut, func(p *proxy) { p.cutOff(scenario.hang, scenario.liveOn) })
+	eachPath(cut, func(p *proxy) { p.cutOff(scenario.hang, scenario.liveOn) })
 	time.Sleep(time.Until(startedAt.Add(cutOffEnd)))
-	s.eachPath(scenario.cut, func(p *proxy) { s.g.Expect(p.heal()).To(Succeed()) })
+	eachPath(cut, func(p *proxy) { s.g.Expect(p.heal()).To(Succeed()) })
 	time.Sleep(time.Until(startedAt.Add(cutOffRunTime)))
 	close(stop)
 	tasks.Wait()
 	counts.check(t, s, scenario.runTime == 0)
 }
 
-// eachPath calls f for all paths of the first relays to endpoints.
-func (s *soakRun) eachPath(relays int, f func(p *proxy)) {
-	for _, p := range s.relays[:relays] {
+// relaysToCut returns the relays that are cut off in a scenario.
+func (s *soakRun) relaysToCut(scenario cutOffScenario) []*relayProcess {
+	if !scenario.wholeGroup {
+		return s.relays[:scenario.cut]
+	}
+	var instances []wigeonshift.Instance
+	for _, p := range s.relays {
+		instances = append(instances, wigeonshift.Instance{ID: p.name, Address: p.peerProxy.address(), Zone: "z"})
+	}
+	groups := wigeondispatch.NewGroups(instances)
+	s.g.Expect(groups.Count()).To(BeNumerically(">", 1))
+	var cut []*relayProcess
+	for _, p := range s.relays {
+		if groups.SameGroup(p.name, s.relays[0].name) {
+			cut = append(cut, p)
+		}
+	}
+	return cut
+}
+
+// eachPath calls f for all paths of relays to endpoints.
+func eachPath(relays []*relayProcess, f func(p *proxy)) {
+	for _, p := range relays {
 		for _, path := range p.enginePaths {
 			f(path)
 		}
