--- a/internal/soak/wigeonsoak/cutoff_test.go
+++ b/internal/soak/wigeonsoak/cutoff_test.go
@@ -64,6 +64,8 @@
 	relays, cut  int
 	wholeGroup   bool
 	hang, liveOn bool
+	// sameBody gives all requests the same body, so that losses on one count against all.
+	sameBody bool
 	// runTime is how long each request runs in addition. With one beyond the callers' deadlines, only the promises are checked.
 	runTime time.Duration
 }
@@ -96,6 +98,8 @@
 		{name: "streams, hang", path: "/stream/", cut: 2, hang: true},
 		{name: "three of six, reset", path: "/safe/", cut: 3},
 		{name: "four of six, hang", path: "/safe/", cut: 4, hang: true},
+		{name: "three of six, reset, all alike", path: "/safe/", cut: 3, sameBody: true, runTime: 300 * time.Millisecond},
+		{name: "five of six, reset, not repeatable, all alike", path: "/unsafe/", cut: 5, sameBody: true, runTime: 300 * time.Millisecond},
 		{name: "a whole group of fourteen, hang", path: "/safe/", relays: 14, wholeGroup: true, hang: true},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -121,7 +125,7 @@
 		for k := range cutOffCallers {
 			c := &caller{soak: s, random: rand.New(rand.NewPCG(uint64(i*cutOffCallers+k), 7)), stop: stop}
 			tasks.Go(func() {
-				c.runFirstTries(scenario.path, p, func(sentAt time.Time, status int) {
+				c.runFirstTries(scenario, p, func(sentAt time.Time, status int) {
 					counts.record(sentAt.Sub(startedAt), slices.Contains(cut, p), status)
 				})
 			})
@@ -134,7 +138,7 @@
 	time.Sleep(time.Until(startedAt.Add(cutOffRunTime)))
 	close(stop)
 	tasks.Wait()
-	counts.check(t, s, scenario.runTime == 0)
+	counts.check(t, s, scenario.runTime < contactTime)
 }
 
 // relaysToCut returns the relays that are cut off in a scenario.
@@ -167,15 +171,21 @@
 }
 
 // runFirstTries sends requests to one relay until stop is closed. None is sent again.
-func (c *caller) runFirstTries(path string, p *relayProcess, record func(sentAt time.Time, status int)) {
-	for {
+func (c *caller) runFirstTries(scenario cutOffScenario, p *relayProcess, record func(sentAt time.Time, status int)) {
+	for n := 0; ; n++ {
 		select {
 		case <-c.stop:
 			return
 		case <-time.After(time.Duration(20+c.random.IntN(60)) * time.Millisecond):
 		}
 		sentAt := time.Now()
-		record(sentAt, c.request(path, p))
+		if !scenario.sameBody {
+			record(sentAt, c.request(scenario.path, p))
+			continue
+		}
+		id := fmt.Sprintf("same-%d-%d", c.random.Uint64(), n)
+		status, _, _, _ := c.roundTrip(fmt.Sprintf("%s?item=%s", scenario.path, id), id, "the body of all requests, some of which share a query", p)
+		record(sentAt, status)
 	}
 }
 
