--- a/internal/services/wigeondispatch/brittle_test.go
+++ b/internal/services/wigeondispatch/brittle_test.go
@@ -82,6 +82,24 @@
 		Expect(effectsOf[Dispatch](ended)).To(HaveLen(1))
 	})
 
+	// One request ended, and the instance sent five to the endpoint, which had one free slot.
+	It("get one request for each of one's own that has ended, however many wait", func() {
+		own := h.newJob()
+		h.dispatch(own)
+		listInstances("b", "c", "d")
+		fill("b", "a", 3)
+		say("a", limitOf(4))
+		// Another member comes first.
+		for h.state.groupShareOf(h.state.endpoints["a"], brittleTurn).place < 2 {
+			h.at += groupReportDelay
+		}
+		for range 3 {
+			Expect(h.arrive(h.newJob())).To(BeEmpty(), "it waits")
+		}
+		ended := h.state.Reduce(AttemptEnded{At: h.at, Job: own.ID, Outcome: OutcomeDone, Succeeded: true})
+		Expect(effectsOf[Dispatch](ended)).To(HaveLen(1))
+	})
+
 	It("get none for a while after a rejection", func() {
 		say("a", limitOf(4))
 		d := effectsOf[Dispatch](h.arrive(h.newJob()))[0]
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -46,6 +46,10 @@
 			continue
 		}
 		s.dispatch(e, j)
+		if e == round.freedEndpoint && p.brittle != nil {
+			// The request has left one slot, no more.
+			round.freedEndpoint = nil
+		}
 	}
 }
 
