Tell the group of requests that a brittle endpoint has rejected

Each instance paused only after rejections of its own, so that three of nine could each get one from an endpoint that falls at more than two a second. Load notices hold the number of rejections now (a field of a few bytes, for brittle endpoints only), and all members pause.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -18,6 +18,7 @@
 			Running:        encodeCount(e.Running),
 			PrefillTokens:  encodeCount(e.PrefillTokens),
 			ReservedTokens: encodeCount(e.ReservedTokens),
+			Rejections:     encodeCount(e.Rejections),
 		})
 	}
 	for _, o := range m.Organisations {
@@ -62,6 +63,7 @@
 			Running:        int(e.GetRunning()),
 			PrefillTokens:  int(e.GetPrefillTokens()),
 			ReservedTokens: int(e.GetReservedTokens()),
+			Rejections:     int(e.GetRejections()),
 		})
 	}
 	for _, o := range m.GetOrganisations() {
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -71,7 +71,7 @@
 			ConfigurationVersion: 8,
 			EndpointsRevision:    5,
 			Endpoints: []wigeonshift.EndpointLoad{
-				{Endpoint: "e", Running: 3, PrefillTokens: 900, ReservedTokens: 4000},
+				{Endpoint: "e", Running: 3, PrefillTokens: 900, ReservedTokens: 4000, Rejections: 2},
 			},
 			Organisations:      []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
 			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
--- a/internal/services/wigeondispatch/brittle.go
+++ b/internal/services/wigeondispatch/brittle.go
@@ -1,12 +1,16 @@
 package wigeondispatch
 
-import "time"
+import (
+	"time"
+
+	"wigeonshift"
+)
 
 // Endpoints that say that they are brittle fall over if they have to reject too many requests in a second for want of room. They get
 // a request only if a slot is surely free: one that this instance's own request has just left, or as many as the instances before this
 // one, and those that it can't reach, leave free if each of them takes one.
 const (
-	// brittleRejectionPause is the time for which a brittle endpoint that has rejected a request gets none from this instance.
+	// brittleRejectionPause is the time for which a brittle endpoint gets no requests after the group has learned that it rejected one.
 	brittleRejectionPause = 500 * time.Millisecond
 	// brittleTurn is the time after which the members of a group change places at brittle endpoints. For its first groupReportDelay
 	// nobody sends by its place, since the slots that others took in the turn before may not be reported yet.
@@ -90,5 +94,21 @@
 	e.rejectedAt = s.now
 	if e.pool.brittle != nil {
 		e.pool.brittle.rejected++
+		e.rejections++
+	}
+}
+
+// handlePeerRejections pauses the brittle endpoints that have rejected requests of another member of the group since its last report.
+func (s *State) handlePeerRejections(p *peer, loads []wigeonshift.EndpointLoad) {
+	fresh := map[string]int{}
+	for _, l := range loads {
+		if l.Rejections == 0 {
+			continue
+		}
+		fresh[l.Endpoint] = l.Rejections
+		if e := s.endpoints[l.Endpoint]; e != nil && p.inGroup && l.Rejections > p.rejections[l.Endpoint] {
+			e.rejectedAt = s.now
+		}
 	}
+	p.rejections = fresh
 }
--- a/internal/services/wigeondispatch/brittle_test.go
+++ b/internal/services/wigeondispatch/brittle_test.go
@@ -52,6 +52,28 @@
 		Expect(effectsOf[BrittleRecorded](say("a", wigeonshift.EndpointLimit{}))).To(ConsistOf(HaveField("Ended", true)))
 	})
 
+	// Each of nine instances learned of its own rejections only: three of them made an endpoint fall.
+	It("get nothing for a while after another member of the group was rejected", func() {
+		say("a", limitOf(2))
+		listInstances("p")
+		report := func(rejections int) {
+			load := wigeonshift.EndpointLoad{Endpoint: "a", Rejections: rejections}
+			h.state.Reduce(PeerReported{At: h.at, Peer: "p", Load: wigeonshift.LoadNotice{Endpoints: []wigeonshift.EndpointLoad{load}}})
+		}
+		report(1)
+		Expect(dispatchesWithin(brittleRejectionPause)).To(BeZero())
+		report(1)
+		Expect(dispatchesWithin(groupReportDelay*2)).NotTo(BeZero(), "the same rejection once more")
+	})
+
+	It("count the requests that were rejected in the reports to others", func() {
+		say("a", limitOf(2))
+		j := h.newJob()
+		h.arrive(j)
+		h.end(j, OutcomeRejected, true)
+		Expect(h.state.Load().Endpoints).To(ConsistOf(And(HaveField("Endpoint", "a"), HaveField("Rejections", 1))))
+	})
+
 	It("are forgotten if no answer says so for a while", func() {
 		say("a", limitOf(4))
 		h.at += brittleMemory + time.Millisecond
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -89,9 +89,11 @@
 	otherGroup bool
 	// signals are what the endpoint has said of itself; nil if nothing.
 	signals *signals
-	// dispatchedAt is the time of this instance's latest dispatch to the endpoint, rejectedAt that of the latest request of this
-	// instance which it rejected; zero if there was none.
+	// dispatchedAt is the time of this instance's latest dispatch to the endpoint, rejectedAt that at which this instance last learned of
+	// a request, its own or one of its group, that the endpoint rejected; zero if there was none.
 	dispatchedAt, rejectedAt time.Duration
+	// rejections is the number of this instance's requests that the endpoint has rejected while it was brittle.
+	rejections int
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
 	// hash is a hash of the endpoint's ID.
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -16,6 +16,8 @@
 	// reportCount is the number of reports. A rate of use is known from the second report on.
 	reportCount int
 	loads       map[string]load
+	// rejections holds the reported numbers of rejections by endpoint.
+	rejections map[string]int
 	// waiting counts the requests queued there by service and priority level.
 	waiting map[string]waitingCounts
 }
@@ -45,6 +47,7 @@
 		fresh[l.Endpoint] = load{running: l.Running, prefill: l.PrefillTokens, reservedTokens: l.ReservedTokens}
 	}
 	s.replacePeerLoads(p, fresh)
+	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
@@ -188,9 +191,10 @@
 func (s *State) Load() wigeonshift.LoadNotice {
 	var out wigeonshift.LoadNotice
 	for id, e := range s.endpoints {
-		if e.ownLoad.running > 0 {
+		if e.ownLoad.running > 0 || e.rejections > 0 && e.pool.brittle != nil {
 			out.Endpoints = append(out.Endpoints, wigeonshift.EndpointLoad{
 				Endpoint: id, Running: e.ownLoad.running, PrefillTokens: e.ownLoad.prefill, ReservedTokens: e.ownLoad.reservedTokens,
+				Rejections: e.rejections,
 			})
 		}
 	}
--- a/peer.go
+++ b/peer.go
@@ -116,6 +116,8 @@
 		PrefillTokens int
 		// ReservedTokens is the memory, in tokens, that the running requests may need.
 		ReservedTokens int
+		// Rejections is the number of the sender's requests that the endpoint has rejected while it was brittle.
+		Rejections int
 	}
 	// OrganisationUse is the part of an organisation's quota that the sender has used since its start.
 	OrganisationUse struct {
