Don't take endpoints that are down or have crashed for a cut

The instances took that for a cut between them and the endpoints, in which a refused connection is no proof of a crash, so two of four crashes weren't counted and the request ran on four more endpoints when these were back (8 arrivals of 6 allowed).

Three endpoints that have failed without a sign of any other lead to the suspicion. Now those don't count that are known to have crashed, or that failed while others could be reached and weren't reached since. A connection that breaks under a request which was sent after the first failure shows that its endpoint was still reached.

In specs, requests that are lost in a cut were sent before it now (10 ms); they were sent and lost at one moment before.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -49,9 +49,9 @@
 	switch {
 	case ev.Outcome.answered():
 		s.recordAlive(e, j)
-		s.recordReachable()
+		s.recordReachable(e.record.ID)
 	case ev.Outcome == OutcomeLost && !j.answerStarted, ev.Outcome == OutcomeNotSent:
-		s.recordSilence(e)
+		s.recordSilence(e, j, ev.Outcome)
 	}
 	switch ev.Outcome {
 	case OutcomeDone:
--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -12,7 +12,7 @@
 // of these takes them. Their admission decides on the requests. It ends when an endpoint answers again.
 const (
 	// cutOffEndpoints is the number of endpoints that must have failed, and none have answered since, for the instance to
-	// suspect that it is cut off. Of fewer endpoints all must have failed.
+	// suspect that it is cut off. Of fewer endpoints all must have failed. Those that are known to be down don't count.
 	cutOffEndpoints = 3
 	// hangingEndpoints is the number of endpoints with attempts without an answer, and hangingTime the time without an answer of any
 	// endpoint, after which a cut is suspected as well: connections may hang without an error.
@@ -36,8 +36,12 @@
 type reach struct {
 	// reachedAt is the time at which any endpoint was last known to be reachable.
 	reachedAt time.Duration
-	// failed holds the endpoints that have failed since reachedAt.
-	failed map[string]bool
+	// failed holds the endpoints that have failed since reachedAt, without those in down. failedAt is the time of the first of these
+	// failures.
+	failed   map[string]bool
+	failedAt time.Duration
+	// down holds the endpoints that failed while others were reached, and that weren't reached since. They tell nothing of a cut.
+	down map[string]bool
 	// isCutOff is set once probes of other endpoints have failed as well, at cutOffAt.
 	isCutOff bool
 	cutOffAt time.Duration
@@ -56,15 +60,17 @@
 
 func newReach() reach {
 	return reach{
-		failed: map[string]bool{}, probing: map[string]bool{}, refusedUntil: map[string]time.Duration{},
+		failed: map[string]bool{}, down: map[string]bool{}, probing: map[string]bool{}, refusedUntil: map[string]time.Duration{},
 	}
 }
 
 // recordReachable records that an endpoint has answered or accepted a connection. It ends the cut.
-func (s *State) recordReachable() {
+func (s *State) recordReachable(endpointID string) {
 	r := &s.reach
 	r.reachedAt, r.probeFailures = s.now, 0
-	clear(r.failed)
+	delete(r.failed, endpointID)
+	s.recordDown()
+	delete(r.down, endpointID)
 	if !r.isCutOff {
 		return
 	}
@@ -84,9 +90,26 @@
 	s.dispatchAllWaiting()
 }
 
-// recordSilence records that an attempt on an endpoint failed without any answer.
-func (s *State) recordSilence(e *endpoint) {
-	s.reach.failed[e.record.ID] = true
+// recordDown records that the endpoints which have failed are down, as others could be reached meanwhile.
+func (s *State) recordDown() {
+	maps.Copy(s.reach.down, s.reach.failed)
+	clear(s.reach.failed)
+}
+
+// recordSilence records that an attempt on an endpoint failed without any answer. One that was sent after the first failure, and whose
+// connection broke soon, had reached its endpoint.
+func (s *State) recordSilence(e *endpoint, j *Job, o Outcome) {
+	r := &s.reach
+	if len(r.failed) > 0 && o == OutcomeLost && j.dispatchedAt >= r.failedAt && s.now-j.dispatchedAt < hangingTime {
+		s.recordDown()
+	}
+	if r.down[e.record.ID] {
+		return
+	}
+	if len(r.failed) == 0 {
+		r.failedAt = s.now
+	}
+	r.failed[e.record.ID] = true
 	s.probeIfSuspected()
 }
 
@@ -95,7 +118,25 @@
 	if len(s.endpoints) == 0 {
 		return false
 	}
-	return len(s.reach.failed) >= min(cutOffEndpoints, len(s.endpoints)) || s.isHanging()
+	return s.hasFailedEverywhere() || s.isHanging()
+}
+
+// hasFailedEverywhere reports whether enough endpoints have failed, apart from those that are known to be down or to have crashed.
+func (s *State) hasFailedEverywhere() bool {
+	failed, down := 0, 0
+	for id, e := range s.endpoints {
+		l := s.losses[e.incarnation()]
+		switch {
+		case s.reach.down[id] || l != nil && l.crashed:
+			down++
+		case s.reach.failed[id]:
+			failed++
+		}
+	}
+	if len(s.endpoints) > cutOffEndpoints {
+		return failed >= cutOffEndpoints
+	}
+	return failed > 0 && failed+down == len(s.endpoints)
 }
 
 // isHanging reports whether attempts on several endpoints have had no answer for long, nor has any other.
@@ -150,7 +191,7 @@
 	r := &s.reach
 	delete(r.probing, ev.EndpointID)
 	if ev.Reached {
-		s.recordReachable()
+		s.recordReachable(ev.EndpointID)
 		return
 	}
 	r.probeFailures++
@@ -346,9 +387,10 @@
 	}
 }
 
-// expireReach forgets pauses of peers that are over, passes on what waited for them, and probes endpoints while the instance is cut
+// expireReach forgets endpoints that are gone and pauses of peers that are over, passes on what waited for them, and probes endpoints while the instance is cut
 // off.
 func (s *State) expireReach() {
+	maps.DeleteFunc(s.reach.down, func(id string, _ bool) bool { return s.endpoints[id] == nil })
 	maps.DeleteFunc(s.reach.refusedUntil, func(_ string, until time.Duration) bool { return s.now >= until })
 	s.passOnWaiting()
 	s.probeIfSuspected()
--- a/internal/services/wigeondispatch/cutoff_test.go
+++ b/internal/services/wigeondispatch/cutoff_test.go
@@ -12,10 +12,11 @@
 
 var _ = Describe("An instance that reaches no endpoint", func() {
 	var h *reducerHarness
-	// lose sends a request and loses it without a sign of its endpoint.
+	// lose loses a request, which was sent before the first failure, without a sign of its endpoint.
 	lose := func(o Outcome) []Effect {
 		j := h.newJob()
 		h.dispatch(j)
+		j.dispatchedAt -= 10 * time.Millisecond
 		return h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: o, Answerable: true})
 	}
 	// answerProbes reports the results of all probes among effects and returns the effects of the last one.
@@ -255,6 +256,46 @@
 		Expect(effectsOf[ReportCrash](effects)).To(BeEmpty())
 	})
 
+	// One request had crashed all endpoints. It looked like a cut, so that the last crashes weren't counted and the request ran again.
+	It("doesn't take endpoints that have crashed for a cut", func() {
+		h = newHarness(crashRecords("a", "b", "c", "d")...)
+		h.at = time.Second
+		crash := func(id string) {
+			e := h.state.endpoints[id]
+			h.state.losses[e.incarnation()] = &losses{checking: true, byFingerprint: map[wigeonshift.Fingerprint]loss{7: {}}}
+			h.state.recordSilence(e, h.newJob(), OutcomeLost)
+			h.state.Reduce(EndpointChecked{At: h.at, EndpointID: id, StartedAtMillis: e.record.StartedAtMillis, Liveness: wigeonshift.LivenessEnded})
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			crash(id)
+			Expect(h.state.IsCutOff()).To(BeFalse())
+		}
+		Expect(h.state.crashes.Crashes(7)).To(HaveLen(4))
+	})
+
+	It("doesn't take endpoints that were down before for a cut", func() {
+		fail := func(id string) { h.state.recordSilence(h.state.endpoints[id], h.newJob(), OutcomeNotSent) }
+		fail("a")
+		fail("b")
+		h.state.recordReachable("c")
+		fail("a")
+		fail("b")
+		Expect(h.state.reach.failed).To(BeEmpty())
+		h.state.recordReachable("a")
+		fail("a")
+		Expect(h.state.reach.failed).To(HaveKey("a"), "it was reached meanwhile")
+	})
+
+	It("doesn't take endpoints for a cut that still took a request after the first failure", func() {
+		for range 2 * cutOffEndpoints {
+			j := h.newJob()
+			h.dispatch(j)
+			h.state.Reduce(AttemptEnded{At: h.at, Job: j.ID, Outcome: OutcomeLost, Answerable: true})
+			h.at += time.Millisecond
+		}
+		Expect(h.state.IsCutOff()).To(BeFalse())
+	})
+
 	It("serves by itself once a probe reaches an endpoint", func() {
 		cutOff()
 		h.at += cutOffProbeInterval
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -132,7 +132,7 @@
 	}
 	j.firstEventLatency = max(s.now-j.dispatchedAt, 1)
 	j.answerStarted = true
-	s.recordReachable()
+	s.recordReachable(j.assignedEndpoint.record.ID)
 	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
