Take a refused connection for a crash only if another endpoint can be reached

Change: after a loss, the check of its endpoint (which comes 20 ms later) also opens a connection to another one, of up to three in turn. If none takes it, a refused connection proves nothing and the list of endpoints decides. Costs one connection for each crash.

Plain requests no longer keep the list of candidates for others.

--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -12,7 +12,7 @@
 // of these takes them. Their admission decides on the requests. It ends when an endpoint answers again.
 const (
 	// cutOffEndpoints is the number of endpoints that must have failed, and none have answered since, for the instance to
-	// suspect that it is cut off. Of fewer endpoints all must have failed. Those that are known to be down don't count.
+	// suspect that it is cut off. Those that are known to be down don't count. If fewer are left, all must have failed.
 	cutOffEndpoints = 3
 	// hangingEndpoints is the number of endpoints with attempts without an answer, and hangingTime the time without an answer of any
 	// endpoint, after which a cut is suspected as well: connections may hang without an error.
@@ -121,7 +121,8 @@
 	return s.hasFailedEverywhere() || s.isHanging()
 }
 
-// hasFailedEverywhere reports whether enough endpoints have failed, apart from those that are known to be down or to have crashed.
+// hasFailedEverywhere reports whether enough endpoints have failed, apart from those that are known to be down or to have crashed, or
+// none is left.
 func (s *State) hasFailedEverywhere() bool {
 	failed, down := 0, 0
 	for id, e := range s.endpoints {
@@ -133,10 +134,7 @@
 			failed++
 		}
 	}
-	if len(s.endpoints) > cutOffEndpoints {
-		return failed >= cutOffEndpoints
-	}
-	return failed > 0 && failed+down == len(s.endpoints)
+	return failed >= cutOffEndpoints || failed > 0 && failed+down == len(s.endpoints)
 }
 
 // isHanging reports whether attempts on several endpoints have had no answer for long, nor has any other.
@@ -186,6 +184,17 @@
 	return candidates[:min(cutOffProbes, len(candidates))]
 }
 
+// endpointsBeside returns endpoints that show by being reachable that this instance isn't cut off from one.
+func (s *State) endpointsBeside(e *endpoint) []ProbeEndpoint {
+	var others []ProbeEndpoint
+	for _, x := range s.probeTargets() {
+		if x != e {
+			others = append(others, ProbeEndpoint{EndpointID: x.record.ID, Address: x.record.Address})
+		}
+	}
+	return others
+}
+
 // handleProbed records the result of a probe. The instance is cut off once all probes of a round have failed.
 func (s *State) handleProbed(ev EndpointProbed) {
 	r := &s.reach
@@ -387,8 +396,8 @@
 	}
 }
 
-// expireReach forgets endpoints that are gone and pauses of peers that are over, passes on what waited for them, and probes endpoints while the instance is cut
-// off.
+// expireReach forgets endpoints that are gone and pauses of peers that are over. While the instance is cut off, it passes on what waited
+// for a peer, and probes endpoints.
 func (s *State) expireReach() {
 	maps.DeleteFunc(s.reach.down, func(id string, _ bool) bool { return s.endpoints[id] == nil })
 	maps.DeleteFunc(s.reach.refusedUntil, func(_ string, until time.Duration) bool { return s.now >= until })
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -155,6 +155,9 @@
 		Address    string
 		// StartedAtMillis tells the incarnations of the endpoint apart; see wigeonshift.EndpointRecord.
 		StartedAtMillis int64
+		// Others are endpoints of which one must be reachable for the check to show that this one has ended. It is empty if there are
+		// no others.
+		Others []ProbeEndpoint
 	}
 	// SignalRecorded reports that an endpoint has said something new of itself.
 	SignalRecorded struct {
--- a/internal/services/wigeondispatch/loss.go
+++ b/internal/services/wigeondispatch/loss.go
@@ -117,7 +117,9 @@
 	}
 	if !l.checking && kind != lossUnverified {
 		l.checking = true
-		s.emit(CheckEndpoint{EndpointID: i.endpointID, Address: e.record.Address, StartedAtMillis: i.startedAtMillis})
+		s.emit(CheckEndpoint{
+			EndpointID: i.endpointID, Address: e.record.Address, StartedAtMillis: i.startedAtMillis, Others: s.endpointsBeside(e),
+		})
 	}
 }
 
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -154,7 +154,7 @@
 	if s.suspected(j) {
 		withSuspects = s.endpointsWithSuspects(j.Fingerprint)
 	}
-	var choice endpointChoice
+	choice := endpointChoice{isPlain: !j.HasTokens}
 	canMeetDeadline := s.deadlineFeasible(p, j)
 	home := p.home(j)
 	candidates := p.ownEndpoints
@@ -183,13 +183,13 @@
 		}
 		choice.add(e, est.cost-e.promptSaving(j, home, s.now))
 	}
-	if len(choice.candidates) == 0 {
+	if choice.best.endpoint == nil {
 		return s.chooseOtherGroupEndpoint(p, j)
 	}
-	if j.HasTokens {
-		return choice.best.endpoint
+	if choice.isPlain {
+		return choice.longestWaiting()
 	}
-	return choice.longestWaiting()
+	return choice.best.endpoint
 }
 
 // candidate is an endpoint that can accept a request, with its cost in nanoseconds.
@@ -198,18 +198,21 @@
 	cost     float64
 }
 
-// endpointChoice holds the endpoints that can accept a request. best is the one with the lowest cost.
+// endpointChoice holds the endpoint with the lowest cost of those that can accept a request, and for a plain one all of them.
 type endpointChoice struct {
+	isPlain    bool
 	best       candidate
 	candidates []candidate
 }
 
 func (c *endpointChoice) add(e *endpoint, cost float64) {
 	x := candidate{endpoint: e, cost: cost}
-	if len(c.candidates) == 0 || cost < c.best.cost {
+	if c.best.endpoint == nil || cost < c.best.cost {
 		c.best = x
 	}
-	c.candidates = append(c.candidates, x)
+	if c.isPlain {
+		c.candidates = append(c.candidates, x)
+	}
 }
 
 // longestWaiting returns, of the endpoints that differ from the best one by chance only, the one with the smallest share of its slots in
--- a/internal/services/wigeonrelay/check.go
+++ b/internal/services/wigeonrelay/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonupstream"
@@ -32,6 +33,9 @@
 	wigeonclock.Sleep(context.Background(), endpointCheckDelay)
 	target := wigeonupstream.Target{ID: k.effect.EndpointID, Address: k.effect.Address}
 	liveness := k.service.pool.Check(context.Background(), target)
+	if liveness == wigeonshift.LivenessEnded && !k.reachesOthers() {
+		liveness = wigeonshift.LivenessUnknown
+	}
 	k.service.scope.Tagged(map[string]string{"liveness": liveness.String()}).Counter("endpointChecks").Inc(1)
 	k.service.log.WithFields(logrus.Fields{
 		"endpoint": target.ID, "address": target.Address, "startedAt": k.effect.StartedAtMillis, "liveness": liveness.String(),
@@ -40,3 +44,15 @@
 		At: k.service.dispatcher.Now(), EndpointID: target.ID, StartedAtMillis: k.effect.StartedAtMillis, Liveness: liveness,
 	})
 }
+
+// reachesOthers reports whether another endpoint can be reached, or there is none. Otherwise a refused connection may come from a
+// partition between this instance and the endpoints.
+func (k *endpointCheck) reachesOthers() bool {
+	for _, x := range k.effect.Others {
+		target := wigeonupstream.Target{ID: x.EndpointID, Address: x.Address}
+		if k.service.pool.Probe(context.Background(), target) == nil {
+			return true
+		}
+	}
+	return len(k.effect.Others) == 0
+}
