--- a/internal/services/wigeondispatch/brittle.go
+++ b/internal/services/wigeondispatch/brittle.go
@@ -83,7 +83,8 @@
 	return false
 }
 
-// brittleTurnAge returns the time since the members of the group last changed places at brittle endpoints.
+// brittleTurnAge returns the time since the members of the group last changed places at brittle endpoints. Clocks before 1970, as in
+// specs, count backwards.
 func (s *State) brittleTurnAge() time.Duration {
 	age := s.wallClock().UnixMilli() % brittleTurn.Milliseconds()
 	return (time.Duration(age) * time.Millisecond).Abs()
--- a/internal/services/wigeondispatch/cutoff.go
+++ b/internal/services/wigeondispatch/cutoff.go
@@ -121,8 +121,8 @@
 	return s.hasFailedEverywhere() || s.isHanging()
 }
 
-// hasFailedEverywhere reports whether enough endpoints have failed, apart from those that are known to be down or to have crashed, or
-// none is left.
+// hasFailedEverywhere reports whether cutOffEndpoints endpoints have failed that weren't known to be down or to have crashed, or all such
+// endpoints if there are fewer.
 func (s *State) hasFailedEverywhere() bool {
 	failed, down := 0, 0
 	for id, e := range s.endpoints {
@@ -360,7 +360,7 @@
 		s.reach.refusedUntil[j.passingTo] = s.now + peerRefusalPause
 	}
 	if ev.Outcome == OutcomeMisplaced && s.groups.SameGroup(j.passingTo, s.settings.Instance) {
-		// Each member that reaches no endpoint either refuses at once, and only one request in a while.
+		// A member that reaches no endpoint refuses within milliseconds, and is then not asked for peerRefusalPause.
 		j.passAttempts--
 	}
 	s.endPassing(j)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -47,7 +47,7 @@
 		}
 		s.dispatch(e, j)
 		if e == round.freedEndpoint && p.brittle != nil {
-			// The request has left one slot, no more.
+			// The request that ended has freed one slot, which is taken now.
 			round.freedEndpoint = nil
 		}
 	}
