Review: a restarted endpoint gets requests although it asked for none

The stand-ins become a test binary, since only test files may use the platform's names outside its folder.

--- a/review/lab/engine.go
+++ b/review/lab/engine_test.go
@@ -1,4 +1,4 @@
-package main
+package lab_test
 
 import (
 	"bufio"
@@ -30,11 +30,19 @@
 	unframed bool
 	slots    chan struct{}
 	waiting  atomic.Int32
-	leaving  atomic.Bool
+	// refuseUntil is the Unix time in microseconds until which requests are turned away, with the wish to get none for a while.
+	refuseUntil atomic.Int64
+	leaving     atomic.Bool
 
 	mu sync.Mutex
 }
 
+// refuseTime is the time for which an engine turns requests away, askedBackoff that for which it then wants none.
+const (
+	refuseTime   = heartbeatTime
+	askedBackoff = 4 * time.Second
+)
+
 // engineQueue is the number of requests that wait at an engine beside those in its slots.
 const engineQueue = 24
 
@@ -48,6 +56,7 @@
 	flags.DurationVar(&e.gap, "gap", 60*time.Millisecond, "")
 	flags.DurationVar(&e.prefill, "prefill", 100*time.Millisecond, "")
 	flags.IntVar(&e.events, "events", 60, "")
+	refuse := flags.Duration("refuse", 0, "")
 	flags.BoolVar(&e.unframed, "unframed", false, "")
 	if err := flags.Parse(args); err != nil {
 		return exitNotRun
@@ -59,12 +68,17 @@
 		return exitNotRun
 	}
 	go func() { _ = http.Serve(l, http.HandlerFunc(e.serve)) }()
+	e.refuseFor(*refuse)
 	e.print("ready", "-")
 	input := bufio.NewScanner(os.Stdin)
 	for input.Scan() {
-		if input.Text() == "leave" {
+		switch input.Text() {
+		case "leave":
 			e.leaving.Store(true)
 			e.print("leaving", "-")
+		case "refuse":
+			e.refuseFor(refuseTime)
+			e.print("refuses", "-")
 		}
 	}
 	return exitHeld
@@ -92,6 +106,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if time.Now().UnixMicro() < e.refuseUntil.Load() {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(askedBackoff.Seconds(), 'f', -1, 64))
+		e.print("refuses", id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	millis, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(millis)*time.Millisecond)
 	defer cancel()
@@ -111,6 +132,11 @@
 	}
 }
 
+// refuseFor makes the engine turn requests away for a time.
+func (e *engineProcess) refuseFor(d time.Duration) {
+	e.refuseUntil.Store(time.Now().Add(d).UnixMicro())
+}
+
 // takeSlot waits for a slot and reports whether there was one in time.
 func (e *engineProcess) takeSlot(ctx context.Context) bool {
 	select {
--- a/review/lab/lab.go
+++ b/review/lab/lab_test.go
@@ -1,4 +1,4 @@
-package main
+package lab_test
 
 import (
 	"bufio"
@@ -189,6 +189,7 @@
 	address      string
 	slots        int
 	born         int64
+	args         []string
 	cmd          *exec.Cmd
 	input        io.WriteCloser
 	heartbeats   sync.Once
@@ -203,7 +204,9 @@
 	// arrivals holds when each request reached the engine, running those that it runs, with the time of their beginning.
 	arrivals map[string]time.Time
 	running  map[string]time.Time
-	ended    bool
+	// refused holds when the engine turned each request away with the wish to get none for a while.
+	refused map[string]time.Time
+	ended   bool
 }
 
 // startEngine starts an engine and lists it.
@@ -212,36 +215,67 @@
 	if err != nil {
 		return nil, err
 	}
-	program, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
 	e := &engine{
 		lab: l, id: id, service: service, zone: zone, address: address, slots: slots, born: time.Now().UnixMilli(), state: "ready",
-		arrivals: map[string]time.Time{}, running: map[string]time.Time{}, stopBeats: make(chan struct{}),
+		arrivals: map[string]time.Time{}, running: map[string]time.Time{}, refused: map[string]time.Time{},
+		args: args, stopBeats: make(chan struct{}),
+	}
+	l.engines = append(l.engines, e)
+	if err := e.startProcess(); err != nil {
+		return nil, err
+	}
+	l.tasks.Go(func() { e.beat() })
+	return e, nil
+}
+
+// startProcess starts the engine's process and waits until it listens.
+func (e *engine) startProcess(more ...string) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
 	}
-	e.cmd = exec.Command(program, append([]string{"engine", "--id", id, "--listen", address, "--slots", strconv.Itoa(slots)}, args...)...)
+	args := append([]string{"engine", "--id", e.id, "--listen", e.address, "--slots", strconv.Itoa(e.slots)}, e.args...)
+	e.cmd = exec.Command(program, append(args, more...)...)
 	e.cmd.Stderr = os.Stderr
 	if e.input, err = e.cmd.StdinPipe(); err != nil {
-		return nil, err
+		return err
 	}
 	output, err := e.cmd.StdoutPipe()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := e.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	l.engines = append(l.engines, e)
 	ready := make(chan struct{})
-	l.tasks.Go(func() { e.readEvents(output, ready) })
+	e.lab.tasks.Go(func() { e.readEvents(output, ready) })
 	select {
 	case <-ready:
+		return nil
 	case <-time.After(5 * time.Second):
-		return nil, errNotRun
+		return errNotRun
 	}
-	l.tasks.Go(func() { e.beat() })
-	return e, nil
+}
+
+// crash ends the engine's process, starts it again under its id after a time, and writes its entry a heartbeat after that.
+func (e *engine) crash(down time.Duration, more ...string) error {
+	e.mu.Lock()
+	e.ended = true
+	clear(e.running)
+	e.mu.Unlock()
+	_ = e.cmd.Process.Signal(syscall.SIGKILL)
+	_ = e.cmd.Wait()
+	time.Sleep(down)
+	born := time.Now()
+	if err := e.startProcess(more...); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(born.Add(heartbeatTime)))
+	e.mu.Lock()
+	e.born, e.sequence, e.ended = born.UnixMilli(), 0, false
+	e.mu.Unlock()
+	e.writeRow()
+	return nil
 }
 
 // readEvents records what the engine says of its requests.
@@ -263,6 +297,8 @@
 			e.arrivals[id] = at
 		case "runs":
 			e.running[id] = at
+		case "refuses":
+			e.refused[id] = at
 		default:
 			delete(e.running, id)
 		}
--- a/review/lab/main.go
+++ b/review/lab/main_test.go
@@ -1,11 +1,13 @@
-// Command lab runs the scripts of the review: the project's relay as separate processes, between stand-ins of the platform's
-// store, of endpoints and of callers. Each script exits with 1 if a rule was broken, 0 if it held, and 2 if it couldn't run.
-package main
+// Package lab_test runs the scripts of the review: the project's relay as separate processes, between stand-ins of the
+// platform's store, of endpoints and of callers. It is built as a test binary, whose arguments name the script and its folder. Each
+// script exits with 1 if a rule was broken, 0 if it held, and 2 if it couldn't run.
+package lab_test
 
 import (
 	"errors"
 	"fmt"
 	"os"
+	"testing"
 )
 
 // Exit codes of a script.
@@ -22,9 +24,11 @@
 var scripts = map[string]func(*lab) (broken bool, err error){
 	"restored-store":   runRestoredStore,
 	"reclaimed-engine": runReclaimedEngine,
+	"restarted-engine": runRestartedEngine,
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+// TestMain runs the script that the arguments name instead of tests.
+func TestMain(*testing.M) { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
 	if len(args) > 0 && args[0] == "engine" {
--- a/review/lab/restored.go
+++ b/review/lab/restored_test.go
@@ -1,4 +1,4 @@
-package main
+package lab_test
 
 import (
 	"sync"
