--- a/review/lab/engine_test.go
+++ b/review/lab/engine_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	events    int
 	// prefill is the time before the first event of a stream, and before the header of its answer.
 	prefill time.Duration
+	// deadlyAfter is the time from its first event after which a deadly request ends the process.
+	deadlyAfter time.Duration
 	// unframed makes the answers to streams end with their connections, without a length.
 	unframed bool
 	slots    chan struct{}
@@ -43,6 +46,9 @@
 	askedBackoff = 4 * time.Second
 )
 
+// deadlyBody begins the bodies of requests that crash each engine that runs them.
+const deadlyBody = "deadly"
+
 // engineQueue is the number of requests that wait at an engine beside those in its slots.
 const engineQueue = 24
 
@@ -55,6 +61,7 @@
 	flags.DurationVar(&e.work, "work", 30*time.Millisecond, "")
 	flags.DurationVar(&e.gap, "gap", 60*time.Millisecond, "")
 	flags.DurationVar(&e.prefill, "prefill", 100*time.Millisecond, "")
+	flags.DurationVar(&e.deadlyAfter, "deadly-after", 0, "")
 	flags.IntVar(&e.events, "events", 60, "")
 	refuse := flags.Duration("refuse", 0, "")
 	flags.BoolVar(&e.unframed, "unframed", false, "")
@@ -94,7 +101,8 @@
 func (e *engineProcess) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	e.print("arrives", id)
-	if _, err := io.ReadAll(r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	if e.leaving.Load() {
@@ -126,7 +134,7 @@
 	defer func() { <-e.slots }()
 	e.print("runs", id)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		e.stream(ctx, w, id)
+		e.stream(ctx, w, id, strings.HasPrefix(string(body), deadlyBody))
 	} else {
 		e.plain(ctx, w, id)
 	}
@@ -166,7 +174,7 @@
 }
 
 // stream writes the events of a stream, each in one write.
-func (e *engineProcess) stream(ctx context.Context, w http.ResponseWriter, id string) {
+func (e *engineProcess) stream(ctx context.Context, w http.ResponseWriter, id string, deadly bool) {
 	select {
 	case <-time.After(e.prefill):
 	case <-ctx.Done():
@@ -195,6 +203,12 @@
 		}
 		out, flush = c, func() {}
 	}
+	if deadly {
+		time.AfterFunc(e.gap+e.deadlyAfter, func() {
+			e.print("crashes", id)
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		})
+	}
 	for k := 1; k <= e.events; k++ {
 		select {
 		case <-time.After(e.gap):
--- a/review/lab/lab_test.go
+++ b/review/lab/lab_test.go
@@ -72,7 +72,7 @@
 
 // freeAddress returns a loopback address on which nothing listens. Its port is below those of outgoing connections.
 func freeAddress() (string, error) {
-	base := 11000 + os.Getpid()%9000
+	base := 11000 + os.Getpid()*83%9000
 	for range 4000 {
 		nextPort++
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(base+nextPort)))
@@ -257,6 +257,32 @@
 	}
 }
 
+// crashDownTime is the time for which an engine is down that a request has crashed.
+const crashDownTime = 2 * time.Second
+
+// comeBack starts an engine again that has crashed, and writes its entry.
+func (e *engine) comeBack(down time.Duration) {
+	e.mu.Lock()
+	e.ended = true
+	clear(e.running)
+	e.mu.Unlock()
+	_ = e.cmd.Wait()
+	select {
+	case <-time.After(down):
+	case <-e.lab.stopping:
+		return
+	}
+	born := time.Now()
+	if err := e.startProcess(); err != nil {
+		e.lab.record.note("engine %s doesn't start again: %v", e.id, err)
+		return
+	}
+	e.mu.Lock()
+	e.born, e.sequence, e.ended = born.UnixMilli(), 0, false
+	e.mu.Unlock()
+	e.writeRow()
+}
+
 // crash ends the engine's process, starts it again under its id after a time, and writes its entry a heartbeat after that.
 func (e *engine) crash(down time.Duration, more ...string) error {
 	e.mu.Lock()
@@ -299,6 +325,8 @@
 			e.running[id] = at
 		case "refuses":
 			e.refused[id] = at
+		case "crashes":
+			e.lab.tasks.Go(func() { e.comeBack(crashDownTime) })
 		default:
 			delete(e.running, id)
 		}
@@ -446,8 +474,16 @@
 
 // send sends a request to a relay and waits for the end of its answer.
 func (l *lab) send(r *relay, method, path string, deadline time.Duration, headers map[string]string) *sentRequest {
-	x := &sentRequest{id: newRequestID(), relay: r}
-	request, err := http.NewRequest(method, "http://"+r.callers+path, strings.NewReader(strings.Repeat("x", 600)))
+	id := newRequestID()
+	return l.sendBody(r, id, method, path, id+strings.Repeat("x", 600), deadline, headers)
+}
+
+// sendBody is send with an ID and a body of its own.
+func (l *lab) sendBody(
+	r *relay, id, method, path, body string, deadline time.Duration, headers map[string]string,
+) *sentRequest {
+	x := &sentRequest{id: id, relay: r}
+	request, err := http.NewRequest(method, "http://"+r.callers+path, strings.NewReader(body))
 	if err != nil {
 		return x
 	}
@@ -467,14 +503,14 @@
 		return x
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	x.endedAt, x.status, x.complete, x.body = time.Now(), response.StatusCode, err == nil, string(body)
+	answer, err := io.ReadAll(response.Body)
+	x.endedAt, x.status, x.complete, x.body = time.Now(), response.StatusCode, err == nil, string(answer)
 	x.signature, x.leaving = response.Header.Get("Server-Signature"), response.Header.Get("Server-Leaving") != ""
 	end := "complete"
 	if !x.complete {
 		end = "broken off"
 	}
-	l.record.at(x.endedAt, "client gets %d to %s, signature %q, leaving %t, %d bytes, %s", x.status, x.id, x.signature, x.leaving, len(body), end)
+	l.record.at(x.endedAt, "client gets %d to %s, signature %q, leaving %t, %d bytes, %s", x.status, x.id, x.signature, x.leaving, len(answer), end)
 	return x
 }
 
--- a/review/lab/main_test.go
+++ b/review/lab/main_test.go
@@ -25,6 +25,7 @@
 	"restored-store":   runRestoredStore,
 	"reclaimed-engine": runReclaimedEngine,
 	"restarted-engine": runRestartedEngine,
+	"deadly-request":   runDeadlyRequest,
 }
 
 // TestMain runs the script that the arguments name instead of tests.
