--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-lab restored-store review/1
+exec target/review-lab reclaimed-engine review/1
--- a/review/lab/deadly_test.go
+++ b/review/lab/deadly_test.go
@@ -12,6 +12,8 @@
 	// deadlyInterval is the time between two tries of the request.
 	deadlyInterval = 3300 * time.Millisecond
 	deadlyTries    = 29
+	// deadlyRunTime is the time from the start of the script after which no further try is sent.
+	deadlyRunTime = 112 * time.Second
 	// crashesKnown is the number of crashes after which the request may reach only lateAllowed further engines, if it is sent later
 	// than contactTime after the last of them.
 	crashesKnown = 3
@@ -56,6 +58,9 @@
 	var tries []*sentRequest
 	for n := range deadlyTries {
 		time.Sleep(deadlyInterval)
+		if time.Since(l.record.start) > deadlyRunTime {
+			break
+		}
 		if !l.trouble {
 			continue
 		}
