Keep long prompts from pausing the streams beside them

An engine prefills a chunk of up to 4,096 prompt tokens in each step. An event holds several tokens, so that several long prompts in a row on one endpoint make each stream there pause for longer than the route's target between two events.

It takes effect only for services whose routes have a target (Job.EventGapTarget).

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -27,6 +27,7 @@
 	}
 	p := s.pool(j.Service)
 	p.recordCost(j)
+	p.recordGapTarget(j)
 	if len(p.endpoints) == 0 {
 		s.refuse(j, ReasonNoEndpoint, noEndpointRetryAfter)
 		return
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -137,6 +137,7 @@
 		Arrived:              now,
 		Deadline:             now + timeout,
 		LatencyObjective:     r.LatencyObjective,
+		EventGapTarget:       r.EventGapTarget,
 		CallerPatience:       patience(r, timeout),
 		MaxAttempts:          r.MaxAttempts,
 		HasTokens:            h.HasTokens,
