Report the expected pause and the zone of each placement, and describe the decision

A log line of a dispatch said nothing of the pause that it causes, nor whether it crosses zones. Both are logged and counted now (dispatchesPausingStreams, dispatchesAcrossZones). A route that loses its target for pauses no longer holds requests back.

Tests of wigeondispatch, wigeonpace and wigeonrelay pass.

--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -88,6 +88,7 @@
 func (s *State) dispatch(e *endpoint, j *Job) {
 	running := e.running()
 	stall := s.stallTimeout(e, j)
+	impact := s.impact(e, j)
 	j.lastEndpoint, j.keptTokens = e, e.kept.tokens(j, s.now)
 	e.kept.record(j.promptKeys, s.now)
 	e.startAttempt(j)
@@ -107,6 +108,9 @@
 		Running:         running,
 		KeptTokens:      j.keptTokens,
 		IsHome:          e == e.pool.home(j),
+		CrossesZones:    s.crossesZones(e),
+		ExpectedPause:   impact.Pause,
+		ExceedsPause:    impact.ExceedsTarget,
 		QueueTime:       s.now - j.Arrived,
 		DecidedAt:       s.now,
 		LimitHolds:      j.limitHolds,
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -61,6 +61,12 @@
 		// prompt.
 		KeptTokens int
 		IsHome     bool
+		// CrossesZones is set if the endpoint is in another availability zone than this instance.
+		CrossesZones bool
+		// ExpectedPause is the expected longest pause between two events of the streams that run there, zero if the service's routes
+		// have no target for pauses or nothing runs there. ExceedsPause is set if it is longer than the target.
+		ExpectedPause time.Duration
+		ExceedsPause  bool
 		// QueueTime is the time since the request arrived.
 		QueueTime time.Duration
 		// DecidedAt is the time of the decision. MaxSendDelay is the longest time from then until the first byte is written;
--- a/internal/services/wigeondispatch/pause.go
+++ b/internal/services/wigeondispatch/pause.go
@@ -9,7 +9,7 @@
 // recordGapTarget remembers the target for pauses of a request's route. The tightest one of all routes applies to the service's
 // endpoints, because the routes of the streams of other instances aren't known.
 func (p *pool) recordGapTarget(j *Job) {
-	if j.EventGapTarget <= 0 || p.gapTargets[j.Route] == j.EventGapTarget {
+	if p.gapTargets[j.Route] == j.EventGapTarget {
 		return
 	}
 	if p.gapTargets == nil {
@@ -23,7 +23,7 @@
 func (p *pool) updateGapTarget() {
 	p.gapTarget = 0
 	for _, target := range p.gapTargets {
-		if p.gapTarget == 0 || target < p.gapTarget {
+		if target > 0 && (p.gapTarget == 0 || target < p.gapTarget) {
 			p.gapTarget = target
 		}
 	}
--- a/internal/services/wigeondispatch/pause_test.go
+++ b/internal/services/wigeondispatch/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"wigeonshift"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -80,6 +82,25 @@
 	return r
 }
 
+var _ = Describe("The target for pauses", func() {
+	// Guards against a target of an earlier configuration that still holds requests back.
+	It("is the tightest of the routes, also after a route has lost its own", func() {
+		h := newHarness(newRecord("a"))
+		arrive := func(route string, target time.Duration) time.Duration {
+			j := h.newJob()
+			j.Route, j.EventGapTarget = route, target
+			h.arrive(j)
+			return h.state.pool("model").gapTarget
+		}
+		Expect(arrive("none", 0)).To(BeZero())
+		Expect(arrive("slow", time.Second)).To(Equal(time.Second))
+		Expect(arrive("fast", 400*time.Millisecond)).To(Equal(400 * time.Millisecond))
+		Expect(arrive("fast", 0)).To(Equal(time.Second))
+		h.state.Reduce(ConfigurationChanged{Configuration: &wigeonshift.RoutingConfiguration{}})
+		Expect(h.state.pool("model").gapTarget).To(BeZero())
+	})
+})
+
 var _ = Describe("Long prompts beside running streams", func() {
 	steady := func(time.Duration) float64 { return 0.8 }
 	loads := []struct {
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -44,16 +44,28 @@
 	c.setStallTimeout(d.StallTimeout)
 	c.service.log.WithFields(logrus.Fields{
 		"request": c.header.RequestID, "endpoint": d.EndpointID, "attempt": d.Attempt, "running": d.Running,
-		"keptTokens": d.KeptTokens, "home": d.IsHome,
+		"keptTokens": d.KeptTokens, "home": d.IsHome, "crossesZones": d.CrossesZones,
+		"expectedPauseMs": d.ExpectedPause.Milliseconds(), "exceedsPause": d.ExceedsPause,
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
 		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
 		"content": c.job.Shared.Content.String(),
 	}).WithFields(c.resendFields()).WithFields(limitFields(d)).Info("request dispatched")
-	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
+	c.countPlacement(d)
 	request := c.newEndpointRequest(d, lastEventID)
 	return c.send(ctx, wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}, request, c.sendOptions(d)...)
 }
 
+// countPlacement counts what a placement costs and saves.
+func (c *call) countPlacement(d wigeondispatch.Dispatch) {
+	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
+	if d.CrossesZones {
+		c.service.scope.Counter("dispatchesAcrossZones").Inc(1)
+	}
+	if d.ExceedsPause {
+		c.service.scope.Counter("dispatchesPausingStreams").Inc(1)
+	}
+}
+
 // send sends a request to an endpoint or a peer.
 func (c *call) send(
 	ctx context.Context, target wigeonupstream.Target, request *fasthttp.Request, opts ...wigeonupstream.SendOption,
