--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -40,7 +40,7 @@
 }
 
 // recordOutcome updates the timings and the failure state of an endpoint from the outcome of an attempt, so that later
-// requests avoid slow and failing endpoints. A rejected, misplaced or delayed attempt counts as neither success nor failure. An
+// requests avoid slow and failing endpoints. A rejected or delayed attempt counts as neither success nor failure. An
 // abandoned one was ended by this instance, so it counts as a failure only if the endpoint had sent nothing for the
 // stall timeout. It may still be lost: an endpoint that crashes without closing its connections is silent, however long it
 // was waited for.
@@ -68,7 +68,10 @@
 		e.pool.meanSlotTime += (elapsed - e.pool.meanSlotTime) / slotTimeSamples
 	case OutcomeRejected:
 		s.recordRejection(e)
-	case OutcomeMisplaced, OutcomeDelayed:
+	case OutcomeMisplaced:
+		pause := e.recordMisplaced(s.now)
+		s.emit(Suspect{EndpointID: e.record.ID, Duration: pause, Failures: e.consecutiveFailures, Misplaced: e.misplaced})
+	case OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
 			s.recordLoss(e, j, lossUnverified, ev.Events)
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -236,11 +236,13 @@
 	ClearCrashes struct {
 		Fingerprint wigeonshift.Fingerprint
 	}
-	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly.
+	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly or another endpoint has its address.
 	Suspect struct {
 		EndpointID string
 		Duration   time.Duration
 		Failures   int
+		// Misplaced is the number of misdirected requests since the last success; zero if the endpoint failed.
+		Misplaced int
 	}
 )
 
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -18,6 +18,8 @@
 	// A suspect endpoint gets no requests for minSuspectTime. Each further failure doubles this time up to maxSuspectTime.
 	minSuspectTime = 500 * time.Millisecond
 	maxSuspectTime = 4 * time.Second
+	// maxDoublings bounds the doublings of a pause, so that it doesn't overflow.
+	maxDoublings = 8
 	// defaultSlots is the number of slots of endpoints that don't report it.
 	defaultSlots = 4
 )
@@ -78,8 +80,8 @@
 	hasDecodeSample bool
 	// failureRate is the moving average of failures: 0 if all attempts succeed, 1 if all fail.
 	failureRate float64
-	// consecutiveFailures is the number of failures since the last success.
-	consecutiveFailures int
+	// consecutiveFailures is the number of failures since the last success, misplaced that of misdirected requests.
+	consecutiveFailures, misplaced int
 	// failedRequest is the request that failed last. It counts once, because it may fail on every endpoint.
 	failedRequest wigeonshift.Fingerprint
 	// suspectUntil is the time until which a suspect endpoint gets no requests.
@@ -170,7 +172,7 @@
 
 // recordSuccess resets the consecutive failures and lowers the failure rate.
 func (e *endpoint) recordSuccess() {
-	e.consecutiveFailures, e.failedRequest = 0, 0
+	e.consecutiveFailures, e.misplaced, e.failedRequest = 0, 0, 0
 	e.failureRate -= e.failureRate * failureSampleWeight
 }
 
@@ -183,7 +185,7 @@
 	if e.consecutiveFailures < suspectFailureThreshold {
 		return 0
 	}
-	pause := min(minSuspectTime<<min(e.consecutiveFailures-suspectFailureThreshold, 8), maxSuspectTime)
+	pause := min(minSuspectTime<<min(e.consecutiveFailures-suspectFailureThreshold, maxDoublings), maxSuspectTime)
 	e.suspectUntil = at + pause
 	return pause
 }
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -273,7 +273,7 @@
 func (d *Dispatcher) logSuspect(x wigeondispatch.Suspect) {
 	d.scope.Counter("suspects").Inc(1)
 	d.log.WithFields(logrus.Fields{
-		"endpoint": x.EndpointID, "failures": x.Failures, "pauseMs": x.Duration.Milliseconds(),
+		"endpoint": x.EndpointID, "failures": x.Failures, "misplaced": x.Misplaced, "pauseMs": x.Duration.Milliseconds(),
 	}).Warn("endpoint paused after failures")
 }
 
