--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -10,7 +10,7 @@
 func encodeLoadNotice(m wigeonshift.LoadNotice) *LoadNotice {
 	out := &LoadNotice{
 		ConfigurationVersion: m.ConfigurationVersion, EndpointsRevision: m.EndpointsRevision, Leaving: m.Leaving,
-		QuarantineRevision: m.QuarantineRevision,
+		QuarantineRevision: m.QuarantineRevision, Misplaced: m.Misplaced,
 	}
 	for _, e := range m.Endpoints {
 		out.Endpoints = append(out.Endpoints, &EndpointLoad{
@@ -55,7 +55,7 @@
 func decodeLoadNotice(m *LoadNotice) wigeonshift.LoadNotice {
 	out := wigeonshift.LoadNotice{
 		ConfigurationVersion: m.GetConfigurationVersion(), EndpointsRevision: m.GetEndpointsRevision(),
-		Leaving: m.GetLeaving(), QuarantineRevision: m.GetQuarantineRevision(),
+		Leaving: m.GetLeaving(), QuarantineRevision: m.GetQuarantineRevision(), Misplaced: m.GetMisplaced(),
 	}
 	for _, e := range m.GetEndpoints() {
 		out.Endpoints = append(out.Endpoints, wigeonshift.EndpointLoad{
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -76,6 +76,7 @@
 			Organisations:      []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
 			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
 			Leaving:            []string{"f"},
+			Misplaced:          []string{"g@7"},
 			QuarantineRevision: 6,
 			Limits: []wigeonshift.EndpointLimitUse{
 				{Endpoint: "e", StartedAtMillis: 7, RequestsPerSecond: 4.1, Generation: 3, Sent: 9}, {Endpoint: "f", Ended: true},
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -69,8 +69,7 @@
 	case OutcomeRejected:
 		s.recordRejection(e)
 	case OutcomeMisplaced:
-		pause := e.recordMisplaced(s.now)
-		s.emit(Suspect{EndpointID: e.record.ID, Duration: pause, Failures: e.consecutiveFailures, Misplaced: e.misplaced})
+		s.recordMisplaced(e)
 	case OutcomeDelayed:
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
--- a/internal/services/wigeondispatch/misplaced_test.go
+++ b/internal/services/wigeondispatch/misplaced_test.go
@@ -59,13 +59,37 @@
 		e := h.state.endpoints["a"]
 		pauses := []time.Duration{}
 		for range 5 {
-			pauses = append(pauses, e.recordMisplaced(h.at))
+			pauses = append(pauses, e.pauseMisplaced(h.at))
 		}
 		Expect(pauses).To(Equal([]time.Duration{
 			misplacedPause, 2 * misplacedPause, 4 * misplacedPause, maxMisplacedPause, maxMisplacedPause,
 		}))
 	})
 
+	It("is paused by all instances that hear of it", func() {
+		gone := misdirect()
+		other := newHarness(newRecord("a"), newRecord("b"))
+		other.state.Reduce(PeerReported{At: h.at, Peer: "own", Load: h.state.Load()})
+		Expect(other.state.endpoints[gone].available(h.at)).To(BeFalse())
+		Expect(other.state.Load().Misplaced).To(Equal([]string{gone + "@0"}))
+	})
+
+	It("isn't tested by requests with a single attempt, unless there are no others for a while", func() {
+		gone := misdirect()
+		h.occupySlots(1)
+		j := h.newJob()
+		j.MaxAttempts = 1
+		h.at += misplacedPause
+		h.arrive(j)
+		Expect(h.state.endpoints[gone].ownLoad.running).To(BeZero())
+		h.at += singleUseTestDelay
+		h.state.Reduce(Tick{At: h.at})
+		j = h.newJob()
+		j.MaxAttempts = 1
+		h.arrive(j)
+		Expect(h.state.endpoints[gone].ownLoad.running).To(Equal(1))
+	})
+
 	It("is used at once if the list shows that it has started again", func() {
 		gone := misdirect()
 		restarted := newRecord(gone)
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -49,6 +49,7 @@
 	s.replacePeerLoads(p, fresh)
 	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
+	s.handlePeerMisplaced(notice.Misplaced)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -213,6 +214,7 @@
 		}
 	}
 	out.Limits = s.limitReports()
+	out.Misplaced = s.misplacedReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
--- a/peer.go
+++ b/peer.go
@@ -160,6 +160,9 @@
 		Leaving []string
 		// Limits lists endpoints that name limits, or did so until a short while ago.
 		Limits []EndpointLimitUse
+		// Misplaced lists the incarnations of endpoints that get no requests of the sender for a while, because another endpoint
+		// has their address. They are written as in Crash.Endpoint.
+		Misplaced []string
 		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
 		QuarantineRevision uint64
 		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
