Move the retry budget to a package of its own

The reducer held the counts of resends beside its own state. wigeonbudget now holds them, with exported constants for the delays that other packages use.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -16,6 +16,7 @@
 	"wigeonshift/internal/modules/wigeonsession"
 	"wigeonshift/internal/modules/wigeonsetting"
 	"wigeonshift/internal/modules/wigeonsocket"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonfollow"
 	"wigeonshift/internal/services/wigeonquarantine"
@@ -124,7 +125,7 @@
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
 		Holder:   wigeonshare.HolderOf(g.self.Address),
-		Cooldown: s.Retry.Window.Duration + wigeondispatch.MaxArrivalDelay,
+		Cooldown: s.Retry.Window.Duration + wigeonbudget.MaxArrivalDelay,
 		Clock:    g.dispatcher.MeasureNow,
 		Publish:  g.dispatcher.SetShare,
 	}, p.Store, log, scope)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"sort"
+
+	"wigeonshift/internal/services/wigeonbudget"
 )
 
 // dispatchAllWaiting dispatches the queued requests of all services. It is called when free slots may appear in any
@@ -112,7 +114,7 @@
 		LimitHolds:      j.limitHolds,
 	}
 	if j.attempts > 1 {
-		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
+		d.Resend, d.MaxSendDelay = j.resend, wigeonbudget.MaxSendDelay
 	}
 	e.dispatchedAt, d.IsBrittle = s.now, e.pool.brittle != nil
 	if e.isLimited() {
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
@@ -67,7 +68,7 @@
 		// later the request must not be sent. Zero means no limit.
 		DecidedAt, MaxSendDelay time.Duration
 		// Resend is the decision of the retry budget; nil if the request was not sent before.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 		// IsLimited is set if the endpoint has named a limit, RequestsPerSecond. What the response says of it must then be
 		// reported, also if it says nothing.
 		IsLimited         bool
@@ -107,14 +108,14 @@
 		// Cause is the cause of crashes for which the request is refused; nil if there is none.
 		Cause *wigeonquarantine.Cause
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// Failure answers a request that ran or may have run.
 	Failure struct {
 		Job    JobID
 		Reason Reason
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// Abandon ends a running attempt so that the request can move to another endpoint. An AttemptEnded event must follow.
 	Abandon struct {
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 )
 
 // JobID identifies a request within one instance and is never reused.
@@ -89,7 +90,7 @@
 	// resendReserved is set while a resend of the request is reserved in the retry budget.
 	resendReserved bool
 	// resend is the latest decision of the retry budget on the request; nil if there was none.
-	resend *ResendDecision
+	resend *wigeonbudget.Decision
 	// resendSlot is the slot of the retry budget in which the running attempt was counted, if resendPending is set: it is a
 	// resend whose arrival isn't known yet.
 	resendSlot    int64
@@ -110,7 +111,7 @@
 }
 
 // refusedResend returns the decision of the retry budget if it refused another attempt, and nil otherwise.
-func (j *Job) refusedResend() *ResendDecision {
+func (j *Job) refusedResend() *wigeonbudget.Decision {
 	if j.resend == nil || j.resend.Allowed {
 		return nil
 	}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
@@ -21,7 +22,7 @@
 	peers     map[string]*peer
 	// members are the peers of this instance's group, by name.
 	members      []member
-	retryBudgets map[string]*retryBudget
+	retryBudgets map[string]*wigeonbudget.Budget
 	// crashes holds the crashes that all instances know of.
 	crashes *wigeonquarantine.Record
 	// losses holds the attempts that this instance lost recently, by incarnation of the endpoint.
@@ -67,7 +68,7 @@
 		jobs:         map[JobID]*Job{},
 		quotas:       map[string]*quota{},
 		peers:        map[string]*peer{},
-		retryBudgets: map[string]*retryBudget{},
+		retryBudgets: map[string]*wigeonbudget.Budget{},
 		crashes:      wigeonquarantine.NewRecord(wigeonquarantine.Limit),
 		losses:       map[incarnation]*losses{},
 		processes:    map[string]*process{},
@@ -245,10 +246,10 @@
 
 // retryBudget returns the retry budget of a service (its limit on resends in a sliding window) and creates it if
 // needed.
-func (s *State) retryBudget(service string) *retryBudget {
+func (s *State) retryBudget(service string) *wigeonbudget.Budget {
 	b := s.retryBudgets[service]
 	if b == nil {
-		b = newRetryBudget(s.settings)
+		b = wigeonbudget.New(s.settings.RetryRatio, s.settings.RetryWindow)
 		s.retryBudgets[service] = b
 	}
 	return b
@@ -265,21 +266,21 @@
 // countRequest counts a new request in the retry budget of its service. It leaves out requests that may have been waiting
 // to be read while the instance was paused, because nobody knows when their callers sent them.
 func (s *State) countRequest(j *Job) {
-	if s.now-s.tickedAt > maxTickGap || s.pausedAt > 0 && s.now-s.pausedAt < maxReceiveDelay {
+	if s.now-s.tickedAt > maxTickGap || s.pausedAt > 0 && s.now-s.pausedAt < wigeonbudget.MaxReceiveDelay {
 		return
 	}
-	s.retryBudget(j.Service).countRequest(s.now)
+	s.retryBudget(j.Service).CountRequest(s.now)
 }
 
 // reserveResend reports whether the retry budget of a request's service allows a resend, and reserves it if so. The resend
 // is decided on again when the request is sent, because it may be queued until then.
 func (s *State) reserveResend(j *Job) bool {
 	b := s.retryBudget(j.Service)
-	d := b.decide(s.now, s.retrySlack(), b.reserved)
+	d := b.Decide(s.now, s.retrySlack(), b.Reserved())
 	j.resend = &d
 	if d.Allowed {
 		j.resendReserved = true
-		b.reserved++
+		b.Reserve()
 	}
 	return d.Allowed
 }
@@ -288,10 +289,10 @@
 func (s *State) useResend(j *Job) bool {
 	s.releaseResend(j)
 	b := s.retryBudget(j.Service)
-	d := b.decide(s.now, s.retrySlack(), 0)
+	d := b.Decide(s.now, s.retrySlack(), 0)
 	j.resend = &d
 	if d.Allowed {
-		j.resendSlot, j.resendPending = b.countResend(s.now), true
+		j.resendSlot, j.resendPending = b.CountResend(s.now), true
 	}
 	return d.Allowed
 }
@@ -299,7 +300,7 @@
 // recordResendArrival records that the endpoint has received the running attempt of a request, as its answer shows.
 func (s *State) recordResendArrival(j *Job) {
 	if j.resendPending {
-		s.retryBudget(j.Service).recordArrival(j.resendSlot, s.now)
+		s.retryBudget(j.Service).RecordArrival(j.resendSlot, s.now)
 		j.resendPending = false
 	}
 }
@@ -308,7 +309,7 @@
 func (s *State) releaseResend(j *Job) {
 	if j.resendReserved {
 		j.resendReserved = false
-		s.retryBudget(j.Service).reserved--
+		s.retryBudget(j.Service).Release()
 	}
 }
 
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -448,11 +449,11 @@
 	It("respects the retry budget", func() {
 		h := newHarness(newRecord("a"), newRecord("b"), newRecord("c"))
 		h.state.settings.RetrySlack, h.state.settings.RetryRatio = 0, 0
-		h.state.retryBudgets = map[string]*retryBudget{}
+		h.state.retryBudgets = map[string]*wigeonbudget.Budget{}
 		j := h.newJob()
 		j.Kind = wigeonshift.RouteIdempotent
 		h.arrive(j)
-		Expect(h.end(j, OutcomeLost, true)).To(ConsistOf(Failure{Job: j.ID, Reason: ReasonLost, Resend: &ResendDecision{}}))
+		Expect(h.end(j, OutcomeLost, true)).To(ConsistOf(Failure{Job: j.ID, Reason: ReasonLost, Resend: &wigeonbudget.Decision{}}))
 	})
 
 	It("dispatches nothing to an endpoint that fails repeatedly, then probes it with one request", func() {
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -53,6 +53,8 @@
 	// covers what instances grant before they receive each other's reports.
 	grantedOverageShare = 0.6
 	grantedSlackShare   = 0.4
+	// maxTickGap is the longest time between two Tick events of an instance that runs without pauses.
+	maxTickGap = 250 * time.Millisecond
 	// minResendTimeLeft is the minimum time left until the deadline for a request to be sent again.
 	minResendTimeLeft = 20 * time.Millisecond
 )
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonroute"
@@ -76,7 +77,7 @@
 	// latestPeer is the instance to which the request was last passed on; empty if none.
 	latestPeer string
 	// resend is the latest decision of the retry budget, for the log; nil if there was none.
-	resend *wigeondispatch.ResendDecision
+	resend *wigeonbudget.Decision
 	// queueTime is the time from the arrival of the request to its first dispatch.
 	queueTime time.Duration
 	// firstByteLatency is the time from the arrival of the request to the first byte of a stream or to the end of a
@@ -268,7 +269,7 @@
 }
 
 // recordResend counts a decision of the retry budget and keeps it for the log.
-func (c *call) recordResend(d *wigeondispatch.ResendDecision) {
+func (c *call) recordResend(d *wigeonbudget.Decision) {
 	if d == nil || d == c.resend {
 		return
 	}
--- a/internal/services/wigeonshare/fleet_test.go
+++ b/internal/services/wigeonshare/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonshare"
 	"wigeonshift/internal/soak/wigeonwindow"
@@ -178,7 +179,7 @@
 		},
 	}})
 	p.share = wigeonshare.New(wigeonshare.Settings{
-		Holder: wigeonshare.HolderOf(m.name), Cooldown: f.limit.Window + wigeondispatch.MaxArrivalDelay, Clock: p.now, Publish: p.publish,
+		Holder: wigeonshare.HolderOf(m.name), Cooldown: f.limit.Window + wigeonbudget.MaxArrivalDelay, Clock: p.now, Publish: p.publish,
 	}, &machineStore{machine: m, process: p, store: f.store}, f.log, tally.NoopScope)
 	p.share.SetInstanceCount(len(f.machines))
 	p.share.Start(context.Background())
