Move quotas to a package of their own

The reducer held the balances, rounds and windows of quotas beside its own state. wigeonquota now holds them; the reducer passes it reports and shares, and reads a Status for the log line of a refusal. The limits are unchanged. Specs that only concern quotas moved along. The reducer's specs no longer set a balance from within: they wait until the bucket is full or use it up.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -52,12 +52,12 @@
 	if q == nil {
 		return true
 	}
-	if s.settings.AwaitsList && !s.listIsComplete && q.unitsPerSecond > 0 {
+	if s.settings.AwaitsList && !s.listIsComplete && q.Limited() {
 		s.refuse(j, ReasonQuota, listRetryAfter)
 		return false
 	}
-	if !q.tryConsume(j.Units, s.now) {
-		s.refuse(j, ReasonQuota, q.waitFor(j.Units, s.now))
+	if !q.TryConsume(j.Units, s.now) {
+		s.refuse(j, ReasonQuota, q.WaitFor(j.Units, s.now))
 		return false
 	}
 	j.quotaCharged = true
@@ -135,10 +135,11 @@
 		refuse.Cause = s.causeAgainst(j)
 	}
 	if q := s.quotas[j.Organisation]; q != nil {
-		refuse.QuotaLeft, refuse.QuotaShare = q.balance, q.share
-		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = q.groupBalance, q.groupFairShare
-		refuse.QuotaRoundLeft, refuse.QuotaRoundAge = q.roundAllowance(s.now), s.now-q.round.startedAt
-		refuse.QuotaWindowUsed = q.usage.total(s.now)
+		left := q.Status(s.now)
+		refuse.QuotaLeft, refuse.QuotaShare = left.Balance, left.Shares.Share
+		refuse.QuotaGroupLeft, refuse.QuotaGroupFairShare = left.GroupBalance, left.Shares.GroupFairShare
+		refuse.QuotaRoundLeft, refuse.QuotaRoundAge = left.RoundAllowance, left.RoundAge
+		refuse.QuotaWindowUsed = left.WindowUsed
 	}
 	s.emit(refuse)
 }
@@ -147,7 +148,7 @@
 // doesn't count. It does so only once.
 func (s *State) refund(j *Job) {
 	if q := s.quotas[j.Organisation]; q != nil && j.quotaCharged {
-		q.refund(j.Units, s.now)
+		q.Refund(j.Units, s.now)
 		j.quotaCharged = false
 	}
 }
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquota"
 )
 
 // peer is the load that another instance reported.
@@ -57,8 +58,8 @@
 	}
 	for _, u := range notice.Organisations {
 		if q := s.quotas[u.Organisation]; q != nil {
-			q.handlePeerReport(name, u.Units, s.now, p.inGroup)
-			q.adoptPeerBalance(u.RemainingUnits, s.now)
+			q.HandlePeerReport(name, u.Units, s.now, p.inGroup)
+			q.AdoptPeerBalance(u.RemainingUnits, s.now)
 		}
 	}
 	if p.inGroup {
@@ -87,8 +88,8 @@
 		oldestReport = min(oldestReport, m.reportedAt)
 	}
 	for _, q := range s.quotas {
-		if oldestReport > q.round.startedAt {
-			q.startRound(s.now)
+		if oldestReport > q.RoundStartedAt() {
+			q.StartRound(s.now)
 		}
 	}
 }
@@ -142,7 +143,7 @@
 	delete(s.peers, name)
 	s.updateMembers()
 	for _, q := range s.quotas {
-		q.removePeerUse(name)
+		q.RemovePeer(name)
 	}
 	s.forgetPeerLimits(name)
 	s.updateQuotaShares()
@@ -161,14 +162,14 @@
 			reporting++
 		}
 	}
-	shares := quotaShares{
-		share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers),
+	shares := wigeonquota.Shares{
+		Share: min(float64(reporting)/float64(s.instances), 1), GroupFairShare: 1, MemberShare: 1 / float64(groupMembers),
 	}
 	if s.instances > maxUngroupedInstances {
-		shares.groupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
+		shares.GroupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
 	}
 	for _, q := range s.quotas {
-		q.setShares(shares, s.now)
+		q.SetShares(shares, s.now)
 	}
 }
 
@@ -199,10 +200,9 @@
 		}
 	}
 	for name, q := range s.quotas {
-		if q.used > 0 {
-			q.refill(s.now)
+		if q.Used() > 0 {
 			out.Organisations = append(out.Organisations, wigeonshift.OrganisationUse{
-				Organisation: name, Units: q.used, RemainingUnits: q.balance,
+				Organisation: name, Units: q.Used(), RemainingUnits: q.Balance(s.now),
 			})
 		}
 	}
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -8,6 +8,7 @@
 	"wigeonshift"
 	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonquarantine"
+	"wigeonshift/internal/services/wigeonquota"
 )
 
 // State is the scheduling state of one instance: endpoints, requests, quotas and the load of the other instances. Its
@@ -18,7 +19,7 @@
 	pools     map[string]*pool
 	endpoints map[string]*endpoint
 	jobs      map[JobID]*Job
-	quotas    map[string]*quota
+	quotas    map[string]*wigeonquota.Quota
 	peers     map[string]*peer
 	// members are the peers of this instance's group, by name.
 	members      []member
@@ -66,7 +67,7 @@
 		pools:        map[string]*pool{},
 		endpoints:    map[string]*endpoint{},
 		jobs:         map[JobID]*Job{},
-		quotas:       map[string]*quota{},
+		quotas:       map[string]*wigeonquota.Quota{},
 		peers:        map[string]*peer{},
 		retryBudgets: map[string]*wigeonbudget.Budget{},
 		crashes:      wigeonquarantine.NewRecord(wigeonquarantine.Limit),
@@ -151,7 +152,7 @@
 	for i := range c.Routes {
 		routes[c.Routes[i].Name] = true
 	}
-	maps.DeleteFunc(s.quotas, func(name string, _ *quota) bool { return !organisations[name] })
+	maps.DeleteFunc(s.quotas, func(name string, _ *wigeonquota.Quota) bool { return !organisations[name] })
 	for _, p := range s.pools {
 		maps.DeleteFunc(p.meanSizes, func(route string, _ float64) bool { return !routes[route] })
 	}
@@ -160,9 +161,9 @@
 	}
 	for _, o := range c.Organisations {
 		if q := s.quotas[o.Name]; q != nil {
-			q.setLimit(s.settings.limitOf(o), s.now)
+			q.SetLimit(s.settings.quotaTolerance().LimitOf(o), s.now)
 		} else {
-			s.quotas[o.Name] = newQuota(s.settings.limitOf(o), s.now)
+			s.quotas[o.Name] = wigeonquota.New(s.settings.quotaTolerance().LimitOf(o), s.now)
 		}
 	}
 	s.updateQuotaShares()
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -36,6 +36,9 @@
 	return h
 }
 
+// fullBucketTime is the time in which the bucket of the harness's organisation is filled from empty.
+const fullBucketTime = time.Second
+
 func newRecord(id string) wigeonshift.EndpointRecord {
 	return wigeonshift.EndpointRecord{ID: id, Service: "model", Address: id, Slots: 1, Zone: "z"}
 }
@@ -248,7 +251,7 @@
 	It("grants nothing of a quota until all instances are known", func() {
 		h := newHarness(newRecord("a"))
 		h.state.settings.AwaitsList = true
-		h.state.quotas["limited"].balance = 100
+		h.at = fullBucketTime
 		limited := func() *Job {
 			j := h.newJob()
 			j.Organisation = "limited"
@@ -264,7 +267,7 @@
 
 	It("refuses requests beyond a quota, doesn't charge them and returns the time until the quota allows them", func() {
 		h := newHarness(newRecord("a"))
-		h.state.quotas["limited"].balance = 100
+		h.at = fullBucketTime
 		first, second, third := h.newJob(), h.newJob(), h.newJob()
 		for _, j := range []*Job{first, second, third} {
 			j.Organisation = "limited"
@@ -275,7 +278,7 @@
 		r := onlyRefusal(h.arrive(third))
 		Expect(r.Reason).To(Equal(ReasonQuota))
 		Expect(r.RetryAfter).To(BeNumerically("~", 600*time.Millisecond, time.Millisecond))
-		h.at = 700 * time.Millisecond
+		h.at += 700 * time.Millisecond
 		again := h.newJob()
 		again.Organisation, again.Units = "limited", 60
 		Expect(h.arrive(again)).NotTo(ContainElement(BeAssignableToTypeOf(Refuse{})))
@@ -286,38 +289,25 @@
 		q := h.state.quotas["limited"]
 		h.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "own"}, {ID: "other"}}})
 		h.at = time.Second
-		Expect(q.tryConsume(60, h.at)).To(BeFalse(), "half of the quota belongs to the other instance")
+		Expect(q.TryConsume(60, h.at)).To(BeFalse(), "half of the quota belongs to the other instance")
 		use := func(units float64) wigeonshift.LoadNotice {
 			return wigeonshift.LoadNotice{Organisations: []wigeonshift.OrganisationUse{
 				{Organisation: "limited", Units: units, RemainingUnits: -100},
 			}}
 		}
 		h.state.Reduce(PeerReported{At: h.at, Peer: "other", Load: use(1000)})
-		Expect(q.share).To(Equal(0.5), "the other instance's rate isn't known yet")
+		Expect(q.Share).To(Equal(0.5), "the other instance's rate isn't known yet")
 		h.at += 2 * time.Second
 		h.state.Reduce(PeerReported{At: h.at, Peer: "other", Load: use(1080)})
-		Expect(q.share).To(Equal(1.0))
-		Expect(q.balance).To(BeNumerically("~", -30, 1), "the own half of the quota less the 80 units of the other instance")
+		Expect(q.Share).To(Equal(1.0))
+		Expect(q.Balance(h.at)).To(BeNumerically("~", -30, 1), "the own half of the quota less the 80 units of the other instance")
 		h.at += 800 * time.Millisecond
-		Expect(q.tryConsume(30, h.at)).To(BeFalse(), "the other instance is assumed to continue with 40 units per second")
-		Expect(q.tryConsume(15, h.at)).To(BeTrue())
+		Expect(q.TryConsume(30, h.at)).To(BeFalse(), "the other instance is assumed to continue with 40 units per second")
+		Expect(q.TryConsume(15, h.at)).To(BeTrue())
 	})
 })
 
 var _ = Describe("Quota in a large fleet", func() {
-	limited := quotaLimit{unitsPerSecond: 100, burstUnits: 100}
-
-	It("assumes that the use of other instances continues between their reports", func() {
-		q := newQuota(limited, 0)
-		q.balance = 100
-		q.handlePeerReport("far", 0, 0, false)
-		q.handlePeerReport("far", 160, 2*time.Second, false)
-		q.refill(4 * time.Second)
-		Expect(q.balance).To(BeNumerically("~", -20, 1), "-60, plus 100 refilled and less 80 used by the other instance per second")
-		q.handlePeerReport("far", 160, 4*time.Second, false)
-		Expect(q.balance).To(BeNumerically("~", 100, 1), "the other instance has used nothing since")
-	})
-
 	// Guards against bursts that are granted again after restarts: all instances were killed during a surge of an
 	// organisation, and each granted a whole burst once more (QUOTA, apme-lima-grown trouble-3).
 	It("is empty when an instance starts, because the use before the start is unknown", func() {
@@ -349,18 +339,19 @@
 				reportFrom(25*time.Millisecond, "b", 500, 90)
 				reportFrom(25*time.Millisecond, "c", 700, 80)
 			}
-			Expect(h.state.quotas["limited"].balance).To(BeNumerically("~", 80, 6))
+			Expect(h.state.quotas["limited"].Balance(h.at)).To(BeNumerically("~", 80, 6))
 		})
 
 		It("takes over a balance only once", func() {
 			for range 5 {
 				reportFrom(50*time.Millisecond, "b", 500, 60)
 			}
-			h.state.quotas["limited"].balance = 0
+			q := h.state.quotas["limited"]
+			Expect(q.TryConsume(q.Balance(h.at), h.at)).To(BeTrue())
 			for range 5 {
 				reportFrom(50*time.Millisecond, "b", 500, 100)
 			}
-			Expect(h.state.quotas["limited"].balance).To(BeNumerically("<", 40), "at most 100 units per second over 250 ms")
+			Expect(h.state.quotas["limited"].Balance(h.at)).To(BeNumerically("<", 40), "at most 100 units per second over 250 ms")
 		})
 
 		It("takes over no units from others that started at the same time", func() {
@@ -368,41 +359,9 @@
 				reportFrom(25*time.Millisecond, "b", 0, 0)
 				reportFrom(25*time.Millisecond, "c", 0, 0)
 			}
-			Expect(h.state.quotas["limited"].balance).To(BeNumerically("<", 40))
+			Expect(h.state.quotas["limited"].Balance(h.at)).To(BeNumerically("<", 40))
 		})
 	})
-
-	It("counts the use in reports at short intervals only once", func() {
-		q := newQuota(limited, 0)
-		q.balance = 100
-		q.handlePeerReport("near", 0, 0, true)
-		for i := range 20 {
-			q.handlePeerReport("near", float64(5*(i+1)), time.Duration(i+1)*50*time.Millisecond, true)
-		}
-		Expect(q.balance).To(BeNumerically("~", 100, 6), "100 used and 100 refilled")
-	})
-
-	It("lets a group use a few times its fair share before it receives reports of the others", func() {
-		q := newQuota(quotaLimit{unitsPerSecond: 1000, burstUnits: 1000}, 0)
-		q.setShares(quotaShares{share: 1, groupFairShare: 0.05 / groupShareFactor, memberShare: 1}, 0)
-		q.balance, q.groupBalance = 1000, 15
-		granted := 0
-		for i := range 1000 {
-			if q.tryConsume(10, time.Duration(i)*10*time.Millisecond) {
-				granted++
-			}
-		}
-		Expect(granted).To(BeNumerically("~", 52, 2), "50 units per second over 10 s, and 15 at the start")
-	})
-
-	It("returns the time until a group that has used its share may use more", func() {
-		q := newQuota(quotaLimit{unitsPerSecond: 1000, burstUnits: 1000}, 0)
-		q.setShares(quotaShares{share: 1, groupFairShare: 0.05 / groupShareFactor, memberShare: 1}, 0)
-		q.balance, q.groupBalance = 1000, 15
-		Expect(q.tryConsume(40, 0)).To(BeTrue())
-		Expect(q.tryConsume(10, 0)).To(BeFalse())
-		Expect(q.waitFor(10, 0)).To(BeNumerically("~", 500*time.Millisecond, time.Millisecond), "25 units at 50 units per second")
-	})
 })
 
 var _ = Describe("Failed attempts", func() {
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -1,6 +1,10 @@
 package wigeondispatch
 
-import "time"
+import (
+	"time"
+
+	"wigeonshift/internal/services/wigeonquota"
+)
 
 // Settings are the limits and the identity of an instance, as set by the deployment.
 type Settings struct {
@@ -26,6 +30,11 @@
 	AwaitsList bool
 }
 
+// quotaTolerance returns the amount by which use may exceed a quota.
+func (s Settings) quotaTolerance() wigeonquota.Tolerance {
+	return wigeonquota.Tolerance{Overage: s.QuotaOverage, Slack: s.QuotaSlack, Window: s.QuotaWindow}
+}
+
 const (
 	// sameGroupReportTimeout is the maximum age of the latest report of an instance of the same group.
 	// otherGroupReportTimeout is the maximum age of the latest report of an instance of another group.
@@ -49,10 +58,6 @@
 	// maxEndpointQueueWait is the maximum expected wait in an endpoint's own queue. With a longer one the endpoint gets no
 	// more requests.
 	maxEndpointQueueWait = 400 * time.Millisecond
-	// grantedOverageShare and grantedSlackShare are the shares of QuotaOverage and QuotaSlack that are granted. The rest
-	// covers what instances grant before they receive each other's reports.
-	grantedOverageShare = 0.6
-	grantedSlackShare   = 0.4
 	// maxTickGap is the longest time between two Tick events of an instance that runs without pauses.
 	maxTickGap = 250 * time.Millisecond
 	// minResendTimeLeft is the minimum time left until the deadline for a request to be sent again.
--- a/internal/services/wigeondispatch/quotafleet_test.go
+++ b/internal/services/wigeonquota/fleet_test.go
@@ -1,4 +1,4 @@
-package wigeondispatch
+package wigeonquota
 
 import (
 	"fmt"
@@ -15,8 +15,8 @@
 // within their group and rare reports to the other groups.
 type quotaSimulation struct {
 	random            *rand.Rand
-	quotaLimit        quotaLimit
-	instances         []*quota
+	quotaLimit        Limit
+	instances         []*Quota
 	instancesPerGroup int
 	// requestedUnits and grantedUnits hold the units of each time step.
 	requestedUnits, grantedUnits []float64
@@ -31,11 +31,11 @@
 
 // newQuotaSimulation returns a simulation whose instances all receive each other's reports and start with the full
 // burst instead of an empty bucket.
-func newQuotaSimulation(seed uint64, instances, instancesPerGroup int, l quotaLimit) *quotaSimulation {
+func newQuotaSimulation(seed uint64, instances, instancesPerGroup int, l Limit) *quotaSimulation {
 	f := &quotaSimulation{random: rand.New(rand.NewPCG(seed, 2)), quotaLimit: l, instancesPerGroup: instancesPerGroup}
 	for range instances {
-		q := newQuota(l, 0)
-		q.setShares(quotaShares{share: 1, groupFairShare: float64(instancesPerGroup) / float64(instances), memberShare: 1 / float64(instancesPerGroup)}, 0)
+		q := New(l, 0)
+		q.SetShares(Shares{Share: 1, GroupFairShare: float64(instancesPerGroup) / float64(instances), MemberShare: 1 / float64(instancesPerGroup)}, 0)
 		q.awaitingBalance, q.balance, q.groupBalance = false, l.burstUnits, groupBurstShare*l.burstUnits*q.currentGroupShare(0)
 		f.instances = append(f.instances, q)
 	}
@@ -50,7 +50,7 @@
 		requestedUnits, grantedUnits := 0.0, 0.0
 		for f.random.Float64() < rate*quotaSimulationStep.Seconds()/(quotaRequestUnits+rate*quotaSimulationStep.Seconds()) {
 			requestedUnits += quotaRequestUnits
-			if f.instances[f.random.IntN(users)].tryConsume(quotaRequestUnits, at) {
+			if f.instances[f.random.IntN(users)].TryConsume(quotaRequestUnits, at) {
 				grantedUnits += quotaRequestUnits
 			}
 		}
@@ -72,11 +72,11 @@
 		for k, other := range f.instances {
 			sameGroup := i/f.instancesPerGroup == k/f.instancesPerGroup
 			if i != k && (sameGroup && groupReport || fleetReport) {
-				other.handlePeerReport(fmt.Sprint(i), q.used, at, sameGroup)
+				other.HandlePeerReport(fmt.Sprint(i), q.used, at, sameGroup)
 			}
 		}
 		if groupReport {
-			q.startRound(at)
+			q.StartRound(at)
 		}
 	}
 }
@@ -110,7 +110,7 @@
 		// allowedUnits is the maximum use in a window, including the users' tolerance of 10 % and 140,000 units.
 		allowedUnits = (rate*8+burst)*1.1 + 140_000
 	)
-	grantedLimit := Settings{QuotaOverage: 0.1, QuotaSlack: 140_000, QuotaWindow: window}.limitOf(
+	grantedLimit := Tolerance{Overage: 0.1, Slack: 140_000, Window: window}.LimitOf(
 		wigeonshift.RoutedOrganisation{UnitsPerSecond: rate, Burst: burst, CountsTokens: true},
 	)
 
--- a/internal/services/wigeondispatch/quota.go
+++ b/internal/services/wigeonquota/quota.go
@@ -1,4 +1,6 @@
-package wigeondispatch
+// Package wigeonquota estimates what is left of an organisation's quota over all instances. A quota reads no clock and does no
+// I/O: its caller passes the time since the instance's start.
+package wigeonquota
 
 import (
 	"math"
@@ -7,11 +9,11 @@
 	"wigeonshift"
 )
 
-// quota limits an organisation's use over all instances by a token bucket. Each instance keeps its own estimate of the
+// Quota limits an organisation's use over all instances by a token bucket. Each instance keeps its own estimate of the
 // bucket from its own use and the reports of the others.
-type quota struct {
-	quotaLimit
-	quotaShares
+type Quota struct {
+	Limit
+	Shares
 	// balance is what is left in the bucket, in units. It can be negative.
 	balance float64
 	// refilledAt is the time of the last refill.
@@ -84,18 +86,22 @@
 	// balanceReportWindow is how long an instance that has just started collects the balances that the others report before
 	// it takes over the lowest one.
 	balanceReportWindow = 200 * time.Millisecond
+	// grantedOverageShare and grantedSlackShare are the shares of Overage and Slack that are granted. The rest covers what
+	// instances grant before they receive each other's reports.
+	grantedOverageShare = 0.6
+	grantedSlackShare   = 0.4
 )
 
-// newQuota returns a quota with an empty bucket, because an instance that has just started doesn't know what was used
+// New returns a quota with an empty bucket, because an instance that has just started doesn't know what was used
 // before.
-func newQuota(l quotaLimit, at time.Duration) *quota {
-	whole := quotaShares{share: 1, groupFairShare: 1, memberShare: 1}
-	return &quota{quotaLimit: l, refilledAt: at, predictedAt: at, quotaShares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
+func New(l Limit, at time.Duration) *Quota {
+	whole := Shares{Share: 1, GroupFairShare: 1, MemberShare: 1}
+	return &Quota{Limit: l, refilledAt: at, predictedAt: at, Shares: whole, round: quotaRound{startedAt: at}, awaitingBalance: true,
 		peers: map[string]*peerUse{}, usage: windowUsage{slotLength: l.window / usageSlots}, completeSince: at, toppedUpAt: at}
 }
 
-// quotaLimit is the rate and the burst of a token bucket.
-type quotaLimit struct {
+// Limit is the rate and the burst of a token bucket.
+type Limit struct {
 	unitsPerSecond, burstUnits float64
 	// reserveUnits is the part of the tolerance that isn't granted. It covers what the members of a group use before they
 	// receive each other's reports.
@@ -105,39 +111,49 @@
 	window      time.Duration
 }
 
-// limitOf returns an organisation's limit, increased by the granted share of the tolerance. The rest of the tolerance
+// Tolerance is the amount by which use may exceed a quota.
+type Tolerance struct {
+	// Overage is the share by which an organisation's use may exceed its quota in a window.
+	Overage float64
+	// Slack is the number of units by which the use may exceed the quota in addition.
+	Slack float64
+	// Window is the length of the window in which use is limited; zero if there is none.
+	Window time.Duration
+}
+
+// LimitOf returns an organisation's limit, increased by the granted share of the tolerance. The rest of the tolerance
 // covers what instances grant before they receive each other's reports.
-func (s Settings) limitOf(o wigeonshift.RoutedOrganisation) quotaLimit {
-	factor := 1 + s.QuotaOverage*grantedOverageShare
-	l := quotaLimit{unitsPerSecond: o.UnitsPerSecond * factor, burstUnits: o.Burst * factor}
-	l.reserveUnits = o.Burst * s.QuotaOverage * (1 - grantedOverageShare)
-	l.window = s.QuotaWindow
-	l.windowUnits = o.UnitsPerSecond*s.QuotaWindow.Seconds() + o.Burst
+func (t Tolerance) LimitOf(o wigeonshift.RoutedOrganisation) Limit {
+	factor := 1 + t.Overage*grantedOverageShare
+	l := Limit{unitsPerSecond: o.UnitsPerSecond * factor, burstUnits: o.Burst * factor}
+	l.reserveUnits = o.Burst * t.Overage * (1 - grantedOverageShare)
+	l.window = t.Window
+	l.windowUnits = o.UnitsPerSecond*t.Window.Seconds() + o.Burst
 	if o.CountsTokens {
-		l.reserveUnits += s.QuotaSlack * (1 - grantedSlackShare)
-		l.burstUnits += s.QuotaSlack * grantedSlackShare
+		l.reserveUnits += t.Slack * (1 - grantedSlackShare)
+		l.burstUnits += t.Slack * grantedSlackShare
 	}
 	return l
 }
 
-// setLimit replaces the limit. The use so far still counts.
-func (q *quota) setLimit(l quotaLimit, at time.Duration) {
+// SetLimit replaces the limit. The use so far still counts.
+func (q *Quota) SetLimit(l Limit, at time.Duration) {
 	q.refill(at)
-	q.quotaLimit = l
+	q.Limit = l
 	q.balance = min(q.balance, q.burstUnits)
 }
 
 // refill adds the units for the time since the last refill and subtracts the predicted use of the other instances,
 // which will report it only later. It also refills what this instance's group may use, and lets the average of the
 // group's rate of use decay.
-func (q *quota) refill(at time.Duration) {
+func (q *Quota) refill(at time.Duration) {
 	if at > q.refilledAt {
 		seconds := (at - q.refilledAt).Seconds()
 		if at-q.predictedAt >= predictionStep {
 			q.recordUse(q.predictPeerUse(at), at)
 		}
-		q.balance = min(q.burstUnits*q.share, q.balance+q.unitsPerSecond*q.share*seconds)
-		equal := q.share * q.memberShare
+		q.balance = min(q.burstUnits*q.Share, q.balance+q.unitsPerSecond*q.Share*seconds)
+		equal := q.Share * q.MemberShare
 		q.round.memberBalance = min(q.burstUnits*equal, q.round.memberBalance+q.unitsPerSecond*equal*seconds)
 		share := q.currentGroupShare(at)
 		q.groupBalance = min(groupBurstShare*q.burstUnits*share, q.groupBalance+q.unitsPerSecond*share*seconds)
@@ -149,7 +165,7 @@
 // predictPeerUse returns the units that the other instances are expected to have used since the last prediction, by their
 // latest reports, so that the quota isn't exceeded between reports. The use of other groups is assumed to grow with
 // that of this instance's group, because a surge of an organisation's requests arrives at all instances.
-func (q *quota) predictPeerUse(at time.Duration) float64 {
+func (q *Quota) predictPeerUse(at time.Duration) float64 {
 	sum := 0.0
 	for _, p := range q.peers {
 		from, to := max(q.predictedAt, p.at), min(at, p.at+predictionHorizon)
@@ -168,7 +184,7 @@
 // latest known rate. It is the current rate of use of this instance's group divided by the group's rate when the other
 // instance's rate was computed: a surge of an organisation's requests arrives at all instances, but shows in the
 // reports of other groups only later. For a member of the group, or if the group used nothing at that time, it is 1.
-func (q *quota) surgeFactor(p *peerUse) float64 {
+func (q *Quota) surgeFactor(p *peerUse) float64 {
 	if p.groupUnitsPerSecond <= 0 {
 		return 1
 	}
@@ -176,17 +192,17 @@
 }
 
 // recordGroupUse records units that an instance of the group has used. A refund is a negative number.
-func (q *quota) recordGroupUse(units float64) {
+func (q *Quota) recordGroupUse(units float64) {
 	q.groupBalance -= units
 	q.groupUsed += units
 	q.groupUnitsPerSecond += units / groupRateTimeConstant.Seconds()
 }
 
-// tryConsume reports whether the quota allows the use of units, and consumes them if so. A quota without a rate allows
+// TryConsume reports whether the quota allows the use of units, and consumes them if so. A quota without a rate allows
 // everything. In a large fleet the group must not have used up its share either, which limits what the groups grant
 // before they receive each other's reports. If the balance is too low, the share is reduced for a while, because all
 // groups would use what is left at the same time.
-func (q *quota) tryConsume(units float64, at time.Duration) bool {
+func (q *Quota) TryConsume(units float64, at time.Duration) bool {
 	if q.unitsPerSecond <= 0 {
 		q.used += units
 		return true
@@ -199,7 +215,7 @@
 		q.scarceUntil = at + scarceDuration
 		return false
 	}
-	if q.groupFairShare < 1 && q.groupBalance <= 0 || q.exceedsRound(units, at) {
+	if q.GroupFairShare < 1 && q.groupBalance <= 0 || q.exceedsRound(units, at) {
 		return false
 	}
 	q.recordUse(units, at)
@@ -210,8 +226,8 @@
 	return true
 }
 
-// refund returns the units of a request that didn't run, so that the organisation isn't charged for it.
-func (q *quota) refund(units float64, at time.Duration) {
+// Refund returns the units of a request that didn't run, so that the organisation isn't charged for it.
+func (q *Quota) Refund(units float64, at time.Duration) {
 	q.refill(at)
 	q.recordUse(-units, at)
 	q.balance = min(q.burstUnits, q.balance)
@@ -221,10 +237,10 @@
 	q.recordGroupUse(-units)
 }
 
-// handlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
+// HandlePeerReport records the use of another instance since its start. It replaces the use predicted since the base
 // report (the report that a rate is computed from) by the reported one, so that nothing is subtracted twice. The first
 // report only sets the base, because a rate needs two. sameGroup is set for instances of the same group.
-func (q *quota) handlePeerReport(peer string, used float64, at time.Duration, sameGroup bool) {
+func (q *Quota) HandlePeerReport(peer string, used float64, at time.Duration, sameGroup bool) {
 	q.refill(at)
 	p := q.peers[peer]
 	if p == nil {
@@ -253,10 +269,10 @@
 	p.used, p.at, p.predicted, p.groupUsed = used, at, 0, q.groupUsed
 }
 
-// adoptPeerBalance records a balance that another instance reported. An instance that has just started takes over the
+// AdoptPeerBalance records a balance that another instance reported. An instance that has just started takes over the
 // lowest reported one. This never grants more than is left, because every instance starts with an empty bucket or with
 // another instance's balance.
-func (q *quota) adoptPeerBalance(balance float64, at time.Duration) {
+func (q *Quota) AdoptPeerBalance(balance float64, at time.Duration) {
 	if !q.awaitingBalance {
 		return
 	}
@@ -269,58 +285,58 @@
 	}
 	q.awaitingBalance = false
 	q.refill(at)
-	q.balance = max(q.balance, min(q.lowestReportedBalance, q.burstUnits*q.share))
+	q.balance = max(q.balance, min(q.lowestReportedBalance, q.burstUnits*q.Share))
 }
 
-// quotaShares are the shares of all quotas, from 0 to 1, that an instance and others may use.
-type quotaShares struct {
-	// share is the share that this instance and those that report to it may use together.
-	share float64
-	// groupFairShare is the equal share of this instance's group (the instances that report every change to each
+// Shares are the shares of all quotas, from 0 to 1, that an instance and others may use.
+type Shares struct {
+	// Share is the share that this instance and those that report to it may use together.
+	Share float64
+	// GroupFairShare is the equal share of this instance's group (the instances that report every change to each
 	// other). It is 1 if all instances form one group. A group may use a few times its share, which limits what a large
 	// fleet grants before its groups have received each other's reports.
-	groupFairShare float64
-	// memberShare is the equal share of each member of the group in what the group may use.
-	memberShare float64
+	GroupFairShare float64
+	// MemberShare is the equal share of each member of the group in what the group may use.
+	MemberShare float64
 }
 
-// setShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their own buckets of the
+// SetShares sets the shares. If the share shrinks, the instances that are no longer in contact keep their own buckets of the
 // round, and what the group has used since its start comes from those of the others.
-func (q *quota) setShares(s quotaShares, at time.Duration) {
+func (q *Quota) SetShares(s Shares, at time.Duration) {
 	q.refill(at)
-	if s.share < 1 || q.share < 1 {
+	if s.Share < 1 || q.Share < 1 {
 		q.completeSince = at
 	}
-	if s.share < q.share {
+	if s.Share < q.Share {
 		groupUse := q.groupUsed - q.round.groupUsedBefore
-		q.balance = min(q.balance, (q.round.memberBalance+q.round.ownUse)/s.memberShare-groupUse)
+		q.balance = min(q.balance, (q.round.memberBalance+q.round.ownUse)/s.MemberShare-groupUse)
 	}
-	q.quotaShares = s
+	q.Shares = s
 }
 
 // currentGroupShare returns the share of the quota that the group may currently use. It is a multiple of the group's
 // fair share, and a smaller one for a while after a refusal, because all groups would use what is left at the same
 // time.
-func (q *quota) currentGroupShare(at time.Duration) float64 {
+func (q *Quota) currentGroupShare(at time.Duration) float64 {
 	if at < q.scarceUntil {
-		return min(q.groupFairShare*scarceShareFactor, 1)
+		return min(q.GroupFairShare*scarceShareFactor, 1)
 	}
-	return min(q.groupFairShare*groupShareFactor, 1)
+	return min(q.GroupFairShare*groupShareFactor, 1)
 }
 
-// removePeerUse removes an instance that no longer reports. What it uses in the meantime comes from its own share of the
+// RemovePeer removes an instance that no longer reports. What it uses in the meantime comes from its own share of the
 // quota.
-func (q *quota) removePeerUse(peer string) { delete(q.peers, peer) }
+func (q *Quota) RemovePeer(peer string) { delete(q.peers, peer) }
 
-// waitFor returns the time until the units are available if no other requests use any. It is the retry delay of a
+// WaitFor returns the time until the units are available if no other requests use any. It is the retry delay of a
 // request that is refused because of its quota. In a large fleet the group's share must be refilled too.
-func (q *quota) waitFor(units float64, at time.Duration) time.Duration {
+func (q *Quota) WaitFor(units float64, at time.Duration) time.Duration {
 	wait := refillTime(units-q.balance, q.unitsPerSecond)
 	if q.exceedsRound(units, at) {
-		refilled := refillTime(units-q.roundAllowance(at), q.unitsPerSecond*q.share*q.memberShare)
+		refilled := refillTime(units-q.roundAllowance(at), q.unitsPerSecond*q.Share*q.MemberShare)
 		wait = max(wait, min(max(refilled, roundRetryDelay), maxRoundLength))
 	}
-	if q.groupFairShare < 1 {
+	if q.GroupFairShare < 1 {
 		wait = max(wait, refillTime(-q.groupBalance, q.unitsPerSecond*q.currentGroupShare(at)))
 	}
 	return wait
--- a/internal/services/wigeondispatch/quota_round.go
+++ b/internal/services/wigeonquota/round.go
@@ -1,4 +1,4 @@
-package wigeondispatch
+package wigeonquota
 
 import "time"
 
@@ -25,22 +25,22 @@
 	groupUsedBefore float64
 }
 
-// startRound starts a new round, because all members of the group have reported since the latest one began. The other
+// StartRound starts a new round, because all members of the group have reported since the latest one began. The other
 // members are assumed to have used as much as this instance in the round before, without being able to report it.
-func (q *quota) startRound(at time.Duration) {
+func (q *Quota) StartRound(at time.Duration) {
 	q.refill(at)
 	if q.balance < q.burstUnits*topUpBalanceShare {
 		q.topUp(at)
 	}
-	unreported := max(q.round.ownUse, 0) * (1/q.memberShare - 1)
-	part := q.memberShare * max(q.balance-unreported, 0)
+	unreported := max(q.round.ownUse, 0) * (1/q.MemberShare - 1)
+	part := q.MemberShare * max(q.balance-unreported, 0)
 	q.round = quotaRound{
-		startedAt: at, memberBalance: part, advance: part + q.memberShare*q.reserveUnits, groupUsedBefore: q.groupUsed,
+		startedAt: at, memberBalance: part, advance: part + q.MemberShare*q.reserveUnits, groupUsedBefore: q.groupUsed,
 	}
 }
 
 // roundAllowance returns the units that this instance may use in the current round.
-func (q *quota) roundAllowance(at time.Duration) float64 {
+func (q *Quota) roundAllowance(at time.Duration) float64 {
 	if at-q.round.startedAt >= maxRoundLength {
 		return q.round.memberBalance
 	}
@@ -49,8 +49,8 @@
 
 // exceedsRound reports whether the use of units exceeds what this instance may use in the current round. The first request
 // of a round never does, whatever its size.
-func (q *quota) exceedsRound(units float64, at time.Duration) bool {
-	if q.memberShare >= 1 || q.round.ownUse <= 0 {
+func (q *Quota) exceedsRound(units float64, at time.Duration) bool {
+	if q.MemberShare >= 1 || q.round.ownUse <= 0 {
 		return false
 	}
 	return units > q.roundAllowance(at)
--- a/internal/services/wigeondispatch/quotaround_test.go
+++ b/internal/services/wigeonquota/round_test.go
@@ -1,4 +1,4 @@
-package wigeondispatch
+package wigeonquota
 
 import (
 	"testing"
@@ -10,18 +10,18 @@
 
 // fullQuota returns a quota with a full bucket of 400 units, refilled by 100 units a second, at the start of a round of four
 // members that report to each other.
-func fullQuota() *quota {
-	q := newQuota(quotaLimit{unitsPerSecond: 100, burstUnits: 400, reserveUnits: 40}, 0)
-	q.setShares(quotaShares{share: 1, groupFairShare: 1, memberShare: 0.25}, 0)
+func fullQuota() *Quota {
+	q := New(Limit{unitsPerSecond: 100, burstUnits: 400, reserveUnits: 40}, 0)
+	q.SetShares(Shares{Share: 1, GroupFairShare: 1, MemberShare: 0.25}, 0)
 	q.balance = 400
-	q.startRound(0)
+	q.StartRound(0)
 	return q
 }
 
 // consumeAll uses as many single units as the quota allows and returns their number.
-func consumeAll(q *quota, at time.Duration) int {
+func consumeAll(q *Quota, at time.Duration) int {
 	n := 0
-	for q.tryConsume(1, at) {
+	for q.TryConsume(1, at) {
 		n++
 	}
 	return n
@@ -48,56 +48,56 @@
 
 	It("assumes that the others used as much in the round before without reporting it", func() {
 		q := fullQuota()
-		Expect(q.tryConsume(40, 0)).To(BeTrue())
-		q.startRound(0)
+		Expect(q.TryConsume(40, 0)).To(BeTrue())
+		q.StartRound(0)
 		Expect(q.round.memberBalance).To(BeNumerically("~", (400-40-3*40)/4, 0.01))
 	})
 
 	It("allows the first request of a round whatever its size", func() {
 		q := fullQuota()
-		Expect(q.tryConsume(300, maxRoundLength)).To(BeTrue())
-		Expect(q.tryConsume(1, maxRoundLength)).To(BeFalse())
+		Expect(q.TryConsume(300, maxRoundLength)).To(BeTrue())
+		Expect(q.TryConsume(1, maxRoundLength)).To(BeFalse())
 	})
 
 	It("leaves a lost member its bucket and takes from the others what the group has used", func() {
 		q := fullQuota()
-		q.handlePeerReport("b", 0, 0, true)
-		q.handlePeerReport("b", 50, 0, true)
-		Expect(q.tryConsume(10, 0)).To(BeTrue())
-		q.setShares(quotaShares{share: 0.75, groupFairShare: 1, memberShare: 1. / 3}, 0)
+		q.HandlePeerReport("b", 0, 0, true)
+		q.HandlePeerReport("b", 50, 0, true)
+		Expect(q.TryConsume(10, 0)).To(BeTrue())
+		q.SetShares(Shares{Share: 0.75, GroupFairShare: 1, MemberShare: 1. / 3}, 0)
 		Expect(q.balance).To(BeNumerically("~", 3*100-60, 0.01))
 	})
 
 	It("gives back the units of a request that didn't run", func() {
 		q := fullQuota()
-		Expect(q.tryConsume(100, maxRoundLength)).To(BeTrue())
-		q.refund(100, maxRoundLength)
+		Expect(q.TryConsume(100, maxRoundLength)).To(BeTrue())
+		q.Refund(100, maxRoundLength)
 		Expect(q.roundAllowance(maxRoundLength)).To(BeNumerically("~", 100, 0.01))
 	})
 
 	It("tells when the own bucket is refilled, at most the length of a round later", func() {
 		q := fullQuota()
 		consumeAll(q, maxRoundLength)
-		Expect(q.waitFor(1, maxRoundLength)).To(Equal(roundRetryDelay))
-		Expect(q.waitFor(10, maxRoundLength)).To(Equal(400 * time.Millisecond))
-		Expect(q.waitFor(100, maxRoundLength)).To(Equal(maxRoundLength))
+		Expect(q.WaitFor(1, maxRoundLength)).To(Equal(roundRetryDelay))
+		Expect(q.WaitFor(10, maxRoundLength)).To(Equal(400 * time.Millisecond))
+		Expect(q.WaitFor(100, maxRoundLength)).To(Equal(maxRoundLength))
 	})
 })
 
 // BenchmarkQuotaRounds starts a round of the quotas of 48,000 organisations, each with the use of seven other members.
 func BenchmarkQuotaRounds(b *testing.B) {
-	quotas := make([]*quota, 48_000)
+	quotas := make([]*Quota, 48_000)
 	for i := range quotas {
 		quotas[i] = fullQuota()
 		for _, peer := range []string{"b", "c", "d", "e", "f", "g", "h"} {
-			quotas[i].handlePeerReport(peer, 0, 0, true)
+			quotas[i].HandlePeerReport(peer, 0, 0, true)
 		}
 	}
 	at := time.Duration(0)
 	for b.Loop() {
 		at += maxRoundLength
 		for _, q := range quotas {
-			q.startRound(at)
+			q.StartRound(at)
 		}
 	}
 }
--- a/internal/services/wigeondispatch/quota_window.go
+++ b/internal/services/wigeonquota/window.go
@@ -1,4 +1,4 @@
-package wigeondispatch
+package wigeonquota
 
 import "time"
 
@@ -81,7 +81,7 @@
 }
 
 // recordUse subtracts units that this or another instance has used from the balance, and counts them in the window.
-func (q *quota) recordUse(units float64, at time.Duration) {
+func (q *Quota) recordUse(units float64, at time.Duration) {
 	q.balance -= units
 	q.usage.add(units, at)
 }
@@ -89,10 +89,10 @@
 // topUp adds to the balance what the organisation's limit allows in a window beyond the balance and its refill: after a burst,
 // the rate alone would grant less than the limit for as long as the organisation asks for more than the rate. It spreads
 // this over topUpTime. It adds nothing before the use of all instances has been known for a whole window.
-func (q *quota) topUp(at time.Duration) {
+func (q *Quota) topUp(at time.Duration) {
 	elapsed := at - q.toppedUpAt
 	q.toppedUpAt = at
-	if q.usage.slotLength == 0 || q.share < 1 || at-q.completeSince < q.window {
+	if q.usage.slotLength == 0 || q.Share < 1 || at-q.completeSince < q.window {
 		return
 	}
 	headroom := q.usage.headroom(q.windowUnits, q.balance, q.unitsPerSecond, at)
--- a/internal/services/wigeondispatch/quota_window_test.go
+++ b/internal/services/wigeonquota/window_test.go
@@ -1,4 +1,4 @@
-package wigeondispatch
+package wigeonquota
 
 import (
 	"fmt"
@@ -19,8 +19,8 @@
 		windowLimit  = rate*8 + burst
 		allowedUnits = windowLimit*1.1 + 110_000
 	)
-	settings := Settings{QuotaOverage: 0.1, QuotaSlack: 110_000, QuotaWindow: window}
-	limit := settings.limitOf(wigeonshift.RoutedOrganisation{UnitsPerSecond: rate, Burst: burst, CountsTokens: true})
+	tolerance := Tolerance{Overage: 0.1, Slack: 110_000, Window: window}
+	limit := tolerance.LimitOf(wigeonshift.RoutedOrganisation{UnitsPerSecond: rate, Burst: burst, CountsTokens: true})
 
 	It("grants most of what the limit of a window holds, without a window beyond the tolerance", func() {
 		for seed := range uint64(5) {
@@ -50,10 +50,10 @@
 	})
 
 	It("adds nothing until the use of all instances has been known for a window", func() {
-		q := newQuota(limit, 0)
-		q.setShares(quotaShares{share: 0.5, groupFairShare: 1, memberShare: 0.5}, 0)
+		q := New(limit, 0)
+		q.SetShares(Shares{Share: 0.5, GroupFairShare: 1, MemberShare: 0.5}, 0)
 		q.refill(20 * time.Second)
-		q.setShares(quotaShares{share: 1, groupFairShare: 1, memberShare: 0.5}, 20*time.Second)
+		q.SetShares(Shares{Share: 1, GroupFairShare: 1, MemberShare: 0.5}, 20*time.Second)
 		q.balance = 0
 		q.topUp(21 * time.Second)
 		q.topUp(27 * time.Second)
