Bound what other groups send to an endpoint between reports

All other groups together now get what the reports leave free of three quarters of the slots, each group its part. The spec (48 instances, six groups) counts 30 requests to one idle endpoint before, at most 6 after.

--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -276,7 +276,7 @@
 	bestScore := uint64(0)
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
-		if !e.otherGroup || e.loadShare() >= otherGroupMaxLoadShare || !s.canAccept(e, j, 0) {
+		if !e.otherGroup || !s.mayLend(e) || !s.canAccept(e, j, 0) {
 			continue
 		}
 		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
--- a/internal/services/wigeondispatch/shared_test.go
+++ b/internal/services/wigeondispatch/shared_test.go
@@ -188,3 +188,58 @@
 	}
 	return out
 }
+
+// All groups see the same reports of an endpoint that was idle two seconds ago. In a burst each of them took it for free, and
+// endpoints had nearly twice as many requests as slots.
+var _ = Describe("An endpoint of another group", func() {
+	const slots, groups = 8, 6
+
+	It("gets no more from all other groups together than was free by the latest reports", func() {
+		var all []wigeonshift.Instance
+		for i := range groups * groupSize {
+			all = append(all, wigeonshift.Instance{ID: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("10.0.0.%d", i), Zone: "z"})
+		}
+		var records []wigeonshift.EndpointRecord
+		for i := range minEndpointsPerGroup * groups {
+			records = append(records, wigeonshift.EndpointRecord{ID: fmt.Sprintf("e%d", i), Service: "model", Slots: slots, Zone: "z"})
+		}
+		g := NewGroups(all)
+		owners := g.assignEndpoints(records)
+		idle := records[0].ID
+		states := map[string]*State{}
+		for _, i := range all {
+			x := New(Settings{Instance: i.ID, Zone: "z", RetryWindow: 10 * time.Second})
+			x.Reduce(InstancesListed{Instances: all})
+			x.Reduce(EndpointsListed{Records: records})
+			// The owners of all other endpoints use all slots.
+			load := wigeonshift.LoadNotice{}
+			for _, r := range records[1:] {
+				load.Endpoints = append(load.Endpoints, wigeonshift.EndpointLoad{Endpoint: r.ID, Running: slots + maxEndpointQueue})
+			}
+			x.Reduce(PeerReported{At: time.Second, Peer: "owner", Load: load})
+			states[i.ID] = x
+		}
+		sent := 0
+		for n, i := range all {
+			if g.groupByInstance[i.ID] == owners[idle] {
+				continue
+			}
+			for _, effect := range states[i.ID].Reduce(RequestArrived{At: time.Second, Job: &Job{
+				ID: JobID(n + 1), Service: "model", Route: "r", Arrived: time.Second, Deadline: time.Minute, CallerPatience: time.Minute,
+				MaxAttempts: 1, HasTokens: true, PromptTokens: 100, AnswerTokens: 10, ExpectedAnswerTokens: 10,
+			}}) {
+				if d, ok := effect.(Dispatch); ok {
+					Expect(d.EndpointID).To(Equal(idle))
+					sent++
+				}
+			}
+			for _, k := range all {
+				if k.ID != i.ID && g.SameGroup(k.ID, i.ID) {
+					states[k.ID].Reduce(PeerReported{At: time.Second, Peer: i.ID, Load: states[i.ID].Load()})
+				}
+			}
+		}
+		Expect(sent).To(BeNumerically("<=", int(otherGroupMaxLoadShare*slots)))
+		Expect(sent).To(BeNumerically(">=", int(otherGroupMaxLoadShare*slots)-1), "unused slots stay usable")
+	})
+})
