Revert "Keep long prompts from pausing the streams beside them" for now

A prompt that exceeds the pause by itself gains nothing by waiting, and the cost of all streams outweighs the speed of an endpoint.

--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -27,7 +27,6 @@
 	}
 	p := s.pool(j.Service)
 	p.recordCost(j)
-	p.recordGapTarget(j)
 	if len(p.endpoints) == 0 {
 		s.refuse(j, ReasonNoEndpoint, noEndpointRetryAfter)
 		return
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -37,8 +37,6 @@
 	Deadline time.Duration
 	// LatencyObjective is the latency objective for the first event of a stream, or for a plain answer.
 	LatencyObjective time.Duration
-	// EventGapTarget is the target for the longest pause between two events of a stream; zero if there is none.
-	EventGapTarget time.Duration
 	// Elapsed is the time that the caller had already spent on earlier tries before the request arrived here.
 	Elapsed time.Duration
 	// CallerPatience is the time after which the caller disconnects if it has received nothing.
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -30,9 +30,6 @@
 	meanSlotTime time.Duration
 	// meanSizes holds the mean size of the requests of each route, in prompt tokens.
 	meanSizes map[string]float64
-	// gapTargets holds the targets for pauses of the routes that have one, and gapTarget the tightest; zero if there is none.
-	gapTargets map[string]time.Duration
-	gapTarget  time.Duration
 	// meanCost is the mean cost of all requests.
 	meanCost time.Duration
 	// cachedTimings is the mean of the endpoints' timings. It is valid only while cachedTimingsValid is set.
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -155,8 +155,6 @@
 	maps.DeleteFunc(s.quotas, func(name string, _ *wigeonquota.Quota) bool { return !organisations[name] })
 	for _, p := range s.pools {
 		maps.DeleteFunc(p.meanSizes, func(route string, _ float64) bool { return !routes[route] })
-		maps.DeleteFunc(p.gapTargets, func(route string, _ time.Duration) bool { return !routes[route] })
-		p.updateGapTarget()
 	}
 	for i := range c.Services {
 		s.pool(c.Services[i].Name).profile = c.Services[i].Engine
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -138,7 +138,6 @@
 		Arrived:              now,
 		Deadline:             now + timeout,
 		LatencyObjective:     r.LatencyObjective,
-		EventGapTarget:       r.EventGapTarget,
 		CallerPatience:       patience(r, timeout),
 		MaxAttempts:          r.MaxAttempts,
 		HasTokens:            h.HasTokens,
