--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -16,6 +16,7 @@
 	"wigeonshift/internal/modules/wigeonsession"
 	"wigeonshift/internal/modules/wigeonsetting"
 	"wigeonshift/internal/modules/wigeonsocket"
+	"wigeonshift/internal/modules/wigeonstorecall"
 	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonfollow"
@@ -278,6 +279,7 @@
 
 // writeCrashRows changes rows of the quarantine table.
 func (g *Gateway) writeCrashRows(ctx context.Context, writes []wigeonshift.Write) error {
+	wigeonstorecall.Count(g.metrics.Scope(), wigeonshift.TableQuarantine, wigeonstorecall.Write)
 	_, err := g.platform.Store.Commit(ctx, wigeonshift.TableQuarantine, wigeonshift.Transaction{Writes: writes})
 	return err
 }
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -7,6 +7,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
+	"wigeonshift/internal/modules/wigeonstorecall"
 )
 
 const (
@@ -205,6 +206,7 @@
 func (g *Gateway) register(ctx context.Context, row wigeonshift.Transaction) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		wigeonstorecall.Count(g.metrics.Scope(), wigeonshift.TableInstances, wigeonstorecall.Write)
 		_, err := g.platform.Store.Commit(callCtx, wigeonshift.TableInstances, row)
 		cancel()
 		if err == nil {
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -72,6 +72,11 @@
 		delete(s.rows[table], key)
 	}
 	s.changes[table] = append(s.changes[table], r)
+	s.wake()
+}
+
+// wake makes held polls look at the store again. The caller must hold mu.
+func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -91,8 +96,7 @@
 func (s *fakeStore) restore(revision uint64) {
 	s.update(func(s *fakeStore) {
 		s.down = true
-		close(s.changed)
-		s.changed = make(chan struct{})
+		s.wake()
 	})
 	advance(200 * time.Millisecond)
 	s.update(func(s *fakeStore) {
@@ -130,7 +134,7 @@
 	if s.down {
 		return wigeonshift.TablePage{}, wigeonshift.ErrUnavailable
 	}
-	page := wigeonshift.TablePage{Revision: s.revision, Era: s.era}
+	page := wigeonshift.TablePage{Revision: s.revision, Era: s.era, NowMillis: s.nowMillis()}
 	for _, r := range s.rows[table] {
 		page.Rows = append(page.Rows, r)
 	}
@@ -189,7 +193,22 @@
 
 func (s *fakeStore) Reconnect() { s.update(func(s *fakeStore) { s.reconnects++ }) }
 
-func (s *fakeStore) Commit(context.Context, wigeonshift.RoutingTable, wigeonshift.Transaction) (uint64, error) {
+func (s *fakeStore) Commit(_ context.Context, table wigeonshift.RoutingTable, tx wigeonshift.Transaction) (uint64, error) {
+	s.mu.Lock()
+	down, met := s.down, true
+	for _, c := range tx.Conditions {
+		met = met && s.rows[table][c.Key].Revision == c.Revision
+	}
+	s.mu.Unlock()
+	if down {
+		return 0, wigeonshift.ErrUnavailable
+	}
+	if !met {
+		return 0, wigeonshift.ErrConditionFailed
+	}
+	for _, w := range tx.Writes {
+		s.put(table, w.Key, string(w.Value))
+	}
 	return 0, nil
 }
 
@@ -245,6 +264,13 @@
 }
 
 func startFollower(s *fakeStore, instance string) *testFollower {
+	return startFollowerOf(s, instance, func(int) {})
+}
+
+// startFollowerOf starts a follower that reports the number of listed instances.
+func startFollowerOf(
+	s wigeonshift.RoutingStore, instance string, countInstances func(int), opts ...wigeonfollow.Option,
+) *testFollower {
 	f := &testFollower{}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
@@ -260,8 +286,8 @@
 			defer f.mu.Unlock()
 			f.endpoints = records
 		},
-		Instances: func([]wigeonshift.Instance) {},
-	}, log, wigeonfollow.WithInstance(instance))
+		Instances: func(listed []wigeonshift.Instance) { countInstances(len(listed)) },
+	}, log, append(opts, wigeonfollow.WithInstance(instance))...)
 	f.Start(context.Background())
 	return f
 }
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -9,6 +9,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
+	"wigeonshift/internal/modules/wigeonstorecall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -47,9 +48,10 @@
 type follower struct {
 	store   wigeonshift.RoutingStore
 	table   wigeonshift.RoutingTable
-	name    string
 	handler rowHandler
 	log     logrus.FieldLogger
+	// scope counts the calls by table and reason.
+	scope tally.Scope
 	// answerAge is the time between the latest two answers of the store.
 	answerAge tally.Gauge
 	// nextWait returns how long the store holds the next poll without changes.
@@ -75,8 +77,10 @@
 	knownRevision, newestRowRevision atomic.Uint64
 	// pollImmediately makes the next poll return without waiting for changes.
 	pollImmediately bool
-	failing         bool
-	failureCount    int
+	// changed is set if the latest poll returned changes.
+	changed      bool
+	failing      bool
+	failureCount int
 	// answeredAt is the time of the latest answer of the store, or of the start.
 	answeredAt time.Time
 }
@@ -103,14 +107,14 @@
 		}
 		if errors.Is(err, errRepoll) {
 			f.log.WithFields(logrus.Fields{
-				"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+				"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
 			}).Info("polling the store again")
 			f.pollImmediately = true
 			f.store.Reconnect()
 			continue
 		}
 		if errors.Is(err, wigeonshift.ErrHistoryLost) || errors.Is(err, errStoreRestored) {
-			f.log.WithField("table", f.name).WithError(err).Warn("listing the whole table again")
+			f.log.WithField("table", f.table).WithError(err).Warn("listing the whole table again")
 			f.listed = false
 			wigeonclock.Sleep(ctx, relistDelay)
 			continue
@@ -137,6 +141,22 @@
 	return wait, wait + responseTimeout
 }
 
+// callReason returns why the next call is made.
+func (f *follower) callReason() wigeonstorecall.Reason {
+	switch {
+	case f.failing:
+		return wigeonstorecall.Retry
+	case !f.listed:
+		return wigeonstorecall.List
+	case f.pollImmediately:
+		return wigeonstorecall.Repoll
+	case f.changed:
+		return wigeonstorecall.Change
+	default:
+		return wigeonstorecall.Watch
+	}
+}
+
 // requestRepoll cancels the running poll, if there is one, and makes the follower poll again. It drops the request if
 // one is already pending, because one new poll serves both.
 func (f *follower) requestRepoll() {
@@ -150,6 +170,7 @@
 // pauses for batchDelay, so that the next poll returns further changes as one batch.
 func (f *follower) callStore(ctx context.Context) error {
 	wait, timeout := f.pollTiming()
+	wigeonstorecall.Count(f.scope, f.table, f.callReason())
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !f.listed {
@@ -171,10 +192,11 @@
 	repeated := f.failing || f.pollImmediately
 	f.recordSuccess()
 	f.recordRevisions(page)
+	f.changed = len(page.Rows) > 0
 	if repeated && len(page.Rows) > 0 {
 		f.onMissed()
 	}
-	if len(page.Rows) > 0 {
+	if f.changed {
 		f.handler.applyChanges(page.Rows)
 		wigeonclock.Sleep(ctx, f.batchDelay())
 	}
@@ -185,7 +207,7 @@
 // after a return from an older copy the store's revisions are lower than before.
 func (f *follower) applyListing(page wigeonshift.TablePage) {
 	if f.everListed && page.Era != f.era {
-		f.log.WithFields(logrus.Fields{"table": f.name, "era": page.Era, "before": f.era}).
+		f.log.WithFields(logrus.Fields{"table": f.table, "era": page.Era, "before": f.era}).
 			Warn("store has returned from an older copy")
 		f.newestRowRevision.Store(0)
 		f.handler.handleStoreRestored()
@@ -268,7 +290,7 @@
 	if f.failing {
 		f.failing = false
 		f.handler.handleStoreRecovery()
-		f.log.WithFields(logrus.Fields{"table": f.name, "failures": f.failureCount}).Info("store is reachable again")
+		f.log.WithFields(logrus.Fields{"table": f.table, "failures": f.failureCount}).Info("store is reachable again")
 	}
 	f.failureCount = 0
 }
@@ -282,7 +304,7 @@
 		f.handler.handleStoreFailure()
 		f.onFailure()
 		f.log.WithError(err).WithFields(logrus.Fields{
-			"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+			"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
 		}).Warn("store is unreachable")
 	}
 }
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -96,15 +96,15 @@
 		instances: map[string]wigeonshift.Instance{},
 	}
 	s.configurationFollower = &follower{
-		table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.schedule.turnWait,
+		table: wigeonshift.TableConfiguration, handler: s.configuration, nextWait: s.schedule.turnWait,
 		batchDelay: func() time.Duration { return 0 },
 	}
 	s.endpointsFollower = &follower{
-		table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.schedule.guardedWait,
+		table: wigeonshift.TableEndpoints, handler: s.endpoints, nextWait: s.schedule.guardedWait,
 		batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
 	}
 	s.quarantineFollower = &follower{
-		table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
+		table: wigeonshift.TableQuarantine, handler: rowTable{sinks.Quarantine},
 		nextWait:   s.schedule.longWait,
 		batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
 	}
@@ -112,19 +112,19 @@
 		s.configurationFollower,
 		s.endpointsFollower,
 		{
-			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
+			table: wigeonshift.TableInstances, handler: s.instances,
 			nextWait:   s.schedule.longWait,
 			batchDelay: func() time.Duration { return instancesBatchDelay },
 		},
 		s.quarantineFollower,
 	}
 	for _, f := range s.followers {
-		f.store, f.log, f.schedule = store, log, s.schedule
+		f.store, f.log, f.schedule, f.scope = store, log, s.schedule, s.scope
 		f.onMissed = sinks.Missed
 		if f.onMissed == nil {
 			f.onMissed = func() {}
 		}
-		f.answerAge = s.scope.Tagged(map[string]string{"table": f.name}).Gauge("storeAnswerAge")
+		f.answerAge = s.scope.Tagged(map[string]string{"table": f.table.String()}).Gauge("storeAnswerAge")
 		f.repollRequests = make(chan struct{}, 1)
 		f.onFailure = s.repollAll
 	}
--- a/internal/services/wigeonshare/renew.go
+++ b/internal/services/wigeonshare/renew.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonstorecall"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -54,6 +55,7 @@
 // readLedger lists the ledger. It returns the ledger with its revision, and a renewal at the time of the store's answer.
 func (s *Service) readLedger(ctx context.Context) (Ledger, uint64, renewal, error) {
 	askedAt := s.settings.Clock()
+	wigeonstorecall.Count(s.scope, wigeonshift.TableShares, wigeonstorecall.List)
 	page, err := s.store.List(ctx, wigeonshift.TableShares)
 	if err != nil {
 		return Ledger{}, 0, renewal{}, err
@@ -116,6 +118,7 @@
 	if err != nil {
 		return oops.In("share").Wrap(err)
 	}
+	wigeonstorecall.Count(s.scope, wigeonshift.TableShares, wigeonstorecall.Write)
 	era, err := s.store.Commit(ctx, wigeonshift.TableShares, wigeonshift.Transaction{
 		Conditions: []wigeonshift.Condition{{Key: ledgerKey, Revision: revision}},
 		Writes:     []wigeonshift.Write{{Key: ledgerKey, Value: value}},
--- a/routing.go
+++ b/routing.go
@@ -177,6 +177,12 @@
 	TableShares
 )
 
+// routingTableNames are the names of tables in logs and metrics.
+var routingTableNames = [...]string{"configuration", "endpoints", "instances", "quarantine", "shares"}
+
+// String returns the name of the table in logs and metrics.
+func (t RoutingTable) String() string { return routingTableNames[t] }
+
 // RoutingCodec decodes rows of the routing store.
 type RoutingCodec interface {
 	// Configuration decodes a configuration row; ok is false for rows with other content.
