Resume all tables with the probe's answer, and space the probe's calls in fleets of several groups

After an outage each table made a call that isn't held to find the store back, and another one that is. Now an answer to the probe ends the outage for all tables of the instance, which poll as usual on new connections. Beyond 12 instances the probe calls each 0.5 to 0.75 s from its second delay on (0.25 to 0.75 s before), and the other tables begin after it.

--- a/internal/services/wigeonfollow/calls_test.go
+++ b/internal/services/wigeonfollow/calls_test.go
@@ -293,5 +293,5 @@
 			AddReportEntry(fmt.Sprintf("%d instances, sum", count), sum)
 			g.Expect(sum).To(BeNumerically("<=", wanted))
 		})
-	}, Entry("sixteen instances", 16, 1080), Entry("sixty-four", 64, 4150))
+	}, Entry("sixteen instances", 16, 950), Entry("sixty-four", 64, 3640))
 })
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -22,9 +21,6 @@
 	listTimeout = 2 * time.Second
 	// timeoutStepPerFailure extends the timeout after each failure, so that calls to a slow store succeed eventually.
 	timeoutStepPerFailure = 200 * time.Millisecond
-	// retryBaseDelay and retryMaxDelay bound the backoff after a failed call.
-	retryBaseDelay = 60 * time.Millisecond
-	retryMaxDelay  = 500 * time.Millisecond
 	// relistDelay is the pause before a table is listed again. It bounds the calls to a store that drops its changes at once.
 	relistDelay = 30 * time.Millisecond
 )
@@ -82,7 +78,9 @@
 	// pollImmediately makes the next poll return without waiting for changes.
 	pollImmediately bool
 	// changed is set if the latest poll returned changes.
-	changed      bool
+	changed bool
+	// repeated is set if the next poll takes the place of a failed one.
+	repeated     bool
 	failing      bool
 	failureCount int
 	// answeredAt is the time of the latest answer of the store, or of the start.
@@ -125,7 +123,7 @@
 			continue
 		}
 		f.recordFailure(err)
-		f.waitToRetry(ctx, time.Since(calledAt))
+		f.waitToRetry(ctx, calledAt)
 	}
 }
 
@@ -149,7 +147,7 @@
 // callReason returns why the next call is made.
 func (f *follower) callReason() wigeonstorecall.Reason {
 	switch {
-	case f.failing:
+	case f.failing || f.repeated:
 		return wigeonstorecall.Retry
 	case !f.listed:
 		return wigeonstorecall.List
@@ -194,7 +192,8 @@
 	if page.Era != f.era {
 		return errStoreRestored
 	}
-	repeated := f.failing || f.pollImmediately
+	repeated := f.failing || f.pollImmediately || f.repeated
+	f.repeated = false
 	f.recordSuccess()
 	f.recordRevisions(page)
 	f.changed = len(page.Rows) > 0
@@ -300,8 +299,13 @@
 	f.answerAge.Update(now.Sub(f.answeredAt).Seconds())
 	f.answeredAt = now
 	if f.isProbe() {
-		f.outage.set(false)
+		f.outage.recordAnswer()
 	}
+	f.endFailure()
+}
+
+// endFailure ends the failure state, if there is one, and tells the handler.
+func (f *follower) endFailure() {
 	if f.failing {
 		f.failing = false
 		f.handler.handleStoreRecovery()
@@ -323,9 +327,3 @@
 		}).Warn("store is unreachable")
 	}
 }
-
-// retryDelay returns an exponential backoff with jitter, so that instances don't retry at the same time.
-func (f *follower) retryDelay() time.Duration {
-	delay := min(retryBaseDelay<<min(f.failureCount-1, 6), retryMaxDelay)
-	return delay/2 + rand.N(delay) //nolint:gosec // The jitter needs no cryptographic randomness.
-}
--- a/internal/services/wigeonfollow/outage.go
+++ b/internal/services/wigeonfollow/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,62 +15,114 @@
 	maxRefusalTime = responseTimeout / 2
 	// maxProbeWait is the longest time for which a table waits for the probe, in case the store refuses one table only.
 	maxProbeWait = 5 * time.Second
+	// retryBaseDelay and retryMaxDelay bound the backoff after a failed call, without its jitter of half.
+	retryBaseDelay = 60 * time.Millisecond
+	retryMaxDelay  = 500 * time.Millisecond
+	// largeFleetRetryDelay is the first delay beyond maxSmallFleet, except for the probe, which is to call first.
+	// largeFleetProbeDelay is the shortest delay of the probe there from its second one on. The longest is the same.
+	largeFleetRetryDelay = 240 * time.Millisecond
+	largeFleetProbeDelay = retryMaxDelay
 )
 
 // outage is shared by the followers of an instance. While the store refuses all calls, only one follower, the probe, goes on
 // calling it; the others wait until the probe gets an answer. Other instances aren't asked, because the store may serve them.
 type outage struct {
 	mu sync.Mutex
-	// refusing is set while the store refuses the calls of the probe.
-	refusing bool
-	// ended is closed when refusing is cleared.
-	ended chan struct{}
+	// refusing is set while the store refuses the calls of the probe, failing while they fail for any reason.
+	refusing, failing bool
+	// ended is closed when failing is cleared, endedAt is when that was last.
+	ended   chan struct{}
+	endedAt time.Time
 }
 
 func newOutage() *outage { return &outage{ended: make(chan struct{})} }
 
-// set records whether the store refuses the calls of the probe.
-func (o *outage) set(refusing bool) {
+// recordFailure records a failed call of the probe.
+func (o *outage) recordFailure(refused bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.refusing && !refusing {
-		close(o.ended)
-		o.ended = make(chan struct{})
+	o.failing, o.refusing = true, refused
+}
+
+// recordAnswer records an answer to the probe.
+func (o *outage) recordAnswer() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.failing {
+		return
 	}
-	o.refusing = refusing
+	o.failing, o.refusing, o.endedAt = false, false, time.Now()
+	close(o.ended)
+	o.ended = make(chan struct{})
 }
 
-// state returns whether the store refuses the calls of the probe, and a channel that is closed once it no longer does.
-func (o *outage) state() (refusing bool, ended <-chan struct{}) {
+// isRefusing reports whether the store refuses the calls of the probe.
+func (o *outage) isRefusing() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.refusing, o.ended
+	return o.refusing
+}
+
+// endedSince reports whether the outage has ended since a time, and returns a channel that is closed when one next ends.
+func (o *outage) endedSince(at time.Time) (bool, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.endedAt.After(at), o.ended
 }
 
 // isProbe reports whether this follower goes on calling a store that refuses calls. The table of the configuration has the
 // shortest bound.
 func (f *follower) isProbe() bool { return f.table == wigeonshift.TableConfiguration }
 
-// waitToRetry waits after a failed call that took some time.
-func (f *follower) waitToRetry(ctx context.Context, took time.Duration) {
-	refused := took < maxRefusalTime
+// waitToRetry waits after a failed call that was made at a time.
+func (f *follower) waitToRetry(ctx context.Context, calledAt time.Time) {
 	if f.isProbe() {
-		f.outage.set(refused)
+		f.outage.recordFailure(time.Since(calledAt) < maxRefusalTime)
+		waitUntil(ctx, nil, f.retryDelay())
+		return
+	}
+	answered, ended := f.outage.endedSince(calledAt)
+	answered = answered || waitUntil(ctx, ended, f.retryDelay())
+	if !answered && f.outage.isRefusing() {
+		answered = waitUntil(ctx, ended, maxProbeWait)
 	}
-	_, ended := f.outage.state()
-	waitUntil(ctx, ended, f.retryDelay())
-	if refusing, _ := f.outage.state(); refusing && refused && !f.isProbe() {
-		waitUntil(ctx, ended, maxProbeWait)
+	if answered {
+		f.handleAnsweredProbe()
 	}
 }
 
-// waitUntil waits for a duration, or until a channel is closed or ctx ends.
-func waitUntil(ctx context.Context, ended <-chan struct{}, d time.Duration) {
+// handleAnsweredProbe ends the failure state because the store has answered the probe since this follower's call failed. The next
+// poll goes on a new connection and is held like any other.
+func (f *follower) handleAnsweredProbe() {
+	f.store.Reconnect()
+	f.endFailure()
+	f.pollImmediately, f.repeated = false, true
+}
+
+// waitUntil waits for a duration, or until a channel is closed or ctx ends. It reports whether the channel was closed.
+func waitUntil(ctx context.Context, ended <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-ended:
 	case <-ctx.Done():
+	case <-ended:
+		return true
+	}
+	return false
+}
+
+// retryDelay returns an exponential backoff with jitter, so that instances don't retry at the same time.
+func (f *follower) retryDelay() time.Duration {
+	base := retryBaseDelay
+	large := f.schedule.instanceCount() > maxSmallFleet
+	if large && !f.isProbe() {
+		base = largeFleetRetryDelay
+	}
+	delay := min(base<<min(f.failureCount-1, 6), retryMaxDelay)
+	jittered := delay/2 + rand.N(delay) //nolint:gosec // The jitter needs no cryptographic randomness.
+	if large && f.failureCount > 1 {
+		return max(jittered, largeFleetProbeDelay)
 	}
+	return jittered
 }
--- a/internal/services/wigeonfollow/outage_test.go
+++ b/internal/services/wigeonfollow/outage_test.go
@@ -58,6 +58,19 @@
 		}
 	})
 
+	// Guards against two calls of each table at the store's return, one to find it back and one that is held.
+	It("calls it once for each table but the probe's at its return", func() {
+		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+			f.SetPeersHeard(2)
+			advance(20 * time.Second)
+			s.update(func(s *fakeStore) { s.down = true; s.wake() })
+			advance(3 * time.Second)
+			s.update(func(s *fakeStore) { s.down, s.calls = false, 0 })
+			advance(time.Second)
+			g.Expect(s.calls).To(BeNumerically("<=", 5))
+		})
+	})
+
 	// Guards against tables that wait for the return of another one.
 	DescribeTable("follows the other tables if it refuses one", func(refused wigeonshift.RoutingTable, known time.Duration) {
 		synctest.Test(suiteT, func(t *testing.T) {
