Spread the renewals of leases further in fleets of several groups

After a change of the instances all renewed their lease within 20 ms for each of them, and each renewal that met another one read and wrote the ledger again. Beyond 12 instances the spread after a change and the delay after a conflict are four times as long.

--- a/internal/services/wigeonshare/service.go
+++ b/internal/services/wigeonshare/service.go
@@ -34,6 +34,10 @@
 	changeDelay = 4 * time.Second
 	// spreadPerInstance is the length of the random part of these delays for each instance.
 	spreadPerInstance = 20 * time.Millisecond
+	// maxSmallFleet is the number of instances up to which all form one group. Beyond, the spread after a change and
+	// the delay after a conflict are largeFleetSpread times as long.
+	maxSmallFleet    = 12
+	largeFleetSpread = 4
 	// growDelay is the first delay after a renewal that left the instance with less than its fair share. It doubles up to
 	// renewInterval.
 	growDelay = 5 * time.Second
@@ -153,6 +157,23 @@
 	return randomDelay(time.Duration(s.instanceCount()) * spreadPerInstance)
 }
 
+// conflictDelay returns the longest first delay after a conflict.
+func (s *Service) conflictDelay() time.Duration {
+	if s.instanceCount() > maxSmallFleet {
+		return conflictDelay * largeFleetSpread
+	}
+	return conflictDelay
+}
+
+// changeJitter returns a random delay that spreads the renewals of all instances after a change of these. In a fleet of several
+// groups it is longer, since nearly each renewal met another one there and was repeated.
+func (s *Service) changeJitter() time.Duration {
+	if s.instanceCount() > maxSmallFleet {
+		return s.jitter() * largeFleetSpread
+	}
+	return s.jitter()
+}
+
 // randomDelay returns a random delay up to a longest one.
 func randomDelay(longest time.Duration) time.Duration {
 	return rand.N(longest + 1) //nolint:gosec // The delay needs no cryptographic randomness.
@@ -195,7 +216,7 @@
 		case <-inherited.C:
 			s.publish()
 		case <-s.changed:
-			wigeonclock.Sleep(ctx, changeDelay+s.jitter())
+			wigeonclock.Sleep(ctx, changeDelay+s.changeJitter())
 			return
 		}
 	}
@@ -214,7 +235,7 @@
 		}
 		delay := failureDelay
 		if errors.Is(err, wigeonshift.ErrConditionFailed) {
-			delay = conflictDelay
+			delay = s.conflictDelay()
 		} else {
 			s.recordFailure(err)
 		}
