Lengthen the pauses after a change in fleets of several groups by 0.1 s

A pause of 0.9 s after a new version and of 1.3 s after a change of endpoints leaves 2.1 s and 1.7 s of the bound of 3 s. If connections fall silent at its end, turns find that within 1.4 s.

--- a/internal/services/wigeonfollow/batch.go
+++ b/internal/services/wigeonfollow/batch.go
@@ -14,8 +14,8 @@
 	maxSmallFleet = 12
 	// configurationLargeFleetDelay and endpointsLargeFleetDelay apply beyond maxSmallFleet. A change then is known everywhere
 	// within 3 s, of which the rest is left to find a connection that has fallen silent.
-	configurationLargeFleetDelay = 800 * time.Millisecond
-	endpointsLargeFleetDelay     = 1200 * time.Millisecond
+	configurationLargeFleetDelay = 900 * time.Millisecond
+	endpointsLargeFleetDelay     = 1300 * time.Millisecond
 )
 
 // batchDelay returns the pause after a change. It is longer in a larger fleet, because every instance polls the store
--- a/internal/services/wigeonfollow/batch_test.go
+++ b/internal/services/wigeonfollow/batch_test.go
@@ -32,5 +32,5 @@
 		Entry("three instances", 3, time.Millisecond, 345*time.Millisecond),
 		Entry("nine", 9, time.Millisecond, 435*time.Millisecond),
 		Entry("twelve", 12, time.Millisecond, 480*time.Millisecond),
-		Entry("thirty", 30, 801*time.Millisecond, 1201*time.Millisecond))
+		Entry("thirty", 30, 901*time.Millisecond, 1301*time.Millisecond))
 })
