End an outage for all tables at the first answer to any of them

Now an answer to any table gives up the hanging calls of the others, which go on with held polls on new connections. The backoff goes on if a resumed table fails again. Beyond 12 instances the probe calls each 0.65 to 0.75 s, and the tables of instances and of the quarantine make no call of their own while the store refuses those of the probe.

--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -56,6 +56,8 @@
 	batchDelay func() time.Duration
 	// onFailure is called at the first failed call to the store.
 	onFailure func()
+	// onRecovery is called at the first answer after a failed call.
+	onRecovery func()
 	// onMissed is called if a repeated call finds changes that an earlier one has not delivered.
 	onMissed func()
 	// schedule learns the time on the store's clock.
@@ -81,7 +83,7 @@
 	changed bool
 	// repeated is set if the next poll takes the place of a failed one.
 	repeated     bool
-	failing      bool
+	failing      atomic.Bool
 	failureCount int
 	// answeredAt is the time of the latest answer of the store, or of the start.
 	answeredAt time.Time
@@ -90,6 +92,9 @@
 // errRepoll reports that a poll was cancelled in favour of a new one.
 var errRepoll = errors.New("poll cancelled by a repoll request")
 
+// errRefused reports that a poll was cancelled while the store refuses the calls of the probe.
+var errRefused = errors.New("store refuses calls for another table")
+
 // errStoreRestored reports that the store has returned from an older copy since the table was listed.
 var errStoreRestored = errors.New("store has returned from an older copy")
 
@@ -109,11 +114,7 @@
 			return
 		}
 		if errors.Is(err, errRepoll) {
-			f.log.WithFields(logrus.Fields{
-				"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
-			}).Info("polling the store again")
-			f.pollImmediately = true
-			f.store.Reconnect()
+			f.handleRepoll(ctx, calledAt)
 			continue
 		}
 		if errors.Is(err, wigeonshift.ErrHistoryLost) || errors.Is(err, errStoreRestored) {
@@ -122,16 +123,35 @@
 			wigeonclock.Sleep(ctx, relistDelay)
 			continue
 		}
-		f.recordFailure(err)
+		f.recordFailure(err, time.Since(calledAt) < maxRefusalTime)
 		f.waitToRetry(ctx, calledAt)
 	}
 }
 
+// handleRepoll handles a poll that was made at a time and was cancelled in favour of a new one. Tables that trust the probe aren't
+// polled while the store refuses its calls.
+func (f *follower) handleRepoll(ctx context.Context, calledAt time.Time) {
+	if f.trustsProbe() && f.awaitProbe(ctx) {
+		f.recordFailure(errRefused, true)
+		f.waitToRetry(ctx, time.Now())
+		return
+	}
+	if answered, _ := f.outage.endedSince(calledAt); answered && f.failing.Load() {
+		f.resume()
+		return
+	}
+	f.log.WithFields(logrus.Fields{
+		"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+	}).Info("polling the store again")
+	f.pollImmediately = true
+	f.store.Reconnect()
+}
+
 // pollTiming returns how long the store may hold the next call without changes and the timeout of that call. While the
 // store fails, the wait is zero so that the recovery is noticed soon, and the timeout grows with each failure so that a
 // store that is only slow is reached in the end.
 func (f *follower) pollTiming() (wait, timeout time.Duration) {
-	if f.failing {
+	if f.failing.Load() {
 		return 0, min(responseTimeout+time.Duration(f.failureCount)*timeoutStepPerFailure, listTimeout)
 	}
 	if !f.listed {
@@ -147,7 +167,7 @@
 // callReason returns why the next call is made.
 func (f *follower) callReason() wigeonstorecall.Reason {
 	switch {
-	case f.failing || f.repeated:
+	case f.failing.Load() || f.repeated:
 		return wigeonstorecall.Retry
 	case !f.listed:
 		return wigeonstorecall.List
@@ -192,7 +212,7 @@
 	if page.Era != f.era {
 		return errStoreRestored
 	}
-	repeated := f.failing || f.pollImmediately || f.repeated
+	repeated := f.failing.Load() || f.pollImmediately || f.repeated
 	f.repeated = false
 	f.recordSuccess()
 	f.recordRevisions(page)
@@ -298,29 +318,37 @@
 	now := time.Now()
 	f.answerAge.Update(now.Sub(f.answeredAt).Seconds())
 	f.answeredAt = now
-	if f.isProbe() {
+	recovered := f.failing.Load()
+	f.endFailure()
+	f.failureCount = 0
+	if recovered {
 		f.outage.recordAnswer()
+		f.onRecovery()
 	}
-	f.endFailure()
 }
 
 // endFailure ends the failure state, if there is one, and tells the handler.
 func (f *follower) endFailure() {
-	if f.failing {
-		f.failing = false
+	if f.failing.Load() {
+		f.failing.Store(false)
 		f.handler.handleStoreRecovery()
 		f.log.WithFields(logrus.Fields{"table": f.table, "failures": f.failureCount}).Info("store is reachable again")
 	}
-	f.failureCount = 0
 }
 
 // recordFailure counts a failed call. Only the first one of an outage is logged and passed on to the handler and to
-// onFailure, because these react to the beginning of an outage.
-func (f *follower) recordFailure(err error) {
+// onFailure, because these react to the beginning of an outage. refused is set if the call failed too fast for a silent connection.
+func (f *follower) recordFailure(err error, refused bool) {
 	f.failureCount++
-	if !f.failing {
-		f.failing = true
+	if f.isProbe() {
+		f.outage.recordFailure(refused)
+	}
+	if !f.failing.Load() {
+		f.failing.Store(true)
 		f.handler.handleStoreFailure()
+		if f.failureCount > 1 {
+			return
+		}
 		f.onFailure()
 		f.log.WithError(err).WithFields(logrus.Fields{
 			"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
--- a/internal/services/wigeonfollow/outage.go
+++ b/internal/services/wigeonfollow/outage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonclock"
 )
 
 const (
@@ -21,16 +22,18 @@
 	// largeFleetRetryDelay is the first delay beyond maxSmallFleet, except for the probe, which is to call first.
 	// largeFleetProbeDelay is the shortest delay of the probe there from its second one on. The longest is the same.
 	largeFleetRetryDelay = 240 * time.Millisecond
-	largeFleetProbeDelay = retryMaxDelay
+	largeFleetProbeDelay = 650 * time.Millisecond
+	// probeFirstDelay is longer than the first delay of the probe with its jitter.
+	probeFirstDelay = 100 * time.Millisecond
 )
 
 // outage is shared by the followers of an instance. While the store refuses all calls, only one follower, the probe, goes on
-// calling it; the others wait until the probe gets an answer. Other instances aren't asked, because the store may serve them.
+// calling it; the others wait until one of them gets an answer. Other instances aren't asked, because the store may serve them.
 type outage struct {
 	mu sync.Mutex
-	// refusing is set while the store refuses the calls of the probe, failing while they fail for any reason.
-	refusing, failing bool
-	// ended is closed when failing is cleared, endedAt is when that was last.
+	// refusing is set while the store refuses the calls of the probe.
+	refusing bool
+	// ended is closed when a table whose calls had failed gets an answer; endedAt is when that last was.
 	ended   chan struct{}
 	endedAt time.Time
 }
@@ -41,17 +44,14 @@
 func (o *outage) recordFailure(refused bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.failing, o.refusing = true, refused
+	o.refusing = refused
 }
 
-// recordAnswer records an answer to the probe.
+// recordAnswer records an answer to a follower whose calls had failed.
 func (o *outage) recordAnswer() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.failing {
-		return
-	}
-	o.failing, o.refusing, o.endedAt = false, false, time.Now()
+	o.refusing, o.endedAt = false, time.Now()
 	close(o.ended)
 	o.ended = make(chan struct{})
 }
@@ -74,26 +74,35 @@
 // shortest bound.
 func (f *follower) isProbe() bool { return f.table == wigeonshift.TableConfiguration }
 
-// waitToRetry waits after a failed call that was made at a time.
-func (f *follower) waitToRetry(ctx context.Context, calledAt time.Time) {
-	if f.isProbe() {
-		f.outage.recordFailure(time.Since(calledAt) < maxRefusalTime)
-		waitUntil(ctx, nil, f.retryDelay())
-		return
+// trustsProbe reports whether the probe's refused call shows without a call of its own that the table isn't served either. Endpoints
+// have a bound of their own, so that a store which refuses the configuration only mustn't keep them waiting.
+func (f *follower) trustsProbe() bool {
+	return f.table == wigeonshift.TableInstances || f.table == wigeonshift.TableQuarantine
+}
+
+// awaitProbe reports whether the store refuses the calls of the probe. Beyond maxSmallFleet it first lets the probe call.
+func (f *follower) awaitProbe(ctx context.Context) bool {
+	if f.schedule.instanceCount() > maxSmallFleet {
+		wigeonclock.Sleep(ctx, probeFirstDelay)
 	}
+	return f.outage.isRefusing()
+}
+
+// waitToRetry waits after a failed call that was made at a time. An answer to another table's call ends the wait.
+func (f *follower) waitToRetry(ctx context.Context, calledAt time.Time) {
 	answered, ended := f.outage.endedSince(calledAt)
 	answered = answered || waitUntil(ctx, ended, f.retryDelay())
-	if !answered && f.outage.isRefusing() {
+	if !answered && !f.isProbe() && f.outage.isRefusing() {
 		answered = waitUntil(ctx, ended, maxProbeWait)
 	}
 	if answered {
-		f.handleAnsweredProbe()
+		f.resume()
 	}
 }
 
-// handleAnsweredProbe ends the failure state because the store has answered the probe since this follower's call failed. The next
-// poll goes on a new connection and is held like any other.
-func (f *follower) handleAnsweredProbe() {
+// resume ends the failure state because another table's call was answered since this one's failed. The next poll goes on a new
+// connection and is held like any other. The number of failures stays until it is answered, so that the backoff goes on if not.
+func (f *follower) resume() {
 	f.store.Reconnect()
 	f.endFailure()
 	f.pollImmediately, f.repeated = false, true
@@ -122,7 +131,7 @@
 	delay := min(base<<min(f.failureCount-1, 6), retryMaxDelay)
 	jittered := delay/2 + rand.N(delay) //nolint:gosec // The jitter needs no cryptographic randomness.
 	if large && f.failureCount > 1 {
-		return max(jittered, largeFleetProbeDelay)
+		return largeFleetProbeDelay + rand.N(retryMaxDelay*3/2-largeFleetProbeDelay) //nolint:gosec // As above.
 	}
 	return jittered
 }
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -128,7 +128,7 @@
 		}
 		f.answerAge = s.scope.Tagged(map[string]string{"table": f.table.String()}).Gauge("storeAnswerAge")
 		f.repollRequests = make(chan struct{}, 1)
-		f.onFailure = s.repollAll
+		f.onFailure, f.onRecovery = s.repollAll, s.repollFailing
 	}
 	return s
 }
@@ -162,6 +162,16 @@
 	}
 }
 
+// repollFailing makes the followers poll again whose calls fail, because the store has answered one of them. A call that was made
+// before may get no answer.
+func (s *Service) repollFailing() {
+	for _, f := range s.followers {
+		if f.failing.Load() {
+			f.requestRepoll()
+		}
+	}
+}
+
 // EndpointsRevision returns the highest revision of an endpoint row and the revision up to which all changes are known.
 func (s *Service) EndpointsRevision() (newestRow, known uint64) {
 	f := s.endpointsFollower
