--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -50,6 +50,7 @@
 	s.replacePeerLoads(p, fresh)
 	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
+	s.handlePeerMisplaced(notice.Misplaced)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -101,12 +102,18 @@
 		if e := s.endpoints[id]; e != nil {
 			e.peerLoad = load{e.peerLoad.running - l.running, e.peerLoad.prefill - l.prefill,
 				e.peerLoad.reservedTokens - l.reservedTokens}
+			if p.inGroup {
+				e.groupLoad -= l.running
+			}
 		}
 	}
 	for id, l := range fresh {
 		if e := s.endpoints[id]; e != nil {
 			e.peerLoad = load{e.peerLoad.running + l.running, e.peerLoad.prefill + l.prefill,
 				e.peerLoad.reservedTokens + l.reservedTokens}
+			if p.inGroup {
+				e.groupLoad += l.running
+			}
 		}
 	}
 	p.loads = fresh
@@ -116,7 +123,7 @@
 // endpoint starts without the loads that were reported before.
 func (s *State) recomputePeerLoads() {
 	for _, e := range s.endpoints {
-		e.peerLoad = load{}
+		e.peerLoad, e.groupLoad = load{}, 0
 	}
 	for _, p := range s.peers {
 		loads := p.loads
@@ -213,6 +220,7 @@
 		}
 	}
 	out.Limits = s.limitReports()
+	out.Misplaced = s.misplacedReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonpace"
 )
 
 const (
@@ -32,6 +33,8 @@
 	firstEvent, total time.Duration
 	// cost ranks the endpoints; a request goes to the one with the lowest cost. It is in nanoseconds.
 	cost float64
+	// impact is what the request costs the others on the endpoint. It is part of cost.
+	impact wigeonpace.Impact
 }
 
 // estimate returns the expected times and the cost of running a request on an endpoint with its current load, so that
@@ -46,11 +49,12 @@
 		est.firstEvent = wait + time.Duration(pending)*e.prefill + time.Duration(e.pool.eventTokens())*e.decodeStep
 		decode := time.Duration(j.ExpectedAnswerTokens) * e.decodeStep
 		est.total = est.firstEvent + decode
-		est.cost = float64(est.firstEvent) + decodeCostWeight*float64(decode)
+		est.impact = s.impact(e, j)
+		est.cost = float64(est.firstEvent) + decodeCostWeight*float64(decode) + float64(est.impact.Cost)
 	} else {
 		est.firstEvent = wait + e.plain
 		est.total = est.firstEvent
-		est.cost = float64(est.firstEvent) * (1 + float64(e.running())/float64(e.slots()))
+		est.cost = float64(est.firstEvent) * (1 + e.loadShare())
 	}
 	est.cost += e.failureRate * float64(failureCost)
 	if e.record.Zone != s.settings.Zone {
@@ -67,6 +71,10 @@
 // queueWait returns the expected time that a new request waits in the endpoint's own queue. It is zero if a slot is
 // free; otherwise it is the time until enough of the requests that are ahead have left their slots.
 func (e *endpoint) queueWait() time.Duration {
+	if e.isShared() {
+		// The measured times include the wait for requests of other groups.
+		return 0
+	}
 	ahead := e.running() - e.slots() + 1
 	if ahead <= 0 {
 		return 0
@@ -79,7 +87,7 @@
 // requests must also fit into the engine's memory if its size is known, except that an idle engine accepts a request
 // of any size. Nothing waits at endpoints that name a limit or are brittle.
 func (s *State) canAccept(e *endpoint, j *Job, queueLimit int) bool {
-	if !e.available(s.now) || j.hasFailedOn(e.record.ID) {
+	if !e.available(s.now) || j.hasFailedOn(e.record.ID) || !e.mayTest(j, s.now) {
 		return false
 	}
 	if e.ownLoad.running >= e.rampLimit(s.now) {
@@ -88,10 +96,7 @@
 	if e.isLimited() || e.pool.brittle != nil {
 		queueLimit = 0
 	}
-	if e.running() >= e.slots()+queueLimit {
-		return false
-	}
-	if e.running() >= e.slots() && e.queueWait() > maxEndpointQueueWait {
+	if !e.hasRoom(queueLimit) {
 		return false
 	}
 	p, reserved := e.pool.profile, e.ownLoad.reservedTokens+e.peerLoad.reservedTokens
@@ -101,6 +106,17 @@
 	return s.allowsRequest(e, j)
 }
 
+// hasRoom reports whether an endpoint can get one more request, with up to queueLimit in its own queue.
+func (e *endpoint) hasRoom(queueLimit int) bool {
+	if e.isShared() {
+		return e.groupRunning() < e.allowance+max(queueLimit-maxEndpointQueue, 0)
+	}
+	if e.running() >= e.slots()+queueLimit {
+		return false
+	}
+	return e.running() < e.slots() || e.queueWait() <= maxEndpointQueueWait
+}
+
 // placementRound is the state of one pass over the queued requests of a service.
 type placementRound struct {
 	// freedEndpoint is the endpoint on which a request of this instance has just ended, or nil.
@@ -169,6 +185,9 @@
 		if canMeetDeadline && est.total > j.Deadline-s.now {
 			continue
 		}
+		if s.shouldAwaitPrefill(j, est) {
+			continue
+		}
 		if c.contested && e != round.freedEndpoint && !e.isLimited() && p.brittle == nil && !s.hasPrecedence(e, c.level) {
 			continue
 		}
@@ -245,8 +264,13 @@
 	return false
 }
 
-// loadShare returns the number of requests that run on the endpoint as a share of its slots.
-func (e *endpoint) loadShare() float64 { return float64(e.running()) / float64(e.slots()) }
+// loadShare returns the number of requests that run on the endpoint as a share of its slots, or the group's as a share of its part.
+func (e *endpoint) loadShare() float64 {
+	if e.isShared() {
+		return float64(e.groupRunning()) / float64(max(e.allowance, 1))
+	}
+	return float64(e.running()) / float64(e.slots())
+}
 
 // chooseOtherGroupEndpoint returns an endpoint of another group that was not busy by the latest reports, or nil. Different
 // requests prefer different endpoints. Otherwise many instances would choose the same one, because they all see the same
@@ -259,7 +283,10 @@
 	bestScore := uint64(0)
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
-		if !e.otherGroup || e.loadShare() >= otherGroupMaxLoadShare || !s.canAccept(e, j, 0) {
+		if !e.otherGroup || !s.mayLend(e) || !s.canAccept(e, j, 0) {
+			continue
+		}
+		if s.shouldAwaitPrefill(j, s.estimate(e, j)) {
 			continue
 		}
 		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -19,6 +19,8 @@
 	ownEndpoints []*endpoint
 	// divided is set if the endpoints are divided among the groups of instances.
 	divided bool
+	// shared is set if all groups use the endpoints, each up to its part.
+	shared bool
 	// generation counts the changes of endpoints, from 1.
 	generation uint64
 	queue      queue
@@ -28,6 +30,9 @@
 	meanSlotTime time.Duration
 	// meanSizes holds the mean size of the requests of each route, in prompt tokens.
 	meanSizes map[string]float64
+	// gapTargets holds the targets for pauses of the routes that have one, and gapTarget the tightest; zero if there is none.
+	gapTargets map[string]time.Duration
+	gapTarget  time.Duration
 	// meanCost is the mean cost of all requests.
 	meanCost time.Duration
 	// cachedTimings is the mean of the endpoints' timings. It is valid only while cachedTimingsValid is set.
@@ -107,7 +112,7 @@
 		if !e.available(s.now) {
 			continue
 		}
-		free := max(e.slots()-e.running(), 0)
+		free := e.freeSlots()
 		if e.isLimited() {
 			free = min(free, s.groupTokens(e))
 		}
@@ -128,7 +133,7 @@
 		if !e.available(s.now) {
 			continue
 		}
-		rate := float64(e.slots()) / mean.Seconds()
+		rate := float64(e.concurrency()) / mean.Seconds()
 		if e.isLimited() {
 			rate = min(rate, s.groupRate(e))
 		}
