--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonclock"
+	"wigeonshift/internal/modules/wigeonstorecall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -21,9 +21,6 @@
 	listTimeout = 2 * time.Second
 	// timeoutStepPerFailure extends the timeout after each failure, so that calls to a slow store succeed eventually.
 	timeoutStepPerFailure = 200 * time.Millisecond
-	// retryBaseDelay and retryMaxDelay bound the backoff after a failed call.
-	retryBaseDelay = 60 * time.Millisecond
-	retryMaxDelay  = 500 * time.Millisecond
 	// relistDelay is the pause before a table is listed again. It bounds the calls to a store that drops its changes at once.
 	relistDelay = 30 * time.Millisecond
 )
@@ -47,21 +44,28 @@
 type follower struct {
 	store   wigeonshift.RoutingStore
 	table   wigeonshift.RoutingTable
-	name    string
 	handler rowHandler
 	log     logrus.FieldLogger
+	// scope counts the calls by table and reason.
+	scope tally.Scope
 	// answerAge is the time between the latest two answers of the store.
 	answerAge tally.Gauge
 	// nextWait returns how long the store holds the next poll without changes.
 	nextWait func() time.Duration
+	// firstPollDelay is the pause between the first listing and the first poll.
+	firstPollDelay time.Duration
 	// batchDelay returns the pause after a change, so that the next poll returns further changes as one batch.
 	batchDelay func() time.Duration
 	// onFailure is called at the first failed call to the store.
 	onFailure func()
+	// onRecovery is called at the first answer after a failed call.
+	onRecovery func()
 	// onMissed is called if a repeated call finds changes that an earlier one has not delivered.
 	onMissed func()
 	// schedule learns the time on the store's clock.
 	schedule *schedule
+	// outage is shared by the followers of all tables.
+	outage *outage
 	// repollRequests holds a pending request to cancel the running poll and to poll again.
 	repollRequests chan struct{}
 
@@ -73,10 +77,16 @@
 	// knownRevision is the store revision up to which all changes are known, newestRowRevision the highest revision of
 	// any row.
 	knownRevision, newestRowRevision atomic.Uint64
+	// pausing is set during the pause after a change.
+	pausing atomic.Bool
 	// pollImmediately makes the next poll return without waiting for changes.
 	pollImmediately bool
-	failing         bool
-	failureCount    int
+	// changed is set if the latest poll returned changes.
+	changed bool
+	// repeated is set if the next poll takes the place of a failed one.
+	repeated     bool
+	failing      atomic.Bool
+	failureCount int
 	// answeredAt is the time of the latest answer of the store, or of the start.
 	answeredAt time.Time
 }
@@ -84,6 +94,9 @@
 // errRepoll reports that a poll was cancelled in favour of a new one.
 var errRepoll = errors.New("poll cancelled by a repoll request")
 
+// errRefused reports that a poll was cancelled while the store refuses the calls of the probe.
+var errRefused = errors.New("store refuses calls for another table")
+
 // errStoreRestored reports that the store has returned from an older copy since the table was listed.
 var errStoreRestored = errors.New("store has returned from an older copy")
 
@@ -93,6 +106,7 @@
 func (f *follower) run(ctx context.Context) {
 	f.answeredAt = time.Now()
 	for ctx.Err() == nil {
+		calledAt := time.Now()
 		err := f.callStore(ctx)
 		if err == nil {
 			f.recordSuccess()
@@ -102,29 +116,44 @@
 			return
 		}
 		if errors.Is(err, errRepoll) {
-			f.log.WithFields(logrus.Fields{
-				"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
-			}).Info("polling the store again")
-			f.pollImmediately = true
-			f.store.Reconnect()
+			f.handleRepoll(ctx, calledAt)
 			continue
 		}
 		if errors.Is(err, wigeonshift.ErrHistoryLost) || errors.Is(err, errStoreRestored) {
-			f.log.WithField("table", f.name).WithError(err).Warn("listing the whole table again")
+			f.log.WithField("table", f.table).WithError(err).Warn("listing the whole table again")
 			f.listed = false
 			wigeonclock.Sleep(ctx, relistDelay)
 			continue
 		}
-		f.recordFailure(err)
-		wigeonclock.Sleep(ctx, f.retryDelay())
+		f.recordFailure(err, time.Since(calledAt) < maxRefusalTime)
+		f.waitToRetry(ctx, calledAt)
+	}
+}
+
+// handleRepoll handles a poll that was made at a time and was cancelled in favour of a new one. Tables that trust the probe aren't
+// polled while the store refuses its calls.
+func (f *follower) handleRepoll(ctx context.Context, calledAt time.Time) {
+	if f.trustsProbe() && f.awaitProbe(ctx) {
+		f.recordFailure(errRefused, true)
+		f.waitToRetry(ctx, time.Now())
+		return
+	}
+	if answered, _ := f.outage.endedSince(calledAt); answered && f.failing.Load() {
+		f.resume()
+		return
 	}
+	f.log.WithFields(logrus.Fields{
+		"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+	}).Info("polling the store again")
+	f.pollImmediately = true
+	f.store.Reconnect()
 }
 
 // pollTiming returns how long the store may hold the next call without changes and the timeout of that call. While the
 // store fails, the wait is zero so that the recovery is noticed soon, and the timeout grows with each failure so that a
 // store that is only slow is reached in the end.
 func (f *follower) pollTiming() (wait, timeout time.Duration) {
-	if f.failing {
+	if f.failing.Load() {
 		return 0, min(responseTimeout+time.Duration(f.failureCount)*timeoutStepPerFailure, listTimeout)
 	}
 	if !f.listed {
@@ -137,6 +166,22 @@
 	return wait, wait + responseTimeout
 }
 
+// callReason returns why the next call is made.
+func (f *follower) callReason() wigeonstorecall.Reason {
+	switch {
+	case f.failing.Load() || f.repeated:
+		return wigeonstorecall.Retry
+	case !f.listed:
+		return wigeonstorecall.List
+	case f.pollImmediately:
+		return wigeonstorecall.Repoll
+	case f.changed:
+		return wigeonstorecall.Change
+	default:
+		return wigeonstorecall.Watch
+	}
+}
+
 // requestRepoll cancels the running poll, if there is one, and makes the follower poll again. It drops the request if
 // one is already pending, because one new poll serves both.
 func (f *follower) requestRepoll() {
@@ -150,6 +195,7 @@
 // pauses for batchDelay, so that the next poll returns further changes as one batch.
 func (f *follower) callStore(ctx context.Context) error {
 	wait, timeout := f.pollTiming()
+	wigeonstorecall.Count(f.scope, f.table, f.callReason())
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !f.listed {
@@ -158,7 +204,11 @@
 			return err
 		}
 		f.recordSuccess()
+		first := !f.everListed
 		f.applyListing(page)
+		if first {
+			wigeonclock.Sleep(ctx, f.firstPollDelay)
+		}
 		return nil
 	}
 	page, err := f.poll(callCtx, wait)
@@ -168,24 +218,33 @@
 	if page.Era != f.era {
 		return errStoreRestored
 	}
-	repeated := f.failing || f.pollImmediately
+	repeated := f.failing.Load() || f.pollImmediately || f.repeated
+	f.repeated = false
 	f.recordSuccess()
 	f.recordRevisions(page)
+	f.changed = len(page.Rows) > 0
 	if repeated && len(page.Rows) > 0 {
 		f.onMissed()
 	}
-	if len(page.Rows) > 0 {
+	if f.changed {
 		f.handler.applyChanges(page.Rows)
-		wigeonclock.Sleep(ctx, f.batchDelay())
+		f.pause(ctx)
 	}
 	return nil
 }
 
+// pause waits for further changes after a change.
+func (f *follower) pause(ctx context.Context) {
+	f.pausing.Store(true)
+	wigeonclock.Sleep(ctx, f.batchDelay())
+	f.pausing.Store(false)
+}
+
 // applyListing replaces all rows. The next poll continues from the listing's revision, even if a higher one was known:
 // after a return from an older copy the store's revisions are lower than before.
 func (f *follower) applyListing(page wigeonshift.TablePage) {
 	if f.everListed && page.Era != f.era {
-		f.log.WithFields(logrus.Fields{"table": f.name, "era": page.Era, "before": f.era}).
+		f.log.WithFields(logrus.Fields{"table": f.table, "era": page.Era, "before": f.era}).
 			Warn("store has returned from an older copy")
 		f.newestRowRevision.Store(0)
 		f.handler.handleStoreRestored()
@@ -265,30 +324,40 @@
 	now := time.Now()
 	f.answerAge.Update(now.Sub(f.answeredAt).Seconds())
 	f.answeredAt = now
-	if f.failing {
-		f.failing = false
+	recovered := f.failing.Load()
+	f.endFailure()
+	f.failureCount = 0
+	if recovered {
+		f.outage.recordAnswer()
+		f.onRecovery()
+	}
+}
+
+// endFailure ends the failure state, if there is one, and tells the handler.
+func (f *follower) endFailure() {
+	if f.failing.Load() {
+		f.failing.Store(false)
 		f.handler.handleStoreRecovery()
-		f.log.WithFields(logrus.Fields{"table": f.name, "failures": f.failureCount}).Info("store is reachable again")
+		f.log.WithFields(logrus.Fields{"table": f.table, "failures": f.failureCount}).Info("store is reachable again")
 	}
-	f.failureCount = 0
 }
 
 // recordFailure counts a failed call. Only the first one of an outage is logged and passed on to the handler and to
-// onFailure, because these react to the beginning of an outage.
-func (f *follower) recordFailure(err error) {
+// onFailure, because these react to the beginning of an outage. refused is set if the call failed too fast for a silent connection.
+func (f *follower) recordFailure(err error, refused bool) {
 	f.failureCount++
-	if !f.failing {
-		f.failing = true
+	if f.isProbe() {
+		f.outage.recordFailure(refused)
+	}
+	if !f.failing.Load() {
+		f.failing.Store(true)
 		f.handler.handleStoreFailure()
+		if f.failureCount > 1 {
+			return
+		}
 		f.onFailure()
 		f.log.WithError(err).WithFields(logrus.Fields{
-			"table": f.name, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+			"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
 		}).Warn("store is unreachable")
 	}
 }
-
-// retryDelay returns an exponential backoff with jitter, so that instances don't retry at the same time.
-func (f *follower) retryDelay() time.Duration {
-	delay := min(retryBaseDelay<<min(f.failureCount-1, 6), retryMaxDelay)
-	return delay/2 + rand.N(delay) //nolint:gosec // The jitter needs no cryptographic randomness.
-}
