Decide on a second attempt of slow requests in the reducer

A job can have a second running attempt. Hedges count in a limit of their own and in the retry budget, of which half is left to retries after failures. If one attempt fails, the other carries the request on. A cancelled attempt releases its load and counts as neither failure nor success. Off unless Settings.HedgeShare is set; no shell sets it yet.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -18,20 +18,22 @@
 // is free now.
 func (s *State) endAttempt(ev AttemptEnded) {
 	j := s.jobs[ev.Job]
-	if j == nil || j.assignedEndpoint == nil {
+	if j == nil || !j.selectAttempt(ev.Hedge) {
 		return
 	}
 	e := j.assignedEndpoint
 	e.endAttempt(j)
-	j.assignedEndpoint = nil
+	j.assignedEndpoint, j.isHedge = nil, false
 	s.recordOutcome(e, j, ev)
 	if ev.Outcome.answered() {
 		s.recordResendArrival(j)
 	}
 	j.resendPending = false
 	p := s.pool(j.Service)
-	switch ev.Outcome {
-	case OutcomeDone, OutcomeAbandoned:
+	switch {
+	case j.second.assignedEndpoint != nil:
+		j.endOneOfTwo(e, ev)
+	case j.isOver, ev.Outcome == OutcomeDone, ev.Outcome == OutcomeAbandoned:
 		s.forget(j)
 	default:
 		s.recover(j, e, ev)
@@ -69,6 +71,8 @@
 	case OutcomeRejected:
 		s.recordRejection(e)
 	case OutcomeMisplaced, OutcomeDelayed:
+	case OutcomeCancelled:
+		s.recordCancelled(e, j, ev)
 	case OutcomeAbandoned:
 		if j.firstEventLatency > 0 || elapsed < s.stallTimeout(e, j) {
 			s.recordLoss(e, j, lossUnverified, ev.Events)
@@ -117,7 +121,7 @@
 // endpoint, it marks the silent one as failed so that it isn't chosen again, and undoes this if the attempt goes on.
 func (s *State) handleStall(id JobID) {
 	j := s.jobs[id]
-	if j == nil || j.assignedEndpoint == nil || !j.canFailOver() || j.Deadline-s.now < minResendTimeLeft {
+	if j == nil || j.assignedEndpoint == nil || j.isHedged() || !j.canFailOver() || j.Deadline-s.now < minResendTimeLeft {
 		return
 	}
 	j.failedEndpoints = append(j.failedEndpoints, j.assignedEndpoint.record.ID)
@@ -152,15 +156,7 @@
 // already reserved the resend.
 func (s *State) recover(j *Job, e *endpoint, ev AttemptEnded) {
 	p := s.pool(j.Service)
-	possiblyRan := ev.Outcome == OutcomeLost || ev.Outcome == OutcomeFailed
-	j.mayHaveRun = j.mayHaveRun || possiblyRan
-	if ev.Outcome == OutcomeNotSent || ev.Outcome == OutcomeDelayed {
-		// The endpoint never received the request, so the attempt doesn't count.
-		j.attempts--
-	}
-	if ev.Outcome != OutcomeDelayed && !j.hasFailedOn(e.record.ID) {
-		j.failedEndpoints = append(j.failedEndpoints, e.record.ID)
-	}
+	possiblyRan := j.noteFailedAttempt(e, ev.Outcome)
 	retry := j.attempts < j.MaxAttempts
 	if possiblyRan {
 		retry = j.canFailOver() && ev.Answerable
@@ -180,6 +176,20 @@
 	s.giveUp(p, j)
 }
 
+// noteFailedAttempt records an attempt that gave no answer and reports whether the endpoint may have run the request.
+func (j *Job) noteFailedAttempt(e *endpoint, o Outcome) bool {
+	possiblyRan := o == OutcomeLost || o == OutcomeFailed || o == OutcomeCancelled
+	j.mayHaveRun = j.mayHaveRun || possiblyRan
+	if o == OutcomeNotSent || o == OutcomeDelayed {
+		// The endpoint never received the request, so the attempt doesn't count.
+		j.attempts--
+	}
+	if o != OutcomeDelayed && !j.hasFailedOn(e.record.ID) {
+		j.failedEndpoints = append(j.failedEndpoints, e.record.ID)
+	}
+	return possiblyRan
+}
+
 // giveUp refuses or fails a request that can't be sent to another endpoint.
 func (s *State) giveUp(p *pool, j *Job) {
 	if j.attempts == 0 && s.passOnIfCutOff(j) {
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -45,7 +45,7 @@
 			s.giveUp(p, j)
 			continue
 		}
-		s.dispatch(e, j)
+		s.emit(s.startAttempt(e, j))
 		if e == round.freedEndpoint && p.brittle != nil {
 			// The request that ended has freed one slot, which is taken now.
 			round.freedEndpoint = nil
@@ -83,9 +83,10 @@
 	round.own[p.priorityLevel(j, s.now)]--
 }
 
-// dispatch sends a request to an endpoint. A request that can't be sent to another endpoint gets no stall timeout (the
-// time after which a silent endpoint is reported), because nothing could be done about its silence.
-func (s *State) dispatch(e *endpoint, j *Job) {
+// startAttempt adds a request to the load of an endpoint and returns the effect that sends it there. A request that can't be sent
+// to another endpoint gets no stall timeout (the time after which a silent endpoint is reported), because nothing could be done
+// about its silence.
+func (s *State) startAttempt(e *endpoint, j *Job) Dispatch {
 	running := e.running()
 	stall := s.stallTimeout(e, j)
 	j.lastEndpoint, j.keptTokens = e, e.kept.tokens(j, s.now)
@@ -119,18 +120,20 @@
 		s.countLimited(e)
 		d.IsLimited, d.RequestsPerSecond = true, e.signals.limit.perSecond
 	}
-	s.emit(d)
+	d.HedgeDelay = s.hedgeDelay(j)
+	return d
 }
 
 // handleFirstEvent records the first event of an attempt. It updates the endpoint's timings only if the endpoint runs
 // no more requests than it has slots, because the time to the event may otherwise include a wait in the endpoint's own
 // queue.
-func (s *State) handleFirstEvent(id JobID) {
-	j := s.jobs[id]
-	if j == nil || j.assignedEndpoint == nil || j.firstEventLatency > 0 {
+func (s *State) handleFirstEvent(ev FirstEventReceived) {
+	j := s.jobs[ev.Job]
+	if j == nil || !j.selectAttempt(ev.Hedge) || j.firstEventLatency > 0 {
 		return
 	}
 	j.firstEventLatency = max(s.now-j.dispatchedAt, 1)
+	s.recordHedgeSample(j, j.firstEventLatency)
 	j.answerStarted = true
 	s.recordReachable(j.assignedEndpoint.record.ID)
 	s.recordResendArrival(j)
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonhedge"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
@@ -55,6 +56,8 @@
 		// StallTimeout is how long the endpoint may be silent before an AttemptStalled event must be reported; zero means
 		// never.
 		StallTimeout time.Duration
+		// HedgeDelay is how long the attempt may be without an answer before a HedgeDue event must be reported; zero means never.
+		HedgeDelay time.Duration
 		// Running is the number of other requests that run on the endpoint, as far as this instance knows.
 		Running int
 		// KeptTokens is the number of prompt tokens that the endpoint is expected to keep. IsHome is set if it is the home of the
@@ -78,6 +81,18 @@
 		// nothing.
 		IsBrittle bool
 	}
+	// Hedge sends a request to an endpoint beside its running attempt. The first answer that begins whole is passed on. An
+	// AttemptEnded event must follow for each of both attempts, with OutcomeCancelled for the one that is cancelled for the other.
+	Hedge struct {
+		// Candidate proves that the request may run twice.
+		Candidate wigeonhedge.Candidate
+		Dispatch
+	}
+	// HedgeRefused reports that a request that is due for a hedge gets none.
+	HedgeRefused struct {
+		Job      JobID
+		Obstacle HedgeObstacle
+	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
 		Job        JobID
@@ -245,6 +260,8 @@
 )
 
 func (Dispatch) effect()        {}
+func (Hedge) effect()           {}
+func (HedgeRefused) effect()    {}
 func (Refuse) effect()          {}
 func (Failure) effect()         {}
 func (Abandon) effect()         {}
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -33,9 +33,11 @@
 	OutcomeLost
 	// OutcomeAbandoned means that this instance ended the attempt because the caller disconnected or the deadline passed.
 	OutcomeAbandoned
+	// OutcomeCancelled means that this instance ended the attempt because the other one of a hedged request has won.
+	OutcomeCancelled
 )
 
-var outcomeNames = [...]string{"done", "notSent", "delayed", "rejected", "misplaced", "failed", "lost", "abandoned"}
+var outcomeNames = [...]string{"done", "notSent", "delayed", "rejected", "misplaced", "failed", "lost", "abandoned", "cancelled"}
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -70,6 +72,14 @@
 	FirstEventReceived struct {
 		At  time.Duration
 		Job JobID
+		// Hedge is set if the attempt is a hedge.
+		Hedge bool
+	}
+	// HedgeDue reports that the attempt that was dispatched at DispatchedAt has had no answer for Dispatch.HedgeDelay.
+	HedgeDue struct {
+		At           time.Duration
+		Job          JobID
+		DispatchedAt time.Duration
 	}
 	// AttemptStalled reports that the endpoint of a running attempt has been silent for the time Dispatch.StallTimeout.
 	AttemptStalled struct {
@@ -81,6 +91,8 @@
 		At      time.Duration
 		Job     JobID
 		Outcome Outcome
+		// Hedge is set if the attempt is a hedge.
+		Hedge bool
 		// Succeeded is set if the endpoint ran the request and answered with success.
 		Succeeded bool
 		// Events is the number of events of a stream.
@@ -182,6 +194,7 @@
 func (e EndpointsListed) at() time.Duration      { return e.At }
 func (e RequestArrived) at() time.Duration       { return e.At }
 func (e FirstEventReceived) at() time.Duration   { return e.At }
+func (e HedgeDue) at() time.Duration             { return e.At }
 func (e AttemptStalled) at() time.Duration       { return e.At }
 func (e AttemptEnded) at() time.Duration         { return e.At }
 func (e EndpointSignalled) at() time.Duration    { return e.At }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -63,10 +63,6 @@
 	// home is the home of the prompt among the endpoints of the pool's generation homeGeneration.
 	home           *endpoint
 	homeGeneration uint64
-	// lastEndpoint is the endpoint of the latest attempt; nil if there was none. keptTokens is the number of prompt tokens that it
-	// was expected to keep before it.
-	lastEndpoint *endpoint
-	keptTokens   int
 	// attempts is the number of endpoints that the request was sent to.
 	attempts int
 	// passAttempts is the number of peers that the request was passed on to, passingTo the one that has it now; empty if none.
@@ -74,12 +70,11 @@
 	passingTo    string
 	// failedEndpoints lists the IDs of the endpoints that must not get the request again.
 	failedEndpoints []string
-	// assignedEndpoint is the endpoint of the running attempt, or nil while the request is queued.
-	assignedEndpoint *endpoint
-	// dispatchedAt is the start time of the running attempt.
-	dispatchedAt time.Duration
-	// firstEventLatency is the time from the attempt's start to its first event, or zero before the first event.
-	firstEventLatency time.Duration
+	// attempt is the running attempt, and the one that the reducer handles while there are two. second is the other one.
+	attempt
+	second attempt
+	// isOver is set once the call has ended while the second attempt still runs.
+	isOver bool
 	// answerStarted is set once the first event of the answer has arrived.
 	answerStarted bool
 	// mayHaveRun is set once an endpoint may have run the request.
@@ -90,10 +85,6 @@
 	resendReserved bool
 	// resend is the latest decision of the retry budget on the request; nil if there was none.
 	resend *ResendDecision
-	// resendSlot is the slot of the retry budget in which the running attempt was counted, if resendPending is set: it is a
-	// resend whose arrival isn't known yet.
-	resendSlot    int64
-	resendPending bool
 	// limitHolds is the number of decisions in which a limit kept the request from an endpoint.
 	limitHolds int
 	// isTrial is set if the request is sent although others like it are suspected of crashes.
--- a/internal/services/wigeondispatch/passon.go
+++ b/internal/services/wigeondispatch/passon.go
@@ -39,7 +39,7 @@
 func (s *State) abandonHanging() {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
-		if j.assignedEndpoint == nil || j.answerStarted || !j.canFailOver() || j.Deadline-s.now < minResendTimeLeft {
+		if j.assignedEndpoint == nil || j.answerStarted || j.isOver || !j.canFailOver() || j.Deadline-s.now < minResendTimeLeft {
 			continue
 		}
 		if s.reserveResend(j) {
--- a/internal/services/wigeondispatch/process.go
+++ b/internal/services/wigeondispatch/process.go
@@ -112,11 +112,11 @@
 	EventTokens int
 }
 
-// ProcessUse returns how the endpoint's process is used that runs a request. A request that no endpoint runs has been passed on to a
+// ProcessUse returns how the endpoint's process is used that runs a request, or its hedge. A request that no endpoint runs has been passed on to a
 // peer, which isn't meant to end either.
-func (s *State) ProcessUse(id JobID) ProcessUse {
+func (s *State) ProcessUse(id JobID, isHedge bool) ProcessUse {
 	j := s.jobs[id]
-	if j == nil || j.assignedEndpoint == nil {
+	if j == nil || !j.selectAttempt(isHedge) {
 		return ProcessUse{Serves: true, EventTokens: 1}
 	}
 	e := j.assignedEndpoint
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -54,7 +54,9 @@
 	instances int
 	groups    *Groups
 	// reach is what the instance knows of its way to the endpoints.
-	reach   reach
+	reach reach
+	// hedging is what hedges are decided by; nil if they are off.
+	hedging *hedging
 	effects []Effect
 }
 
@@ -77,6 +79,7 @@
 		instances:    1,
 		reach:        newReach(),
 		groups:       NewGroups(nil),
+		hedging:      newHedging(settings),
 	}
 }
 
@@ -93,7 +96,9 @@
 	case RequestArrived:
 		s.handleArrival(e.Job)
 	case FirstEventReceived:
-		s.handleFirstEvent(e.Job)
+		s.handleFirstEvent(e)
+	case HedgeDue:
+		s.handleHedgeDue(e)
 	case AttemptStalled:
 		s.handleStall(e.Job)
 	case AttemptEnded:
@@ -269,6 +274,9 @@
 		return
 	}
 	s.retryBudget(j.Service).countRequest(s.now)
+	if s.hedging != nil {
+		s.hedgeLimit(j.Service).countRequest(s.now)
+	}
 }
 
 // reserveResend reports whether the retry budget of a request's service allows a resend, and reserves it if so. The resend
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -10,6 +10,9 @@
 	RetrySlack float64
 	// RetryWindow is the length of the window in which requests and resends are counted, at least a second.
 	RetryWindow time.Duration
+	// HedgeShare is the largest ratio of hedges to requests over all instances; zero turns hedges off. HedgePercentile is the share of
+	// requests, from 0 to 1, that are answered before a hedge is due.
+	HedgeShare, HedgePercentile float64
 	// QuotaOverage is the share by which an organisation's use may exceed its quota in a window.
 	QuotaOverage float64
 	// QuotaSlack is the number of units by which the use may exceed the quota in addition.
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -162,7 +162,7 @@
 func (d *Dispatcher) processUse(id wigeondispatch.JobID) wigeondispatch.ProcessUse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.ProcessUse(id)
+	return d.state.ProcessUse(id, false)
 }
 
 // maySend reports whether an endpoint still wants a request that was dispatched to it.
