--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"sort"
+
+	"wigeonshift/internal/services/wigeonbudget"
 )
 
 // dispatchAllWaiting dispatches the queued requests of all services. It is called when free slots may appear in any
@@ -113,7 +115,7 @@
 		LimitHolds:      j.limitHolds,
 	}
 	if j.attempts > 1 {
-		d.Resend, d.MaxSendDelay = j.resend, maxSendDelay
+		d.Resend, d.MaxSendDelay = j.resend, wigeonbudget.MaxSendDelay
 	}
 	e.dispatchedAt, d.IsBrittle = s.now, e.pool.brittle != nil
 	if e.isLimited() {
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonhedge"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
@@ -70,7 +71,7 @@
 		// later the request must not be sent. Zero means no limit.
 		DecidedAt, MaxSendDelay time.Duration
 		// Resend is the decision of the retry budget; nil if the request was not sent before.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 		// IsLimited is set if the endpoint has named a limit, RequestsPerSecond. What the response says of it must then be
 		// reported, also if it says nothing.
 		IsLimited         bool
@@ -122,14 +123,14 @@
 		// Cause is the cause of crashes for which the request is refused; nil if there is none.
 		Cause *wigeonquarantine.Cause
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// Failure answers a request that ran or may have run.
 	Failure struct {
 		Job    JobID
 		Reason Reason
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// Abandon ends a running attempt so that the request can move to another endpoint. An AttemptEnded event must follow.
 	Abandon struct {
@@ -251,11 +252,13 @@
 	ClearCrashes struct {
 		Fingerprint wigeonshift.Fingerprint
 	}
-	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly.
+	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly or another endpoint has its address.
 	Suspect struct {
 		EndpointID string
 		Duration   time.Duration
 		Failures   int
+		// Misplaced is the number of misdirected requests since the last success; zero if the endpoint failed.
+		Misplaced int
 	}
 )
 
--- a/internal/services/wigeondispatch/hedge.go
+++ b/internal/services/wigeondispatch/hedge.go
@@ -3,16 +3,13 @@
 import (
 	"time"
 
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonhedge"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
-const (
-	// hedgeFreeShare is the share of the group's slots that must be free for a hedge, so that hedging ends before queueing begins.
-	hedgeFreeShare = 0.25
-	// hedgeRetryReserve is the share of the retry budget that hedges leave to retries after failures.
-	hedgeRetryReserve = 0.5
-)
+// hedgeFreeShare is the share of the group's slots that must be free for a hedge, so that hedging ends before queueing begins.
+const hedgeFreeShare = 0.25
 
 // HedgeObstacle says why a request that was due for a hedge got none.
 type HedgeObstacle string
@@ -100,8 +97,7 @@
 // hedging is what hedges are decided by.
 type hedging struct {
 	delays *wigeonhedge.Delays
-	// limits hold the limit of hedges of each service.
-	limits map[string]*retryBudget
+	limits *wigeonhedge.Limits
 }
 
 // newHedging returns nil if the settings turn hedges off.
@@ -109,18 +105,9 @@
 	if s.HedgeShare <= 0 {
 		return nil
 	}
-	return &hedging{delays: wigeonhedge.NewDelays(s.HedgePercentile), limits: map[string]*retryBudget{}}
-}
-
-// hedgeLimit returns the limit of hedges of a service. It counts as the retry budget does, so that the limit holds over all
-// instances if each one keeps its own.
-func (s *State) hedgeLimit(service string) *retryBudget {
-	b := s.hedging.limits[service]
-	if b == nil {
-		b = newRetryBudget(Settings{RetryRatio: s.settings.HedgeShare, RetryWindow: s.settings.RetryWindow})
-		s.hedging.limits[service] = b
+	return &hedging{
+		delays: wigeonhedge.NewDelays(s.HedgePercentile), limits: wigeonhedge.NewLimits(s.HedgeShare, s.RetryWindow),
 	}
-	return b
 }
 
 // hedgeDelay returns the time after which the attempt that begins now is hedged, and zero if it isn't. Only first attempts are.
@@ -202,7 +189,7 @@
 		return HedgeQueued
 	case float64(s.freeSlots(p)) < hedgeFreeShare*float64(s.availableSlots(p)):
 		return HedgeBusy
-	case !s.hedgeLimit(j.Service).decide(s.now, 0, 0).Allowed:
+	case !s.hedging.limits.Allow(s.now, j.Service):
 		return HedgeLimit
 	case !s.decideHedge(j).Allowed:
 		return HedgeBudget
@@ -233,10 +220,10 @@
 }
 
 // decideHedge returns the decision of the retry budget on a hedge, which must leave a reserve.
-func (s *State) decideHedge(j *Job) ResendDecision {
+func (s *State) decideHedge(j *Job) wigeonbudget.Decision {
 	b := s.retryBudget(j.Service)
-	d := b.decide(s.now, s.retrySlack(), b.reserved)
-	d.Allowed = d.room()-hedgeRetryReserve*d.Limit >= 1
+	d := b.Decide(s.now, s.retrySlack(), b.Reserved())
+	d.Allowed = wigeonhedge.LeavesReserve(d)
 	return d
 }
 
@@ -256,11 +243,11 @@
 // sendHedge starts the second attempt of a request. It is counted as a resend.
 func (s *State) sendHedge(e *endpoint, j *Job) {
 	decision, candidate := s.decideHedge(j), j.candidate
-	s.hedgeLimit(j.Service).countResend(s.now)
+	s.hedging.limits.CountHedge(s.now, j.Service)
 	j.second, j.attempt = j.attempt, attempt{isHedge: true}
 	d := s.startAttempt(e, j)
-	d.Resend, d.MaxSendDelay = &decision, maxSendDelay
-	j.resendSlot, j.resendPending = s.retryBudget(j.Service).countResend(s.now), true
+	d.Resend, d.MaxSendDelay = &decision, wigeonbudget.MaxSendDelay
+	j.resendSlot, j.resendPending = s.retryBudget(j.Service).CountResend(s.now), true
 	j.attempt, j.second = j.second, j.attempt
 	s.emit(Hedge{Candidate: candidate, Dispatch: d})
 }
--- a/internal/services/wigeondispatch/hedge_test.go
+++ b/internal/services/wigeondispatch/hedge_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeonhedge"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,7 +27,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	for range 16 {
 		s.hedging.delays.Record(0, c, 100*time.Millisecond)
-		s.hedgeLimit(j.Service).countRequest(0)
+		s.hedging.limits.CountRequest(0, j.Service)
 	}
 	return h
 }
@@ -78,7 +79,7 @@
 
 	It("go to another endpoint as one of the attempts, charged once and counted as a resend", func() {
 		h := newHedgeHarness(newRecord("a"), newRecord("b"))
-		h.state.quotas["limited"].balance = 100
+		h.at = time.Second // The quota has been refilled.
 		j := h.newIdempotent()
 		j.Organisation = "limited"
 		first := h.send(j)
@@ -86,9 +87,9 @@
 		Expect(hedge.EndpointID).NotTo(Equal(first.EndpointID))
 		Expect(hedge.Attempt).To(Equal(2))
 		Expect(hedge.Candidate.IsValid()).To(BeTrue())
-		Expect(hedge.MaxSendDelay).To(Equal(maxSendDelay))
-		Expect(h.state.quotas["limited"].used).To(Equal(j.Units))
-		Expect(h.state.retryBudget("model").decide(h.at, 10, 0).Resends).To(Equal(1))
+		Expect(hedge.MaxSendDelay).To(Equal(wigeonbudget.MaxSendDelay))
+		Expect(h.state.quotas["limited"].Used()).To(Equal(j.Units))
+		Expect(h.state.retryBudget("model").Decide(h.at, 10, 0).Resends).To(Equal(1))
 		Expect(h.state.Load().Endpoints).To(HaveLen(2))
 	})
 
@@ -126,12 +127,12 @@
 		Entry("while few slots are free", HedgeBusy, func(h *hedgeHarness) { h.occupySlots(2) }),
 		Entry("beyond their limit", HedgeLimit, func(h *hedgeHarness) {
 			for range 16 {
-				h.state.hedgeLimit("model").countResend(0)
+				h.state.hedging.limits.CountHedge(0, "model")
 			}
 		}),
 		Entry("of the reserve for retries after failures", HedgeBudget, func(h *hedgeHarness) {
 			for range 5 {
-				h.state.retryBudget("model").countResend(0)
+				h.state.retryBudget("model").CountResend(0)
 			}
 		}),
 		Entry("if no other endpoint takes them", HedgeNoEndpoint, func(h *hedgeHarness) {
@@ -240,7 +241,7 @@
 		h.state.Reduce(AttemptEnded{At: h.at, Job: h.lastID, Outcome: OutcomeAbandoned})
 		for range 40 {
 			for range 2 {
-				h.state.hedgeLimit("model").countRequest(h.at)
+				h.state.hedging.limits.CountRequest(h.at, "model")
 			}
 			j, _, _ := h.hedged()
 			h.state.Reduce(FirstEventReceived{At: h.at, Job: j.ID, Hedge: true})
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
 )
 
 // JobID identifies a request within one instance and is never reused.
@@ -84,7 +85,7 @@
 	// resendReserved is set while a resend of the request is reserved in the retry budget.
 	resendReserved bool
 	// resend is the latest decision of the retry budget on the request; nil if there was none.
-	resend *ResendDecision
+	resend *wigeonbudget.Decision
 	// limitHolds is the number of decisions in which a limit kept the request from an endpoint.
 	limitHolds int
 	// isTrial is set if the request is sent although others like it are suspected of crashes.
@@ -101,7 +102,7 @@
 }
 
 // refusedResend returns the decision of the retry budget if it refused another attempt, and nil otherwise.
-func (j *Job) refusedResend() *ResendDecision {
+func (j *Job) refusedResend() *wigeonbudget.Decision {
 	if j.resend == nil || j.resend.Allowed {
 		return nil
 	}
