Run a second attempt beside a slow first one in the relay

Where the reducer gives a first attempt a delay, a timer asks it for the hedge. The hedge is made by a call of its own, which never writes the caller's response. The first response that begins whole wins; the other attempt's context is cancelled, which closes its connection, and its end is reported as cancelled. The call waits for the end of the hedge before it answers, since the hedge reads the caller's request. Without a delay there is no timer, no goroutine and no further field in the logs.

--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -39,7 +39,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.mu.Lock()
-	c.cancelAttempt = cancel
+	c.attemptCtx, c.cancelAttempt = ctx, cancel
 	c.mu.Unlock()
 	c.setStallTimeout(d.StallTimeout)
 	c.service.log.WithFields(logrus.Fields{
@@ -48,7 +48,7 @@
 		"waitedMs": d.QueueTime.Milliseconds(), "leftMs": d.Timeout.Milliseconds(), "resumeAfter": lastEventID,
 		"organisation": c.job.Organisation, "units": c.job.Units, "fingerprint": c.job.Fingerprint.String(),
 		"content": c.job.Shared.Content.String(),
-	}).WithFields(c.resendFields()).WithFields(limitFields(d)).Info("request dispatched")
+	}).WithFields(c.resendFields()).WithFields(hedgeDispatchFields(c.isHedge, d)).WithFields(limitFields(d)).Info("request dispatched")
 	c.service.scope.Counter("promptTokensKept").Inc(int64(d.KeptTokens))
 	request := c.newEndpointRequest(d, lastEventID)
 	return c.send(ctx, wigeonupstream.Target{ID: d.EndpointID, Address: d.Address}, request, c.sendOptions(d)...)
@@ -60,7 +60,7 @@
 ) (*wigeonupstream.Response, error) {
 	c.target = target
 	response, err := c.service.pool.Send(ctx, target, c.header.RequestID, request, opts...)
-	if errors.Is(err, wigeonupstream.ErrLost) && !errors.Is(context.Cause(c.ctx), errCallerDisconnected) {
+	if errors.Is(err, wigeonupstream.ErrLost) && !errors.Is(context.Cause(ctx), errCallerDisconnected) && !c.hasLostRace() {
 		// If the connection has fallen silent, the idle ones beside it have, too.
 		c.service.pool.DropIdle(target)
 	}
@@ -129,12 +129,19 @@
 	return request
 }
 
-// runAttempt sends the request to an endpoint and reports whether the caller's response is set. If it isn't, the
-// attempt has been reported to the reducer, which decides whether the request is sent to another endpoint.
+// runAttempt sends the request to an endpoint, and a hedge to another one if it is due, and reports whether the caller's
+// response is set. If it isn't, the attempts have been reported to the reducer, which decides whether the request is sent to
+// another endpoint.
 func (c *call) runAttempt(d wigeondispatch.Dispatch) bool {
+	c.startRace(d)
+	return c.endRace(c.runFirstAttempt(d))
+}
+
+// runFirstAttempt sends the request to an endpoint and reports whether the caller's response is set.
+func (c *call) runFirstAttempt(d wigeondispatch.Dispatch) bool {
 	response, err := c.startAttempt(d, "")
 	if err != nil {
-		c.endAttemptWithError(classifyError(c.ctx, err), 0, true, err)
+		c.endAttemptWithError(c.errorOutcome(err), 0, true, err)
 		return false
 	}
 	status := response.HTTP.StatusCode()
@@ -215,10 +222,20 @@
 	if !complete {
 		return false
 	}
+	if !c.claimAnswer() {
+		whole.body.release()
+		c.endAttempt(wigeondispatch.OutcomeCancelled, 0, true)
+		return false
+	}
+	c.answerWhole(whole)
+	return true
+}
+
+// answerWhole ends the attempt and makes its response the caller's.
+func (c *call) answerWhole(whole *wholeResponse) {
 	c.reportBegan()
 	c.endAttempt(wigeondispatch.OutcomeDone, 0, false)
 	c.setResponse(whole)
-	return true
 }
 
 // wholeResponse is an endpoint's response that has been read completely.
@@ -297,7 +314,7 @@
 	if c.passedTo != "" {
 		return
 	}
-	c.service.dispatcher.reduce(wigeondispatch.FirstEventReceived{At: now, Job: c.job.ID})
+	c.service.dispatcher.reduce(wigeondispatch.FirstEventReceived{At: now, Job: c.job.ID, Hedge: c.isHedge})
 }
 
 // endAttemptWithError logs an error and ends the attempt with the given outcome; see endAttempt for events and
@@ -323,9 +340,18 @@
 		c.logEntry(logrus.Fields{"attemptOutcome": outcome.String(), "events": events}).Info("attempt ended")
 	}
 	c.service.dispatcher.reduce(wigeondispatch.AttemptEnded{
-		At: c.service.dispatcher.MeasureNow(), Job: c.job.ID, Outcome: outcome, Events: events, Answerable: answerable,
-		Succeeded: outcome == wigeondispatch.OutcomeDone && c.succeeded,
+		At: c.service.dispatcher.MeasureNow(), Job: c.job.ID, Outcome: outcome, Hedge: c.isHedge, Events: events,
+		Answerable: answerable, Succeeded: outcome == wigeondispatch.OutcomeDone && c.succeeded,
 	})
+	c.isHedge = false
+}
+
+// errorOutcome returns the outcome of the running attempt, whose exchange failed with err.
+func (c *call) errorOutcome(err error) wigeondispatch.Outcome {
+	if c.hasLostRace() {
+		return wigeondispatch.OutcomeCancelled
+	}
+	return classifyError(c.ctx, err)
 }
 
 // classifyError returns the outcome of an attempt whose exchange failed with err. ctx is the context of the call. Once
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -55,8 +55,11 @@
 	deadlineTimer *time.Timer
 
 	mu sync.Mutex
-	// cancelAttempt cancels the running attempt.
+	// attemptCtx is the context of the running attempt, which cancelAttempt cancels.
+	attemptCtx    context.Context //nolint:containedctx // The context has the lifetime of the attempt.
 	cancelAttempt context.CancelCauseFunc
+	// race is the race of the running attempt with its hedge; nil if it may not be hedged.
+	race *race
 	// stallTimer fires when the endpoint has sent nothing for stallTimeout; nil if there is no stall timeout.
 	stallTimer   *time.Timer
 	stallTimeout time.Duration
@@ -68,6 +71,10 @@
 	// succeeded is set if the latest response has a status of success.
 	succeeded bool
 	attempts  int
+	// isHedge is set while the running attempt is a hedge: in the call that makes it, and in the caller's once it has won.
+	isHedge bool
+	// hedgeWon is set if the response is that of a hedge.
+	hedgeWon bool
 	// passedTo is the instance that has the request now; empty if none. passedOn is set if another instance has passed the request
 	// on to this one.
 	passedTo string
@@ -190,13 +197,16 @@
 
 func (c *call) onCallerDisconnect() { c.cancel(errCallerDisconnected) }
 
-// abandonAttempt cancels the running attempt. The reducer then decides whether the request is sent to another endpoint.
+// abandonAttempt cancels the running attempt, and its hedge if there is one. The reducer then decides whether the request is sent to another endpoint.
 func (c *call) abandonAttempt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cancelAttempt != nil {
 		c.cancelAttempt(errAbandoned)
 	}
+	if c.race != nil {
+		c.race.abandonHedge()
+	}
 }
 
 // setStallTimeout restarts the stall timer, which reports an endpoint that sends nothing, so that the reducer can move
@@ -340,7 +350,7 @@
 		"firstMs":      c.firstByteLatency.Milliseconds(),
 		"tookMs":       (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
 	})
-	return entry.WithFields(c.resendFields()).WithFields(fields)
+	return entry.WithFields(c.resendFields()).WithFields(c.hedgeFields()).WithFields(fields)
 }
 
 // resendFields returns the log fields of the latest decision of the retry budget; none if there was no decision.
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -158,11 +158,11 @@
 	return d.loadChanges
 }
 
-// processUse returns how the endpoint's process is used that runs the request of a call.
-func (d *Dispatcher) processUse(id wigeondispatch.JobID) wigeondispatch.ProcessUse {
+// processUse returns how the endpoint's process is used that runs the request of a call, or its hedge.
+func (d *Dispatcher) processUse(id wigeondispatch.JobID, isHedge bool) wigeondispatch.ProcessUse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.ProcessUse(id, false)
+	return d.state.ProcessUse(id, isHedge)
 }
 
 // maySend reports whether an endpoint still wants a request that was dispatched to it.
@@ -222,6 +222,11 @@
 		case wigeondispatch.Dispatch:
 			d.loadChanges++
 			d.deliver(x.Job, x)
+		case wigeondispatch.Hedge:
+			d.loadChanges++
+			d.grantHedge(x)
+		case wigeondispatch.HedgeRefused:
+			d.logHedgeRefused(x)
 		case wigeondispatch.Refuse:
 			d.deliver(x.Job, x)
 		case wigeondispatch.Failure:
--- a/internal/services/wigeonrelay/processend.go
+++ b/internal/services/wigeonrelay/processend.go
@@ -11,6 +11,15 @@
 	"github.com/sirupsen/logrus"
 )
 
+// processCheckContext returns the context of the check of a process. That of a hedge ends with it, because the caller's answer may wait
+// for the end of the hedge.
+func (c *call) processCheckContext() context.Context {
+	if c.isHedge {
+		return c.ctx
+	}
+	return context.Background()
+}
+
 // maxCloseDelay is the longest time in which an endpoint that has written the last bytes of a body closes its connection.
 const maxCloseDelay = 2 * time.Millisecond
 
@@ -19,9 +28,10 @@
 // endpoint is in service: one that leaves may be killed while it still answers. The end of the call doesn't end the check.
 func (t *responseContent) endedWithProcess() bool {
 	c := t.call
-	use := c.service.dispatcher.processUse(c.job.ID)
-	wigeonclock.Sleep(context.Background(), endpointCheckDelay)
-	liveness := c.service.pool.Check(context.Background(), c.target)
+	use := c.service.dispatcher.processUse(c.job.ID, c.isHedge)
+	ctx := c.processCheckContext()
+	wigeonclock.Sleep(ctx, endpointCheckDelay)
+	liveness := c.service.pool.Check(ctx, c.target)
 	brokenOff := t.isBrokenOff(use, liveness)
 	c.service.log.WithFields(t.logFields()).WithFields(logrus.Fields{
 		"request": c.header.RequestID, "endpoint": c.target.ID, "liveness": liveness.String(), "serves": use.Serves, "others": use.Others,
--- a/internal/services/wigeonrelay/relay_test.go
+++ b/internal/services/wigeonrelay/relay_test.go
@@ -34,21 +34,32 @@
 }
 
 func newTestRelay(endpoints ...*fakeEndpoint) *testRelay {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	addresses := make([]string, len(endpoints))
+	for i, e := range endpoints {
+		addresses[i] = e.address()
+	}
+	return startTestRelay(wigeondispatch.Settings{}, wigeonupstream.New(platform.Dialect{}), l, addresses...)
+}
+
+// startTestRelay starts a relay that serves a listener. It sets the settings of the retry budget and the instance's name.
+func startTestRelay(
+	settings wigeondispatch.Settings, pool *wigeonupstream.Pool, l net.Listener, addresses ...string,
+) *testRelay {
 	GinkgoHelper()
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
 	logged := logtest.NewLocal(log)
-	d := wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio: 1, RetrySlack: 10, RetryWindow: 10 * time.Second, Instance: "own", Zone: "z",
-	}, log, tally.NoopScope)
+	settings.RetryRatio, settings.RetrySlack, settings.RetryWindow = 1, 10, 10*time.Second
+	settings.Instance, settings.Zone = "own", "z"
+	d := wigeonrelay.NewDispatcher(settings, log, tally.NoopScope)
 	d.SetShare(1, time.Hour)
-	pool := wigeonupstream.New(platform.Dialect{})
 	s := wigeonrelay.New(wigeonshift.ConnectionLimits{
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 100, ReadTimeout: 5 * time.Second,
 		WriteTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second,
 	}, platform.Dialect{}, d, pool, log, tally.NoopScope)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
 	s.Start(l)
 	DeferCleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -57,9 +68,9 @@
 		pool.Close()
 	})
 	var records []wigeonshift.EndpointRecord
-	for i, e := range endpoints {
+	for i, address := range addresses {
 		records = append(records, wigeonshift.EndpointRecord{
-			ID: fmt.Sprintf("engine-%d", i), Service: "model", Address: e.address(), Zone: "z", Slots: 4,
+			ID: fmt.Sprintf("engine-%d", i), Service: "model", Address: address, Zone: "z", Slots: 4,
 		})
 	}
 	d.SetEndpoints(records)
@@ -76,6 +87,9 @@
 		{Name: "unsafe", Prefix: "/unsafe/", Kind: wigeonshift.RouteNonIdempotent, MaxAttempts: 1},
 		{Name: "stream", Prefix: "/stream/", Kind: wigeonshift.RouteStreaming, MaxAttempts: 1},
 		{Name: "resume", Prefix: "/resume/", Kind: wigeonshift.RouteStreaming, Resumable: true, MaxAttempts: 2},
+		// With the objective, a silent endpoint counts as stalled only long after a hedge.
+		{Name: "hedge", Prefix: "/hedge/", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 2, LatencyObjective: 700 * time.Millisecond},
+		{Name: "resume3", Prefix: "/resume3/", Kind: wigeonshift.RouteStreaming, Resumable: true, MaxAttempts: 3},
 		{Name: "public", Prefix: "/public/", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 1, Public: true},
 	} {
 		route.Host, route.Timeout = "h.example", 2*time.Second
--- a/internal/services/wigeonrelay/stream.go
+++ b/internal/services/wigeonrelay/stream.go
@@ -53,27 +53,56 @@
 // sent to another endpoint. An event stream gets no content length, because it may break off inside an event or be
 // continued by another endpoint.
 func (c *call) forwardStream(r *wigeonupstream.Response) bool {
+	st := c.beginStream(r)
+	if st == nil {
+		return false
+	}
+	if !c.claimAnswer() {
+		st.cancel()
+		return false
+	}
+	c.setStream(st)
+	return true
+}
+
+// beginStream waits for the first bytes that can be forwarded. If the stream fails before them, it ends the attempt and returns nil.
+func (c *call) beginStream(r *wigeonupstream.Response) *streamBody {
 	st := &streamBody{call: c, response: r, content: c.newContent(r), buffer: make([]byte, streamBufferBytes)}
 	st.fill()
 	if len(st.pending) == 0 && st.err != nil && !errors.Is(st.err, io.EOF) {
 		st.dropHeld()
 		r.Close()
 		c.endAttemptWithError(c.interruptedOutcome(), 0, true, st.err)
-		return false
+		return nil
 	}
+	return st
+}
+
+// cancel ends the attempt of a stream that has begun after the other attempt had won.
+func (st *streamBody) cancel() {
+	st.dropHeld()
+	st.response.Close()
+	st.call.endAttempt(wigeondispatch.OutcomeCancelled, st.attemptEvents(), true)
+}
+
+// setStream makes a stream that has begun the caller's response.
+func (c *call) setStream(st *streamBody) {
+	r := st.response
 	c.copyHeader(&r.HTTP.Header)
 	length := r.HTTP.Header.ContentLength()
 	if length < 0 || st.content.isEvents() && st.content.bytes > 0 {
 		length = -1
 	}
 	c.httpCtx.Response.SetBodyStream(st, length)
-	return true
 }
 
 // interruptedOutcome returns the outcome of an attempt whose response was interrupted. If the call itself was
 // cancelled, because the caller disconnected or the deadline passed, the attempt is abandoned rather than lost, since
-// this instance ended it.
+// this instance ended it. So it has if the other attempt has won.
 func (c *call) interruptedOutcome() wigeondispatch.Outcome {
+	if c.hasLostRace() {
+		return wigeondispatch.OutcomeCancelled
+	}
 	if c.ctx.Err() != nil {
 		return wigeondispatch.OutcomeAbandoned
 	}
