--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -14,6 +14,7 @@
 	Platform RelayPlatform `toml:"platform"`
 	Limits   RelayLimits   `toml:"limits"`
 	Retry    RelayRetry    `toml:"retry"`
+	Hedge    RelayHedge    `toml:"hedge"`
 	Quota    RelayQuota    `toml:"quota"`
 	Drain    RelayDrain    `toml:"drain"`
 	Log      Log           `toml:"log"`
@@ -69,6 +70,14 @@
 	Window wigeontoml.Duration `toml:"window" validate:"min=1000000000"`
 }
 
+// RelayHedge limits the hedges of all instances together: second attempts of requests whose first one is slow.
+type RelayHedge struct {
+	// Share is the largest fraction of requests that may be hedged; zero turns hedges off.
+	Share float64 `toml:"share" validate:"min=0,max=1"`
+	// Percentile is the fraction of requests that are answered before a hedge is sent.
+	Percentile float64 `toml:"percentile" validate:"min=0.5,max=0.999"`
+}
+
 // RelayQuota limits how far an organisation's use may exceed its quota.
 type RelayQuota struct {
 	// Overage is a fraction of the quota, Slack a number of units that is added to it.
@@ -98,6 +107,7 @@
 	return Relay{
 		Limits: RelayLimits{Cores: 1, MemoryMegabytes: 128, Files: 1024},
 		Retry:  RelayRetry{Ratio: 0.1, Slack: 20, Window: wigeontoml.Duration{Duration: 10 * time.Second}},
+		Hedge:  RelayHedge{Share: 0, Percentile: 0.97},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -113,15 +113,17 @@
 	scope := g.metrics.Scope()
 	g.quarantine = wigeonquarantine.NewService(g.writeCrashRows, g.setCrashes, log, scope)
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio:   s.Retry.Ratio,
-		RetrySlack:   s.Retry.Slack,
-		RetryWindow:  s.Retry.Window.Duration,
-		Instance:     g.self.ID,
-		QuotaOverage: s.Quota.Overage,
-		QuotaSlack:   s.Quota.Slack,
-		QuotaWindow:  s.Quota.Window.Duration,
-		Zone:         s.Node.Zone,
-		AwaitsList:   true,
+		RetryRatio:      s.Retry.Ratio,
+		RetrySlack:      s.Retry.Slack,
+		RetryWindow:     s.Retry.Window.Duration,
+		HedgeShare:      s.Hedge.Share,
+		HedgePercentile: s.Hedge.Percentile,
+		Instance:        g.self.ID,
+		QuotaOverage:    s.Quota.Overage,
+		QuotaSlack:      s.Quota.Slack,
+		QuotaWindow:     s.Quota.Window.Duration,
+		Zone:            s.Node.Zone,
+		AwaitsList:      true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
 		Holder:   wigeonshare.HolderOf(g.self.Address),
