--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -141,7 +141,7 @@
 	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
-	if e.running() <= e.slots() {
+	if e.running() <= e.slots() || e.isShared() {
 		e.recordFirstEvent(j, j.firstEventLatency)
 	}
 }
