--- a/internal/services/wigeondispatch/hedge.go
+++ b/internal/services/wigeondispatch/hedge.go
@@ -147,11 +147,11 @@
 }
 
 // handleHedgeDue sends a request to another endpoint beside its first attempt, unless something speaks against it. It does nothing if
-// the attempt has ended or begun to answer meanwhile, or is being abandoned.
+// the attempt has ended or begun to answer meanwhile, is being abandoned, or was hedged already.
 func (s *State) handleHedgeDue(ev HedgeDue) {
 	j := s.jobs[ev.Job]
 	isCurrent := j != nil && j.assignedEndpoint != nil && j.dispatchedAt == ev.DispatchedAt && j.candidate.IsValid()
-	if !isCurrent || j.isHedged() || j.answerStarted || j.resendReserved {
+	if !isCurrent || j.attempts != 1 || j.answerStarted || j.resendReserved {
 		return
 	}
 	obstacle := s.hedgeObstacle(j)
@@ -208,12 +208,12 @@
 // isRollingOut reports whether a rollout of a service runs.
 func (s *State) isRollingOut(_ string) bool { return false }
 
-// availableSlots returns the number of slots on the available endpoints of this instance's group.
+// availableSlots returns the number of requests that this instance's group can run at a time on the available endpoints.
 func (s *State) availableSlots(p *pool) int {
 	n := 0
 	for _, e := range p.ownEndpoints {
 		if e.available(s.now) {
-			n += e.slots()
+			n += e.concurrency()
 		}
 	}
 	return n
