--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -56,7 +56,9 @@
 	instances int
 	groups    *Groups
 	// reach is what the instance knows of its way to the endpoints.
-	reach   reach
+	reach reach
+	// hedging is what hedges are decided by; nil if they are off.
+	hedging *hedging
 	effects []Effect
 }
 
@@ -79,6 +81,7 @@
 		instances:    1,
 		reach:        newReach(),
 		groups:       NewGroups(nil),
+		hedging:      newHedging(settings),
 	}
 }
 
@@ -95,7 +98,9 @@
 	case RequestArrived:
 		s.handleArrival(e.Job)
 	case FirstEventReceived:
-		s.handleFirstEvent(e.Job)
+		s.handleFirstEvent(e)
+	case HedgeDue:
+		s.handleHedgeDue(e)
 	case AttemptStalled:
 		s.handleStall(e.Job)
 	case AttemptEnded:
@@ -271,6 +276,9 @@
 		return
 	}
 	s.retryBudget(j.Service).CountRequest(s.now)
+	if s.hedging != nil {
+		s.hedging.limits.CountRequest(s.now, j.Service)
+	}
 }
 
 // reserveResend reports whether the retry budget of a request's service allows a resend, and reserves it if so. The resend
