--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -14,6 +14,7 @@
 	Platform  RelayPlatform  `toml:"platform"`
 	Limits    RelayLimits    `toml:"limits"`
 	Retry     RelayRetry     `toml:"retry"`
+	Hedge     RelayHedge     `toml:"hedge"`
 	Quota     RelayQuota     `toml:"quota"`
 	Placement RelayPlacement `toml:"placement"`
 	Drain     RelayDrain     `toml:"drain"`
@@ -70,6 +71,14 @@
 	Window wigeontoml.Duration `toml:"window" validate:"min=1000000000"`
 }
 
+// RelayHedge limits the hedges of all instances together: second attempts of requests whose first one is slow.
+type RelayHedge struct {
+	// Share is the largest fraction of requests that may be hedged; zero turns hedges off.
+	Share float64 `toml:"share" validate:"min=0,max=1"`
+	// Percentile is the fraction of requests that are answered before a hedge is sent.
+	Percentile float64 `toml:"percentile" validate:"min=0.5,max=0.999"`
+}
+
 // RelayQuota limits how far an organisation's use may exceed its quota.
 type RelayQuota struct {
 	// Overage is a fraction of the quota, Slack a number of units that is added to it.
@@ -109,6 +118,7 @@
 		Placement: RelayPlacement{
 			CrossZonePrice: wigeontoml.Duration{Duration: 2 * time.Millisecond},
 		},
+		Hedge: RelayHedge{Share: 0, Percentile: 0.97},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -16,6 +16,8 @@
 	"wigeonshift/internal/modules/wigeonsession"
 	"wigeonshift/internal/modules/wigeonsetting"
 	"wigeonshift/internal/modules/wigeonsocket"
+	"wigeonshift/internal/modules/wigeonstorecall"
+	"wigeonshift/internal/services/wigeonbudget"
 	"wigeonshift/internal/services/wigeondispatch"
 	"wigeonshift/internal/services/wigeonfollow"
 	"wigeonshift/internal/services/wigeonquarantine"
@@ -112,20 +114,22 @@
 	scope := g.metrics.Scope()
 	g.quarantine = wigeonquarantine.NewService(g.writeCrashRows, g.setCrashes, log, scope)
 	g.dispatcher = wigeonrelay.NewDispatcher(wigeondispatch.Settings{
-		RetryRatio:     s.Retry.Ratio,
-		RetrySlack:     s.Retry.Slack,
-		RetryWindow:    s.Retry.Window.Duration,
-		Instance:       g.self.ID,
-		QuotaOverage:   s.Quota.Overage,
-		QuotaSlack:     s.Quota.Slack,
-		QuotaWindow:    s.Quota.Window.Duration,
-		Zone:           s.Node.Zone,
-		CrossZonePrice: s.Placement.CrossZonePrice.Duration,
-		AwaitsList:     true,
+		RetryRatio:      s.Retry.Ratio,
+		RetrySlack:      s.Retry.Slack,
+		RetryWindow:     s.Retry.Window.Duration,
+		HedgeShare:      s.Hedge.Share,
+		HedgePercentile: s.Hedge.Percentile,
+		Instance:        g.self.ID,
+		QuotaOverage:    s.Quota.Overage,
+		QuotaSlack:      s.Quota.Slack,
+		QuotaWindow:     s.Quota.Window.Duration,
+		Zone:            s.Node.Zone,
+		CrossZonePrice:  s.Placement.CrossZonePrice.Duration,
+		AwaitsList:      true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
 		Holder:   wigeonshare.HolderOf(g.self.Address),
-		Cooldown: s.Retry.Window.Duration + wigeondispatch.MaxArrivalDelay,
+		Cooldown: s.Retry.Window.Duration + wigeonbudget.MaxArrivalDelay,
 		Clock:    g.dispatcher.MeasureNow,
 		Publish:  g.dispatcher.SetShare,
 	}, p.Store, log, scope)
@@ -278,6 +282,7 @@
 
 // writeCrashRows changes rows of the quarantine table.
 func (g *Gateway) writeCrashRows(ctx context.Context, writes []wigeonshift.Write) error {
+	wigeonstorecall.Count(g.metrics.Scope(), wigeonshift.TableQuarantine, wigeonstorecall.Write)
 	_, err := g.platform.Store.Commit(ctx, wigeonshift.TableQuarantine, wigeonshift.Transaction{Writes: writes})
 	return err
 }
--- a/internal/services/wigeondispatch/zone_test.go
+++ b/internal/services/wigeondispatch/zone_test.go
@@ -16,12 +16,13 @@
 		var records []wigeonshift.EndpointRecord
 		for i, zone := range zones {
 			r := newRecord(fmt.Sprint(i))
-			r.Zone = zone
+			r.Zone, r.Slots = zone, 8
 			records = append(records, r)
 		}
 		h := newHarness()
 		h.state.settings.CrossZonePrice = price
 		h.state.Reduce(EndpointsListed{Records: records})
+		h.state.groups = &Groups{groupByInstance: map[string]string{"own": groupName("z", 0)}, names: []string{groupName("y", 0), groupName("z", 0)}}
 		return h
 	}
 	markOtherGroup := func(h *reducerHarness, from int) {
@@ -52,9 +53,9 @@
 		h := newZoneHarness(20*time.Millisecond, "z", "y")
 		markOtherGroup(h, 1)
 		p := h.state.pool("model")
-		p.meanSlotTime = 10 * time.Millisecond
+		p.meanSlotTime = 80 * time.Millisecond
 		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob())).To(BeNil())
-		p.meanSlotTime = 30 * time.Millisecond
+		p.meanSlotTime = 240 * time.Millisecond
 		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob()).record.ID).To(Equal("1"))
 	})
 
