Take the price of crossing zones from the settings

Crossing zones cost a fixed 2 ms, and of other groups' endpoints any zone's was taken.

The price is a setting now (placement.crossZonePrice, 2 ms by default). Of other groups' endpoints, those of the own zone go first, and a request crosses zones only if the own group frees its next slot later than crossing costs.

--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -8,17 +8,18 @@
 
 // Relay holds the settings of an instance that relays requests as the platform's configuration defines.
 type Relay struct {
-	Node     RelayNode     `toml:"node"`
-	Caller   RelayCaller   `toml:"caller"`
-	Peer     RelayPeer     `toml:"peer"`
-	Platform RelayPlatform `toml:"platform"`
-	Limits   RelayLimits   `toml:"limits"`
-	Retry    RelayRetry    `toml:"retry"`
-	Hedge    RelayHedge    `toml:"hedge"`
-	Quota    RelayQuota    `toml:"quota"`
-	Drain    RelayDrain    `toml:"drain"`
-	Log      Log           `toml:"log"`
-	Metrics  RelayMetrics  `toml:"metrics"`
+	Node      RelayNode      `toml:"node"`
+	Caller    RelayCaller    `toml:"caller"`
+	Peer      RelayPeer      `toml:"peer"`
+	Platform  RelayPlatform  `toml:"platform"`
+	Limits    RelayLimits    `toml:"limits"`
+	Retry     RelayRetry     `toml:"retry"`
+	Hedge     RelayHedge     `toml:"hedge"`
+	Quota     RelayQuota     `toml:"quota"`
+	Placement RelayPlacement `toml:"placement"`
+	Drain     RelayDrain     `toml:"drain"`
+	Log       Log            `toml:"log"`
+	Metrics   RelayMetrics   `toml:"metrics"`
 }
 
 // RelayNode holds the identity and location of the instance.
@@ -88,6 +89,13 @@
 	Window wigeontoml.Duration `toml:"window" validate:"min=0"`
 }
 
+// RelayPlacement holds the prices by which an endpoint is chosen for a request.
+type RelayPlacement struct {
+	// CrossZonePrice is what it costs to send a request to an endpoint in another availability zone, as a latency. It stands for the
+	// latency between zones and for the price of the bytes.
+	CrossZonePrice wigeontoml.Duration `toml:"crossZonePrice" validate:"min=0"`
+}
+
 // RelayDrain holds the settings of a graceful shutdown.
 type RelayDrain struct {
 	// Timeout is the time after which a stopping process is killed.
@@ -108,6 +116,9 @@
 		Limits: RelayLimits{Cores: 1, MemoryMegabytes: 128, Files: 1024},
 		Retry:  RelayRetry{Ratio: 0.1, Slack: 20, Window: wigeontoml.Duration{Duration: 10 * time.Second}},
 		Hedge:  RelayHedge{Share: 0, Percentile: 0.97},
+		Placement: RelayPlacement{
+			CrossZonePrice: wigeontoml.Duration{Duration: 2 * time.Millisecond},
+		},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -124,6 +124,7 @@
 		QuotaSlack:      s.Quota.Slack,
 		QuotaWindow:     s.Quota.Window.Duration,
 		Zone:            s.Node.Zone,
+		CrossZonePrice:  s.Placement.CrossZonePrice.Duration,
 		AwaitsList:      true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -14,8 +14,6 @@
 	decodeCostWeight = 1
 	// failureCost is the cost of an endpoint whose attempts all fail. It is scaled by the failure rate.
 	failureCost = 3 * time.Second
-	// crossZoneCost is the additional cost of an endpoint in another availability zone.
-	crossZoneCost = 2 * time.Millisecond
 	// sharedSuspicionCost is the additional cost, in nanoseconds, of an endpoint that runs another request suspected of a
 	// crash, for a suspected one. It outweighs all other costs.
 	sharedSuspicionCost = float64(time.Hour)
@@ -53,8 +51,8 @@
 		est.cost = float64(est.firstEvent) * (1 + e.loadShare())
 	}
 	est.cost += e.failureRate * float64(failureCost)
-	if e.record.Zone != s.settings.Zone {
-		est.cost += float64(crossZoneCost)
+	if s.crossesZones(e) {
+		est.cost += float64(s.settings.CrossZonePrice)
 	}
 	return est
 }
@@ -265,7 +263,11 @@
 	return float64(e.running()) / float64(e.slots())
 }
 
-// chooseOtherGroupEndpoint returns an endpoint of another group that was not busy by the latest reports, or nil. Different
+// crossesZones reports whether an endpoint is in another availability zone than this instance.
+func (s *State) crossesZones(e *endpoint) bool { return e.record.Zone != s.settings.Zone }
+
+// chooseOtherGroupEndpoint returns an endpoint of another group that was not busy by the latest reports, or nil. It prefers those of this
+// instance's zone, and returns one of another zone only if waiting for a slot of the own group takes longer than crossing costs. Different
 // requests prefer different endpoints. Otherwise many instances would choose the same one, because they all see the same
 // old reports.
 func (s *State) chooseOtherGroupEndpoint(p *pool, j *Job) *endpoint {
@@ -274,12 +276,18 @@
 	}
 	var best *endpoint
 	bestScore := uint64(0)
+	mayCross := s.slotInterval(p) > s.settings.CrossZonePrice
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
 		if !e.otherGroup || !s.mayLend(e) || !s.canAccept(e, j, 0) {
 			continue
 		}
-		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
+		crosses := s.crossesZones(e)
+		if crosses && (!mayCross || best != nil && !s.crossesZones(best)) {
+			continue
+		}
+		score := wigeonshift.RendezvousScore(key, e.record.ID)
+		if best == nil || score > bestScore || !crosses && s.crossesZones(best) {
 			best, bestScore = e, score
 		}
 	}
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -139,6 +140,15 @@
 	return sum
 }
 
+// slotInterval returns the expected time between two slots that become free on the endpoints of this instance's group, if all are in use.
+func (s *State) slotInterval(p *pool) time.Duration {
+	throughput := s.throughput(p)
+	if throughput <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(float64(time.Second) / throughput)
+}
+
 // limited returns the number of endpoints that name limits.
 func (p *pool) limited() int {
 	n := 0
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -29,6 +29,8 @@
 	Instance string
 	// Zone is the availability zone of this instance.
 	Zone string
+	// CrossZonePrice is what it costs to send a request to an endpoint in another availability zone, as a latency.
+	CrossZonePrice time.Duration
 	// AwaitsList is set if quotas are granted only once all instances are known.
 	AwaitsList bool
 }
--- a/internal/services/wigeondispatch/shared.go
+++ b/internal/services/wigeondispatch/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"wigeonshift"
@@ -46,7 +47,7 @@
 // only after seconds, and what was free then would be taken by all of them.
 func (s *State) mayLend(e *endpoint) bool {
 	own := s.groups.groupByInstance[s.settings.Instance]
-	free := int(otherGroupMaxLoadShare*float64(e.slots())) - (e.running() - e.groupRunning())
+	free := int(math.Ceil(otherGroupMaxLoadShare*float64(e.slots()))) - (e.running() - e.groupRunning())
 	return free > 0 && e.groupRunning() < s.groups.part(e.record.ID, own, free)
 }
 
@@ -78,6 +79,9 @@
 // part returns the part of a group in a number of things at an endpoint. The parts of all groups add up to the number and differ by
 // at most one; which groups get one more differs between endpoints.
 func (g *Groups) part(endpointID, group string, n int) int {
+	if len(g.names) == 0 {
+		return n
+	}
 	part, rest := n/len(g.names), n%len(g.names)
 	own, ahead := wigeonshift.RendezvousScore(endpointID, group), 0
 	for _, name := range g.names {
