--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -31,7 +31,7 @@
 	j.resendPending = false
 	p := s.pool(j.Service)
 	switch {
-	case j.second.assignedEndpoint != nil:
+	case j.isHedged():
 		j.endOneOfTwo(e, ev)
 	case j.isOver, ev.Outcome == OutcomeDone, ev.Outcome == OutcomeAbandoned:
 		s.forget(j)
--- a/internal/services/wigeondispatch/hedge.go
+++ b/internal/services/wigeondispatch/hedge.go
@@ -66,7 +66,7 @@
 }
 
 // isHedged reports whether both attempts of a request run.
-func (j *Job) isHedged() bool { return j.assignedEndpoint != nil && j.second.assignedEndpoint != nil }
+func (j *Job) isHedged() bool { return j.second != nil }
 
 // selectAttempt makes the running attempt that is a hedge, or the one that isn't, the one that the reducer handles. It reports
 // whether there is one.
@@ -74,10 +74,10 @@
 	if j.assignedEndpoint != nil && j.isHedge == isHedge {
 		return true
 	}
-	if j.second.assignedEndpoint == nil || j.second.isHedge != isHedge {
+	if j.second == nil || j.second.isHedge != isHedge {
 		return false
 	}
-	j.attempt, j.second = j.second, j.attempt
+	j.attempt, *j.second = *j.second, j.attempt
 	return true
 }
 
@@ -91,7 +91,7 @@
 	default:
 		j.failedOver = j.noteFailedAttempt(e, ev.Outcome) || j.failedOver
 	}
-	j.attempt, j.second = j.second, attempt{}
+	j.attempt, j.second = *j.second, nil
 }
 
 // hedging is what hedges are decided by.
@@ -244,10 +244,12 @@
 func (s *State) sendHedge(e *endpoint, j *Job) {
 	decision, candidate := s.decideHedge(j), j.candidate
 	s.hedging.limits.CountHedge(s.now, j.Service)
-	j.second, j.attempt = j.attempt, attempt{isHedge: true}
+	first := j.attempt
+	j.attempt = attempt{isHedge: true}
 	d := s.startAttempt(e, j)
 	d.Resend, d.MaxSendDelay = &decision, wigeonbudget.MaxSendDelay
 	j.resendSlot, j.resendPending = s.retryBudget(j.Service).CountResend(s.now), true
-	j.attempt, j.second = j.second, j.attempt
+	hedge := j.attempt
+	j.attempt, j.second = first, &hedge
 	s.emit(Hedge{Candidate: candidate, Dispatch: d})
 }
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -73,9 +73,10 @@
 	passingTo    string
 	// failedEndpoints lists the IDs of the endpoints that must not get the request again.
 	failedEndpoints []string
-	// attempt is the running attempt, and the one that the reducer handles while there are two. second is the other one.
+	// attempt is the running attempt, and the one that the reducer handles while there are two. second is the other one, which runs
+	// as well; nil if there is none.
 	attempt
-	second attempt
+	second *attempt
 	// isOver is set once the call has ended while the second attempt still runs.
 	isOver bool
 	// answerStarted is set once the first event of the answer has arrived.
--- a/internal/services/wigeonhedge/candidate.go
+++ b/internal/services/wigeonhedge/candidate.go
@@ -21,10 +21,10 @@
 
 // Candidate is a request that may be hedged. NewCandidate is the only way to one, so that there is none for a request that must not
 // run twice. The zero value belongs to no class, and has no delay.
-type Candidate struct{ class class }
+type Candidate struct{ class *class }
 
 // IsValid reports whether the candidate comes from NewCandidate.
-func (c Candidate) IsValid() bool { return c.class != class{} }
+func (c Candidate) IsValid() bool { return c.class != nil }
 
 // class identifies requests whose answers take about as long.
 type class struct {
@@ -48,7 +48,7 @@
 	if !isRepeatable {
 		return Candidate{}, ErrNotRepeatable
 	}
-	return Candidate{class: class{service: r.Service, route: r.Route, size: sizeClass(r.PromptTokens)}}, nil
+	return Candidate{class: &class{service: r.Service, route: r.Route, size: sizeClass(r.PromptTokens)}}, nil
 }
 
 func sizeClass(promptTokens int) int {
--- a/internal/services/wigeonhedge/delay.go
+++ b/internal/services/wigeonhedge/delay.go
@@ -42,9 +42,9 @@
 	if !c.IsValid() {
 		return
 	}
-	h := d.classes[c.class]
+	h := d.classes[*c.class]
 	if h == nil {
-		if h = d.add(at, c.class); h == nil {
+		if h = d.add(at, *c.class); h == nil {
 			return
 		}
 	}
@@ -71,8 +71,11 @@
 // Delay returns the time after its dispatch at which a candidate without an answer is hedged, and zero if there are too few samples
 // to tell.
 func (d *Delays) Delay(at time.Duration, c Candidate) time.Duration {
-	h := d.classes[c.class]
-	if !c.IsValid() || h == nil {
+	if !c.IsValid() {
+		return 0
+	}
+	h := d.classes[*c.class]
+	if h == nil {
 		return 0
 	}
 	if h.advance(at) {
