--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -115,10 +115,10 @@
 	return Relay{
 		Limits: RelayLimits{Cores: 1, MemoryMegabytes: 128, Files: 1024},
 		Retry:  RelayRetry{Ratio: 0.1, Slack: 20, Window: wigeontoml.Duration{Duration: 10 * time.Second}},
+		Hedge:  RelayHedge{Share: 0, Percentile: 0.97},
 		Placement: RelayPlacement{
 			CrossZonePrice: wigeontoml.Duration{Duration: 2 * time.Millisecond},
 		},
-		Hedge: RelayHedge{Share: 0, Percentile: 0.97},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
