--- /dev/null
+++ b/internal/services/wigeonrollout/rollout.go
@@ -0,0 +1,380 @@
+package wigeonrollout
+
+import (
+	"time"
+
+	"wigeonshift"
+)
+
+// Settings bound the damage that a bad version may do.
+type Settings struct {
+	// ExposeShare is the share of a service's requests that a bad version may get over all instances, ExposeSlack a number of
+	// requests in addition.
+	ExposeShare, ExposeSlack float64
+	// RollbackWithin is the time from a bad version's 50th bad answer after which it gets no request.
+	RollbackWithin time.Duration
+}
+
+const (
+	// canaryShare is the part of ExposeShare that the target version gets in the first stage. The rest is kept for the step.
+	canaryShare = 0.3
+	// budgetShare is the part of ExposeShare that is used before the last stage. The rest covers the time in which a verdict of
+	// that stage spreads.
+	budgetShare = 0.8
+	// stepShare is the largest share of requests and of target endpoints in the second stage.
+	stepShare = 0.25
+	// instanceSlackShare is the part of ExposeSlack that is divided among the instances. The rest is for instances that start
+	// again, and for the spread of a verdict in the last stage.
+	instanceSlackShare = 0.8
+	// stepAt and writeBy are shares of the order's duration. No state but a rollback is written after writeBy, so that
+	// a slow store doesn't hold it beyond the end.
+	stepAt  = 0.35
+	writeBy = 0.875
+	// minEndTime and maxEndTime are shares of the order's duration. They bound the time before writeBy in which running
+	// requests on other versions end.
+	minEndTime = 0.08
+	maxEndTime = 0.25
+	// endTimeFactor is applied to the longest run that the instance has seen.
+	endTimeFactor = 1.2
+	// minCapacity is the least number of the target version's slots, relative to the others', beyond the canary.
+	minCapacity = 0.8
+	// contactShare is the share of RollbackWithin for which the target version gets requests without any contact.
+	contactShare = 0.5
+	// maxReportAge is the age up to which a report of another instance counts as current. Other groups report every 2 s.
+	maxReportAge = 5 * time.Second
+	// maxPeers bounds the reports that are kept, also of instances that have ended.
+	maxPeers = 4096
+)
+
+// Capacity is what an instance sees of the endpoints of a service.
+type Capacity struct {
+	// TargetSlots and OtherSlots are the slots of the endpoints that aren't leaving.
+	TargetSlots, OtherSlots int
+	// TargetEndpoints is the number of endpoints of the target version that the instance's group uses.
+	TargetEndpoints int
+	// OthersRunning is the number of this instance's requests on endpoints of other versions.
+	OthersRunning int
+}
+
+// Rollout is the state of one order at one instance. Its methods must not be called concurrently.
+type Rollout struct {
+	settings Settings
+	order    wigeonshift.RolloutOrder
+	// startedAt is the time of the order, if isStarted is set.
+	startedAt time.Duration
+	isStarted bool
+	// instances is the number of instances, this one included. slack is this instance's part of ExposeSlack, a whole number.
+	instances, slack int
+	// offset is added to the share of the budget. It differs between instances so that the parts of a request that each has left
+	// add up to whole ones.
+	offset float64
+	// sent is the number of this instance's requests of the service since it knows of the order, sentToTarget those of them that
+	// went to the target version.
+	sent, sentToTarget int
+	// longestRun is the longest time that a request ran on another version.
+	longestRun time.Duration
+	capacity   Capacity
+	// stage is the present stage. It never falls.
+	stage wigeonshift.RolloutStage
+	// contactAt is the latest time at which a peer or the store told of the rollout.
+	contactAt time.Duration
+	state     wigeonshift.RolloutState
+	condemned string
+	evidence  evidence
+	pace      pace
+	peers     map[string]peerReport
+}
+
+// peerReport is the latest report of another instance.
+type peerReport struct {
+	wigeonshift.RolloutReport
+	at time.Duration
+}
+
+// New returns a rollout that an instance has learned of.
+func New(order wigeonshift.RolloutOrder, s Settings) *Rollout {
+	r := &Rollout{
+		settings: s, order: order, evidence: newEvidence(), pace: pace{}, peers: map[string]peerReport{},
+	}
+	r.SetInstances("", nil)
+	return r
+}
+
+// Order returns the order.
+func (r *Rollout) Order() wigeonshift.RolloutOrder { return r.order }
+
+// State returns the settled state; empty if it isn't known.
+func (r *Rollout) State() wigeonshift.RolloutState { return r.state }
+
+// Stage returns the present stage.
+func (r *Rollout) Stage() wigeonshift.RolloutStage { return r.stage }
+
+// Condemned says why the target version counts as bad; empty if it doesn't.
+func (r *Rollout) Condemned() string { return r.condemned }
+
+// Start sets the time since the order. Of several ages the highest counts, since nobody knows of an order before it exists.
+func (r *Rollout) Start(now, age time.Duration) {
+	if !r.isStarted || now-age < r.startedAt {
+		r.startedAt, r.isStarted = now-age, true
+	}
+}
+
+// Age returns the time since the order; zero if it isn't known.
+func (r *Rollout) Age(now time.Duration) time.Duration {
+	if !r.isStarted {
+		return 0
+	}
+	return max(now-r.startedAt, 1)
+}
+
+// Contact records that the store has told of the rollout.
+func (r *Rollout) Contact(now time.Duration) { r.contactAt = now }
+
+// SetInstances sets the IDs of all instances and that of this one. The slack is divided among them in whole requests, because
+// parts of a request would let none of many instances send any.
+func (r *Rollout) SetInstances(self string, ids []string) {
+	r.instances = max(len(ids), 1)
+	whole := int(instanceSlackShare * r.settings.ExposeSlack)
+	r.slack = whole / r.instances
+	if r.rank("slack", self, ids) < whole%r.instances {
+		r.slack++
+	}
+	r.offset = (float64(min(r.rank("offset", self, ids), r.instances-1)) + 0.5) / float64(r.instances)
+}
+
+// rank returns the number of instances that precede one in an order that differs between rollouts and purposes.
+func (r *Rollout) rank(purpose, self string, ids []string) int {
+	key, rank := purpose+"/"+r.order.Service+"/"+r.order.Target, 0
+	own := wigeonshift.RendezvousScore(key, self)
+	for _, id := range ids {
+		if wigeonshift.RendezvousScore(key, id) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Settle sets the state that the store holds. A final state is never replaced.
+func (r *Rollout) Settle(state wigeonshift.RolloutState) {
+	if !r.state.Final() {
+		r.state = state
+	}
+}
+
+// Update sets the capacity, and moves on to the stage that is due.
+func (r *Rollout) Update(now time.Duration, c Capacity) {
+	r.capacity = c
+	if r.state.Final() {
+		return
+	}
+	if r.condemned == "" {
+		r.condemned = r.evidence.verdict()
+	}
+	if r.condemned == "" && r.isStarted && r.hasContact(now) && r.hasCapacity() {
+		r.stage = max(r.stage, r.stageAt(r.Age(now)))
+	}
+}
+
+// stageAt returns the stage that is due at an age.
+func (r *Rollout) stageAt(age time.Duration) wigeonshift.RolloutStage {
+	switch {
+	case age >= r.fraction(writeBy)-r.endTime() && !r.evidence.isSuspicious(), age >= r.fraction(writeBy-minEndTime):
+		return wigeonshift.RolloutFull
+	case age >= r.fraction(stepAt):
+		return wigeonshift.RolloutStep
+	default:
+		return wigeonshift.RolloutCanary
+	}
+}
+
+// endTime returns the time that the running requests of other versions are given to end.
+func (r *Rollout) endTime() time.Duration {
+	needed := time.Duration(endTimeFactor * float64(r.longestRun))
+	return min(max(needed, r.fraction(minEndTime)), r.fraction(maxEndTime))
+}
+
+// fraction returns a share of the order's duration.
+func (r *Rollout) fraction(share float64) time.Duration {
+	return time.Duration(share * float64(r.order.Duration))
+}
+
+func (r *Rollout) hasContact(now time.Duration) bool {
+	return now-r.contactAt <= time.Duration(contactShare*float64(r.settings.RollbackWithin))
+}
+
+func (r *Rollout) hasCapacity() bool {
+	return r.capacity.TargetSlots > 0 && float64(r.capacity.TargetSlots) >= minCapacity*float64(r.capacity.OtherSlots)
+}
+
+// stepEndpoints returns the number of target endpoints that get requests in the second stage.
+func (r *Rollout) stepEndpoints() int {
+	return max(int(stepShare*float64(r.capacity.TargetEndpoints)), 1)
+}
+
+// UsableEndpoints returns how many of the target version's endpoints of the group may get requests. They are few before the last
+// stage, so that these run under the load that all will have.
+func (r *Rollout) UsableEndpoints(now time.Duration) int {
+	switch share := r.TargetShare(now); {
+	case share >= 1:
+		return r.capacity.TargetEndpoints
+	case share == 0:
+		return 0
+	case r.stage == wigeonshift.RolloutStep:
+		return r.stepEndpoints()
+	default:
+		return 1
+	}
+}
+
+// TargetShare returns the share of requests that the target version may get: none before the rollout has
+// started or once it is rolled back, and all once it is completed.
+func (r *Rollout) TargetShare(now time.Duration) float64 {
+	switch {
+	case r.state == wigeonshift.RolloutCompleted:
+		return 1
+	case r.state == wigeonshift.RolloutRolledBack, r.condemned != "":
+		return 0
+	case !r.isStarted:
+		if r.capacity.OtherSlots == 0 {
+			// The state isn't known yet, and no other version is left.
+			return 1
+		}
+		return 0
+	case !r.hasContact(now):
+		return 0
+	case r.stage == wigeonshift.RolloutFull:
+		return 1
+	case r.stage == wigeonshift.RolloutStep:
+		return min(float64(r.stepEndpoints())/float64(max(r.capacity.TargetEndpoints, 1)), stepShare)
+	default:
+		return canaryShare * r.settings.ExposeShare
+	}
+}
+
+// MayUseOthers reports whether other versions than the target may get requests.
+func (r *Rollout) MayUseOthers(now time.Duration) bool {
+	if r.state == wigeonshift.RolloutCompleted {
+		return false
+	}
+	return r.TargetShare(now) < 1
+}
+
+// MayUseTarget reports whether the target version may get the next request of this instance. Before the last stage it gets no
+// more than the instance's own part of the budget, which holds over all instances without any message.
+func (r *Rollout) MayUseTarget(now time.Duration) bool {
+	share := r.TargetShare(now)
+	if share >= 1 {
+		return true
+	}
+	if share == 0 {
+		return false
+	}
+	next := float64(r.sentToTarget + 1)
+	share = min(share, budgetShare*r.settings.ExposeShare)
+	return next <= share*float64(r.sent+1)+r.offset+float64(r.slack)
+}
+
+// Sent counts a request that this instance sends.
+func (r *Rollout) Sent(toTarget bool) {
+	r.sent++
+	if toTarget {
+		r.sentToTarget++
+	}
+}
+
+// Decide returns the state to be written, and why. It is running while the rollout goes on.
+func (r *Rollout) Decide(now time.Duration) (wigeonshift.RolloutState, string) {
+	switch {
+	case r.state.Final():
+		return r.state, ""
+	case r.condemned != "":
+		return wigeonshift.RolloutRolledBack, r.condemned
+	case !r.isStarted:
+		return wigeonshift.RolloutRunning, ""
+	case r.capacity.OtherSlots == 0 && r.capacity.TargetSlots > 0 && r.stage != wigeonshift.RolloutFull:
+		return wigeonshift.RolloutCompleted, "no other version runs"
+	case r.stage == wigeonshift.RolloutFull && r.othersEnded(now):
+		return wigeonshift.RolloutCompleted, "no request runs on another version"
+	case r.Age(now) < r.fraction(writeBy):
+		return wigeonshift.RolloutRunning, ""
+	case r.stage == wigeonshift.RolloutFull && r.hasContact(now):
+		return wigeonshift.RolloutCompleted, "time is up; some requests still run on another version"
+	case !r.hasCapacity():
+		return wigeonshift.RolloutRolledBack, "endpoints of the target version are missing"
+	default:
+		return wigeonshift.RolloutRunning, ""
+	}
+}
+
+// othersEnded reports whether no instance runs requests on other versions, as the latest reports of all say.
+func (r *Rollout) othersEnded(now time.Duration) bool {
+	if r.capacity.OthersRunning > 0 {
+		return false
+	}
+	current := 1
+	for _, p := range r.peers {
+		if now-p.at > maxReportAge {
+			continue
+		}
+		if p.Stage != wigeonshift.RolloutFull || p.OthersRunning > 0 {
+			return false
+		}
+		current++
+	}
+	return current >= r.instances
+}
+
+// Report returns what this instance tells the others.
+func (r *Rollout) Report(now time.Duration) wigeonshift.RolloutReport {
+	return wigeonshift.RolloutReport{
+		Service: r.order.Service, OrderRevision: r.order.Revision, Age: r.Age(now), State: r.state, Condemned: r.condemned,
+		Stage: r.stage, OthersRunning: r.capacity.OthersRunning, Counts: r.evidence.counts(),
+	}
+}
+
+// Merge adds the latest report of another instance. It ignores reports on other orders. Reports of instances that have ended
+// stay, as their evidence holds.
+func (r *Rollout) Merge(peer string, report wigeonshift.RolloutReport, now time.Duration) {
+	if report.OrderRevision != r.order.Revision {
+		return
+	}
+	known, exists := r.peers[peer]
+	if !exists && len(r.peers) >= maxPeers {
+		return
+	}
+	if len(report.Counts) > wigeonshift.MaxRolloutCounts {
+		report.Counts = report.Counts[:wigeonshift.MaxRolloutCounts]
+	}
+	r.peers[peer] = peerReport{RolloutReport: report, at: now}
+	r.evidence.replace(known.Counts, report.Counts)
+	r.contactAt = now
+	if report.Age > 0 && report.Age <= 2*r.order.Duration {
+		r.Start(now, report.Age)
+	}
+	if report.State != "" {
+		r.Settle(report.State)
+	}
+	if r.condemned == "" {
+		r.condemned = report.Condemned
+	}
+}
+
+// BadAnswers returns the number of bad answers of the target version that this instance has seen. Each is worth telling all
+// instances at once.
+func (r *Rollout) BadAnswers() int {
+	n := 0
+	for _, p := range r.evidence.own {
+		n += p.target.failed + p.target.slow
+	}
+	return n
+}
+
+// HasSibling reports whether another instance that precedes this one has reported lately. Then that one reads the store.
+func (r *Rollout) HasSibling(now time.Duration, precedes func(peer string) bool) bool {
+	for name, p := range r.peers {
+		if now-p.at <= time.Duration(contactShare*float64(r.settings.RollbackWithin)) && precedes(name) {
+			return true
+		}
+	}
+	return false
+}
