Decode rollout orders, states and the version of endpoints; settings of rollouts

The platform layer didn't know the rows of rollouts. Codec decodes rollout/SERVICE of the tables op and status, and the version of endpoint rows.

--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -15,6 +15,7 @@
 	Limits   RelayLimits   `toml:"limits"`
 	Retry    RelayRetry    `toml:"retry"`
 	Quota    RelayQuota    `toml:"quota"`
+	Rollout  RelayRollout  `toml:"rollout"`
 	Drain    RelayDrain    `toml:"drain"`
 	Log      Log           `toml:"log"`
 	Metrics  RelayMetrics  `toml:"metrics"`
@@ -79,6 +80,16 @@
 	Window wigeontoml.Duration `toml:"window" validate:"min=0"`
 }
 
+// RelayRollout bounds the damage that a bad version may do while a service's traffic is moved to it.
+type RelayRollout struct {
+	// ExposeShare is the fraction of the service's requests that a bad version may get, ExposeSlack a number of requests in
+	// addition.
+	ExposeShare float64 `toml:"exposeShare" validate:"min=0,max=1"`
+	ExposeSlack float64 `toml:"exposeSlack" validate:"min=0"`
+	// RollbackWithin is the time from a bad version's 50th bad answer after which it gets no request.
+	RollbackWithin wigeontoml.Duration `toml:"rollbackWithin" validate:"min=1000000"`
+}
+
 // RelayDrain holds the settings of a graceful shutdown.
 type RelayDrain struct {
 	// Timeout is the time after which a stopping process is killed.
@@ -98,6 +109,9 @@
 	return Relay{
 		Limits: RelayLimits{Cores: 1, MemoryMegabytes: 128, Files: 1024},
 		Retry:  RelayRetry{Ratio: 0.1, Slack: 20, Window: wigeontoml.Duration{Duration: 10 * time.Second}},
+		Rollout: RelayRollout{
+			ExposeShare: 0.1, ExposeSlack: 50, RollbackWithin: wigeontoml.Duration{Duration: 5 * time.Second},
+		},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
--- a/routing.go
+++ b/routing.go
@@ -122,6 +122,8 @@
 	Leaving bool
 	// StartedAtMillis is the start time of the incarnation in Unix milliseconds; zero if not given.
 	StartedAtMillis int64
+	// Version is the version of the endpoint's software; empty if not given.
+	Version string
 }
 
 // TableRow is a row of the platform's store with the revision of its last change.
@@ -175,6 +177,8 @@
 	TableQuarantine
 	// TableShares holds the leases by which the instances divide what they share.
 	TableShares
+	// TableStatus holds the states of rollouts.
+	TableStatus
 )
 
 // RoutingCodec decodes rows of the routing store.
@@ -183,4 +187,11 @@
 	Configuration(row TableRow) (c *RoutingConfiguration, ok bool, err error)
 	// Endpoint decodes an endpoint row. An error means that the row describes no usable endpoint.
 	Endpoint(row TableRow) (EndpointRecord, error)
+	// RolloutOrder decodes the row of a rollout order; ok is false for rows with other content. The order of a deleted row has
+	// no target.
+	RolloutOrder(row TableRow) (o RolloutOrder, ok bool, err error)
+	// RolloutStatus decodes the row of the state of a rollout; ok is false for rows with other content.
+	RolloutStatus(row TableRow) (s RolloutStatus, ok bool, err error)
+	// EncodeRolloutStatus returns the key and the value of such a row.
+	EncodeRolloutStatus(s RolloutStatus) (key string, value []byte, err error)
 }
