--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -49,6 +49,7 @@
 			Generation: l.Generation, Sent: l.Sent,
 		})
 	}
+	out.Rollouts = encodeRollouts(m.Rollouts)
 	return out
 }
 
@@ -103,6 +104,7 @@
 			Generation: l.GetGeneration(), Sent: l.GetSent(),
 		})
 	}
+	out.Rollouts = decodeRollouts(m.GetRollouts())
 	return out
 }
 
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -88,6 +88,11 @@
 				}},
 				Answers: []wigeonshift.FeatureAnswer{{Feature: 1 << 63, At: time.UnixMilli(13)}},
 			},
+			Rollouts: []wigeonshift.RolloutReport{{
+				Service: "s", OrderRevision: 11, Age: 1500 * time.Millisecond, State: wigeonshift.RolloutRunning, Condemned: "slow",
+				Stage: wigeonshift.RolloutFull, OthersRunning: 3,
+				Counts: []wigeonshift.RolloutCount{{Route: "r", Stage: wigeonshift.RolloutStep, OnTarget: true, Answers: 9, Failed: 3, Slow: 2, Lost: 1}},
+			}},
 		},
 	}
 }
--- a/peer.go
+++ b/peer.go
@@ -164,6 +164,8 @@
 		QuarantineRevision uint64
 		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
 		CrashEvidence
+		// Rollouts has at most MaxRolloutReports entries.
+		Rollouts []RolloutReport
 	}
 )
 
