--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonquota"
 )
 
 // peer is the load that another instance reported.
@@ -49,6 +50,7 @@
 	s.replacePeerLoads(p, fresh)
 	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
+	s.handlePeerMisplaced(notice.Misplaced)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -57,8 +59,8 @@
 	}
 	for _, u := range notice.Organisations {
 		if q := s.quotas[u.Organisation]; q != nil {
-			q.handlePeerReport(name, u.Units, s.now, p.inGroup)
-			q.adoptPeerBalance(u.RemainingUnits, s.now)
+			q.HandlePeerReport(name, u.Units, s.now, p.inGroup)
+			q.AdoptPeerBalance(u.RemainingUnits, s.now)
 		}
 	}
 	if p.inGroup {
@@ -87,8 +89,8 @@
 		oldestReport = min(oldestReport, m.reportedAt)
 	}
 	for _, q := range s.quotas {
-		if oldestReport > q.round.startedAt {
-			q.startRound(s.now)
+		if oldestReport > q.RoundStartedAt() {
+			q.StartRound(s.now)
 		}
 	}
 }
@@ -142,7 +144,7 @@
 	delete(s.peers, name)
 	s.updateMembers()
 	for _, q := range s.quotas {
-		q.removePeerUse(name)
+		q.RemovePeer(name)
 	}
 	s.forgetPeerLimits(name)
 	s.updateQuotaShares()
@@ -161,14 +163,14 @@
 			reporting++
 		}
 	}
-	shares := quotaShares{
-		share: min(float64(reporting)/float64(s.instances), 1), groupFairShare: 1, memberShare: 1 / float64(groupMembers),
+	shares := wigeonquota.Shares{
+		Share: min(float64(reporting)/float64(s.instances), 1), GroupFairShare: 1, MemberShare: 1 / float64(groupMembers),
 	}
 	if s.instances > maxUngroupedInstances {
-		shares.groupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
+		shares.GroupFairShare = min(float64(groupMembers)/float64(s.instances), 1)
 	}
 	for _, q := range s.quotas {
-		q.setShares(shares, s.now)
+		q.SetShares(shares, s.now)
 	}
 }
 
@@ -199,10 +201,9 @@
 		}
 	}
 	for name, q := range s.quotas {
-		if q.used > 0 {
-			q.refill(s.now)
+		if q.Used() > 0 {
 			out.Organisations = append(out.Organisations, wigeonshift.OrganisationUse{
-				Organisation: name, Units: q.used, RemainingUnits: q.balance,
+				Organisation: name, Units: q.Used(), RemainingUnits: q.Balance(s.now),
 			})
 		}
 	}
@@ -213,6 +214,7 @@
 		}
 	}
 	out.Limits = s.limitReports()
+	out.Misplaced = s.misplacedReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
