Dispatch keeps to the shares of versions while a rollout runs

Placement didn't know versions. One filter in canAccept keeps a request from endpoints whose version may not have it, endpoints without any share are barred, and outcomes are counted by version. Two orders at once, a replaced and a removed one are tested. Without an order, the filter is one map look-up and no endpoint is barred.

--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -25,6 +25,7 @@
 	e.endAttempt(j)
 	j.assignedEndpoint = nil
 	s.recordOutcome(e, j, ev)
+	s.endRolloutRun(e, j, ev)
 	if ev.Outcome.answered() {
 		s.recordResendArrival(j)
 	}
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -93,6 +93,7 @@
 	j.lastEndpoint, j.keptTokens = e, e.kept.tokens(j, s.now)
 	e.kept.record(j.promptKeys, s.now)
 	e.startAttempt(j)
+	s.startRolloutRun(e, j)
 	j.assignedEndpoint, j.dispatchedAt, j.firstEventLatency = e, s.now, 0
 	j.attempts++
 	if !j.canFailOver() {
@@ -138,6 +139,7 @@
 	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
+	s.recordRolloutFirstEvent(j)
 	if e.running() <= e.slots() {
 		e.recordFirstEvent(j, j.firstEventLatency)
 	}
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -237,6 +237,24 @@
 	ClearCrashes struct {
 		Fingerprint wigeonshift.Fingerprint
 	}
+	// RolloutRecorded reports a change of a rollout.
+	RolloutRecorded struct {
+		Order wigeonshift.RolloutOrder
+		// State is the state that the store holds; empty if unknown.
+		State wigeonshift.RolloutState
+		Stage wigeonshift.RolloutStage
+		// Condemned says why the target version is bad; empty if it isn't.
+		Condemned string
+		Age       time.Duration
+		// Totals are the answers of all instances over all routes, by stage and version.
+		Totals []wigeonshift.RolloutCount
+	}
+	// RolloutAttempt reports the end of an attempt on a service with a running rollout.
+	RolloutAttempt struct {
+		Service, Version string
+		Outcome          Outcome
+		Succeeded        bool
+	}
 	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly or another endpoint has its address.
 	Suspect struct {
 		EndpointID string
@@ -251,6 +269,8 @@
 func (Refuse) effect()          {}
 func (Failure) effect()         {}
 func (Abandon) effect()         {}
+func (RolloutRecorded) effect() {}
+func (RolloutAttempt) effect()  {}
 func (Suspect) effect()         {}
 func (PassOn) effect()          {}
 func (ProbeEndpoint) effect()   {}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -96,6 +96,8 @@
 	dispatchedAt, rejectedAt time.Duration
 	// rejections is the number of this instance's requests that the endpoint has rejected while it was brittle.
 	rejections int
+	// barred is set while the endpoint gets no requests because of a rollout.
+	barred bool
 	// probing is set while a single request tests whether a suspect endpoint works again.
 	probing bool
 	// hash is a hash of the endpoint's ID.
@@ -136,7 +138,7 @@
 // (one that failed several times in a row) before its suspect time is over. After that a suspect endpoint gets one
 // request at a time, which tests whether it works again, until one succeeds.
 func (e *endpoint) available(at time.Duration) bool {
-	if e.isLeaving() || e.backoffLeft(at) > 0 {
+	if e.barred || e.isLeaving() || e.backoffLeft(at) > 0 {
 		return false
 	}
 	if e.consecutiveFailures < suspectFailureThreshold {
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -172,6 +172,24 @@
 	StopAnnounced struct {
 		At, EndsAt time.Duration
 	}
+	// RolloutsListed replaces the rollout orders.
+	RolloutsListed struct {
+		At     time.Duration
+		Orders []wigeonshift.RolloutOrder
+		// MayBeOld is set if orders that aren't known yet may have been given some time ago.
+		MayBeOld bool
+	}
+	// RolloutRead reports what the store holds of a rollout.
+	RolloutRead struct {
+		At            time.Duration
+		Service       string
+		OrderRevision uint64
+		// State is empty if the store holds none for the order.
+		State wigeonshift.RolloutState
+		// Age is the time since the order, if IsAgeKnown is set.
+		Age        time.Duration
+		IsAgeKnown bool
+	}
 	// Tick is the periodic event that expires old peer reports and places queued requests.
 	Tick struct {
 		At time.Duration
@@ -195,4 +213,6 @@
 func (e EndpointProbed) at() time.Duration       { return e.At }
 func (e PassEnded) at() time.Duration            { return e.At }
 func (e StopAnnounced) at() time.Duration        { return e.At }
+func (e RolloutsListed) at() time.Duration       { return e.At }
+func (e RolloutRead) at() time.Duration          { return e.At }
 func (e Tick) at() time.Duration                 { return e.At }
--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -166,6 +166,9 @@
 	s.updateMembers()
 	s.markOtherGroupEndpoints()
 	s.updateQuotaShares()
+	for _, r := range s.rollouts.byService {
+		r.SetInstances(s.settings.Instance, s.instanceIDs)
+	}
 }
 
 // markOtherGroupEndpoints marks the endpoints that are assigned to other groups, which this instance uses only if no
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -101,6 +101,10 @@
 	isTrial bool
 	// triedCause is the key of the cause of crashes in spite of which the request is sent; zero if there is none.
 	triedCause wigeonshift.Fingerprint
+	// rolloutRun is the running attempt for the rollout of the service; nil if there is none. failedOnTarget and failedOnOthers
+	// are set once an attempt has failed on the target version and on another.
+	rolloutRun                     *rolloutRun
+	failedOnTarget, failedOnOthers bool
 	// quotaCharged is set while Units are charged to the organisation's quota.
 	quotaCharged bool
 }
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -50,6 +50,7 @@
 	s.replacePeerLoads(p, fresh)
 	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
+	s.mergeRollouts(name, notice.Rollouts)
 	s.handlePeerMisplaced(notice.Misplaced)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
@@ -214,6 +215,7 @@
 		}
 	}
 	out.Limits = s.limitReports()
+	out.Rollouts = s.rolloutReports()
 	out.Misplaced = s.misplacedReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -79,7 +79,7 @@
 // requests must also fit into the engine's memory if its size is known, except that an idle engine accepts a request
 // of any size. Nothing waits at endpoints that name a limit or are brittle.
 func (s *State) canAccept(e *endpoint, j *Job, queueLimit int) bool {
-	if !e.available(s.now) || j.hasFailedOn(e.record.ID) || !e.mayTest(j, s.now) {
+	if !e.available(s.now) || j.hasFailedOn(e.record.ID) || !e.mayTest(j, s.now) || !s.allowsVersion(e, j) {
 		return false
 	}
 	if e.ownLoad.running >= e.rampLimit(s.now) {
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -55,6 +55,7 @@
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
+	rollouts  rollouts
 	// reach is what the instance knows of its way to the endpoints.
 	reach   reach
 	effects []Effect
@@ -79,6 +80,7 @@
 		instances:    1,
 		reach:        newReach(),
 		groups:       NewGroups(nil),
+		rollouts:     newRollouts(settings.Rollout),
 	}
 }
 
@@ -123,6 +125,10 @@
 		s.handlePassEnded(e)
 	case StopAnnounced:
 		s.shortenDeadlines(e.EndsAt)
+	case RolloutsListed:
+		s.replaceRollouts(e)
+	case RolloutRead:
+		s.handleRolloutRead(e)
 	case Tick:
 		s.handleTick()
 	}
@@ -216,6 +222,7 @@
 	}
 	s.markOtherGroupEndpoints()
 	s.recomputePeerLoads()
+	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
 
@@ -242,6 +249,7 @@
 	s.expireBrittle()
 	s.expireKeptPrompts()
 	s.expireReach()
+	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
 
--- /dev/null
+++ b/internal/services/wigeondispatch/rollout.go
@@ -0,0 +1,393 @@
+package wigeondispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonrollout"
+)
+
+// rollouts holds the rollout orders that the instance knows.
+type rollouts struct {
+	settings wigeonrollout.Settings
+	// byService holds the latest order of each service.
+	byService map[string]*wigeonrollout.Rollout
+	// rejected holds the version of each service that was rolled back last. It gets no requests until it is ordered again.
+	rejected map[string]string
+	// news counts the changes that other instances should learn of at once.
+	news uint64
+	// noted is what is known of each rollout, as the latest RolloutRecorded effect says.
+	noted map[string]rolloutNote
+}
+
+// rolloutNote is the part of a rollout whose changes are news.
+type rolloutNote struct {
+	revision  uint64
+	state     wigeonshift.RolloutState
+	stage     wigeonshift.RolloutStage
+	condemned string
+	// badAnswers is the number of bad answers that this instance has seen.
+	badAnswers int
+	// othersEnded is set in the last stage once no request of this instance runs on another version.
+	othersEnded bool
+}
+
+func newRollouts(s wigeonrollout.Settings) rollouts {
+	return rollouts{
+		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]string{}, noted: map[string]rolloutNote{},
+	}
+}
+
+// rolloutRun is the attempt of a request on a service with a rollout.
+type rolloutRun struct {
+	wigeonrollout.Attempt
+	// revision is that of the order.
+	revision uint64
+}
+
+// replaceRollouts replaces the orders. One that the store has listed may be of any age; one that has just changed is new.
+func (s *State) replaceRollouts(ev RolloutsListed) {
+	listed := map[string]bool{}
+	for _, order := range ev.Orders {
+		listed[order.Service] = true
+		known := s.rollouts.byService[order.Service]
+		if known != nil && known.Order() == order {
+			continue
+		}
+		if known != nil && known.State() == wigeonshift.RolloutRolledBack {
+			s.rollouts.rejected[order.Service] = known.Order().Target
+		}
+		if s.rollouts.rejected[order.Service] == order.Target {
+			delete(s.rollouts.rejected, order.Service)
+		}
+		r := wigeonrollout.New(order, s.rollouts.settings)
+		r.SetInstances(s.settings.Instance, s.instanceIDs)
+		if !ev.MayBeOld {
+			r.Start(s.now, 0)
+			r.Contact(s.now)
+		}
+		s.rollouts.byService[order.Service] = r
+	}
+	maps.DeleteFunc(s.rollouts.byService, func(service string, _ *wigeonrollout.Rollout) bool { return !listed[service] })
+	maps.DeleteFunc(s.rollouts.noted, func(service string, _ rolloutNote) bool { return !listed[service] })
+	for _, p := range s.pools {
+		if !listed[p.name] {
+			s.releaseEndpoints(p)
+		}
+	}
+	s.updateRollouts()
+	s.dispatchAllWaiting()
+}
+
+// handleRolloutRead records what the store says of a rollout.
+func (s *State) handleRolloutRead(ev RolloutRead) {
+	r := s.rollouts.byService[ev.Service]
+	if r == nil || r.Order().Revision != ev.OrderRevision {
+		return
+	}
+	r.Contact(s.now)
+	if ev.IsAgeKnown {
+		r.Start(s.now, ev.Age)
+	}
+	if ev.State != "" {
+		r.Settle(ev.State)
+	}
+	s.updateRollouts()
+	s.dispatchAllWaiting()
+}
+
+// mergeRollouts adds what another instance knows. A verdict holds at once.
+func (s *State) mergeRollouts(peer string, reports []wigeonshift.RolloutReport) {
+	hasNews := false
+	for _, report := range reports {
+		r := s.rollouts.byService[report.Service]
+		if r == nil {
+			continue
+		}
+		condemned, state := r.Condemned(), r.State()
+		r.Merge(peer, report, s.now)
+		hasNews = hasNews || r.Condemned() != condemned || r.State() != state
+	}
+	if hasNews {
+		s.updateRollouts()
+	}
+}
+
+// rolloutReports returns what this instance tells the others.
+func (s *State) rolloutReports() []wigeonshift.RolloutReport {
+	var out []wigeonshift.RolloutReport
+	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
+		if len(out) < wigeonshift.MaxRolloutReports {
+			out = append(out, s.rollouts.byService[service].Report(s.now))
+		}
+	}
+	return out
+}
+
+// updateRollouts moves the rollouts on and determines which endpoints may get requests.
+func (s *State) updateRollouts() {
+	if len(s.rollouts.byService) == 0 {
+		return
+	}
+	s.measureRollouts()
+	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
+		r := s.rollouts.byService[service]
+		p := s.pools[service]
+		r.Update(s.now, rolloutCapacity(p, r.Order().Target))
+		if p != nil {
+			s.barEndpoints(p, r)
+		}
+		s.noteRollout(r)
+	}
+}
+
+// rolloutCapacity returns the slots of both versions.
+func rolloutCapacity(p *pool, target string) wigeonrollout.Capacity {
+	var c wigeonrollout.Capacity
+	if p == nil {
+		return c
+	}
+	for _, e := range p.endpoints {
+		onTarget := e.record.Version == target
+		if !onTarget {
+			c.OthersRunning += e.ownLoad.running
+		}
+		switch {
+		case e.isLeaving():
+		case onTarget:
+			c.TargetSlots += e.slots()
+		default:
+			c.OtherSlots += e.slots()
+		}
+	}
+	c.TargetEndpoints = len(p.targetEndpoints(target))
+	return c
+}
+
+// targetEndpoints returns the endpoints of a version that this instance's group uses: its own, or all if it has none.
+func (p *pool) targetEndpoints(version string) []*endpoint {
+	var own, all []*endpoint
+	for _, e := range p.endpoints {
+		if e.record.Version != version || e.isLeaving() {
+			continue
+		}
+		all = append(all, e)
+		if !e.otherGroup {
+			own = append(own, e)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	return all
+}
+
+// barEndpoints bars the endpoints of a service that get no requests by the state of its rollout. If the target version has
+// all requests but no endpoint is available, the others go on until they are released.
+func (s *State) barEndpoints(p *pool, r *wigeonrollout.Rollout) {
+	target := r.Order().Target
+	targets := p.targetEndpoints(target)
+	usable := map[*endpoint]bool{}
+	anyAvailable := false
+	for _, e := range targets[:min(r.UsableEndpoints(s.now), len(targets))] {
+		usable[e] = true
+		e.barred = false
+		anyAvailable = anyAvailable || e.available(s.now)
+	}
+	isFull := r.TargetShare(s.now) >= 1
+	useOthers := r.MayUseOthers(s.now) || !anyAvailable && r.State() != wigeonshift.RolloutCompleted
+	for _, e := range p.endpoints {
+		if e.record.Version == target {
+			e.barred = !isFull && !usable[e]
+			continue
+		}
+		e.barred = !useOthers || s.isRejected(e)
+	}
+}
+
+// releaseEndpoints bars no endpoint of a service without an order.
+func (s *State) releaseEndpoints(p *pool) {
+	delete(s.rollouts.rejected, p.name)
+	for _, e := range p.endpoints {
+		e.barred = false
+	}
+}
+
+// isRejected reports whether the version of an endpoint was rolled back by an order that another has replaced.
+func (s *State) isRejected(e *endpoint) bool {
+	version := s.rollouts.rejected[e.pool.name]
+	return version != "" && e.record.Version == version
+}
+
+// allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. While the target version has a
+// share, requests within it go there if one of its endpoints has a free slot. A request that it has failed goes to another version.
+func (s *State) allowsVersion(e *endpoint, j *Job) bool {
+	r := s.rollouts.byService[e.pool.name]
+	if r == nil || r.TargetShare(s.now) >= 1 {
+		return true
+	}
+	onTarget := e.record.Version == r.Order().Target
+	toTarget := !j.failedOnTarget && r.MayUseTarget(s.now)
+	if onTarget {
+		return toTarget
+	}
+	return !toTarget || !s.hasFreeTarget(e.pool, j, r.Order().Target)
+}
+
+// hasFreeTarget reports whether an endpoint of a version has a free slot for a request.
+func (s *State) hasFreeTarget(p *pool, j *Job, version string) bool {
+	for _, e := range p.endpoints {
+		if e.record.Version != version || !e.available(s.now) || j.hasFailedOn(e.record.ID) || e.running() >= e.slots() {
+			continue
+		}
+		if !e.otherGroup || e.loadShare() < otherGroupMaxLoadShare {
+			return true
+		}
+	}
+	return false
+}
+
+// startRolloutRun counts a request that is sent to an endpoint of a service with a rollout.
+func (s *State) startRolloutRun(e *endpoint, j *Job) {
+	j.rolloutRun = nil
+	r := s.rollouts.byService[e.pool.name]
+	if r == nil || r.State().Final() {
+		return
+	}
+	onTarget := e.record.Version == r.Order().Target
+	r.Sent(onTarget)
+	first, whole := e.pool.typicalTimes(j)
+	j.rolloutRun = &rolloutRun{revision: r.Order().Revision, Attempt: wigeonrollout.Attempt{
+		Route: j.Route, OnTarget: onTarget, Stage: r.Stage(), ExpectedFirst: first, Expected: whole, IsExcused: onTarget && j.failedOnOthers,
+	}}
+}
+
+// typicalTimes returns the times to the first event and to the end of a request's answer with the mean timings.
+func (p *pool) typicalTimes(j *Job) (first, whole time.Duration) {
+	typical := p.typicalTimings()
+	if !j.HasTokens {
+		return typical.plain, typical.plain
+	}
+	first = typical.prefill*time.Duration(j.PromptTokens) + typical.decodeStep*time.Duration(p.eventTokens())
+	return first, first + typical.decodeStep*time.Duration(j.ExpectedAnswerTokens)
+}
+
+// rolloutOf returns the rollout to which the running attempt of a request belongs; nil if there is none.
+func (s *State) rolloutOf(j *Job) *wigeonrollout.Rollout {
+	if j.rolloutRun == nil {
+		return nil
+	}
+	r := s.rollouts.byService[j.Service]
+	if r == nil || r.Order().Revision != j.rolloutRun.revision {
+		return nil
+	}
+	return r
+}
+
+// measureRollouts judges the attempts that run for too long already.
+func (s *State) measureRollouts() {
+	for _, j := range s.jobs {
+		r := s.rolloutOf(j)
+		if r == nil || j.assignedEndpoint == nil {
+			continue
+		}
+		part := wigeonrollout.WholeAnswer
+		if j.firstEventLatency == 0 {
+			part = wigeonrollout.FirstEvent
+		}
+		r.Measure(&j.rolloutRun.Attempt, part, s.now-j.dispatchedAt)
+	}
+}
+
+// recordRolloutFirstEvent judges the time to the first event of an attempt.
+func (s *State) recordRolloutFirstEvent(j *Job) {
+	if r := s.rolloutOf(j); r != nil {
+		r.Measure(&j.rolloutRun.Attempt, wigeonrollout.FirstEvent, j.firstEventLatency)
+		r.Learn(&j.rolloutRun.Attempt, wigeonrollout.FirstEvent, j.firstEventLatency)
+	}
+}
+
+// endRolloutRun counts the end of an attempt. An attempt that the endpoint never got, or didn't run, says nothing of its version.
+func (s *State) endRolloutRun(e *endpoint, j *Job, ev AttemptEnded) {
+	run, r := j.rolloutRun, s.rolloutOf(j)
+	j.rolloutRun = nil
+	if r == nil {
+		return
+	}
+	outcome := wigeonrollout.Ended
+	switch {
+	case ev.Outcome == OutcomeDone && ev.Succeeded:
+		outcome = wigeonrollout.Succeeded
+	case ev.Outcome == OutcomeDone, ev.Outcome == OutcomeFailed:
+		outcome = wigeonrollout.Failed
+	case ev.Outcome == OutcomeLost:
+		outcome = wigeonrollout.Lost
+	case ev.Outcome != OutcomeAbandoned:
+		return
+	}
+	r.End(&run.Attempt, outcome, s.now-j.dispatchedAt)
+	if outcome == wigeonrollout.Failed || outcome == wigeonrollout.Lost {
+		j.failedOnTarget = j.failedOnTarget || run.OnTarget
+		j.failedOnOthers = j.failedOnOthers || !run.OnTarget
+	}
+	s.emit(RolloutAttempt{Service: e.pool.name, Version: e.record.Version, Outcome: ev.Outcome, Succeeded: ev.Succeeded})
+}
+
+// noteRollout reports changes of a rollout.
+func (s *State) noteRollout(r *wigeonrollout.Rollout) {
+	note := rolloutNote{
+		revision: r.Order().Revision, state: r.State(), stage: r.Stage(), condemned: r.Condemned(), badAnswers: r.BadAnswers(),
+		othersEnded: r.HasEndedOthers(),
+	}
+	known, exists := s.rollouts.noted[r.Order().Service]
+	if exists && known == note {
+		return
+	}
+	s.rollouts.noted[r.Order().Service] = note
+	s.rollouts.news++
+	known.badAnswers, known.othersEnded = note.badAnswers, note.othersEnded
+	if exists && known == note {
+		return
+	}
+	s.emit(RolloutRecorded{
+		Order: r.Order(), State: note.state, Stage: note.stage, Condemned: note.condemned, Age: r.Age(s.now), Totals: r.Totals(),
+	})
+}
+
+// RolloutNews counts the changes of rollouts that other instances should learn of at once.
+func (s *State) RolloutNews() uint64 { return s.rollouts.news }
+
+// RolloutTask is what the store is to be told, or asked, of a rollout.
+type RolloutTask struct {
+	Order wigeonshift.RolloutOrder
+	// IsAgeKnown is set once the time of the order is known.
+	IsAgeKnown bool
+	Age        time.Duration
+	// Known is the state that the store holds, as far as known; Wanted the state that it should hold, for Reason.
+	Known, Wanted wigeonshift.RolloutState
+	Reason        string
+	// Rank is the place of this instance among those that write the state. The first ones write it.
+	Rank int
+	// Leads is set for the instance of a group that reads the state for all.
+	Leads bool
+}
+
+// RolloutTasks returns a task for each order.
+func (s *State) RolloutTasks(now time.Duration) []RolloutTask {
+	s.advanceClock(now)
+	var out []RolloutTask
+	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
+		r := s.rollouts.byService[service]
+		wanted, reason := r.Decide(s.now)
+		age := r.Age(s.now)
+		out = append(out, RolloutTask{
+			Order: r.Order(), IsAgeKnown: age > 0, Age: age, Known: r.State(), Wanted: wanted, Reason: reason, Rank: r.WriterRank(),
+			Leads: !r.HasSibling(s.now, func(peer string) bool {
+				return peer < s.settings.Instance && s.groups.SameGroup(peer, s.settings.Instance)
+			}),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -0,0 +1,164 @@
+package wigeondispatch
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonshift"
+	"wigeonshift/internal/services/wigeonrollout"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// rolloutCase is one instance with two services, each with endpoints of two versions.
+type rolloutCase struct {
+	state   *State
+	nextJob JobID
+	// sent counts the dispatches by service and version.
+	sent map[string]int
+	now  time.Duration
+}
+
+func newRolloutCase() *rolloutCase {
+	c := &rolloutCase{sent: map[string]int{}, state: New(Settings{
+		RetryRatio: 1, RetrySlack: 50, RetryWindow: 10 * time.Second, Instance: "i", Zone: "z",
+		Rollout: wigeonrollout.Settings{ExposeShare: 0.1, ExposeSlack: 10, RollbackWithin: 5 * time.Second},
+	})}
+	c.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}})
+	c.listEndpoints("v1", "v2")
+	return c
+}
+
+func (c *rolloutCase) listEndpoints(versions ...string) {
+	var records []wigeonshift.EndpointRecord
+	for _, service := range []string{"a", "b"} {
+		for _, version := range versions {
+			for k := range 4 {
+				id := fmt.Sprint(service, "/", version, "/", k)
+				records = append(records, wigeonshift.EndpointRecord{ID: id, Service: service, Address: id, Slots: 8, Zone: "z", Version: version})
+			}
+		}
+	}
+	c.state.Reduce(EndpointsListed{At: c.now, Records: records})
+}
+
+func (c *rolloutCase) order(orders ...wigeonshift.RolloutOrder) {
+	c.state.Reduce(RolloutsListed{At: c.now, Orders: orders})
+}
+
+// run sends requests to both services for a duration. bad reports whether the endpoint with an ID fails.
+func (c *rolloutCase) run(d time.Duration, bad func(id string) bool) {
+	for end := c.now + d; c.now < end; c.now += 10 * time.Millisecond {
+		if c.now%(50*time.Millisecond) == 0 {
+			c.state.Reduce(Tick{At: c.now})
+		}
+		if c.now%time.Second == 0 {
+			for _, task := range c.state.RolloutTasks(c.now) {
+				c.state.Reduce(RolloutRead{At: c.now, Service: task.Order.Service, OrderRevision: task.Order.Revision, State: task.Wanted})
+			}
+		}
+		for _, service := range []string{"a", "b"} {
+			c.request(service, bad)
+		}
+	}
+}
+
+// request sends one request, and again as often as the reducer decides.
+func (c *rolloutCase) request(service string, bad func(id string) bool) {
+	c.nextJob++
+	effects := c.state.Reduce(RequestArrived{At: c.now, Job: &Job{
+		ID: c.nextJob, Service: service, Route: "r", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 3, Arrived: c.now,
+		Deadline: c.now + 5*time.Second, CallerPatience: 5 * time.Second, LatencyObjective: time.Second,
+	}})
+	for len(effects) > 0 {
+		d, ok := effects[0].(Dispatch)
+		effects = effects[1:]
+		if !ok {
+			continue
+		}
+		c.sent[d.EndpointID[:len("a/v1")]]++
+		end := AttemptEnded{At: c.now + 5*time.Millisecond, Job: d.Job, Outcome: OutcomeDone, Succeeded: true}
+		if bad(d.EndpointID) {
+			end.Outcome, end.Succeeded, end.Answerable = OutcomeFailed, false, true
+		}
+		effects = append(effects, c.state.Reduce(end)...)
+	}
+}
+
+func (c *rolloutCase) stateOf(service string) wigeonshift.RolloutState {
+	return c.state.rollouts.byService[service].State()
+}
+
+func never(string) bool { return false }
+
+var _ = Describe("Dispatch during rollouts", func() {
+	orderOf := func(service string, revision uint64) wigeonshift.RolloutOrder {
+		return wigeonshift.RolloutOrder{Service: service, Target: "v2", Duration: 8 * time.Second, Revision: revision}
+	}
+
+	// Guards against a cost or a change of placement for deployments without rollouts.
+	It("uses all versions without an order", func() {
+		c := newRolloutCase()
+		c.run(4*time.Second, never)
+		Expect(c.sent["a/v1"]).To(BeNumerically("~", c.sent["a/v2"], 40))
+		Expect(c.state.Load().Rollouts).To(BeEmpty())
+		Expect(c.state.RolloutTasks(c.now)).To(BeEmpty())
+	})
+
+	// Guards against orders that affect each other, exposure beyond the bound and requests to a version that is out.
+	It("completes one order and rolls another back at the same time", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1), orderOf("b", 2))
+		c.run(8*time.Second, func(id string) bool { return id[:4] == "b/v2" })
+		Expect(c.stateOf("a")).To(Equal(wigeonshift.RolloutCompleted))
+		Expect(c.stateOf("b")).To(Equal(wigeonshift.RolloutRolledBack))
+		Expect(c.sent["b/v2"]).To(BeNumerically("<=", 0.1*float64(c.sent["b/v1"]+c.sent["b/v2"])+10))
+		before := map[string]int{"a/v1": c.sent["a/v1"], "b/v2": c.sent["b/v2"]}
+		c.run(time.Second, never)
+		Expect(c.sent["a/v1"]).To(Equal(before["a/v1"]))
+		Expect(c.sent["b/v2"]).To(Equal(before["b/v2"]))
+	})
+
+	// Guards against requests to a version that was rolled back by the order before, and against an order that doesn't begin again.
+	It("begins again with an order that replaces another", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		c.run(time.Second, never)
+		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		sent := c.sent["a/v2"]
+		c.listEndpoints("v1", "v2", "v3")
+		c.order(wigeonshift.RolloutOrder{Service: "a", Target: "v3", Duration: 8 * time.Second, Revision: 3})
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(Equal(sent))
+		Expect(c.sent["a/v3"]).To(BeNumerically(">", 0))
+		c.order(orderOf("a", 4))
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent))
+	})
+
+	// Guards against endpoints that stay without requests after the order is gone.
+	It("uses all versions again once the order is removed", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		c.run(time.Second, never)
+		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		c.order()
+		sent := c.sent["a/v2"]
+		c.run(2*time.Second, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent+50))
+	})
+
+	// Guards against an instance that goes on with a version that its siblings know to be bad.
+	It("stops at the verdict of another instance", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		c.run(time.Second, never)
+		sent := c.sent["a/v2"]
+		c.state.Reduce(PeerReported{At: c.now, Peer: "p", Load: wigeonshift.LoadNotice{
+			Rollouts: []wigeonshift.RolloutReport{{Service: "a", OrderRevision: 1, Age: time.Second, Condemned: "failed"}},
+		}})
+		c.run(900*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(Equal(sent))
+	})
+})
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonshift/internal/services/wigeonquota"
+	"wigeonshift/internal/services/wigeonrollout"
 )
 
 // Settings are the limits and the identity of an instance, as set by the deployment.
@@ -20,6 +21,8 @@
 	QuotaSlack float64
 	// QuotaWindow is the length of the window in which the use of a quota is limited; zero if there is none.
 	QuotaWindow time.Duration
+	// Rollout bounds what a bad version may get.
+	Rollout wigeonrollout.Settings
 	// StartedAt is the wall clock time at which the clock of the events was zero.
 	StartedAt time.Time
 	// Instance is the ID of this instance.
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -68,6 +68,8 @@
 	// offset is added to the share of the budget. It differs between instances so that the parts of a request that each has left
 	// add up to whole ones.
 	offset float64
+	// writerRank is the place of this instance among those that write the state.
+	writerRank int
 	// sent is the number of this instance's requests of the service since it knows of the order, sentToTarget those of them that
 	// went to the target version.
 	sent, sentToTarget int
@@ -127,6 +129,25 @@
 	return max(now-r.startedAt, 1)
 }
 
+// WriterRank returns the place of this instance among those that write the state.
+func (r *Rollout) WriterRank() int { return r.writerRank }
+
+// HasEndedOthers reports whether, in the last stage, no request of this instance runs on another version.
+func (r *Rollout) HasEndedOthers() bool {
+	return r.stage == wigeonshift.RolloutFull && r.capacity.OthersRunning == 0
+}
+
+// Totals returns the counts of all instances over all routes.
+func (r *Rollout) Totals() []wigeonshift.RolloutCount {
+	sums := tallies{}
+	for g, p := range r.evidence.total {
+		if g.route == allRoutes {
+			sums[g] = p
+		}
+	}
+	return sums.counts()
+}
+
 // Contact records that the store has told of the rollout.
 func (r *Rollout) Contact(now time.Duration) { r.contactAt = now }
 
@@ -139,6 +160,7 @@
 	if r.rank("slack", self, ids) < whole%r.instances {
 		r.slack++
 	}
+	r.writerRank = r.rank("writer", self, ids)
 	r.offset = (float64(min(r.rank("offset", self, ids), r.instances-1)) + 0.5) / float64(r.instances)
 }
 
@@ -326,10 +348,14 @@
 
 // Report returns what this instance tells the others.
 func (r *Rollout) Report(now time.Duration) wigeonshift.RolloutReport {
-	return wigeonshift.RolloutReport{
+	report := wigeonshift.RolloutReport{
 		Service: r.order.Service, OrderRevision: r.order.Revision, Age: r.Age(now), State: r.state, Condemned: r.condemned,
-		Stage: r.stage, OthersRunning: r.capacity.OthersRunning, Counts: r.evidence.counts(),
+		Stage: r.stage, OthersRunning: r.capacity.OthersRunning,
+	}
+	if !r.state.Final() {
+		report.Counts = r.evidence.counts()
 	}
+	return report
 }
 
 // Merge adds the latest report of another instance. It ignores reports on other orders. Reports of instances that have ended
