Instances follow rollout orders and exchange evidence on them

Orders come with the poll of the configuration's table, which instances make anyway; no order costs no call. A verdict, a bad answer or a new stage is announced to all instances.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -21,7 +21,9 @@
 	"wigeonshift/internal/services/wigeonfollow"
 	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/internal/services/wigeonrelay"
+	"wigeonshift/internal/services/wigeonrollout"
 	"wigeonshift/internal/services/wigeonroute"
+	"wigeonshift/internal/services/wigeonsettlement"
 	"wigeonshift/internal/services/wigeonshare"
 	"wigeonshift/internal/services/wigeonupstream"
 
@@ -66,6 +68,7 @@
 	follower   *wigeonfollow.Service
 	quarantine *wigeonquarantine.Service
 	share      *wigeonshare.Service
+	settlement *wigeonsettlement.Service
 	network    *wigeonsession.Network
 	readiness  *fasthttp.Server
 
@@ -121,7 +124,10 @@
 		QuotaSlack:   s.Quota.Slack,
 		QuotaWindow:  s.Quota.Window.Duration,
 		Zone:         s.Node.Zone,
-		AwaitsList:   true,
+		Rollout: wigeonrollout.Settings{
+			ExposeShare: s.Rollout.ExposeShare, ExposeSlack: s.Rollout.ExposeSlack, RollbackWithin: s.Rollout.RollbackWithin.Duration,
+		},
+		AwaitsList: true,
 	}, log, scope, wigeonrelay.WithCrashRecorder(g.quarantine))
 	g.share = wigeonshare.New(wigeonshare.Settings{
 		Holder:   wigeonshare.HolderOf(g.self.Address),
@@ -129,6 +135,7 @@
 		Clock:    g.dispatcher.MeasureNow,
 		Publish:  g.dispatcher.SetShare,
 	}, p.Store, log, scope)
+	g.settlement = wigeonsettlement.New(p.Store, p.Codec, g.dispatcher, log, scope)
 	g.pool = wigeonupstream.New(p.Dialect)
 	g.relay = wigeonrelay.New(wigeonshift.ConnectionLimits{
 		MaxBodyBytes:   maxBodyBytes,
@@ -143,7 +150,8 @@
 		Endpoints:     g.setEndpoints,
 		Instances:     g.setInstances,
 		Quarantine:    g.quarantine,
-		StoreRestored: g.share.RenewSoon,
+		Rollouts:      g.dispatcher.SetRollouts,
+		StoreRestored: g.handleStoreRestored,
 		Missed:        func() { g.announcing.Store(true) },
 	}, log, wigeonfollow.WithScope(scope), wigeonfollow.WithInstance(g.self.ID))
 	g.network = wigeonsession.New(g.self, wigeonsession.WithListenAddress(s.Peer.Listen), wigeonsession.WithLogger(log),
@@ -194,6 +202,7 @@
 	g.tasks.Go(rs.run)
 	g.quarantine.Start(ctx)
 	g.share.Start(ctx)
+	g.settlement.Start(ctx)
 	g.follower.Start(ctx)
 	g.startLoops(ctx)
 	g.log.WithFields(logrus.Fields{
@@ -273,6 +282,12 @@
 	g.network.ExpectFrames(sameGroup, maxPeerSilence)
 }
 
+// handleStoreRestored renews what the store may have lost by its return from an older copy.
+func (g *Gateway) handleStoreRestored() {
+	g.share.RenewSoon()
+	g.settlement.HandleStoreRestored()
+}
+
 // setCrashes passes what the instances know of crashes to the dispatcher.
 func (g *Gateway) setCrashes(evidence wigeonshift.CrashEvidence) { g.dispatcher.SetCrashes(evidence) }
 
--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -70,6 +70,7 @@
 	defer t.Stop()
 	var reportedChanges uint64
 	var reported knownVersions
+	var reportedRollouts uint64
 	var sameGroupSentAt, otherGroupsSentAt, newInstancesSentAt, crashesSentAt time.Time
 	for {
 		select {
@@ -78,7 +79,13 @@
 			return
 		}
 		sameGroup, otherGroups := g.membership.peers()
-		changed := g.dispatcher.LoadChanges() != reportedChanges || g.knownVersions() != reported
+		rolloutChanged := false
+		if news := g.dispatcher.RolloutNews(); news != reportedRollouts {
+			reportedRollouts = news
+			g.announcing.Store(true)
+			rolloutChanged = true
+		}
+		changed := rolloutChanged || g.dispatcher.LoadChanges() != reportedChanges || g.knownVersions() != reported
 		if !isNoticeDue(time.Since(sameGroupSentAt), changed, 1+len(sameGroup)+len(otherGroups)) {
 			continue
 		}
--- a/internal/routers/wigeongateway/stop.go
+++ b/internal/routers/wigeongateway/stop.go
@@ -42,6 +42,7 @@
 	unfinished := g.dispatcher.InFlight()
 	err := g.relay.Stop(ctx)
 	g.quarantine.Stop()
+	g.settlement.Stop()
 	h.wait(ctx)
 	g.cancel()
 	err = errors.Join(err, g.readiness.ShutdownWithContext(ctx))
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -22,6 +22,9 @@
 	Instances func(instances []wigeonshift.Instance)
 	// Quarantine receives the rows of the quarantine table.
 	Quarantine RowSink
+	// Rollouts receives all rollout orders. mayBeOld is set if orders that weren't known may have been given some time ago; nil
+	// if nobody needs them.
+	Rollouts func(orders []wigeonshift.RolloutOrder, mayBeOld bool)
 	// Missed is called if changes were found that a connection to the store has withheld; nil if nobody needs to know.
 	Missed func()
 	// StoreRestored is called when the store has returned from an older copy; nil if nobody needs to know.
@@ -85,7 +88,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.configuration = &configurationTable{codec: codec, sink: sinks.Configuration, log: log}
+	s.configuration = &configurationTable{codec: codec, sink: sinks.Configuration, log: log, rollouts: &rolloutTable{
+		codec: codec, sink: sinks.Rollouts, log: log, refused: newRefusedRows("rollouts", log, s.scope),
+		orders: map[string]wigeonshift.RolloutOrder{},
+	}}
 	s.endpoints = newEndpointTable(codec, sinks.Endpoints, log, newRefusedRows("endpoints", log, s.scope))
 	s.instances = &instanceTable{
 		sink: func(instances []wigeonshift.Instance) {
@@ -232,14 +238,24 @@
 	// sink receives each newer configuration and the row value that it was decoded from.
 	sink func(*wigeonshift.RoutingConfiguration, []byte)
 	log  logrus.FieldLogger
+	// rollouts keeps the rollout orders, whose rows are in the same table.
+	rollouts *rolloutTable
 
 	mu             sync.Mutex
 	currentVersion uint64
 }
 
-func (t *configurationTable) replaceRows(rows []wigeonshift.TableRow) { t.applyChanges(rows) }
+func (t *configurationTable) replaceRows(rows []wigeonshift.TableRow) {
+	t.applyConfigurations(rows)
+	t.rollouts.replaceRows(rows)
+}
 
 func (t *configurationTable) applyChanges(rows []wigeonshift.TableRow) {
+	t.applyConfigurations(rows)
+	t.rollouts.applyChanges(rows)
+}
+
+func (t *configurationTable) applyConfigurations(rows []wigeonshift.TableRow) {
 	for _, row := range rows {
 		t.apply(row, "store")
 	}
