--- a/cmd/wigeonrelay/main.go
+++ b/cmd/wigeonrelay/main.go
@@ -15,6 +15,7 @@
 	Explain explainCommand `cmd:"" help:"Print the log lines of one request from all instances."`
 	// Quarantine works on the store, whether or not an instance runs.
 	Quarantine quarantineCommand `cmd:"" help:"Show and clear what is refused because endpoints crashed under it."`
+	Rollout    rolloutCommand    `cmd:"" help:"Show the rollouts that are ordered, their states and why."`
 }
 
 func main() {
--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -76,8 +76,8 @@
 	// knowsInstances is set once the store or a peer has listed all instances.
 	knowsInstances atomic.Bool
 	// configurationRequests and endpointsRequests limit how often newer data that peers report is fetched.
-	configurationRequests, endpointsRequests, quarantineRequests peerRequestThrottle
-	membership                                                   *membership
+	configurationRequests, endpointsRequests, quarantineRequests, rolloutRequests peerRequestThrottle
+	membership                                                                    *membership
 	// heard holds when each peer was heard.
 	heard peerHearing
 	// announcing is set while all peers are due a notice of what this instance knows.
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -18,6 +18,7 @@
 		g.quarantine.Offer(m.CrashEvidence)
 		g.fetchNewerQuarantine(from, m.QuarantineRevision)
 		g.fetchNewerConfiguration(from, m.ConfigurationVersion)
+		g.fetchNewerRollouts(from, m.Rollouts)
 		g.fetchNewerEndpoints(from, m.EndpointsRevision)
 	case wigeonshift.ConfigurationAsk:
 		g.sendConfiguration(from, m.Have)
@@ -52,6 +53,25 @@
 	}
 }
 
+// fetchNewerRollouts queries the store for rollout orders again if a peer knows a newer one. They are in the table of the
+// configuration.
+func (g *Gateway) fetchNewerRollouts(from wigeonshift.Instance, reports []wigeonshift.RolloutReport) {
+	peerRevision := uint64(0)
+	for _, r := range reports {
+		peerRevision = max(peerRevision, r.OrderRevision)
+	}
+	if peerRevision == 0 {
+		return
+	}
+	localRevision := g.follower.ConfigurationRevision()
+	if !g.rolloutRequests.shouldRequest(from.ID, peerRevision, localRevision, time.Now()) {
+		return
+	}
+	g.log.WithFields(logrus.Fields{"from": from.ID, "revision": peerRevision, "own": localRevision}).
+		Info("a peer has a newer rollout order; checking the store")
+	g.follower.RepollConfiguration()
+}
+
 // fetchNewerEndpoints queries the store for endpoints again if a peer knows of a change that the store has not delivered
 // here. It also requests the endpoints from the peer if this instance has never had any list of endpoints.
 func (g *Gateway) fetchNewerEndpoints(from wigeonshift.Instance, peerRevision uint64) {
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -188,6 +188,9 @@
 	return true
 }
 
+// ConfigurationRevision returns the revision up to which all changes of the configuration and of rollout orders are known.
+func (s *Service) ConfigurationRevision() uint64 { return s.configurationFollower.knownRevision.Load() }
+
 // RepollConfiguration does for the configuration what RepollEndpoints does for endpoints.
 func (s *Service) RepollConfiguration() { s.configurationFollower.requestRepoll() }
 
