--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -224,6 +224,9 @@
 // allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. While the target version has a
 // share, requests within it go there if one of its endpoints has a free slot. A request that it has failed goes to another version.
 func (s *State) allowsVersion(e *endpoint, j *Job) bool {
+	if len(s.rollouts.byService) == 0 {
+		return true
+	}
 	r := s.rollouts.byService[e.pool.name]
 	if r == nil || r.TargetShare(s.now) >= 1 {
 		return true
@@ -370,8 +373,8 @@
 	Reason        string
 	// Rank is the place of this instance among those that write the state. The first ones write it.
 	Rank int
-	// Leads is set for the instance of a group that reads the state for all.
-	Leads bool
+	// Leads is set for the instance of a group that reads the state for all, IsAlone for one that hears no other.
+	Leads, IsAlone bool
 }
 
 // RolloutTasks returns a task for each order.
@@ -384,6 +387,7 @@
 		age := r.Age(s.now)
 		out = append(out, RolloutTask{
 			Order: r.Order(), IsAgeKnown: age > 0, Age: age, Known: r.State(), Wanted: wanted, Reason: reason, Rank: r.WriterRank(),
+			IsAlone: !r.HasSibling(s.now, func(string) bool { return true }),
 			Leads: !r.HasSibling(s.now, func(peer string) bool {
 				return peer < s.settings.Instance && s.groups.SameGroup(peer, s.settings.Instance)
 			}),
--- a/internal/services/wigeonrollout/evidence.go
+++ b/internal/services/wigeonrollout/evidence.go
@@ -32,7 +32,7 @@
 	// fullSlowRate and minFullSlow are the rate and number of slow answers from which a version is bad in the stage in which the
 	// others get no requests to compare with. A burst may slow some answers then.
 	fullSlowRate = 0.2
-	minFullSlow  = 6
+	minFullSlow  = 8
 	// allRoutes is the key of the sums over all routes. No route has an empty name.
 	allRoutes = ""
 	// furtherRoutes stands for the routes beyond maxGroups groups.
--- a/internal/services/wigeonsettlement/service.go
+++ b/internal/services/wigeonsettlement/service.go
@@ -22,8 +22,10 @@
 	callTimeout = 1500 * time.Millisecond
 	// failureDelay is the delay after a failed call.
 	failureDelay = 300 * time.Millisecond
-	// readInterval is the time between two reads by the instance that reads for its group.
-	readInterval = 2 * time.Second
+	// readInterval is the time between two reads by the instance that reads for its group, aloneReadInterval that of one that
+	// hears no other. Its reads are its only contact, so that one may fail or be slow.
+	readInterval      = 2 * time.Second
+	aloneReadInterval = 800 * time.Millisecond
 	// writeSpread is the delay of a write for each instance that comes before this one, maxWriteDelay the longest. Usually the
 	// first one writes, and the others hear of it.
 	writeSpread   = 150 * time.Millisecond
@@ -164,7 +166,11 @@
 	if p.restores != restores || !task.IsAgeKnown && !p.isRead {
 		return true
 	}
-	return !task.Known.Final() && task.Leads && now.Sub(p.readAt) >= readInterval
+	interval := readInterval
+	if task.IsAlone {
+		interval = aloneReadInterval
+	}
+	return !task.Known.Final() && task.Leads && now.Sub(p.readAt) >= interval
 }
 
 // finish records the result of a call.
