--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -239,6 +239,12 @@
 	return !toTarget || !s.hasFreeTarget(e.pool, j, r.Order().Target)
 }
 
+// isRollingOut reports whether a rollout of a service runs.
+func (s *State) isRollingOut(service string) bool {
+	r := s.rollouts.byService[service]
+	return r != nil && !r.State().Final()
+}
+
 // hasFreeTarget reports whether an endpoint of a version has a free slot for a request.
 func (s *State) hasFreeTarget(p *pool, j *Job, version string) bool {
 	for _, e := range p.endpoints {
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonclock"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -102,15 +103,15 @@
 		instances: map[string]wigeonshift.Instance{},
 	}
 	s.configurationFollower = &follower{
-		table: wigeonshift.TableConfiguration, name: "configuration", handler: s.configuration, nextWait: s.schedule.turnWait,
-		batchDelay: func() time.Duration { return 0 },
+		table: wigeonshift.TableConfiguration, handler: s.configuration, nextWait: s.schedule.turnWait,
+		batchDelay: s.configurationBatchDelay,
 	}
 	s.endpointsFollower = &follower{
-		table: wigeonshift.TableEndpoints, name: "endpoints", handler: s.endpoints, nextWait: s.schedule.guardedWait,
-		batchDelay: func() time.Duration { return s.batchDelay(endpointsBatchMaxDelay) },
+		table: wigeonshift.TableEndpoints, handler: s.endpoints, nextWait: s.schedule.guardedWait,
+		batchDelay: s.endpointsBatchDelay,
 	}
 	s.quarantineFollower = &follower{
-		table: wigeonshift.TableQuarantine, name: "quarantine", handler: rowTable{sinks.Quarantine},
+		table: wigeonshift.TableQuarantine, handler: rowTable{sinks.Quarantine},
 		nextWait:   s.schedule.longWait,
 		batchDelay: func() time.Duration { return s.batchDelay(quarantineBatchMaxDelay) },
 	}
@@ -118,21 +119,23 @@
 		s.configurationFollower,
 		s.endpointsFollower,
 		{
-			table: wigeonshift.TableInstances, name: "instances", handler: s.instances,
+			table: wigeonshift.TableInstances, handler: s.instances,
 			nextWait:   s.schedule.longWait,
-			batchDelay: func() time.Duration { return instancesBatchDelay },
+			batchDelay: func() time.Duration { return instancesBatchDelay }, firstPollDelay: instancesFirstPollDelay,
 		},
 		s.quarantineFollower,
 	}
+	shared := newOutage()
 	for _, f := range s.followers {
-		f.store, f.log, f.schedule = store, log, s.schedule
+		f.outage = shared
+		f.store, f.log, f.schedule, f.scope = store, log, s.schedule, s.scope
 		f.onMissed = sinks.Missed
 		if f.onMissed == nil {
 			f.onMissed = func() {}
 		}
-		f.answerAge = s.scope.Tagged(map[string]string{"table": f.name}).Gauge("storeAnswerAge")
+		f.answerAge = s.scope.Tagged(map[string]string{"table": f.table.String()}).Gauge("storeAnswerAge")
 		f.repollRequests = make(chan struct{}, 1)
-		f.onFailure = s.repollAll
+		f.onFailure, f.onRecovery = s.repollAll, s.repollFailing
 	}
 	return s
 }
@@ -140,11 +143,21 @@
 // Start starts watching the tables. It returns at once.
 func (s *Service) Start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
+	s.schedule.start()
+	s.tasks.Go(func() { s.runStart(ctx) })
 	for _, f := range s.followers {
 		s.tasks.Go(func() { f.run(ctx) })
 	}
 }
 
+// runStart polls for endpoints again if too few peers are heard shortly after the start.
+func (s *Service) runStart(ctx context.Context) {
+	wigeonclock.Sleep(ctx, shortPollWait)
+	if ctx.Err() == nil && !s.schedule.hearsPeers() {
+		s.RepollEndpoints()
+	}
+}
+
 // SetPeersHeard sets the number of peers that were heard lately. Once too few are left to report what a silent connection to the
 // store withholds, it polls all tables again on new connections and reports true.
 func (s *Service) SetPeersHeard(n int) bool {
@@ -166,6 +179,16 @@
 	}
 }
 
+// repollFailing makes the followers poll again whose calls fail, because the store has answered one of them. A call that was made
+// before may get no answer.
+func (s *Service) repollFailing() {
+	for _, f := range s.followers {
+		if f.failing.Load() {
+			f.requestRepoll()
+		}
+	}
+}
+
 // EndpointsRevision returns the highest revision of an endpoint row and the revision up to which all changes are known.
 func (s *Service) EndpointsRevision() (newestRow, known uint64) {
 	f := s.endpointsFollower
@@ -194,6 +217,10 @@
 // RepollConfiguration does for the configuration what RepollEndpoints does for endpoints.
 func (s *Service) RepollConfiguration() { s.configurationFollower.requestRepoll() }
 
+// BatchesConfiguration reports whether changes of the configuration are being collected. The poll after that brings what a peer
+// has in the meantime.
+func (s *Service) BatchesConfiguration() bool { return s.configurationFollower.pausing.Load() }
+
 // RepollEndpoints cancels the running poll for endpoints and polls again. It is called when another instance knows of a
 // change that the running poll has not delivered.
 func (s *Service) RepollEndpoints() { s.endpointsFollower.requestRepoll() }
@@ -207,22 +234,6 @@
 // RepollQuarantine does for the quarantine what RepollEndpoints does for endpoints.
 func (s *Service) RepollQuarantine() { s.quarantineFollower.requestRepoll() }
 
-// Pauses after a change, which batch further changes. The pauses for endpoints and crashes grow with the number of
-// instances because all of them poll the store.
-const (
-	batchBaseDelay          = 300 * time.Millisecond
-	batchDelayPerInstance   = 15 * time.Millisecond
-	endpointsBatchMaxDelay  = time.Second
-	quarantineBatchMaxDelay = 1500 * time.Millisecond
-	instancesBatchDelay     = time.Second
-)
-
-// batchDelay returns the pause after a change. It is longer in a larger fleet, because every instance polls the store
-// again after the pause.
-func (s *Service) batchDelay(longest time.Duration) time.Duration {
-	return min(batchBaseDelay+time.Duration(s.schedule.instanceCount())*batchDelayPerInstance, longest)
-}
-
 // Stop stops watching and waits for the followers to end.
 func (s *Service) Stop() {
 	s.cancel()
