--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -260,11 +260,8 @@
 			d.reportAnswer(x)
 		case wigeondispatch.ClearCrashes:
 			d.clearCrashes(x)
-		case wigeondispatch.RolloutRecorded:
-			d.loadChanges++
-			d.logRollout(x)
-		case wigeondispatch.RolloutAttempt:
-			d.countRolloutAttempt(x)
+		case wigeondispatch.RolloutRecorded, wigeondispatch.RolloutAttempt:
+			d.recordRollout(x)
 		case wigeondispatch.Suspect:
 			d.logSuspect(x)
 		}
--- a/internal/services/wigeonrelay/rollout.go
+++ b/internal/services/wigeonrelay/rollout.go
@@ -35,6 +35,17 @@
 	return d.state.RolloutNews()
 }
 
+// recordRollout logs a change of a rollout, or counts an attempt. The caller must hold mu.
+func (d *Dispatcher) recordRollout(effect wigeondispatch.Effect) {
+	switch x := effect.(type) {
+	case wigeondispatch.RolloutRecorded:
+		d.loadChanges++
+		d.logRollout(x)
+	case wigeondispatch.RolloutAttempt:
+		d.countRolloutAttempt(x)
+	}
+}
+
 // logRollout logs a change of a rollout with the evidence of all instances.
 func (d *Dispatcher) logRollout(x wigeondispatch.RolloutRecorded) {
 	var evidence []string
