--- a/internal/modules/wigeonsetting/relay.go
+++ b/internal/modules/wigeonsetting/relay.go
@@ -17,6 +17,7 @@
 	Hedge     RelayHedge     `toml:"hedge"`
 	Quota     RelayQuota     `toml:"quota"`
 	Placement RelayPlacement `toml:"placement"`
+	Rollout   RelayRollout   `toml:"rollout"`
 	Drain     RelayDrain     `toml:"drain"`
 	Log       Log            `toml:"log"`
 	Metrics   RelayMetrics   `toml:"metrics"`
@@ -96,6 +97,16 @@
 	CrossZonePrice wigeontoml.Duration `toml:"crossZonePrice" validate:"min=0"`
 }
 
+// RelayRollout bounds the damage that a bad version may do while a service's traffic is moved to it.
+type RelayRollout struct {
+	// ExposeShare is the fraction of the service's requests that a bad version may get, ExposeSlack a number of requests in
+	// addition.
+	ExposeShare float64 `toml:"exposeShare" validate:"min=0,max=1"`
+	ExposeSlack float64 `toml:"exposeSlack" validate:"min=0"`
+	// RollbackWithin is the time from a bad version's 50th bad answer after which it gets no request.
+	RollbackWithin wigeontoml.Duration `toml:"rollbackWithin" validate:"min=1000000"`
+}
+
 // RelayDrain holds the settings of a graceful shutdown.
 type RelayDrain struct {
 	// Timeout is the time after which a stopping process is killed.
@@ -119,6 +130,9 @@
 		Placement: RelayPlacement{
 			CrossZonePrice: wigeontoml.Duration{Duration: 2 * time.Millisecond},
 		},
+		Rollout: RelayRollout{
+			ExposeShare: 0.1, ExposeSlack: 50, RollbackWithin: wigeontoml.Duration{Duration: 5 * time.Second},
+		},
 		Drain: RelayDrain{
 			Timeout: wigeontoml.Duration{Duration: 8 * time.Second},
 			Notice:  wigeontoml.Duration{Duration: 3 * time.Second},
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -94,6 +94,7 @@
 	j.lastEndpoint, j.keptTokens = e, e.kept.tokens(j, s.now)
 	e.kept.record(j.promptKeys, s.now)
 	e.startAttempt(j)
+	s.startRolloutRun(e, j)
 	j.assignedEndpoint, j.dispatchedAt, j.firstEventLatency = e, s.now, 0
 	j.attempts++
 	if !j.canFailOver() {
@@ -142,6 +143,7 @@
 	s.recordResendArrival(j)
 	e := j.assignedEndpoint
 	e.answerStarted(j)
+	s.recordRolloutFirstEvent(j)
 	if e.running() <= e.slots() || e.isShared() {
 		e.recordFirstEvent(j, j.firstEventLatency)
 	}
--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -167,6 +167,9 @@
 	s.markOtherGroupEndpoints()
 	s.recomputePeerLoads()
 	s.updateQuotaShares()
+	for _, r := range s.rollouts.byService {
+		r.SetInstances(s.settings.Instance, s.instanceIDs)
+	}
 }
 
 // markOtherGroupEndpoints marks the endpoints that are assigned to other groups, which this instance uses only if no
--- a/internal/services/wigeondispatch/hedge.go
+++ b/internal/services/wigeondispatch/hedge.go
@@ -205,9 +205,6 @@
 		s.crashes.Judge(j.Fingerprint, j.Shared, s.answers) != wigeonquarantine.VerdictSend
 }
 
-// isRollingOut reports whether a rollout of a service runs.
-func (s *State) isRollingOut(_ string) bool { return false }
-
 // availableSlots returns the number of requests that this instance's group can run at a time on the available endpoints.
 func (s *State) availableSlots(p *pool) int {
 	n := 0
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -55,6 +55,7 @@
 	// instances is the number of instances including this one, at least 1.
 	instances int
 	groups    *Groups
+	rollouts  rollouts
 	// reach is what the instance knows of its way to the endpoints.
 	reach reach
 	// hedging is what hedges are decided by; nil if they are off.
@@ -81,6 +82,7 @@
 		instances:    1,
 		reach:        newReach(),
 		groups:       NewGroups(nil),
+		rollouts:     newRollouts(settings.Rollout),
 		hedging:      newHedging(settings),
 	}
 }
@@ -128,6 +130,10 @@
 		s.handlePassEnded(e)
 	case StopAnnounced:
 		s.shortenDeadlines(e.EndsAt)
+	case RolloutsListed:
+		s.replaceRollouts(e)
+	case RolloutRead:
+		s.handleRolloutRead(e)
 	case Tick:
 		s.handleTick()
 	}
@@ -221,6 +227,7 @@
 	}
 	s.markOtherGroupEndpoints()
 	s.recomputePeerLoads()
+	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
 
@@ -247,6 +254,7 @@
 	s.expireBrittle()
 	s.expireKeptPrompts()
 	s.expireReach()
+	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
 
