Queue what starts in time, refuse the rest on arrival, and reserve starts for refused callers

Cause: the wait was forecast with one mean slot time for all kinds, late requests and callers that returned were refused with a wait above 0.05 to 0.36 s, and Retry-After was a share of the time left, not a time with free capacity. Long prompts of the highest rank were refused while cheap requests of lower ranks started.

In reducer_test.go, one spec expected a refusal as the only effect; a probe of a silent endpoint comes with it now, as requests are queued for longer, so it expects one refusal.

--- a/internal/modules/wigeonwire/load.go
+++ b/internal/modules/wigeonwire/load.go
@@ -33,6 +33,12 @@
 		}
 		out.Services = append(out.Services, service)
 	}
+	for _, r := range m.Reservations {
+		out.Reservations = append(out.Reservations, &ReturnReservation{
+			Service: r.Service, Caller: uint64(r.Caller), Level: encodeCount(r.Level),
+			AgeMs: encodeCount(int(r.Age.Milliseconds())), InMs: encodeCount(int(r.In.Milliseconds())),
+		})
+	}
 	for _, c := range m.Crashes {
 		out.Crashes = append(out.Crashes, &Crash{
 			Fingerprint: uint64(c.Fingerprint), Endpoint: c.Endpoint, AtMs: c.At.UnixMilli(), MidRun: c.MidRun,
@@ -78,6 +84,12 @@
 		}
 		out.Services = append(out.Services, service)
 	}
+	for _, r := range m.GetReservations() {
+		out.Reservations = append(out.Reservations, wigeonshift.ReturnReservation{
+			Service: r.GetService(), Caller: wigeonshift.Fingerprint(r.GetCaller()), Level: int(r.GetLevel()),
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, In: time.Duration(r.GetInMs()) * time.Millisecond,
+		})
+	}
 	for _, c := range m.GetCrashes() {
 		out.Crashes = append(out.Crashes, wigeonshift.Crash{
 			Fingerprint: wigeonshift.Fingerprint(c.GetFingerprint()),
--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -73,8 +73,11 @@
 			Endpoints: []wigeonshift.EndpointLoad{
 				{Endpoint: "e", Running: 3, PrefillTokens: 900, ReservedTokens: 4000, Rejections: 2},
 			},
-			Organisations:      []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
-			Services:           []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
+			Organisations: []wigeonshift.OrganisationUse{{Organisation: "o", Units: 1.5, RemainingUnits: -2.5}},
+			Services:      []wigeonshift.ServiceWait{{Service: "s", QueuedByLevel: []int{0, 2}}},
+			Reservations: []wigeonshift.ReturnReservation{
+				{Service: "s", Caller: 1 << 63, Level: 4, Age: 50 * time.Millisecond, In: 700 * time.Millisecond},
+			},
 			Leaving:            []string{"f"},
 			QuarantineRevision: 6,
 			Limits: []wigeonshift.EndpointLimitUse{
--- a/internal/services/wigeondispatch/admission.go
+++ b/internal/services/wigeondispatch/admission.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"wigeonshift/internal/services/wigeonforecast"
 )
 
 // handleArrival dispatches, queues or refuses a new request. It refuses at once if the quota is used up, if there is
@@ -26,7 +28,9 @@
 		return
 	}
 	p := s.pool(j.Service)
+	s.takeReservation(p, j)
 	p.recordCost(j)
+	p.recordLevelWork(j, s.now)
 	if len(p.endpoints) == 0 {
 		s.refuse(j, ReasonNoEndpoint, noEndpointRetryAfter)
 		return
@@ -35,8 +39,12 @@
 		s.refuse(j, ReasonBackoff, wait)
 		return
 	}
-	if b := s.backlog(p); s.expectedWait(p, j, b) > s.maxWait(j) {
-		s.refuse(j, ReasonOverload, s.retryAfter(p, j, b))
+	if b := s.backlog(p); !s.startsInTime(j, s.forecastStart(p, j, b).Wait) {
+		s.refuseUntil(j, ReasonOverload, s.returnTime(p, j, b))
+		if p.limited() > 0 {
+			// A limit allows the next request at a time at which no other event may come.
+			s.dispatchWaiting(p, nil)
+		}
 		return
 	}
 	p.queue.add(j)
@@ -72,38 +80,43 @@
 	return backlog{own: p.waitingCounts(s.now), peers: s.peerWaiting(p.name)}
 }
 
-// expectedWait returns the expected time until a slot is free for a request, given the requests of the same or a
-// higher priority that are queued here and at the other instances of the group. A request with too long a wait is
-// refused instead of queued.
-func (s *State) expectedWait(p *pool, j *Job, b backlog) time.Duration {
-	level := p.priorityLevel(j, s.now)
-	ahead := b.own.countUpTo(level) + b.peers.countUpTo(level) - s.freeSlots(p)
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / max(s.throughput(p), 1) * float64(time.Second))
+// startsInTime reports whether a request that starts after a wait is worth serving: its first event comes before its caller
+// disconnects, and its answer ends before its deadline.
+func (s *State) startsInTime(j *Job, wait time.Duration) bool {
+	return s.now+wait <= s.pool(j.Service).latestUsefulStart(j)
 }
 
-// shouldShedLate reports whether a request will miss its latency objective and has so many others queued before it
-// that its caller should rather retry later. A late request loses priority and would be queued behind most others,
-// while the caller's retry gets a higher priority than a late request. A request that may still meet its objective
-// isn't shed for this reason. A caller's retry is always late and may be the caller's last, so it is shed only if the
-// wait is long: in a short burst it is served.
-func (s *State) shouldShedLate(p *pool, j *Job, b backlog) bool {
-	if j.LatencyObjective <= 0 || s.now <= j.latestStart(p.typicalFirstEvent(j)) {
+// mustRecheck reports whether it must be forecast again when the queued requests of a service start.
+func (s *State) mustRecheck(p *pool) bool {
+	if s.now < p.capacity.recheckedAt+wigeonforecast.Step {
 		return false
 	}
-	limit := maxLateWait
-	if j.isCallerRetry() {
-		limit = max(limit, time.Duration(callerRetryWaitShare*float64(s.maxWait(j))))
-	}
-	return s.expectedWait(p, j, b) > limit
+	p.capacity.recheckedAt = s.now
+	return true
+}
+
+// sureWait returns the wait of a queued request that the forecast is sure of. A request that was queued isn't refused for a forecast that
+// is only a little worse than the one before.
+func (s *State) sureWait(p *pool, j *Job, b backlog) time.Duration {
+	return time.Duration(sureWaitShare * float64(s.forecastStart(p, j, b).Wait))
+}
+
+// latestUsefulStart returns the latest time at which a request can start and be worth serving, on an endpoint with the mean
+// timings. A request that is too large for these may start within minWaitShare of the time that it has.
+func (p *pool) latestUsefulStart(j *Job) time.Duration {
+	first := p.typicalFirstEvent(j)
+	decode := time.Duration(0)
+	if j.HasTokens {
+		decode = p.typicalTimings().decodeStep * time.Duration(j.ExpectedAnswerTokens)
+	}
+	latest := min(j.CallerPatience-first, j.Deadline-j.Arrived-first-decode)
+	atLeast := time.Duration(minWaitShare * float64(min(j.CallerPatience, j.Deadline-j.Arrived)))
+	return j.Arrived + max(latest, atLeast)
 }
 
-// maxWait returns how long a request may be queued: a share of the time until its deadline or, if shorter, of the time
-// after which its caller disconnects.
+// maxWait returns how long a request may be queued.
 func (s *State) maxWait(j *Job) time.Duration {
-	return time.Duration(maxWaitShare * float64(min(j.CallerPatience, j.Deadline-j.Arrived)))
+	return s.pool(j.Service).latestUsefulStart(j) - j.Arrived
 }
 
 // withdrawWaiting removes a queued request whose caller has disconnected or whose deadline has passed. It ignores running
@@ -124,12 +137,17 @@
 // refuse answers a request that did not run and refunds its quota. It reports the queue, the free slots and the quota
 // with the refusal.
 func (s *State) refuse(j *Job, reason Reason, wait time.Duration) {
+	s.refuseUntil(j, reason, returnTime{wait: wait})
+}
+
+// refuseUntil does the same with a return time.
+func (s *State) refuseUntil(j *Job, reason Reason, back returnTime) {
 	s.refund(j)
 	s.forget(j)
 	p := s.pool(j.Service)
 	refuse := Refuse{
-		Job: j.ID, Reason: reason, RetryAfter: wait, Waiting: len(p.queue.jobs), FreeSlots: s.freeSlots(p),
-		Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(), LimitHolds: j.limitHolds, Limited: p.limited(),
+		Job: j.ID, Reason: reason, RetryAfter: back.wait, Waiting: len(p.queue.jobs), FreeSlots: s.freeSlots(p),
+		Reserved: back.isReserved, Reservations: back.before, Crashes: s.crashesOf(j, reason), Resend: j.refusedResend(), LimitHolds: j.limitHolds, Limited: p.limited(),
 	}
 	if reason == ReasonQuarantined {
 		refuse.Cause = s.causeAgainst(j)
--- a/internal/services/wigeondispatch/attempt.go
+++ b/internal/services/wigeondispatch/attempt.go
@@ -6,13 +6,6 @@
 	"wigeonshift"
 )
 
-// minRetryAfter is the minimum retry delay in a refusal, unless the longest delay that callers follow is shorter.
-const minRetryAfter = 200 * time.Millisecond
-
-// retryAfterDivisor divides the time left until a request's deadline to get the longest retry delay that callers still
-// follow.
-const retryAfterDivisor = 3.2
-
 // endAttempt records the end of an attempt, which is one try of a request on one endpoint. If the attempt gave no
 // answer, it retries, refuses or fails the request. Then it dispatches queued requests, because a slot of the endpoint
 // is free now.
@@ -189,29 +182,8 @@
 	case j.mayHaveRun || j.answerStarted:
 		s.fail(j, ReasonLost)
 	case j.attempts == 0:
-		s.refuse(j, ReasonNoEndpoint, s.retryAfter(p, j, s.backlog(p)))
+		s.refuseUntil(j, ReasonNoEndpoint, s.returnTime(p, j, s.backlog(p)))
 	default:
-		s.refuse(j, ReasonAttempts, s.retryAfter(p, j, s.backlog(p)))
+		s.refuseUntil(j, ReasonAttempts, s.returnTime(p, j, s.backlog(p)))
 	}
 }
-
-// retryAfter returns the delay after which the caller of a refused request should retry. Callers follow a delay only
-// up to a share of the time left until their deadline, so the delay never exceeds this share. If more requests of the
-// same or a higher priority are queued than slots are free, the service is overloaded. Then the delay is between half
-// of this share and all of it, whatever the expected wait; otherwise it is minRetryAfter. The delay differs by the job
-// ID, so that callers don't all retry at once and those of earlier requests retry first.
-func (s *State) retryAfter(p *pool, j *Job, b backlog) time.Duration {
-	longest := time.Duration(float64(j.Deadline-s.now) / retryAfterDivisor)
-	wait := s.expectedWait(p, j, b)
-	if wait > 0 {
-		jitter := retryJitterShare * float64(j.ID%retryJitterSteps) / retryJitterSteps
-		wait = time.Duration(float64(longest) * (1 - retryJitterShare + jitter))
-	}
-	return min(max(wait, minRetryAfter), longest)
-}
-
-// The retry delays of different callers differ by up to retryJitterShare of the longest delay, in retryJitterSteps steps.
-const (
-	retryJitterShare = 0.5
-	retryJitterSteps = 16
-)
--- a/internal/services/wigeondispatch/dispatch.go
+++ b/internal/services/wigeondispatch/dispatch.go
@@ -27,7 +27,9 @@
 		return
 	}
 	jobsByPriority, own := p.jobsByPriority(s.now)
-	round := placementRound{freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}}
+	round := placementRound{
+		freedEndpoint: freedEndpoint, backlog: backlog{own: own, peers: s.peerWaiting(p.name)}, rechecks: s.mustRecheck(p),
+	}
 	for _, j := range jobsByPriority {
 		if s.refuseWaiting(p, j, &round) {
 			continue
@@ -69,9 +71,9 @@
 		s.refuse(j, ReasonBackoff, wait)
 		return true
 	}
-	if s.now-j.Arrived > s.maxWait(j) || s.shouldShedLate(p, j, round.backlog) {
+	if !s.startsInTime(j, 0) || round.rechecks && j.RouteTier > 0 && !s.startsInTime(j, s.sureWait(p, j, round.backlog)) {
 		s.dequeue(p, j, round)
-		s.refuse(j, ReasonDeadline, s.retryAfter(p, j, round.backlog))
+		s.refuseUntil(j, ReasonDeadline, s.returnTime(p, j, round.backlog))
 		return true
 	}
 	return false
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -99,6 +99,9 @@
 		QuotaRoundAge  time.Duration
 		// QuotaWindowUsed is what all instances have used in the quota's window, as far as this one knows, in units.
 		QuotaWindowUsed float64
+		// Reserved is set if a slot is reserved for the caller's return. Reservations is the number that were made before it.
+		Reserved     bool
+		Reservations int
 		// LimitHolds is the number of decisions in which a limit kept the request from an endpoint. Limited is the number of
 		// endpoints of the service that name limits.
 		LimitHolds, Limited int
@@ -109,6 +112,12 @@
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
 		Resend *ResendDecision
 	}
+	// CallerReturned reports that a refused caller with a reservation has returned. Kept is set if it did so in time.
+	CallerReturned struct {
+		RequestID string
+		Service   string
+		Kept      bool
+	}
 	// Failure answers a request that ran or may have run.
 	Failure struct {
 		Job    JobID
@@ -246,6 +255,7 @@
 
 func (Dispatch) effect()        {}
 func (Refuse) effect()          {}
+func (CallerReturned) effect()  {}
 func (Failure) effect()         {}
 func (Abandon) effect()         {}
 func (Suspect) effect()         {}
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -71,6 +71,8 @@
 	record  wigeonshift.EndpointRecord
 	pool    *pool
 	ownLoad load
+	// runs are the requests of this instance that run on the endpoint.
+	runs []*Job
 	// peerLoad is the sum of the loads that the other instances reported.
 	peerLoad load
 	timings
@@ -147,6 +149,8 @@
 // the request is a probe, so the endpoint gets no other one until it ends.
 func (e *endpoint) startAttempt(j *Job) {
 	e.ownLoad.running++
+	e.runs = append(e.runs, j)
+	e.pool.capacity.builtFor = 0
 	e.ownLoad.prefill += j.unreadTokens()
 	e.ownLoad.reservedTokens += j.tokenFootprint()
 	if e.consecutiveFailures >= suspectFailureThreshold {
@@ -161,6 +165,8 @@
 // answerStarted has already removed it otherwise.
 func (e *endpoint) endAttempt(j *Job) {
 	e.ownLoad.running--
+	e.removeRun(j)
+	e.pool.capacity.builtFor = 0
 	e.ownLoad.reservedTokens -= j.tokenFootprint()
 	if j.firstEventLatency == 0 {
 		e.ownLoad.prefill -= j.unreadTokens()
--- a/internal/services/wigeondispatch/fleet_test.go
+++ b/internal/services/wigeondispatch/fleet_test.go
@@ -35,6 +35,12 @@
 	hidesParts bool
 	// readUntil holds the time until which reading each shared part counts as reading it again.
 	readUntil map[string]time.Duration
+	// zones is the number of availability zones. A caller stays in its zone.
+	zones int
+	// records lists the endpoints.
+	records []wigeonshift.EndpointRecord
+	// observe is called for each dispatch and refusal, if set.
+	observe func(x *fleetInstance, r *fleetRequest, effect Effect)
 }
 
 // fleetKind describes one kind of request: its rate, mean sizes, time limits and value.
@@ -66,6 +72,7 @@
 // fleetInstance is one instance with its reducer.
 type fleetInstance struct {
 	name  string
+	zone  string
 	state *State
 }
 
@@ -82,6 +89,11 @@
 	isLarge  bool
 	// parts are the parts of its prompt.
 	parts []wigeonshift.PromptPart
+	// zone is the index of the caller's zone, sentTo the instance of its latest attempt.
+	zone   int
+	sentTo *fleetInstance
+	// fingerprint identifies what the caller asks for; zero if the instances can't know.
+	fingerprint wigeonshift.Fingerprint
 }
 
 // fleetCounts counts the outcomes of requests by kind.
@@ -89,7 +101,9 @@
 	requests, onTime, late, refused, abandoned []int
 	offeredValue, earnedValue                  []float64
 	largeRequests, largeServed                 int
-	callerRetriesRefused                       int
+	callerRetries, callerRetriesRefused        int
+	// returnedWaits are the times to the first event of requests that were served after a refusal.
+	returnedWaits []time.Duration
 	// tokensReadAgain is the number of tokens in shared parts that an engine read within fleetKeepTime after another, or the same
 	// one, had read them; tokensKept the number that the engine had kept.
 	tokensReadAgain, tokensKept int
@@ -106,6 +120,8 @@
 	nextStepAt  time.Duration
 	// keptUntil holds the time until which the engine keeps each shared part.
 	keptUntil map[string]time.Duration
+	// isDown is set while the engine has crashed.
+	isDown bool
 	// busy is the sum of the time that slots were in use, in slot-seconds.
 	busy float64
 }
@@ -135,7 +151,20 @@
 // newFleetSimulation returns a simulation of instances in one zone that all use the same engines, which differ in
 // speed.
 func newFleetSimulation(seed uint64, instances, engines, slots int, kinds []fleetKind) *fleetSimulation {
-	f := &fleetSimulation{loadRandom: rand.New(rand.NewPCG(seed, 1)), routingRandom: rand.New(rand.NewPCG(seed, 2)),
+	return newZonedFleetSimulation(seed, 1, instances, engines, slots, kinds)
+}
+
+// fleetZone returns the name of a zone.
+func fleetZone(index int) string {
+	if index == 0 {
+		return "z"
+	}
+	return fmt.Sprintf("z%d", index)
+}
+
+// newZonedFleetSimulation returns a simulation whose instances and engines are spread evenly over zones.
+func newZonedFleetSimulation(seed uint64, zones, instances, engines, slots int, kinds []fleetKind) *fleetSimulation {
+	f := &fleetSimulation{zones: zones, loadRandom: rand.New(rand.NewPCG(seed, 1)), routingRandom: rand.New(rand.NewPCG(seed, 2)),
 		engines: map[string]*fleetEngine{}, kinds: kinds,
 		jobs: map[JobID]*fleetRequest{}, readUntil: map[string]time.Duration{}}
 	n := len(kinds)
@@ -155,16 +184,19 @@
 		}
 		f.engines[e.id] = e
 		f.engineList = append(f.engineList, e)
-		records = append(records, wigeonshift.EndpointRecord{ID: e.id, Service: "model", Address: e.id, Slots: slots, Zone: "z"})
+		records = append(records, wigeonshift.EndpointRecord{
+			ID: e.id, Service: "model", Address: e.id, Slots: slots, Zone: fleetZone(i % zones),
+		})
 	}
+	f.records = records
 	var all []wigeonshift.Instance
 	for i := range instances {
-		all = append(all, wigeonshift.Instance{ID: fmt.Sprintf("instance-%d", i), Address: fmt.Sprintf("10.0.0.%d", i), Zone: "z"})
+		all = append(all, wigeonshift.Instance{ID: fmt.Sprintf("instance-%d", i), Address: fmt.Sprintf("10.0.0.%d", i), Zone: fleetZone(i % zones)})
 	}
 	for i := range instances {
-		x := &fleetInstance{name: fmt.Sprintf("instance-%d", i)}
+		x := &fleetInstance{name: fmt.Sprintf("instance-%d", i), zone: fleetZone(i % zones)}
 		x.state = New(Settings{
-			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Instance: x.name, Zone: "z",
+			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Instance: x.name, Zone: x.zone,
 		})
 		x.state.Reduce(ConfigurationChanged{Configuration: configuration})
 		x.state.Reduce(EndpointsListed{Records: records})
@@ -226,7 +258,11 @@
 			}
 			r.promptTokens += kind.sharedTokens
 		}
+		r.fingerprint = wigeonshift.Fingerprint(len(f.requests) + 1)
 		r.isLarge = size > 3
+		if f.zones > 1 {
+			r.zone = f.loadRandom.IntN(f.zones)
+		}
 		relative := float64(r.promptTokens+10*r.answerTokens) / (kind.promptTokens + 10*kind.answerTokens)
 		r.value = 0.3 + 0.7*min(relative, 4)
 		f.requests = append(f.requests, r)
@@ -244,15 +280,19 @@
 	return min(math.Exp(f.loadRandom.NormFloat64()*sigma-sigma*sigma/2), 8)
 }
 
-// sendAttempt sends a request to a random instance.
+// sendAttempt sends a request to a random instance of its zone.
 func (f *fleetSimulation) sendAttempt(r *fleetRequest) {
 	kind := f.kinds[r.kind]
-	x := f.instances[f.routingRandom.IntN(len(f.instances))]
+	x := f.instances[f.routingRandom.IntN(len(f.instances)/f.zones)*f.zones+r.zone]
+	if r.attempts > 0 {
+		f.counts.callerRetries++
+	}
+	r.sentTo = x
 	f.nextJob++
 	r.attempts++
 	elapsed := f.at - r.arrivedAt
 	j := &Job{
-		ID: f.nextJob, Service: "model", Route: strconv.Itoa(r.kind), Tier: 1, RouteTier: wigeonshift.TierRank(kind.tier),
+		ID: f.nextJob, Fingerprint: r.fingerprint, Service: "model", Route: strconv.Itoa(r.kind), Tier: 1, RouteTier: wigeonshift.TierRank(kind.tier),
 		Kind:    wigeonshift.RouteStreaming,
 		Arrived: f.at, Deadline: f.at + kind.timeout - elapsed, Elapsed: elapsed, LatencyObjective: kind.objective,
 		CallerPatience: kind.patience, MaxAttempts: 1, HasTokens: true, PromptTokens: r.promptTokens, AnswerTokens: r.answerTokens,
@@ -306,10 +346,12 @@
 		switch e := effect.(type) {
 		case Dispatch:
 			request := f.jobs[e.Job]
+			f.report(x, request, e)
 			run := &fleetRun{job: e.Job, instance: x, request: request, promptTokens: request.promptTokens,
 				targetTokens: request.answerTokens}
 			f.schedule(2*time.Millisecond, func() { f.enqueueRun(f.engines[e.EndpointID], run) })
 		case Refuse:
+			f.report(x, f.jobs[e.Job], e)
 			f.refused(f.jobs[e.Job], e.RetryAfter)
 		case Failure:
 			f.jobs[e.Job].resolved = true
@@ -317,10 +359,16 @@
 	}
 }
 
+func (f *fleetSimulation) report(x *fleetInstance, r *fleetRequest, effect Effect) {
+	if f.observe != nil {
+		f.observe(x, r, effect)
+	}
+}
+
 // refused schedules a retry after a refusal. The request ends instead if it was a retry already, or if the delay is more
-// than a third of its remaining time.
+// than a third of its remaining time or zero, which advises against a return.
 func (f *fleetSimulation) refused(r *fleetRequest, wait time.Duration) {
-	if r.attempts > 1 || wait > (f.kinds[r.kind].timeout-(f.at-r.arrivedAt))/3 {
+	if r.attempts > 1 || wait == 0 || wait > (f.kinds[r.kind].timeout-(f.at-r.arrivedAt))/3 {
 		if r.attempts > 1 {
 			f.counts.callerRetriesRefused++
 		}
@@ -337,6 +385,10 @@
 	if run.request.resolved {
 		return
 	}
+	if e.isDown {
+		f.endRun(run, OutcomeNotSent)
+		return
+	}
 	e.queue = append(e.queue, run)
 }
 
@@ -406,6 +458,9 @@
 	r := run.request
 	kind := f.kinds[r.kind]
 	r.resolved = true
+	if r.attempts > 1 {
+		f.counts.returnedWaits = append(f.counts.returnedWaits, f.at-r.arrivedAt)
+	}
 	if f.at-r.arrivedAt <= kind.objective {
 		f.counts.onTime[r.kind]++
 		f.counts.earnedValue[r.kind] += r.value
--- a/internal/services/wigeondispatch/job.go
+++ b/internal/services/wigeondispatch/job.go
@@ -96,6 +96,8 @@
 	resendPending bool
 	// limitHolds is the number of decisions in which a limit kept the request from an endpoint.
 	limitHolds int
+	// isReserved is set if the caller was refused before and returns in the time that is reserved for it.
+	isReserved bool
 	// isTrial is set if the request is sent although others like it are suspected of crashes.
 	isTrial bool
 	// triedCause is the key of the cause of crashes in spite of which the request is sent; zero if there is none.
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -1,6 +1,7 @@
 package wigeondispatch
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -49,6 +50,7 @@
 	s.replacePeerLoads(p, fresh)
 	s.handlePeerRejections(p, notice.Endpoints)
 	s.handlePeerLimits(name, p, notice.Limits)
+	s.adoptReservations(notice.Reservations, p.inGroup)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -213,6 +215,10 @@
 		}
 	}
 	out.Limits = s.limitReports()
+	out.Reservations = s.reservationReports()
+	slices.SortFunc(out.Reservations, func(a, b wigeonshift.ReturnReservation) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), cmp.Compare(a.Age, b.Age), cmp.Compare(a.Caller, b.Caller))
+	})
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -107,6 +107,8 @@
 	freedEndpoint *endpoint
 	// backlog counts the requests that are still queued in this round.
 	backlog
+	// rechecks is set if it is forecast again when the queued requests start.
+	rechecks bool
 	// skippedJob is set once an earlier request of the round found no endpoint.
 	skippedJob bool
 }
--- a/internal/services/wigeondispatch/pool.go
+++ b/internal/services/wigeondispatch/pool.go
@@ -24,6 +24,8 @@
 	queue      queue
 	// brittle is what the endpoints say while they are brittle; nil if they aren't.
 	brittle *brittleness
+	// capacity is what is kept for forecasts of free slots.
+	capacity capacity
 	// meanSlotTime is the moving average of the time that a request occupies its slot.
 	meanSlotTime time.Duration
 	// meanSizes holds the mean size of the requests of each route, in prompt tokens.
@@ -116,27 +118,6 @@
 	return n
 }
 
-// throughput returns the number of requests per second that the available endpoints of this instance's group can
-// finish. It converts the number of queued requests into an expected wait.
-func (s *State) throughput(p *pool) float64 {
-	mean := p.meanSlotTime
-	if mean <= 0 {
-		mean = defaultTimings.plain
-	}
-	sum := 0.0
-	for _, e := range p.ownEndpoints {
-		if !e.available(s.now) {
-			continue
-		}
-		rate := float64(e.slots()) / mean.Seconds()
-		if e.isLimited() {
-			rate = min(rate, s.groupRate(e))
-		}
-		sum += rate
-	}
-	return sum
-}
-
 // limited returns the number of endpoints that name limits.
 func (p *pool) limited() int {
 	n := 0
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -7,15 +7,23 @@
 )
 
 // Queued requests are ordered by priority level. A higher tier of organisations goes before a lower one. Within a tier,
-// the level depends on the ratio of a request's value to the endpoint time that it uses, so that an overloaded service
-// delivers as much value as possible.
+// requests of routes of the highest rank go before all others, so that none of them is refused while others start. Among these and
+// among the others, the level depends on the ratio of a request's value to the endpoint time that it uses, so that an overloaded
+// service delivers as much value as possible.
 const (
 	// priorityLevels is the number of priority levels for which instances report their queued requests.
 	priorityLevels = tiers * levelsPerTier
 	// tiers is the number of tiers that are distinguished; all lower ones share the last. levelsPerTier is the number of
 	// levels within a tier.
 	tiers         = 4
-	levelsPerTier = 16
+	levelsPerTier = 24
+	// lastTopLevel is the last level in a tier for routes of the highest rank. The first one is for requests that failed over, the
+	// second one for callers that return as told.
+	lastTopLevel = 11
+	// middleLevel is the level of a value of midTierValue, before the levels of lower ranks are put behind lastTopLevel by
+	// lowerRankLevels.
+	middleLevel     = 8
+	lowerRankLevels = 8
 	// levelValueRatio is the ratio of the value per time of one level to that of the next.
 	levelValueRatio = 1.3
 	// midTierValue is the value of a request of mean cost that belongs to the middle level of its tier.
@@ -31,6 +39,11 @@
 	callerRetryValueFactor = 0.6
 	// lateValueFactor reduces the value of a request whose answer will be late.
 	lateValueFactor = 0.3
+	// urgentTime is the time before its latest useful start at which a request of the highest rank goes before others of its rank.
+	urgentTime = 400 * time.Millisecond
+	// reservedValueFactor increases the value of a request whose caller returns as told, so that it goes before most new ones of
+	// its rank.
+	reservedValueFactor = 2
 	// fixedValueShare is the share of the value that doesn't depend on the size of the request. maxSizeValueFactor is the
 	// maximum value of a request relative to one of the mean size of its route.
 	fixedValueShare    = 0.3
@@ -47,18 +60,30 @@
 		return tier * levelsPerTier
 	}
 	value := math.Pow(rankValueFactor, float64(max(j.RouteTier, 0)))
+	isTop := j.RouteTier <= 0
 	switch {
+	case isTop && (j.isReserved || at > p.latestUsefulStart(j)-urgentTime):
+		return tier*levelsPerTier + 1
+	case j.isReserved:
+		value *= reservedValueFactor
 	case j.isCallerRetry():
 		value *= callerRetryValueFactor
 	case j.LatencyObjective > 0 && at > j.latestStart(p.typicalFirstEvent(j)):
 		value *= lateValueFactor
 	}
 	value *= p.sizeValueFactor(j) * float64(max(p.meanCost, minCost)) / float64(p.cost(j))
-	levelInTier := levelsPerTier/2 - int(math.Round(math.Log(value/midTierValue)/math.Log(levelValueRatio)))
-	levelInTier = min(max(levelInTier, 0), levelsPerTier-1)
-	return tier*levelsPerTier + levelInTier
+	level := middleLevel - int(math.Round(math.Log(value/midTierValue)/math.Log(levelValueRatio)))
+	if isTop {
+		level = min(max(level, 1), lastTopLevel)
+	} else {
+		level = min(max(level+lowerRankLevels, lastTopLevel+1), levelsPerTier-1)
+	}
+	return tier*levelsPerTier + level
 }
 
+// isTopLevel reports whether a level is that of routes of the highest rank.
+func isTopLevel(level int) bool { return level%levelsPerTier <= lastTopLevel }
+
 // cost returns the endpoint time that a request uses on an endpoint with the mean timings whose slots are all in use,
 // so that the value of requests can be compared with what they use. It is the time for the prompt plus the request's
 // share of the decode time, which is divided among the slots.
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -12,8 +12,10 @@
 // State is the scheduling state of one instance: endpoints, requests, quotas and the load of the other instances. Its
 // methods must not be called concurrently.
 type State struct {
-	settings  Settings
-	now       time.Duration
+	settings Settings
+	now      time.Duration
+	// events counts the events, from 1.
+	events    uint64
 	pools     map[string]*pool
 	endpoints map[string]*endpoint
 	jobs      map[JobID]*Job
@@ -84,6 +86,7 @@
 // takes the time from the event, so that its decisions depend only on the events.
 func (s *State) Reduce(e Event) []Effect {
 	s.effects = nil
+	s.events++
 	s.advanceClock(e.at())
 	switch e := e.(type) {
 	case ConfigurationChanged:
@@ -240,6 +243,7 @@
 	s.expireBrittle()
 	s.expireKeptPrompts()
 	s.expireReach()
+	s.expireReservations()
 	s.dispatchAllWaiting()
 }
 
--- a/internal/services/wigeondispatch/reducer_test.go
+++ b/internal/services/wigeondispatch/reducer_test.go
@@ -237,7 +237,9 @@
 		j := h.newJob()
 		Expect(h.arrive(j)).To(BeEmpty())
 		h.at = h.state.maxWait(j) + time.Millisecond
-		r := onlyRefusal(h.state.Reduce(Tick{At: h.at}))
+		refusals := effectsOf[Refuse](h.state.Reduce(Tick{At: h.at}))
+		Expect(refusals).To(HaveLen(1))
+		r := refusals[0]
 		Expect(r.Reason).To(Equal(ReasonDeadline))
 		Expect(r.RetryAfter).To(BeNumerically(">=", minRetryAfter))
 		Expect(r.RetryAfter).To(BeNumerically("<=", (j.Deadline-h.at)/3))
--- a/internal/services/wigeondispatch/settings.go
+++ b/internal/services/wigeondispatch/settings.go
@@ -39,13 +39,11 @@
 	listRetryAfter = 300 * time.Millisecond
 	// minWaitObjectiveShare is the share of its objective that any request may be queued before it counts as late.
 	minWaitObjectiveShare = 0.4
-	// maxLateWait is the maximum expected wait of a request that will be late. With a longer one the request is refused.
-	maxLateWait = 50 * time.Millisecond
-	// callerRetryWaitShare is the share of the longest wait of a caller's retry that it may be expected to wait.
-	callerRetryWaitShare = 0.25
-	// maxWaitShare is the share of the time until a request's deadline, or of its caller's patience if that is shorter, that
-	// it may be queued.
-	maxWaitShare = 0.45
+	// minWaitShare is the share of the time until a request's deadline, or of its caller's patience if that is shorter, that
+	// any request may be queued. The expected times of very large requests leave none.
+	minWaitShare = 0.3
+	// sureWaitShare is the share of a forecast wait that a request which is queued already is sure to have.
+	sureWaitShare = 0.7
 	// maxEndpointQueueWait is the maximum expected wait in an endpoint's own queue. With a longer one the endpoint gets no
 	// more requests.
 	maxEndpointQueueWait = 400 * time.Millisecond
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -1,6 +1,7 @@
 package wigeonrelay
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -255,6 +256,8 @@
 			d.reportAnswer(x)
 		case wigeondispatch.ClearCrashes:
 			d.clearCrashes(x)
+		case wigeondispatch.CallerReturned:
+			d.logReturn(x)
 		case wigeondispatch.Suspect:
 			d.logSuspect(x)
 		}
@@ -269,6 +272,12 @@
 	}).Info("attempt counted as lost")
 }
 
+// logReturn logs and counts that a refused caller with a reservation has returned.
+func (d *Dispatcher) logReturn(x wigeondispatch.CallerReturned) {
+	d.scope.Tagged(map[string]string{"service": x.Service, "kept": strconv.FormatBool(x.Kept)}).Counter("returns").Inc(1)
+	d.log.WithFields(logrus.Fields{"request": x.RequestID, "service": x.Service, "kept": x.Kept}).Info("refused caller returned")
+}
+
 // logSuspect logs and counts that an endpoint gets no requests for a while.
 func (d *Dispatcher) logSuspect(x wigeondispatch.Suspect) {
 	d.scope.Counter("suspects").Inc(1)
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -196,7 +196,9 @@
 		c.httpCtx.Response.Header.Set(headerCutOff, "1")
 	}
 	c.service.scope.Tagged(map[string]string{"reason": string(d.Reason)}).Counter("refusals").Inc(1)
+	c.countReturn(d)
 	fields := logrus.Fields{
+		"reserved": d.Reserved, "reservations": d.Reservations,
 		"status": status, "reason": string(d.Reason), "retryAfterMs": d.RetryAfter.Milliseconds(), "waiting": d.Waiting,
 		"freeSlots": d.FreeSlots, "organisation": c.job.Organisation, "units": c.job.Units, "quotaLeft": d.QuotaLeft,
 		"quotaShare": d.QuotaShare, "quotaGroupLeft": d.QuotaGroupLeft, "quotaGroupPart": d.QuotaGroupFairShare,
@@ -236,6 +238,17 @@
 	c.finish("failed", logrus.Fields{"status": status, "reason": string(reason)})
 }
 
+// countReturn counts the reservation that a refusal carries, and a caller that was refused before.
+func (c *call) countReturn(d wigeondispatch.Refuse) {
+	scope := c.service.scope.Tagged(map[string]string{"service": c.job.Service})
+	if d.Reserved {
+		scope.Counter("reservations").Inc(1)
+	}
+	if c.job.Elapsed > 0 {
+		scope.Counter("returnsRefused").Inc(1)
+	}
+}
+
 // countRequest counts a finished request and records its first-byte latency, unless no byte of a response arrived.
 func (s *Service) countRequest(c *call, outcome string) {
 	tagged := s.scope.Tagged(map[string]string{"outcome": outcome})
--- a/peer.go
+++ b/peer.go
@@ -1,6 +1,9 @@
 package wigeonshift
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // PeerMessage is a message between instances. The wire codec must support every implementation.
 type PeerMessage interface {
@@ -145,6 +148,16 @@
 		// Sent is the number of requests that the sender has sent to the endpoint since it knows of a limit.
 		Sent uint64
 	}
+	// ReturnReservation is a future start that the sender holds for a refused caller.
+	ReturnReservation struct {
+		Service string
+		// Caller is the fingerprint of the caller's request.
+		Caller Fingerprint
+		// Level is the priority level of the request once its caller returns.
+		Level int
+		// Age is the time since the refusal, In that until the return time.
+		Age, In time.Duration
+	}
 	// LoadNotice reports the load that the sender puts on endpoints, its quota use and its queues.
 	LoadNotice struct {
 		// ConfigurationVersion is the sender's active version; 0 if it has none.
@@ -160,6 +173,8 @@
 		Leaving []string
 		// Limits lists endpoints that name limits, or did so until a short while ago.
 		Limits []EndpointLimitUse
+		// Reservations lists the newest reservations of the sender, a bounded number for each service.
+		Reservations []ReturnReservation
 		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
 		QuarantineRevision uint64
 		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
