--- a/internal/modules/wigeonwire/wire_test.go
+++ b/internal/modules/wigeonwire/wire_test.go
@@ -79,6 +79,7 @@
 				{Service: "s", Caller: 1 << 63, Level: 4, Age: 50 * time.Millisecond, In: 700 * time.Millisecond},
 			},
 			Leaving:            []string{"f"},
+			Misplaced:          []string{"g@7"},
 			QuarantineRevision: 6,
 			Limits: []wigeonshift.EndpointLimitUse{
 				{Endpoint: "e", StartedAtMillis: 7, RequestsPerSecond: 4.1, Generation: 3, Sent: 9}, {Endpoint: "f", Ended: true},
--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/services/wigeonbudget"
+	"wigeonshift/internal/services/wigeonhedge"
 	"wigeonshift/internal/services/wigeonquarantine"
 )
 
@@ -55,6 +57,8 @@
 		// StallTimeout is how long the endpoint may be silent before an AttemptStalled event must be reported; zero means
 		// never.
 		StallTimeout time.Duration
+		// HedgeDelay is how long the attempt may be without an answer before a HedgeDue event must be reported; zero means never.
+		HedgeDelay time.Duration
 		// Running is the number of other requests that run on the endpoint, as far as this instance knows.
 		Running int
 		// KeptTokens is the number of prompt tokens that the endpoint is expected to keep. IsHome is set if it is the home of the
@@ -67,7 +71,7 @@
 		// later the request must not be sent. Zero means no limit.
 		DecidedAt, MaxSendDelay time.Duration
 		// Resend is the decision of the retry budget; nil if the request was not sent before.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 		// IsLimited is set if the endpoint has named a limit, RequestsPerSecond. What the response says of it must then be
 		// reported, also if it says nothing.
 		IsLimited         bool
@@ -78,6 +82,18 @@
 		// nothing.
 		IsBrittle bool
 	}
+	// Hedge sends a request to an endpoint beside its running attempt. The first answer that begins whole is passed on. An
+	// AttemptEnded event must follow for each of both attempts, with OutcomeCancelled for the one that is cancelled for the other.
+	Hedge struct {
+		// Candidate proves that the request may run twice.
+		Candidate wigeonhedge.Candidate
+		Dispatch
+	}
+	// HedgeRefused reports that a request that is due for a hedge gets none.
+	HedgeRefused struct {
+		Job      JobID
+		Obstacle HedgeObstacle
+	}
 	// Refuse answers a request that did not run.
 	Refuse struct {
 		Job        JobID
@@ -110,7 +126,7 @@
 		// Cause is the cause of crashes for which the request is refused; nil if there is none.
 		Cause *wigeonquarantine.Cause
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// CallerReturned reports that a refused caller with a reservation has returned. Kept is set if it did so in time.
 	CallerReturned struct {
@@ -123,7 +139,7 @@
 		Job    JobID
 		Reason Reason
 		// Resend is the decision of the retry budget if it refused another attempt; otherwise nil.
-		Resend *ResendDecision
+		Resend *wigeonbudget.Decision
 	}
 	// Abandon ends a running attempt so that the request can move to another endpoint. An AttemptEnded event must follow.
 	Abandon struct {
@@ -245,15 +261,19 @@
 	ClearCrashes struct {
 		Fingerprint wigeonshift.Fingerprint
 	}
-	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly.
+	// Suspect reports that an endpoint gets no requests for a while, because it failed repeatedly or another endpoint has its address.
 	Suspect struct {
 		EndpointID string
 		Duration   time.Duration
 		Failures   int
+		// Misplaced is the number of misdirected requests since the last success; zero if the endpoint failed.
+		Misplaced int
 	}
 )
 
 func (Dispatch) effect()        {}
+func (Hedge) effect()           {}
+func (HedgeRefused) effect()    {}
 func (Refuse) effect()          {}
 func (CallerReturned) effect()  {}
 func (Failure) effect()         {}
--- a/internal/services/wigeondispatch/forecast.go
+++ b/internal/services/wigeondispatch/forecast.go
@@ -59,10 +59,10 @@
 	return f
 }
 
-// addSlots adds the slots of an endpoint to a forecast. Requests beyond the slots take the first ends and aren't added.
+// addSlots adds the slots of an endpoint that this group can use to a forecast. Requests beyond the slots take the first ends and aren't added.
 func (s *State) addSlots(f *wigeonforecast.Forecast, e *endpoint) {
-	period, slots := e.slotTime(), e.slots()
-	free := max(slots-e.running(), 0)
+	period, slots := e.slotTime(), e.concurrency()
+	free := e.freeSlots()
 	if e.isLimited() {
 		rate := s.groupRate(e)
 		free = min(free, s.groupTokens(e))
--- a/internal/services/wigeondispatch/queue.go
+++ b/internal/services/wigeondispatch/queue.go
@@ -39,8 +39,6 @@
 	callerRetryValueFactor = 0.6
 	// lateValueFactor reduces the value of a request whose answer will be late.
 	lateValueFactor = 0.3
-	// urgentTime is the time before its latest useful start at which a request of the highest rank goes before others of its rank.
-	urgentTime = 400 * time.Millisecond
 	// reservedValueFactor increases the value of a request whose caller returns as told, so that it goes before most new ones of
 	// its rank.
 	reservedValueFactor = 2
@@ -62,7 +60,7 @@
 	value := math.Pow(rankValueFactor, float64(max(j.RouteTier, 0)))
 	isTop := j.RouteTier <= 0
 	switch {
-	case isTop && (j.isReserved || at > p.latestUsefulStart(j)-urgentTime):
+	case isTop && j.isReserved:
 		return tier*levelsPerTier + 1
 	case j.isReserved:
 		value *= reservedValueFactor
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -159,11 +159,11 @@
 	return d.loadChanges
 }
 
-// processUse returns how the endpoint's process is used that runs the request of a call.
-func (d *Dispatcher) processUse(id wigeondispatch.JobID) wigeondispatch.ProcessUse {
+// processUse returns how the endpoint's process is used that runs the request of a call, or its hedge.
+func (d *Dispatcher) processUse(id wigeondispatch.JobID, isHedge bool) wigeondispatch.ProcessUse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.state.ProcessUse(id)
+	return d.state.ProcessUse(id, isHedge)
 }
 
 // maySend reports whether an endpoint still wants a request that was dispatched to it.
@@ -223,6 +223,11 @@
 		case wigeondispatch.Dispatch:
 			d.loadChanges++
 			d.deliver(x.Job, x)
+		case wigeondispatch.Hedge:
+			d.loadChanges++
+			d.grantHedge(x)
+		case wigeondispatch.HedgeRefused:
+			d.logHedgeRefused(x)
 		case wigeondispatch.Refuse:
 			d.deliver(x.Job, x)
 		case wigeondispatch.Failure:
@@ -282,7 +287,7 @@
 func (d *Dispatcher) logSuspect(x wigeondispatch.Suspect) {
 	d.scope.Counter("suspects").Inc(1)
 	d.log.WithFields(logrus.Fields{
-		"endpoint": x.EndpointID, "failures": x.Failures, "pauseMs": x.Duration.Milliseconds(),
+		"endpoint": x.EndpointID, "failures": x.Failures, "misplaced": x.Misplaced, "pauseMs": x.Duration.Milliseconds(),
 	}).Warn("endpoint paused after failures")
 }
 
--- a/peer.go
+++ b/peer.go
@@ -175,6 +175,9 @@
 		Limits []EndpointLimitUse
 		// Reservations lists the newest reservations of the sender, a bounded number for each service.
 		Reservations []ReturnReservation
+		// Misplaced lists the incarnations of endpoints that get no requests of the sender for a while, because another endpoint
+		// has their address. They are written as in Crash.Endpoint.
+		Misplaced []string
 		// QuarantineRevision is the newest revision of a quarantine row that the sender has.
 		QuarantineRevision uint64
 		// CrashEvidence is what the sender shares of crashes and the store has not shown it yet.
