Choose a target endpoint or another in two passes

Cause: the old version was forbidden for a request whenever an approximation said that a target endpoint was free. If placement then accepted none (deadline, ramp, memory, tests, limits, precedence), the request and those after it waited.

Change: placement makes the whole choice among target endpoints first, and then among all allowed ones. In the last stage, a request that no target endpoint can take goes to another version.

Test: two new specs, one with target endpoints too slow for the deadline, one with a request that has failed on all of them.

--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -109,6 +109,13 @@
 	backlog
 	// skippedJob is set once an earlier request of the round found no endpoint.
 	skippedJob bool
+	// onlyVersion is the version that the request is to go to; empty if to any allowed one.
+	onlyVersion string
+}
+
+// includes reports whether the round considers an endpoint.
+func (r placementRound) includes(e *endpoint) bool {
+	return r.onlyVersion == "" || e.record.Version == r.onlyVersion
 }
 
 // contention compares a request with those that are queued for the same service at the other instances of the group.
@@ -131,7 +138,35 @@
 	return c
 }
 
-// chooseEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. Of several plain endpoints
+// chooseEndpoint returns the endpoint for a request, or nil if none can accept it. While a rollout gives its target version a
+// share, a request within the share goes to an endpoint of that version if one can accept it, otherwise to any allowed one. Each
+// pass makes the whole choice, because a request that is kept from the other versions for a target endpoint that doesn't accept
+// it would wait until its deadline.
+func (s *State) chooseEndpoint(p *pool, j *Job, round placementRound) *endpoint {
+	r := s.rollouts.byService[p.name]
+	if r == nil || r.State() == wigeonshift.RolloutCompleted {
+		return s.chooseAllowedEndpoint(p, j, round)
+	}
+	if r.TargetShare(s.now) < 1 && s.allowsTarget(r, j) {
+		targets := round
+		targets.onlyVersion = r.Order().Target
+		if e := s.chooseAllowedEndpoint(p, j, targets); e != nil {
+			return e
+		}
+	}
+	if e := s.chooseAllowedEndpoint(p, j, round); e != nil || r.MayUseOthers(s.now) || s.canUseVersion(p, j, r.Order().Target) {
+		return e
+	}
+	// No endpoint of the target version can take the request, also later. The others don't get new requests in this stage, but
+	// this one would starve.
+	defer s.barEndpoints(p, r)
+	for _, e := range p.endpoints {
+		e.barred = e.barred && s.isRejected(e)
+	}
+	return s.chooseAllowedEndpoint(p, j, round)
+}
+
+// chooseAllowedEndpoint returns the endpoint with the lowest cost for a request, or nil if none can accept it. Of several plain endpoints
 // whose times differ by chance only, it returns the one that has waited longest for a request. It considers the
 // endpoints of this instance's group (the instances that report every change of their load to each other) and, if few of its
 // slots are in use, the one of another group that is the home of the request's prompt; the others only if none of these can. It
@@ -139,7 +174,7 @@
 // slots are contested, it considers only the endpoints at which this instance has precedence and the one on which a
 // request of this instance has just ended. A request that failed over (moved from an endpoint that may have run it)
 // ignores contention, because its caller may be waiting in the middle of an answer.
-func (s *State) chooseEndpoint(p *pool, j *Job, round placementRound) *endpoint {
+func (s *State) chooseAllowedEndpoint(p *pool, j *Job, round placementRound) *endpoint {
 	c, queueLimit := s.contentionFor(p, j, round.peers), maxEndpointQueue
 	if round.skippedJob {
 		queueLimit = 0
@@ -147,6 +182,10 @@
 	if j.failedOver {
 		c, queueLimit = contention{level: c.level}, maxFailoverEndpointQueue
 	}
+	if round.onlyVersion != "" {
+		// A wait in the queue of one of the few target endpoints would count as slowness of the version.
+		queueLimit = 0
+	}
 	if c.yield || s.mayBeQuarantined(j) {
 		return nil
 	}
@@ -162,7 +201,7 @@
 		candidates = append(slices.Clone(candidates), home)
 	}
 	for _, e := range candidates {
-		if !s.canAccept(e, j, queueLimit) {
+		if !round.includes(e) || !s.canAccept(e, j, queueLimit) {
 			continue
 		}
 		est := s.estimate(e, j)
@@ -184,7 +223,7 @@
 		choice.add(e, est.cost-e.promptSaving(j, home, s.now))
 	}
 	if choice.best.endpoint == nil {
-		return s.chooseOtherGroupEndpoint(p, j)
+		return s.chooseOtherGroupEndpoint(p, j, round)
 	}
 	if choice.isPlain {
 		return choice.longestWaiting()
@@ -251,7 +290,7 @@
 // chooseOtherGroupEndpoint returns an endpoint of another group that was not busy by the latest reports, or nil. Different
 // requests prefer different endpoints. Otherwise many instances would choose the same one, because they all see the same
 // old reports.
-func (s *State) chooseOtherGroupEndpoint(p *pool, j *Job) *endpoint {
+func (s *State) chooseOtherGroupEndpoint(p *pool, j *Job, round placementRound) *endpoint {
 	if p.brittle != nil {
 		return nil
 	}
@@ -259,7 +298,7 @@
 	bestScore := uint64(0)
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
-		if !e.otherGroup || e.loadShare() >= otherGroupMaxLoadShare || !s.canAccept(e, j, 0) {
+		if !e.otherGroup || !round.includes(e) || e.loadShare() >= otherGroupMaxLoadShare || !s.canAccept(e, j, 0) {
 			continue
 		}
 		if score := wigeonshift.RendezvousScore(key, e.record.ID); best == nil || score > bestScore {
--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -221,31 +221,26 @@
 	return version != "" && e.record.Version == version
 }
 
-// allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. While the target version has a
-// share, requests within it go there if one of its endpoints has a free slot. A request that it has failed goes to another version.
+// allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. Only the target version is
+// bounded by a share.
 func (s *State) allowsVersion(e *endpoint, j *Job) bool {
 	if len(s.rollouts.byService) == 0 {
 		return true
 	}
 	r := s.rollouts.byService[e.pool.name]
-	if r == nil || r.TargetShare(s.now) >= 1 {
-		return true
-	}
-	onTarget := e.record.Version == r.Order().Target
-	toTarget := !j.failedOnTarget && r.MayUseTarget(s.now)
-	if onTarget {
-		return toTarget
-	}
-	return !toTarget || !s.hasFreeTarget(e.pool, j, r.Order().Target)
+	return r == nil || e.record.Version != r.Order().Target || s.allowsTarget(r, j)
 }
 
-// hasFreeTarget reports whether an endpoint of a version has a free slot for a request.
-func (s *State) hasFreeTarget(p *pool, j *Job, version string) bool {
+// allowsTarget reports whether a request may go to the target version. One that it has failed goes to another version while
+// there is one.
+func (s *State) allowsTarget(r *wigeonrollout.Rollout, j *Job) bool {
+	return r.TargetShare(s.now) >= 1 || !j.failedOnTarget && r.MayUseTarget(s.now)
+}
+
+// canUseVersion reports whether an endpoint of a version may take a request once it has room.
+func (s *State) canUseVersion(p *pool, j *Job, version string) bool {
 	for _, e := range p.endpoints {
-		if e.record.Version != version || !e.available(s.now) || j.hasFailedOn(e.record.ID) || e.running() >= e.slots() {
-			continue
-		}
-		if !e.otherGroup || e.loadShare() < otherGroupMaxLoadShare {
+		if e.record.Version == version && e.available(s.now) && !j.hasFailedOn(e.record.ID) && e.mayTest(j, s.now) {
 			return true
 		}
 	}
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -161,4 +161,37 @@
 		c.run(900*time.Millisecond, never)
 		Expect(c.sent["a/v2"]).To(Equal(sent))
 	})
+
+	// Guards against requests that wait until their deadline for a target endpoint that has a free slot but doesn't accept them.
+	It("uses the other version if no target endpoint accepts a request", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+			e.plain = 10 * time.Second
+		}
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeZero())
+		Expect(c.sent["a/v1"]).To(Equal(10))
+	})
+
+	// Guards against a request that has failed on all target endpoints and waits until its deadline in the last stage.
+	It("uses the other version in the last stage for a request that no target endpoint can take", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		for c.state.rollouts.byService["a"].Stage() != wigeonshift.RolloutFull && c.now < 7*time.Second {
+			c.run(50*time.Millisecond, never)
+		}
+		job := func(id JobID) *Job {
+			return &Job{
+				ID: id, Service: "a", Route: "r", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 6, Arrived: c.now,
+				Deadline: c.now + 5*time.Second, CallerPatience: 5 * time.Second, LatencyObjective: time.Second,
+			}
+		}
+		refused := job(1_000_001)
+		for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+			refused.failedEndpoints = append(refused.failedEndpoints, e.record.ID)
+		}
+		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: refused})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v1"))))
+		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: job(1_000_002)})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v2"))))
+	})
 })
