Expect the time of an answer during a rollout by its unread tokens

Cause: the expected time counted the whole prompt. The old version keeps prompts and was far faster than expected, while a new version keeps nothing, so all its first answers counted as slow and a good version was rolled back.

Change: the expected time counts the tokens that the endpoint is expected to read.

Test: a new spec with a prompt that only the old version keeps. Before, the verdict was "slow: 5 of 5, others 0 of 20"; now there is none.

--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -262,13 +262,14 @@
 	}}
 }
 
-// typicalTimes returns the times to the first event and to the end of a request's answer with the mean timings.
+// typicalTimes returns the times to the first event and to the end of the answer of a request that has its endpoint, with the mean
+// timings. What the endpoint keeps of the prompt takes no time; a new version keeps nothing yet.
 func (p *pool) typicalTimes(j *Job) (first, whole time.Duration) {
 	typical := p.typicalTimings()
 	if !j.HasTokens {
 		return typical.plain, typical.plain
 	}
-	first = typical.prefill*time.Duration(j.PromptTokens) + typical.decodeStep*time.Duration(p.eventTokens())
+	first = typical.prefill*time.Duration(j.unreadTokens()) + typical.decodeStep*time.Duration(p.eventTokens())
 	return first, first + typical.decodeStep*time.Duration(j.ExpectedAnswerTokens)
 }
 
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -194,4 +194,41 @@
 		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: refused})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v1"))))
 		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: job(1_000_002)})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v2"))))
 	})
+
+	// Guards against a verdict on a version for its first prompts, which its endpoints have to read while the others keep them.
+	It("doesn't blame the target for prompts that only the other version keeps", func() {
+		c := newRolloutCase()
+		const prompt, answer = 20_000, 10
+		step := func(rollout bool) {
+			c.nextJob++
+			effects := c.state.Reduce(RequestArrived{At: c.now, Job: &Job{
+				ID: c.nextJob, Service: "a", Route: "r", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 3, Arrived: c.now,
+				Deadline: c.now + 5*time.Second, CallerPatience: 5 * time.Second, HasTokens: true, PromptTokens: prompt,
+				AnswerTokens: answer, ExpectedAnswerTokens: answer, PromptParts: []wigeonshift.PromptPart{{ID: "p", Tokens: prompt - 500}},
+			}})
+			Expect(effects).To(ContainElement(BeAssignableToTypeOf(Dispatch{})))
+			j := c.state.jobs[c.nextJob]
+			elapsed := time.Duration(j.unreadTokens())*defaultTimings.prefill + answer*defaultTimings.decodeStep
+			c.now += elapsed
+			if rollout {
+				c.sent[j.assignedEndpoint.record.Version]++
+			}
+			c.state.Reduce(AttemptEnded{At: c.now, Job: j.ID, Outcome: OutcomeDone, Succeeded: true})
+			c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRunning})
+		}
+		c.listEndpoints("v1")
+		c.order(orderOf("a", 1))
+		for range 20 {
+			step(false)
+		}
+		c.listEndpoints("v1", "v2")
+		for range 20 {
+			for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+				clear(e.kept.usedAt)
+			}
+			step(true)
+		}
+		Expect(c.sent["v2"]).To(BeNumerically(">=", 5))
+		Expect(c.state.rollouts.byService["a"].Condemned()).To(BeEmpty())
+	})
 })
