Give an ordered version everything if the only other one was rolled back

Cause: an order for the old version after a rollback left the rolled-back version barred and gave the ordered version only the first share, so the service almost stopped.

Change: endpoints of a version that was rolled back before don't count as capacity of others. If no other version could be used since the order, the target gets all requests.

Test: a new spec orders v1 after the rollback of v2. Before, 8 of 80 requests were sent; now all 80 are.

--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -135,7 +135,7 @@
 	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
 		r := s.rollouts.byService[service]
 		p := s.pools[service]
-		r.Update(s.now, rolloutCapacity(p, r.Order().Target))
+		r.Update(s.now, s.rolloutCapacity(p, r.Order().Target))
 		if p != nil {
 			s.barEndpoints(p, r)
 		}
@@ -143,8 +143,8 @@
 	}
 }
 
-// rolloutCapacity returns the slots of both versions.
-func rolloutCapacity(p *pool, target string) wigeonrollout.Capacity {
+// rolloutCapacity returns the slots of both versions. Those of a version that was rolled back before don't count.
+func (s *State) rolloutCapacity(p *pool, target string) wigeonrollout.Capacity {
 	var c wigeonrollout.Capacity
 	if p == nil {
 		return c
@@ -158,6 +158,7 @@
 		case e.isLeaving():
 		case onTarget:
 			c.TargetSlots += e.slots()
+		case s.isRejected(e):
 		default:
 			c.OtherSlots += e.slots()
 		}
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -231,4 +231,23 @@
 		Expect(c.sent["v2"]).To(BeNumerically(">=", 5))
 		Expect(c.state.rollouts.byService["a"].Condemned()).To(BeEmpty())
 	})
+
+	// Guards against a service that stops when the version before is ordered again after a rollback: the other version is out
+	// and the ordered one gets no more than the first share.
+	It("gives the target everything if the only other version was rolled back", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		c.run(1100*time.Millisecond, never)
+		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		back := orderOf("a", 2)
+		back.Target = "v1"
+		c.order(back)
+		before := map[string]int{"a/v1": c.sent["a/v1"], "a/v2": c.sent["a/v2"]}
+		c.run(800*time.Millisecond, never)
+		Expect(c.stateOf("a")).To(BeEmpty())
+		Expect(c.sent["a/v1"] - before["a/v1"]).To(Equal(80))
+		Expect(c.sent["a/v2"]).To(Equal(before["a/v2"]))
+		c.run(time.Second, never)
+		Expect(c.stateOf("a")).To(Equal(wigeonshift.RolloutCompleted))
+	})
 })
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -48,7 +48,8 @@
 
 // Capacity is what an instance sees of the endpoints of a service.
 type Capacity struct {
-	// TargetSlots and OtherSlots are the slots of the endpoints that aren't leaving.
+	// TargetSlots and OtherSlots are the slots of the endpoints that aren't leaving. Other endpoints that may not get requests, as
+	// their version was rolled back before, don't count.
 	TargetSlots, OtherSlots int
 	// TargetEndpoints is the number of endpoints of the target version that the instance's group uses.
 	TargetEndpoints int
@@ -76,6 +77,8 @@
 	// longestRun is the longest time that a request ran on another version.
 	longestRun time.Duration
 	capacity   Capacity
+	// hasSeenOthers is set once a usable endpoint of another version was listed.
+	hasSeenOthers bool
 	// stage is the present stage. It never falls.
 	stage wigeonshift.RolloutStage
 	// contactAt is the latest time at which a peer or the store told of the rollout.
@@ -186,6 +189,7 @@
 // Update sets the capacity, and moves on to the stage that is due.
 func (r *Rollout) Update(now time.Duration, c Capacity) {
 	r.capacity = c
+	r.hasSeenOthers = r.hasSeenOthers || c.OtherSlots > 0
 	if r.state.Final() {
 		return
 	}
@@ -256,6 +260,8 @@
 		return 1
 	case r.state == wigeonshift.RolloutRolledBack, r.condemned != "":
 		return 0
+	case r.isOnlyVersion():
+		return 1
 	case !r.isStarted:
 		if r.capacity.OtherSlots == 0 {
 			// The state isn't known yet, and no other version is left.
@@ -273,6 +279,12 @@
 	}
 }
 
+// isOnlyVersion reports whether no version but the target could be used since the instance knows of the order. A share of the
+// requests would stop the service then.
+func (r *Rollout) isOnlyVersion() bool {
+	return r.capacity.OtherSlots == 0 && r.capacity.TargetSlots > 0 && !r.hasSeenOthers
+}
+
 // MayUseOthers reports whether other versions than the target may get requests.
 func (r *Rollout) MayUseOthers(now time.Duration) bool {
 	if r.state == wigeonshift.RolloutCompleted {
