Keep a target out that wasn't completed when its order is replaced or goes

Cause: an order that was deleted, lost in an older copy of the store or malformed released all endpoints, and one that was replaced while it ran did as well, so a version got requests that nothing had shown to be good.

Change: the target of an order that wasn't completed stays barred, also on endpoints that are listed later, until it is ordered again, its endpoints are gone or no other version is left.

Test: the spec "uses all versions again once the order is removed" required requests to a version that had been rolled back, which is the fault. Three stricter specs replace it: a version stays out after its order is removed in any state but completed until no other version is left, is used again once its endpoints were gone or if it was completed, and stays out after its order was replaced. The first and third failed before (79 requests for 11, 56 for 11); all pass now.

--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -14,8 +14,9 @@
 	settings wigeonrollout.Settings
 	// byService holds the latest order of each service.
 	byService map[string]*wigeonrollout.Rollout
-	// rejected holds the version of each service that was rolled back last. It gets no requests until it is ordered again.
-	rejected map[string]string
+	// rejected holds the versions of each service whose orders went without being completed. They get no requests until they are
+	// ordered again, their endpoints are gone or no other version is left.
+	rejected map[string]map[string]bool
 	// news counts the changes that other instances should learn of at once.
 	news uint64
 	// noted is what is known of each rollout, as the latest RolloutRecorded effect says.
@@ -36,7 +37,7 @@
 
 func newRollouts(s wigeonrollout.Settings) rollouts {
 	return rollouts{
-		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]string{}, noted: map[string]rolloutNote{},
+		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]map[string]bool{}, noted: map[string]rolloutNote{},
 	}
 }
 
@@ -56,12 +57,8 @@
 		if known != nil && known.Order() == order {
 			continue
 		}
-		if known != nil && known.State() == wigeonshift.RolloutRolledBack {
-			s.rollouts.rejected[order.Service] = known.Order().Target
-		}
-		if s.rollouts.rejected[order.Service] == order.Target {
-			delete(s.rollouts.rejected, order.Service)
-		}
+		s.rejectUncompleted(known)
+		delete(s.rollouts.rejected[order.Service], order.Target)
 		r := wigeonrollout.New(order, s.rollouts.settings)
 		r.SetInstances(s.settings.Instance, s.instanceIDs)
 		if !ev.MayBeOld {
@@ -70,11 +67,16 @@
 		}
 		s.rollouts.byService[order.Service] = r
 	}
-	maps.DeleteFunc(s.rollouts.byService, func(service string, _ *wigeonrollout.Rollout) bool { return !listed[service] })
+	for service, r := range s.rollouts.byService {
+		if !listed[service] {
+			s.rejectUncompleted(r)
+			delete(s.rollouts.byService, service)
+		}
+	}
 	maps.DeleteFunc(s.rollouts.noted, func(service string, _ rolloutNote) bool { return !listed[service] })
 	for _, p := range s.pools {
 		if !listed[p.name] {
-			s.releaseEndpoints(p)
+			s.barRejected(p)
 		}
 	}
 	s.updateRollouts()
@@ -128,9 +130,10 @@
 
 // updateRollouts moves the rollouts on and determines which endpoints may get requests.
 func (s *State) updateRollouts() {
-	if len(s.rollouts.byService) == 0 {
+	if len(s.rollouts.byService) == 0 && len(s.rollouts.rejected) == 0 {
 		return
 	}
+	s.expireRejected()
 	s.measureRollouts()
 	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
 		r := s.rollouts.byService[service]
@@ -198,28 +201,60 @@
 		anyAvailable = anyAvailable || e.available(s.now)
 	}
 	isFull := r.TargetShare(s.now) >= 1
+	// If the target version gets nothing and all others are rejected, one of those is better than none.
+	isOutOfVersions := r.TargetShare(s.now) == 0 && !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool {
+		return e.record.Version != target && !e.isLeaving() && !s.isRejected(e)
+	})
 	useOthers := r.MayUseOthers(s.now) || !anyAvailable && r.State() != wigeonshift.RolloutCompleted
 	for _, e := range p.endpoints {
 		if e.record.Version == target {
 			e.barred = !isFull && !usable[e]
 			continue
 		}
-		e.barred = !useOthers || s.isRejected(e)
+		e.barred = !useOthers || s.isRejected(e) && !isOutOfVersions
 	}
 }
 
-// releaseEndpoints bars no endpoint of a service without an order.
-func (s *State) releaseEndpoints(p *pool) {
-	delete(s.rollouts.rejected, p.name)
+// rejectUncompleted bars the target version of an order that another replaces or that is gone, unless it was completed. Nothing
+// shows that the version is good. r may be nil.
+func (s *State) rejectUncompleted(r *wigeonrollout.Rollout) {
+	if r == nil || r.State() == wigeonshift.RolloutCompleted {
+		return
+	}
+	service := r.Order().Service
+	if s.rollouts.rejected[service] == nil {
+		s.rollouts.rejected[service] = map[string]bool{}
+	}
+	s.rollouts.rejected[service][r.Order().Target] = true
+}
+
+// expireRejected forgets the rejected versions whose endpoints are gone, and bars those of services without an order.
+func (s *State) expireRejected() {
+	for service, versions := range s.rollouts.rejected {
+		p := s.pools[service]
+		maps.DeleteFunc(versions, func(version string, _ bool) bool {
+			return p == nil || !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.record.Version == version })
+		})
+		if p != nil && s.rollouts.byService[service] == nil {
+			s.barRejected(p)
+		}
+		if len(versions) == 0 {
+			delete(s.rollouts.rejected, service)
+		}
+	}
+}
+
+// barRejected bars the endpoints of rejected versions of a service without an order, and no others.
+func (s *State) barRejected(p *pool) {
+	hasOthers := slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return !e.isLeaving() && !s.isRejected(e) })
 	for _, e := range p.endpoints {
-		e.barred = false
+		e.barred = hasOthers && s.isRejected(e)
 	}
 }
 
-// isRejected reports whether the version of an endpoint was rolled back by an order that another has replaced.
+// isRejected reports whether the version of an endpoint was the target of an order that went without being completed.
 func (s *State) isRejected(e *endpoint) bool {
-	version := s.rollouts.rejected[e.pool.name]
-	return version != "" && e.record.Version == version
+	return s.rollouts.rejected[e.pool.name][e.record.Version]
 }
 
 // allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. Only the target version is
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -137,18 +137,61 @@
 		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent))
 	})
 
-	// Guards against endpoints that stay without requests after the order is gone.
-	It("uses all versions again once the order is removed", func() {
+	// Guards against requests to a version that was never shown to be good once its order is removed, lost or malformed, also on
+	// endpoints that are listed later, and against endpoints that stay without requests when no other version is left.
+	It("keeps a version out after its order is removed until no other version is left", func() {
+		for _, state := range []wigeonshift.RolloutState{wigeonshift.RolloutRolledBack, wigeonshift.RolloutRunning, ""} {
+			c := newRolloutCase()
+			c.order(orderOf("a", 1))
+			c.run(900*time.Millisecond, never)
+			c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: state})
+			c.order()
+			sent := c.sent["a/v2"]
+			c.listEndpoints("v1", "v2", "v3")
+			c.run(2*time.Second, never)
+			Expect(c.sent["a/v2"]).To(Equal(sent), string(state))
+			Expect(c.sent["a/v3"]).To(BeNumerically(">", 50), "a version that was never ordered is used")
+			c.listEndpoints("v2")
+			c.run(time.Second, never)
+			Expect(c.sent["a/v2"]).To(Equal(sent+100), "no other version is left")
+		}
+	})
+
+	// Guards against a bar that outlives the endpoints of the version, and one on a version that was completed.
+	It("uses a version again once its endpoints were gone or its order was completed", func() {
 		c := newRolloutCase()
-		c.order(orderOf("a", 1))
-		c.run(time.Second, never)
+		c.order(orderOf("a", 1), orderOf("b", 2))
+		c.run(900*time.Millisecond, never)
 		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		c.state.Reduce(RolloutRead{At: c.now, Service: "b", OrderRevision: 2, State: wigeonshift.RolloutCompleted})
 		c.order()
-		sent := c.sent["a/v2"]
+		sent := c.sent["b/v2"]
+		c.run(2*time.Second, never)
+		Expect(c.sent["b/v2"]).To(BeNumerically(">", sent+50))
+		c.listEndpoints("v1")
+		c.listEndpoints("v1", "v2")
+		sent = c.sent["a/v2"]
 		c.run(2*time.Second, never)
 		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent+50))
 	})
 
+	// Guards against requests to a version whose order was replaced before it was shown to be good.
+	It("keeps the target of a replaced order out until it is ordered again", func() {
+		c := newRolloutCase()
+		c.listEndpoints("v1", "v2", "v3")
+		c.order(orderOf("a", 1))
+		c.run(900*time.Millisecond, never)
+		sent := c.sent["a/v2"]
+		next := orderOf("a", 2)
+		next.Target = "v3"
+		c.order(next)
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(Equal(sent))
+		c.order(orderOf("a", 3))
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent))
+	})
+
 	// Guards against an instance that goes on with a version that its siblings know to be bad.
 	It("stops at the verdict of another instance", func() {
 		c := newRolloutCase()
