Complete at once only if no other version was seen since the order

Cause: `completed` was decided in the first stage at any age while no endpoint of another version was listed. If all rows of the old version were missing for a moment, it was released for an unproven version.

Change: the decision needs that no usable endpoint of another version was listed since the instance knows of the order.

Test: a new spec, which got `completed` before, gets `running` now. The spec "completes at once if the target runs already and no other version does" listed both versions first, contrary to its name; it now lists the target only and also checks the share.

--- a/internal/services/wigeonrollout/case_test.go
+++ b/internal/services/wigeonrollout/case_test.go
@@ -141,10 +141,33 @@
 
 	// Guards against a rollback of the only version that runs.
 	It("completes at once if the target runs already and no other version does", func() {
-		r := newCase(2)
+		r := New(caseOrder, caseSettings)
+		r.SetInstances("i0", []string{"i0", "i1"})
+		r.Start(0, 0)
+		r.Contact(0)
 		r.Update(0, Capacity{TargetSlots: 10, TargetEndpoints: 2})
 		state, _ := r.Decide(0)
 		Expect(state).To(Equal(wigeonshift.RolloutCompleted))
+		Expect(r.TargetShare(0)).To(Equal(1.0))
+	})
+
+	// Guards against a release of the old version when all its rows are missing for a moment.
+	It("doesn't complete in the first stage if another version was seen before", func() {
+		r := newCase(2)
+		alone := bothVersions
+		alone.OtherSlots = 0
+		r.Update(time.Second, alone)
+		state, _ := r.Decide(time.Second)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning))
+		Expect(r.TargetShare(time.Second)).To(BeNumerically("<", 0.1))
+		r = New(caseOrder, caseSettings)
+		r.Contact(0)
+		r.Update(0, bothVersions)
+		r.Start(0, time.Second)
+		r.Update(0, alone)
+		state, _ = r.Decide(0)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning), "it was seen before the age was known")
+		Expect(r.TargetShare(0)).To(BeNumerically("<", 0.1))
 	})
 
 	// Guards against a state that changes back, as after a late answer of the store.
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -325,7 +325,7 @@
 		return wigeonshift.RolloutRolledBack, r.condemned
 	case !r.isStarted:
 		return wigeonshift.RolloutRunning, ""
-	case r.capacity.OtherSlots == 0 && r.capacity.TargetSlots > 0 && r.stage != wigeonshift.RolloutFull:
+	case r.isOnlyVersion() && r.stage != wigeonshift.RolloutFull:
 		return wigeonshift.RolloutCompleted, "no other version runs"
 	case r.stage == wigeonshift.RolloutFull && r.othersEnded(now):
 		return wigeonshift.RolloutCompleted, "no request runs on another version"
