Use no slack and decide nothing before all instances are known

Cause: an instance whose list of instances wasn't read yet took itself for the only one. It used the whole slack, was the first to write the state, and could decide `completed` without a report of any other.

Change: a rollout knows its instances only once the list is complete. Until then it has no slack, stays in the first stage and decides nothing but a rollback for bad answers, which is right whoever else there is.

Specs that built a rollout or a reducer without a complete list now give one, with the same expectations.

--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -167,7 +167,7 @@
 	s.markOtherGroupEndpoints()
 	s.updateQuotaShares()
 	for _, r := range s.rollouts.byService {
-		r.SetInstances(s.settings.Instance, s.instanceIDs)
+		s.setRolloutInstances(r)
 	}
 }
 
--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -60,7 +60,7 @@
 		s.rejectUncompleted(known)
 		delete(s.rollouts.rejected[order.Service], order.Target)
 		r := wigeonrollout.New(order, s.rollouts.settings)
-		r.SetInstances(s.settings.Instance, s.instanceIDs)
+		s.setRolloutInstances(r)
 		if !ev.MayBeOld {
 			r.Start(s.now, 0)
 			r.Contact(s.now)
@@ -83,6 +83,13 @@
 	s.dispatchAllWaiting()
 }
 
+// setRolloutInstances sets the instances of a rollout once all are known.
+func (s *State) setRolloutInstances(r *wigeonrollout.Rollout) {
+	if s.listIsComplete {
+		r.SetInstances(s.settings.Instance, s.instanceIDs)
+	}
+}
+
 // handleRolloutRead records what the store says of a rollout.
 func (s *State) handleRolloutRead(ev RolloutRead) {
 	r := s.rollouts.byService[ev.Service]
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -25,7 +25,7 @@
 		RetryRatio: 1, RetrySlack: 50, RetryWindow: 10 * time.Second, Instance: "i", Zone: "z",
 		Rollout: wigeonrollout.Settings{ExposeShare: 0.1, ExposeSlack: 10, RollbackWithin: 5 * time.Second},
 	})}
-	c.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}})
+	c.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}, Complete: true})
 	c.listEndpoints("v1", "v2")
 	return c
 }
@@ -293,4 +293,17 @@
 		c.run(time.Second, never)
 		Expect(c.stateOf("a")).To(Equal(wigeonshift.RolloutCompleted))
 	})
+
+	// Guards against an instance that has just started, knows itself only and uses the whole slack.
+	It("uses no slack until the list of instances is complete", func() {
+		c := newRolloutCase()
+		c.state.listIsComplete = false
+		c.order(orderOf("a", 1))
+		c.state.Reduce(InstancesListed{At: c.now, Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}})
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeZero())
+		c.state.Reduce(InstancesListed{At: c.now, Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}, Complete: true})
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", 0))
+	})
 })
--- a/internal/services/wigeonrollout/case_test.go
+++ b/internal/services/wigeonrollout/case_test.go
@@ -54,6 +54,7 @@
 	// Guards against requests to a version of which nobody knows whether it was rolled back.
 	It("gives the target nothing before the age of the order is known", func() {
 		r := New(caseOrder, caseSettings)
+		r.SetInstances("i0", []string{"i0"})
 		r.Contact(0)
 		r.Update(0, bothVersions)
 		Expect(r.MayUseTarget(0)).To(BeFalse())
@@ -170,6 +171,25 @@
 		Expect(r.TargetShare(0)).To(BeNumerically("<", 0.1))
 	})
 
+	// Guards against an instance that takes itself for the only one, uses the whole slack and releases the old version.
+	It("uses no slack, decides nothing and stays in the first stage until it knows the other instances", func() {
+		r := New(caseOrder, caseSettings)
+		r.Start(0, 0)
+		advance(r, 0, 9*time.Second, bothVersions)
+		Expect(r.MayUseTarget(9 * time.Second)).To(BeFalse())
+		Expect(r.Stage()).To(Equal(wigeonshift.RolloutCanary))
+		state, _ := r.Decide(9 * time.Second)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning))
+		r.SetInstances("i0", []string{"i0", "i1"})
+		Expect(r.MayUseTarget(9 * time.Second)).To(BeTrue())
+		r = New(caseOrder, caseSettings)
+		r.Start(0, 0)
+		r.Contact(0)
+		r.Update(0, Capacity{TargetSlots: 10, TargetEndpoints: 2})
+		state, _ = r.Decide(0)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning), "no other version runs")
+	})
+
 	// Guards against a state that changes back, as after a late answer of the store.
 	It("keeps a final state", func() {
 		r := newCase(2)
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -64,7 +64,7 @@
 	// startedAt is the time of the order, if isStarted is set.
 	startedAt time.Duration
 	isStarted bool
-	// instances is the number of instances, this one included. slack is this instance's part of ExposeSlack, a whole number.
+	// instances is the number of instances, this one included; zero until all are known. slack is this instance's part of ExposeSlack, a whole number.
 	instances, slack int
 	// offset is added to the share of the budget. It differs between instances so that the parts of a request that each has left
 	// add up to whole ones.
@@ -98,11 +98,7 @@
 
 // New returns a rollout that an instance has learned of.
 func New(order wigeonshift.RolloutOrder, s Settings) *Rollout {
-	r := &Rollout{
-		settings: s, order: order, evidence: newEvidence(), pace: pace{}, peers: map[string]peerReport{},
-	}
-	r.SetInstances("", nil)
-	return r
+	return &Rollout{settings: s, order: order, evidence: newEvidence(), pace: pace{}, peers: map[string]peerReport{}}
 }
 
 // Order returns the order.
@@ -154,7 +150,8 @@
 // Contact records that the store has told of the rollout.
 func (r *Rollout) Contact(now time.Duration) { r.contactAt = now }
 
-// SetInstances sets the IDs of all instances and that of this one. The slack is divided among them in whole requests, because
+// SetInstances sets the IDs of all instances and that of this one. Until then there is no slack, no stage but the first and no
+// decision other than a rollback for bad answers, as an instance that knows no other would take itself for the only one. The slack is divided among them in whole requests, because
 // parts of a request would let none of many instances send any.
 func (r *Rollout) SetInstances(self string, ids []string) {
 	r.instances = max(len(ids), 1)
@@ -196,7 +193,7 @@
 	if r.condemned == "" {
 		r.condemned = r.evidence.verdict()
 	}
-	if r.condemned == "" && r.isStarted && r.hasContact(now) && r.hasCapacity() {
+	if r.condemned == "" && r.isStarted && r.instances > 0 && r.hasContact(now) && r.hasCapacity() {
 		r.stage = max(r.stage, r.stageAt(r.Age(now)))
 	}
 }
@@ -323,7 +320,7 @@
 		return r.state, ""
 	case r.condemned != "":
 		return wigeonshift.RolloutRolledBack, r.condemned
-	case !r.isStarted:
+	case !r.isStarted, r.instances == 0:
 		return wigeonshift.RolloutRunning, ""
 	case r.isOnlyVersion() && r.stage != wigeonshift.RolloutFull:
 		return wigeonshift.RolloutCompleted, "no other version runs"
