--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -165,6 +165,7 @@
 	}
 	s.updateMembers()
 	s.markOtherGroupEndpoints()
+	s.recomputePeerLoads()
 	s.updateQuotaShares()
 	for _, r := range s.rollouts.byService {
 		s.setRolloutInstances(r)
@@ -191,6 +192,7 @@
 				e.otherGroup = false
 			}
 		}
+		s.setAllowances(p)
 		p.listOwnEndpoints()
 	}
 }
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -57,7 +57,9 @@
 	groups    *Groups
 	rollouts  rollouts
 	// reach is what the instance knows of its way to the endpoints.
-	reach   reach
+	reach reach
+	// hedging is what hedges are decided by; nil if they are off.
+	hedging *hedging
 	effects []Effect
 }
 
@@ -81,6 +83,7 @@
 		reach:        newReach(),
 		groups:       NewGroups(nil),
 		rollouts:     newRollouts(settings.Rollout),
+		hedging:      newHedging(settings),
 	}
 }
 
@@ -97,7 +100,9 @@
 	case RequestArrived:
 		s.handleArrival(e.Job)
 	case FirstEventReceived:
-		s.handleFirstEvent(e.Job)
+		s.handleFirstEvent(e)
+	case HedgeDue:
+		s.handleHedgeDue(e)
 	case AttemptStalled:
 		s.handleStall(e.Job)
 	case AttemptEnded:
@@ -279,6 +284,9 @@
 		return
 	}
 	s.retryBudget(j.Service).CountRequest(s.now)
+	if s.hedging != nil {
+		s.hedging.limits.CountRequest(s.now, j.Service)
+	}
 }
 
 // reserveResend reports whether the retry budget of a request's service allows a resend, and reserves it if so. The resend
--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -274,6 +274,12 @@
 	return r == nil || e.record.Version != r.Order().Target || s.allowsTarget(r, j)
 }
 
+// isRollingOut reports whether a rollout of a service runs.
+func (s *State) isRollingOut(service string) bool {
+	r := s.rollouts.byService[service]
+	return r != nil && !r.State().Final()
+}
+
 // allowsTarget reports whether a request may go to the target version. One that it has failed goes to another version while
 // there is one.
 func (s *State) allowsTarget(r *wigeonrollout.Rollout, j *Job) bool {
