Look at the task of a rollout again between the read and the write

Cause: the state to be written was decided before the table was read. A verdict that came while the store answered was ignored, and a bad version could be completed.

Change: the present task of the order is fetched after the read. Nothing is written if the order has gone or was replaced.

Test: a new test changes the wanted state, or the order, during the read. Its first part failed before (completed for rolledBack) and hid the second; both pass now.

--- a/internal/services/wigeonsettlement/service_test.go
+++ b/internal/services/wigeonsettlement/service_test.go
@@ -26,6 +26,8 @@
 	// down makes all calls fail. losesAnswers makes a write succeed without an answer.
 	down, losesAnswers bool
 	calls, writes      int
+	// onList runs after the table was listed; nil if nothing does.
+	onList func()
 }
 
 func (s *fakeStore) List(context.Context, wigeonshift.RoutingTable) (wigeonshift.TablePage, error) {
@@ -39,6 +41,9 @@
 	if s.row != nil {
 		page.Rows = append(page.Rows, *s.row)
 	}
+	if s.onList != nil {
+		s.onList()
+	}
 	return page, nil
 }
 
@@ -212,6 +217,30 @@
 	})
 }
 
+// Guards against a version that is completed although a verdict came while the store answered, and against a state that is
+// written for an order that went meanwhile.
+func TestTaskChangesDuringRead(t *testing.T) {
+	runCase(t, func(g *WithT, s *fakeStore, r *fakeRollouts, _ *wigeonsettlement.Service) {
+		s.onList = func() { r.want(wigeonshift.RolloutRolledBack) }
+		r.want(wigeonshift.RolloutCompleted)
+		wait(2 * time.Second)
+		g.Expect(s.state()).To(Equal(wigeonshift.RolloutRolledBack))
+		g.Expect(r.known()).To(Equal(wigeonshift.RolloutRolledBack))
+		g.Expect(s.writes).To(Equal(1))
+	})
+	runCase(t, func(g *WithT, s *fakeStore, r *fakeRollouts, _ *wigeonsettlement.Service) {
+		s.onList = func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.tasks[0].Order.Revision++
+			s.onList = nil
+		}
+		r.want(wigeonshift.RolloutCompleted)
+		wait(150 * time.Millisecond)
+		g.Expect(s.writes).To(BeZero())
+	})
+}
+
 // Guards against the state of an earlier order that is taken for that of the present one.
 func TestReplacedOrder(t *testing.T) {
 	runCase(t, func(g *WithT, s *fakeStore, r *fakeRollouts, _ *wigeonsettlement.Service) {
--- a/internal/services/wigeonsettlement/settle.go
+++ b/internal/services/wigeonsettlement/settle.go
@@ -34,7 +34,9 @@
 		// No instance has noted the order, so it is new.
 		read.IsAgeKnown = true
 	}
-	if write && task.IsAgeKnown && task.Wanted != read.State && !read.State.Final() {
+	// A verdict may have come while the store answered.
+	task, exists := s.latest(task)
+	if write && exists && task.IsAgeKnown && task.Wanted != read.State && !read.State.Final() {
 		if err := s.write(ctx, task, page, status, isOfOrder); err != nil {
 			return err
 		}
@@ -44,6 +46,16 @@
 	return nil
 }
 
+// latest returns the present task for the order of an earlier one, and false if there is none.
+func (s *Service) latest(task wigeondispatch.RolloutTask) (wigeondispatch.RolloutTask, bool) {
+	for _, t := range s.rollouts.RolloutTasks() {
+		if t.Order == task.Order {
+			return t, true
+		}
+	}
+	return task, false
+}
+
 // find returns the state of a service among listed rows. If there is none, or it can't be read, only the row's revision is set.
 func (s *Service) find(page wigeonshift.TablePage, order wigeonshift.RolloutOrder) wigeonshift.RolloutStatus {
 	for _, row := range page.Rows {
