Give the slack for the first order of a service and for new orders only

Cause: each order that replaced another got the slack anew, and so did an instance that started during an order.

Change: an instance that learns of an order after another one of the service, or of an order of age above zero, has the share only.

Test: a new spec replaces an order, and removes and gives it again. The spec on the age of an order expected a request from the slack at an age of 1 s; it now expects none, and one from the share after 20 requests.

--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -17,6 +17,8 @@
 	// rejected holds the versions of each service whose orders went without being completed. They get no requests until they are
 	// ordered again, their endpoints are gone or no other version is left.
 	rejected map[string]map[string]bool
+	// ordered holds the services that had an order before. The slack isn't given again to the next one.
+	ordered map[string]bool
 	// news counts the changes that other instances should learn of at once.
 	news uint64
 	// noted is what is known of each rollout, as the latest RolloutRecorded effect says.
@@ -37,7 +39,8 @@
 
 func newRollouts(s wigeonrollout.Settings) rollouts {
 	return rollouts{
-		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]map[string]bool{}, noted: map[string]rolloutNote{},
+		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]map[string]bool{}, ordered: map[string]bool{},
+		noted: map[string]rolloutNote{},
 	}
 }
 
@@ -61,6 +64,10 @@
 		delete(s.rollouts.rejected[order.Service], order.Target)
 		r := wigeonrollout.New(order, s.rollouts.settings)
 		s.setRolloutInstances(r)
+		if s.rollouts.ordered[order.Service] {
+			r.WithholdSlack()
+		}
+		s.rollouts.ordered[order.Service] = true
 		if !ev.MayBeOld {
 			r.Start(s.now, 0)
 			r.Contact(s.now)
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -306,4 +306,23 @@
 		c.run(100*time.Millisecond, never)
 		Expect(c.sent["a/v2"]).To(BeNumerically(">", 0))
 	})
+
+	// Guards against a version that gets the slack once for each of the orders that replace each other.
+	It("gives no slack for an order after another one of the service", func() {
+		for _, between := range [][]wigeonshift.RolloutOrder{nil, {}} {
+			c := newRolloutCase()
+			c.order(orderOf("a", 1))
+			c.run(100*time.Millisecond, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically(">=", 8))
+			sent := c.sent["a/v2"]
+			if between != nil {
+				c.order(between...)
+			}
+			c.order(orderOf("a", 2))
+			c.run(100*time.Millisecond, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically("<=", sent+1))
+			c.run(time.Second, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically(">", sent), "it gets the share")
+		}
+	})
 })
--- a/internal/services/wigeonrollout/case_test.go
+++ b/internal/services/wigeonrollout/case_test.go
@@ -60,6 +60,10 @@
 		Expect(r.MayUseTarget(0)).To(BeFalse())
 		r.Merge("peer", wigeonshift.RolloutReport{Service: "s", OrderRevision: 5, Age: time.Second}, 0)
 		Expect(r.Age(0)).To(Equal(time.Second))
+		Expect(r.MayUseTarget(0)).To(BeFalse(), "the order isn't new, so there is no slack")
+		for range 20 {
+			r.Sent(false)
+		}
 		Expect(r.MayUseTarget(0)).To(BeTrue())
 	})
 
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -66,6 +66,8 @@
 	isStarted bool
 	// instances is the number of instances, this one included; zero until all are known. slack is this instance's part of ExposeSlack, a whole number.
 	instances, slack int
+	// hasNoSlack is set if the slack may have been used before, for an earlier order or before this instance started.
+	hasNoSlack bool
 	// offset is added to the share of the budget. It differs between instances so that the parts of a request that each has left
 	// add up to whole ones.
 	offset float64
@@ -115,11 +117,17 @@
 
 // Start sets the time since the order. Of several ages the highest counts, since nobody knows of an order before it exists.
 func (r *Rollout) Start(now, age time.Duration) {
+	if !r.isStarted && age > 0 {
+		r.WithholdSlack()
+	}
 	if !r.isStarted || now-age < r.startedAt {
 		r.startedAt, r.isStarted = now-age, true
 	}
 }
 
+// WithholdSlack leaves the target version its share only.
+func (r *Rollout) WithholdSlack() { r.hasNoSlack = true }
+
 // Age returns the time since the order; zero if it isn't known.
 func (r *Rollout) Age(now time.Duration) time.Duration {
 	if !r.isStarted {
@@ -302,7 +310,11 @@
 	}
 	next := float64(r.sentToTarget + 1)
 	share = min(share, budgetShare*r.settings.ExposeShare)
-	return next <= share*float64(r.sent+1)+r.offset+float64(r.slack)
+	bound := share*float64(r.sent+1) + r.offset
+	if !r.hasNoSlack {
+		bound += float64(r.slack)
+	}
+	return next <= bound
 }
 
 // Sent counts a request that this instance sends.
