Report unfinished rollouts first

Cause: a notice carries the first eight orders by name, finished ones included, so evidence on a running order could be left out.

Change: unfinished orders come first; the rest are filled up with finished ones.

Test: a new spec with ten orders of which the first eight are completed. Before, the two running ones weren't reported; now they come first.

--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -131,12 +131,17 @@
 	}
 }
 
-// rolloutReports returns what this instance tells the others.
+// rolloutReports returns what this instance tells the others. Unfinished orders come first, because the number of reports is
+// bounded and a finished order also has its state in the store.
 func (s *State) rolloutReports() []wigeonshift.RolloutReport {
 	var out []wigeonshift.RolloutReport
-	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
-		if len(out) < wigeonshift.MaxRolloutReports {
-			out = append(out, s.rollouts.byService[service].Report(s.now))
+	services := slices.Sorted(maps.Keys(s.rollouts.byService))
+	for _, isFinal := range []bool{false, true} {
+		for _, service := range services {
+			r := s.rollouts.byService[service]
+			if r.State().Final() == isFinal && len(out) < wigeonshift.MaxRolloutReports {
+				out = append(out, r.Report(s.now))
+			}
 		}
 	}
 	return out
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -325,4 +325,25 @@
 			Expect(c.sent["a/v2"]).To(BeNumerically(">", sent), "it gets the share")
 		}
 	})
+
+	// Guards against running orders that the other instances learn nothing of, as finished ones take up the reports.
+	It("reports unfinished orders before finished ones", func() {
+		c := newRolloutCase()
+		var orders []wigeonshift.RolloutOrder
+		for i := range wigeonshift.MaxRolloutReports + 2 {
+			orders = append(orders, orderOf(fmt.Sprintf("s%02d", i), uint64(i+1)))
+		}
+		c.order(orders...)
+		for i := range wigeonshift.MaxRolloutReports {
+			c.state.Reduce(RolloutRead{
+				At: c.now, Service: orders[i].Service, OrderRevision: orders[i].Revision, State: wigeonshift.RolloutCompleted,
+			})
+		}
+		var services []string
+		for _, report := range c.state.Load().Rollouts {
+			services = append(services, report.Service)
+		}
+		Expect(services).To(HaveLen(wigeonshift.MaxRolloutReports))
+		Expect(services[:3]).To(Equal([]string{"s08", "s09", "s00"}))
+	})
 })
