--- a/internal/services/wigeondispatch/group.go
+++ b/internal/services/wigeondispatch/group.go
@@ -168,7 +168,7 @@
 	s.recomputePeerLoads()
 	s.updateQuotaShares()
 	for _, r := range s.rollouts.byService {
-		r.SetInstances(s.settings.Instance, s.instanceIDs)
+		s.setRolloutInstances(r)
 	}
 }
 
--- a/internal/services/wigeondispatch/rollout.go
+++ b/internal/services/wigeondispatch/rollout.go
@@ -14,8 +14,11 @@
 	settings wigeonrollout.Settings
 	// byService holds the latest order of each service.
 	byService map[string]*wigeonrollout.Rollout
-	// rejected holds the version of each service that was rolled back last. It gets no requests until it is ordered again.
-	rejected map[string]string
+	// rejected holds the versions of each service whose orders went without being completed. They get no requests until they are
+	// ordered again, their endpoints are gone or no other version is left.
+	rejected map[string]map[string]bool
+	// ordered holds the services that had an order before. The slack isn't given again to the next one.
+	ordered map[string]bool
 	// news counts the changes that other instances should learn of at once.
 	news uint64
 	// noted is what is known of each rollout, as the latest RolloutRecorded effect says.
@@ -36,7 +39,8 @@
 
 func newRollouts(s wigeonrollout.Settings) rollouts {
 	return rollouts{
-		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]string{}, noted: map[string]rolloutNote{},
+		settings: s, byService: map[string]*wigeonrollout.Rollout{}, rejected: map[string]map[string]bool{}, ordered: map[string]bool{},
+		noted: map[string]rolloutNote{},
 	}
 }
 
@@ -56,31 +60,43 @@
 		if known != nil && known.Order() == order {
 			continue
 		}
-		if known != nil && known.State() == wigeonshift.RolloutRolledBack {
-			s.rollouts.rejected[order.Service] = known.Order().Target
-		}
-		if s.rollouts.rejected[order.Service] == order.Target {
-			delete(s.rollouts.rejected, order.Service)
-		}
+		s.rejectUncompleted(known)
+		delete(s.rollouts.rejected[order.Service], order.Target)
 		r := wigeonrollout.New(order, s.rollouts.settings)
-		r.SetInstances(s.settings.Instance, s.instanceIDs)
+		s.setRolloutInstances(r)
+		if s.rollouts.ordered[order.Service] {
+			r.WithholdSlack()
+		}
+		s.rollouts.ordered[order.Service] = true
 		if !ev.MayBeOld {
 			r.Start(s.now, 0)
 			r.Contact(s.now)
 		}
 		s.rollouts.byService[order.Service] = r
 	}
-	maps.DeleteFunc(s.rollouts.byService, func(service string, _ *wigeonrollout.Rollout) bool { return !listed[service] })
+	for service, r := range s.rollouts.byService {
+		if !listed[service] {
+			s.rejectUncompleted(r)
+			delete(s.rollouts.byService, service)
+		}
+	}
 	maps.DeleteFunc(s.rollouts.noted, func(service string, _ rolloutNote) bool { return !listed[service] })
 	for _, p := range s.pools {
 		if !listed[p.name] {
-			s.releaseEndpoints(p)
+			s.barRejected(p)
 		}
 	}
 	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
 
+// setRolloutInstances sets the instances of a rollout once all are known.
+func (s *State) setRolloutInstances(r *wigeonrollout.Rollout) {
+	if s.listIsComplete {
+		r.SetInstances(s.settings.Instance, s.instanceIDs)
+	}
+}
+
 // handleRolloutRead records what the store says of a rollout.
 func (s *State) handleRolloutRead(ev RolloutRead) {
 	r := s.rollouts.byService[ev.Service]
@@ -115,12 +131,17 @@
 	}
 }
 
-// rolloutReports returns what this instance tells the others.
+// rolloutReports returns what this instance tells the others. Unfinished orders come first, because the number of reports is
+// bounded and a finished order also has its state in the store.
 func (s *State) rolloutReports() []wigeonshift.RolloutReport {
 	var out []wigeonshift.RolloutReport
-	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
-		if len(out) < wigeonshift.MaxRolloutReports {
-			out = append(out, s.rollouts.byService[service].Report(s.now))
+	services := slices.Sorted(maps.Keys(s.rollouts.byService))
+	for _, isFinal := range []bool{false, true} {
+		for _, service := range services {
+			r := s.rollouts.byService[service]
+			if r.State().Final() == isFinal && len(out) < wigeonshift.MaxRolloutReports {
+				out = append(out, r.Report(s.now))
+			}
 		}
 	}
 	return out
@@ -128,14 +149,15 @@
 
 // updateRollouts moves the rollouts on and determines which endpoints may get requests.
 func (s *State) updateRollouts() {
-	if len(s.rollouts.byService) == 0 {
+	if len(s.rollouts.byService) == 0 && len(s.rollouts.rejected) == 0 {
 		return
 	}
+	s.expireRejected()
 	s.measureRollouts()
 	for _, service := range slices.Sorted(maps.Keys(s.rollouts.byService)) {
 		r := s.rollouts.byService[service]
 		p := s.pools[service]
-		r.Update(s.now, rolloutCapacity(p, r.Order().Target))
+		r.Update(s.now, s.rolloutCapacity(p, r.Order().Target))
 		if p != nil {
 			s.barEndpoints(p, r)
 		}
@@ -143,8 +165,8 @@
 	}
 }
 
-// rolloutCapacity returns the slots of both versions.
-func rolloutCapacity(p *pool, target string) wigeonrollout.Capacity {
+// rolloutCapacity returns the slots of both versions. Those of a version that was rolled back before don't count.
+func (s *State) rolloutCapacity(p *pool, target string) wigeonrollout.Capacity {
 	var c wigeonrollout.Capacity
 	if p == nil {
 		return c
@@ -158,6 +180,7 @@
 		case e.isLeaving():
 		case onTarget:
 			c.TargetSlots += e.slots()
+		case s.isRejected(e):
 		default:
 			c.OtherSlots += e.slots()
 		}
@@ -197,46 +220,70 @@
 		anyAvailable = anyAvailable || e.available(s.now)
 	}
 	isFull := r.TargetShare(s.now) >= 1
+	// If the target version gets nothing and all others are rejected, one of those is better than none.
+	isOutOfVersions := r.TargetShare(s.now) == 0 && !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool {
+		return e.record.Version != target && !e.isLeaving() && !s.isRejected(e)
+	})
 	useOthers := r.MayUseOthers(s.now) || !anyAvailable && r.State() != wigeonshift.RolloutCompleted
 	for _, e := range p.endpoints {
 		if e.record.Version == target {
 			e.barred = !isFull && !usable[e]
 			continue
 		}
-		e.barred = !useOthers || s.isRejected(e)
+		e.barred = !useOthers || s.isRejected(e) && !isOutOfVersions
+	}
+}
+
+// rejectUncompleted bars the target version of an order that another replaces or that is gone, unless it was completed. Nothing
+// shows that the version is good. r may be nil.
+func (s *State) rejectUncompleted(r *wigeonrollout.Rollout) {
+	if r == nil || r.State() == wigeonshift.RolloutCompleted {
+		return
+	}
+	service := r.Order().Service
+	if s.rollouts.rejected[service] == nil {
+		s.rollouts.rejected[service] = map[string]bool{}
+	}
+	s.rollouts.rejected[service][r.Order().Target] = true
+}
+
+// expireRejected forgets the rejected versions whose endpoints are gone, and bars those of services without an order.
+func (s *State) expireRejected() {
+	for service, versions := range s.rollouts.rejected {
+		p := s.pools[service]
+		maps.DeleteFunc(versions, func(version string, _ bool) bool {
+			return p == nil || !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.record.Version == version })
+		})
+		if p != nil && s.rollouts.byService[service] == nil {
+			s.barRejected(p)
+		}
+		if len(versions) == 0 {
+			delete(s.rollouts.rejected, service)
+		}
 	}
 }
 
-// releaseEndpoints bars no endpoint of a service without an order.
-func (s *State) releaseEndpoints(p *pool) {
-	delete(s.rollouts.rejected, p.name)
+// barRejected bars the endpoints of rejected versions of a service without an order, and no others.
+func (s *State) barRejected(p *pool) {
+	hasOthers := slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return !e.isLeaving() && !s.isRejected(e) })
 	for _, e := range p.endpoints {
-		e.barred = false
+		e.barred = hasOthers && s.isRejected(e)
 	}
 }
 
-// isRejected reports whether the version of an endpoint was rolled back by an order that another has replaced.
+// isRejected reports whether the version of an endpoint was the target of an order that went without being completed.
 func (s *State) isRejected(e *endpoint) bool {
-	version := s.rollouts.rejected[e.pool.name]
-	return version != "" && e.record.Version == version
+	return s.rollouts.rejected[e.pool.name][e.record.Version]
 }
 
-// allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. While the target version has a
-// share, requests within it go there if one of its endpoints has a free slot. A request that it has failed goes to another version.
+// allowsVersion reports whether a request may go to the version of an endpoint that isn't barred. Only the target version is
+// bounded by a share.
 func (s *State) allowsVersion(e *endpoint, j *Job) bool {
 	if len(s.rollouts.byService) == 0 {
 		return true
 	}
 	r := s.rollouts.byService[e.pool.name]
-	if r == nil || r.TargetShare(s.now) >= 1 {
-		return true
-	}
-	onTarget := e.record.Version == r.Order().Target
-	toTarget := !j.failedOnTarget && r.MayUseTarget(s.now)
-	if onTarget {
-		return toTarget
-	}
-	return !toTarget || !s.hasFreeTarget(e.pool, j, r.Order().Target)
+	return r == nil || e.record.Version != r.Order().Target || s.allowsTarget(r, j)
 }
 
 // isRollingOut reports whether a rollout of a service runs.
@@ -245,13 +292,16 @@
 	return r != nil && !r.State().Final()
 }
 
-// hasFreeTarget reports whether an endpoint of a version has a free slot for a request.
-func (s *State) hasFreeTarget(p *pool, j *Job, version string) bool {
+// allowsTarget reports whether a request may go to the target version. One that it has failed goes to another version while
+// there is one.
+func (s *State) allowsTarget(r *wigeonrollout.Rollout, j *Job) bool {
+	return r.TargetShare(s.now) >= 1 || !j.failedOnTarget && r.MayUseTarget(s.now)
+}
+
+// canUseVersion reports whether an endpoint of a version may take a request once it has room.
+func (s *State) canUseVersion(p *pool, j *Job, version string) bool {
 	for _, e := range p.endpoints {
-		if e.record.Version != version || !e.available(s.now) || j.hasFailedOn(e.record.ID) || e.running() >= e.slots() {
-			continue
-		}
-		if !e.otherGroup || e.loadShare() < otherGroupMaxLoadShare {
+		if e.record.Version == version && e.available(s.now) && !j.hasFailedOn(e.record.ID) && e.mayTest(j, s.now) {
 			return true
 		}
 	}
@@ -273,13 +323,14 @@
 	}}
 }
 
-// typicalTimes returns the times to the first event and to the end of a request's answer with the mean timings.
+// typicalTimes returns the times to the first event and to the end of the answer of a request that has its endpoint, with the mean
+// timings. What the endpoint keeps of the prompt takes no time; a new version keeps nothing yet.
 func (p *pool) typicalTimes(j *Job) (first, whole time.Duration) {
 	typical := p.typicalTimings()
 	if !j.HasTokens {
 		return typical.plain, typical.plain
 	}
-	first = typical.prefill*time.Duration(j.PromptTokens) + typical.decodeStep*time.Duration(p.eventTokens())
+	first = typical.prefill*time.Duration(j.unreadTokens()) + typical.decodeStep*time.Duration(p.eventTokens())
 	return first, first + typical.decodeStep*time.Duration(j.ExpectedAnswerTokens)
 }
 
--- a/internal/services/wigeondispatch/rollout_test.go
+++ b/internal/services/wigeondispatch/rollout_test.go
@@ -25,7 +25,7 @@
 		RetryRatio: 1, RetrySlack: 50, RetryWindow: 10 * time.Second, Instance: "i", Zone: "z",
 		Rollout: wigeonrollout.Settings{ExposeShare: 0.1, ExposeSlack: 10, RollbackWithin: 5 * time.Second},
 	})}
-	c.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}})
+	c.state.Reduce(InstancesListed{Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}, Complete: true})
 	c.listEndpoints("v1", "v2")
 	return c
 }
@@ -137,18 +137,61 @@
 		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent))
 	})
 
-	// Guards against endpoints that stay without requests after the order is gone.
-	It("uses all versions again once the order is removed", func() {
+	// Guards against requests to a version that was never shown to be good once its order is removed, lost or malformed, also on
+	// endpoints that are listed later, and against endpoints that stay without requests when no other version is left.
+	It("keeps a version out after its order is removed until no other version is left", func() {
+		for _, state := range []wigeonshift.RolloutState{wigeonshift.RolloutRolledBack, wigeonshift.RolloutRunning, ""} {
+			c := newRolloutCase()
+			c.order(orderOf("a", 1))
+			c.run(900*time.Millisecond, never)
+			c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: state})
+			c.order()
+			sent := c.sent["a/v2"]
+			c.listEndpoints("v1", "v2", "v3")
+			c.run(2*time.Second, never)
+			Expect(c.sent["a/v2"]).To(Equal(sent), string(state))
+			Expect(c.sent["a/v3"]).To(BeNumerically(">", 50), "a version that was never ordered is used")
+			c.listEndpoints("v2")
+			c.run(time.Second, never)
+			Expect(c.sent["a/v2"]).To(Equal(sent+100), "no other version is left")
+		}
+	})
+
+	// Guards against a bar that outlives the endpoints of the version, and one on a version that was completed.
+	It("uses a version again once its endpoints were gone or its order was completed", func() {
 		c := newRolloutCase()
-		c.order(orderOf("a", 1))
-		c.run(time.Second, never)
+		c.order(orderOf("a", 1), orderOf("b", 2))
+		c.run(900*time.Millisecond, never)
 		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		c.state.Reduce(RolloutRead{At: c.now, Service: "b", OrderRevision: 2, State: wigeonshift.RolloutCompleted})
 		c.order()
-		sent := c.sent["a/v2"]
+		sent := c.sent["b/v2"]
+		c.run(2*time.Second, never)
+		Expect(c.sent["b/v2"]).To(BeNumerically(">", sent+50))
+		c.listEndpoints("v1")
+		c.listEndpoints("v1", "v2")
+		sent = c.sent["a/v2"]
 		c.run(2*time.Second, never)
 		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent+50))
 	})
 
+	// Guards against requests to a version whose order was replaced before it was shown to be good.
+	It("keeps the target of a replaced order out until it is ordered again", func() {
+		c := newRolloutCase()
+		c.listEndpoints("v1", "v2", "v3")
+		c.order(orderOf("a", 1))
+		c.run(900*time.Millisecond, never)
+		sent := c.sent["a/v2"]
+		next := orderOf("a", 2)
+		next.Target = "v3"
+		c.order(next)
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(Equal(sent))
+		c.order(orderOf("a", 3))
+		c.run(time.Second, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", sent))
+	})
+
 	// Guards against an instance that goes on with a version that its siblings know to be bad.
 	It("stops at the verdict of another instance", func() {
 		c := newRolloutCase()
@@ -161,4 +204,146 @@
 		c.run(900*time.Millisecond, never)
 		Expect(c.sent["a/v2"]).To(Equal(sent))
 	})
+
+	// Guards against requests that wait until their deadline for a target endpoint that has a free slot but doesn't accept them.
+	It("uses the other version if no target endpoint accepts a request", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+			e.plain = 10 * time.Second
+		}
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeZero())
+		Expect(c.sent["a/v1"]).To(Equal(10))
+	})
+
+	// Guards against a request that has failed on all target endpoints and waits until its deadline in the last stage.
+	It("uses the other version in the last stage for a request that no target endpoint can take", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		for c.state.rollouts.byService["a"].Stage() != wigeonshift.RolloutFull && c.now < 7*time.Second {
+			c.run(50*time.Millisecond, never)
+		}
+		job := func(id JobID) *Job {
+			return &Job{
+				ID: id, Service: "a", Route: "r", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 6, Arrived: c.now,
+				Deadline: c.now + 5*time.Second, CallerPatience: 5 * time.Second, LatencyObjective: time.Second,
+			}
+		}
+		refused := job(1_000_001)
+		for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+			refused.failedEndpoints = append(refused.failedEndpoints, e.record.ID)
+		}
+		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: refused})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v1"))))
+		Expect(c.state.Reduce(RequestArrived{At: c.now, Job: job(1_000_002)})).To(ContainElement(HaveField("EndpointID", HavePrefix("a/v2"))))
+	})
+
+	// Guards against a verdict on a version for its first prompts, which its endpoints have to read while the others keep them.
+	It("doesn't blame the target for prompts that only the other version keeps", func() {
+		c := newRolloutCase()
+		const prompt, answer = 20_000, 10
+		step := func(rollout bool) {
+			c.nextJob++
+			effects := c.state.Reduce(RequestArrived{At: c.now, Job: &Job{
+				ID: c.nextJob, Service: "a", Route: "r", Kind: wigeonshift.RouteIdempotent, MaxAttempts: 3, Arrived: c.now,
+				Deadline: c.now + 5*time.Second, CallerPatience: 5 * time.Second, HasTokens: true, PromptTokens: prompt,
+				AnswerTokens: answer, ExpectedAnswerTokens: answer, PromptParts: []wigeonshift.PromptPart{{ID: "p", Tokens: prompt - 500}},
+			}})
+			Expect(effects).To(ContainElement(BeAssignableToTypeOf(Dispatch{})))
+			j := c.state.jobs[c.nextJob]
+			elapsed := time.Duration(j.unreadTokens())*defaultTimings.prefill + answer*defaultTimings.decodeStep
+			c.now += elapsed
+			if rollout {
+				c.sent[j.assignedEndpoint.record.Version]++
+			}
+			c.state.Reduce(AttemptEnded{At: c.now, Job: j.ID, Outcome: OutcomeDone, Succeeded: true})
+			c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRunning})
+		}
+		c.listEndpoints("v1")
+		c.order(orderOf("a", 1))
+		for range 20 {
+			step(false)
+		}
+		c.listEndpoints("v1", "v2")
+		for range 20 {
+			for _, e := range c.state.pools["a"].targetEndpoints("v2") {
+				clear(e.kept.usedAt)
+			}
+			step(true)
+		}
+		Expect(c.sent["v2"]).To(BeNumerically(">=", 5))
+		Expect(c.state.rollouts.byService["a"].Condemned()).To(BeEmpty())
+	})
+
+	// Guards against a service that stops when the version before is ordered again after a rollback: the other version is out
+	// and the ordered one gets no more than the first share.
+	It("gives the target everything if the only other version was rolled back", func() {
+		c := newRolloutCase()
+		c.order(orderOf("a", 1))
+		c.run(1100*time.Millisecond, never)
+		c.state.Reduce(RolloutRead{At: c.now, Service: "a", OrderRevision: 1, State: wigeonshift.RolloutRolledBack})
+		back := orderOf("a", 2)
+		back.Target = "v1"
+		c.order(back)
+		before := map[string]int{"a/v1": c.sent["a/v1"], "a/v2": c.sent["a/v2"]}
+		c.run(800*time.Millisecond, never)
+		Expect(c.stateOf("a")).To(BeEmpty())
+		Expect(c.sent["a/v1"] - before["a/v1"]).To(Equal(80))
+		Expect(c.sent["a/v2"]).To(Equal(before["a/v2"]))
+		c.run(time.Second, never)
+		Expect(c.stateOf("a")).To(Equal(wigeonshift.RolloutCompleted))
+	})
+
+	// Guards against an instance that has just started, knows itself only and uses the whole slack.
+	It("uses no slack until the list of instances is complete", func() {
+		c := newRolloutCase()
+		c.state.listIsComplete = false
+		c.order(orderOf("a", 1))
+		c.state.Reduce(InstancesListed{At: c.now, Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}})
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeZero())
+		c.state.Reduce(InstancesListed{At: c.now, Instances: []wigeonshift.Instance{{ID: "i", Zone: "z"}}, Complete: true})
+		c.run(100*time.Millisecond, never)
+		Expect(c.sent["a/v2"]).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a version that gets the slack once for each of the orders that replace each other.
+	It("gives no slack for an order after another one of the service", func() {
+		for _, between := range [][]wigeonshift.RolloutOrder{nil, {}} {
+			c := newRolloutCase()
+			c.order(orderOf("a", 1))
+			c.run(100*time.Millisecond, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically(">=", 8))
+			sent := c.sent["a/v2"]
+			if between != nil {
+				c.order(between...)
+			}
+			c.order(orderOf("a", 2))
+			c.run(100*time.Millisecond, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically("<=", sent+1))
+			c.run(time.Second, never)
+			Expect(c.sent["a/v2"]).To(BeNumerically(">", sent), "it gets the share")
+		}
+	})
+
+	// Guards against running orders that the other instances learn nothing of, as finished ones take up the reports.
+	It("reports unfinished orders before finished ones", func() {
+		c := newRolloutCase()
+		var orders []wigeonshift.RolloutOrder
+		for i := range wigeonshift.MaxRolloutReports + 2 {
+			orders = append(orders, orderOf(fmt.Sprintf("s%02d", i), uint64(i+1)))
+		}
+		c.order(orders...)
+		for i := range wigeonshift.MaxRolloutReports {
+			c.state.Reduce(RolloutRead{
+				At: c.now, Service: orders[i].Service, OrderRevision: orders[i].Revision, State: wigeonshift.RolloutCompleted,
+			})
+		}
+		var services []string
+		for _, report := range c.state.Load().Rollouts {
+			services = append(services, report.Service)
+		}
+		Expect(services).To(HaveLen(wigeonshift.MaxRolloutReports))
+		Expect(services[:3]).To(Equal([]string{"s08", "s09", "s00"}))
+	})
 })
--- a/internal/services/wigeonrollout/case_test.go
+++ b/internal/services/wigeonrollout/case_test.go
@@ -54,11 +54,16 @@
 	// Guards against requests to a version of which nobody knows whether it was rolled back.
 	It("gives the target nothing before the age of the order is known", func() {
 		r := New(caseOrder, caseSettings)
+		r.SetInstances("i0", []string{"i0"})
 		r.Contact(0)
 		r.Update(0, bothVersions)
 		Expect(r.MayUseTarget(0)).To(BeFalse())
 		r.Merge("peer", wigeonshift.RolloutReport{Service: "s", OrderRevision: 5, Age: time.Second}, 0)
 		Expect(r.Age(0)).To(Equal(time.Second))
+		Expect(r.MayUseTarget(0)).To(BeFalse(), "the order isn't new, so there is no slack")
+		for range 20 {
+			r.Sent(false)
+		}
 		Expect(r.MayUseTarget(0)).To(BeTrue())
 	})
 
@@ -141,10 +146,52 @@
 
 	// Guards against a rollback of the only version that runs.
 	It("completes at once if the target runs already and no other version does", func() {
-		r := newCase(2)
+		r := New(caseOrder, caseSettings)
+		r.SetInstances("i0", []string{"i0", "i1"})
+		r.Start(0, 0)
+		r.Contact(0)
 		r.Update(0, Capacity{TargetSlots: 10, TargetEndpoints: 2})
 		state, _ := r.Decide(0)
 		Expect(state).To(Equal(wigeonshift.RolloutCompleted))
+		Expect(r.TargetShare(0)).To(Equal(1.0))
+	})
+
+	// Guards against a release of the old version when all its rows are missing for a moment.
+	It("doesn't complete in the first stage if another version was seen before", func() {
+		r := newCase(2)
+		alone := bothVersions
+		alone.OtherSlots = 0
+		r.Update(time.Second, alone)
+		state, _ := r.Decide(time.Second)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning))
+		Expect(r.TargetShare(time.Second)).To(BeNumerically("<", 0.1))
+		r = New(caseOrder, caseSettings)
+		r.Contact(0)
+		r.Update(0, bothVersions)
+		r.Start(0, time.Second)
+		r.Update(0, alone)
+		state, _ = r.Decide(0)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning), "it was seen before the age was known")
+		Expect(r.TargetShare(0)).To(BeNumerically("<", 0.1))
+	})
+
+	// Guards against an instance that takes itself for the only one, uses the whole slack and releases the old version.
+	It("uses no slack, decides nothing and stays in the first stage until it knows the other instances", func() {
+		r := New(caseOrder, caseSettings)
+		r.Start(0, 0)
+		advance(r, 0, 9*time.Second, bothVersions)
+		Expect(r.MayUseTarget(9 * time.Second)).To(BeFalse())
+		Expect(r.Stage()).To(Equal(wigeonshift.RolloutCanary))
+		state, _ := r.Decide(9 * time.Second)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning))
+		r.SetInstances("i0", []string{"i0", "i1"})
+		Expect(r.MayUseTarget(9 * time.Second)).To(BeTrue())
+		r = New(caseOrder, caseSettings)
+		r.Start(0, 0)
+		r.Contact(0)
+		r.Update(0, Capacity{TargetSlots: 10, TargetEndpoints: 2})
+		state, _ = r.Decide(0)
+		Expect(state).To(Equal(wigeonshift.RolloutRunning), "no other version runs")
 	})
 
 	// Guards against a state that changes back, as after a late answer of the store.
--- a/internal/services/wigeonrollout/rollout.go
+++ b/internal/services/wigeonrollout/rollout.go
@@ -48,7 +48,8 @@
 
 // Capacity is what an instance sees of the endpoints of a service.
 type Capacity struct {
-	// TargetSlots and OtherSlots are the slots of the endpoints that aren't leaving.
+	// TargetSlots and OtherSlots are the slots of the endpoints that aren't leaving. Other endpoints that may not get requests, as
+	// their version was rolled back before, don't count.
 	TargetSlots, OtherSlots int
 	// TargetEndpoints is the number of endpoints of the target version that the instance's group uses.
 	TargetEndpoints int
@@ -63,8 +64,10 @@
 	// startedAt is the time of the order, if isStarted is set.
 	startedAt time.Duration
 	isStarted bool
-	// instances is the number of instances, this one included. slack is this instance's part of ExposeSlack, a whole number.
+	// instances is the number of instances, this one included; zero until all are known. slack is this instance's part of ExposeSlack, a whole number.
 	instances, slack int
+	// hasNoSlack is set if the slack may have been used before, for an earlier order or before this instance started.
+	hasNoSlack bool
 	// offset is added to the share of the budget. It differs between instances so that the parts of a request that each has left
 	// add up to whole ones.
 	offset float64
@@ -76,6 +79,8 @@
 	// longestRun is the longest time that a request ran on another version.
 	longestRun time.Duration
 	capacity   Capacity
+	// hasSeenOthers is set once a usable endpoint of another version was listed.
+	hasSeenOthers bool
 	// stage is the present stage. It never falls.
 	stage wigeonshift.RolloutStage
 	// contactAt is the latest time at which a peer or the store told of the rollout.
@@ -95,11 +100,7 @@
 
 // New returns a rollout that an instance has learned of.
 func New(order wigeonshift.RolloutOrder, s Settings) *Rollout {
-	r := &Rollout{
-		settings: s, order: order, evidence: newEvidence(), pace: pace{}, peers: map[string]peerReport{},
-	}
-	r.SetInstances("", nil)
-	return r
+	return &Rollout{settings: s, order: order, evidence: newEvidence(), pace: pace{}, peers: map[string]peerReport{}}
 }
 
 // Order returns the order.
@@ -116,11 +117,17 @@
 
 // Start sets the time since the order. Of several ages the highest counts, since nobody knows of an order before it exists.
 func (r *Rollout) Start(now, age time.Duration) {
+	if !r.isStarted && age > 0 {
+		r.WithholdSlack()
+	}
 	if !r.isStarted || now-age < r.startedAt {
 		r.startedAt, r.isStarted = now-age, true
 	}
 }
 
+// WithholdSlack leaves the target version its share only.
+func (r *Rollout) WithholdSlack() { r.hasNoSlack = true }
+
 // Age returns the time since the order; zero if it isn't known.
 func (r *Rollout) Age(now time.Duration) time.Duration {
 	if !r.isStarted {
@@ -151,7 +158,8 @@
 // Contact records that the store has told of the rollout.
 func (r *Rollout) Contact(now time.Duration) { r.contactAt = now }
 
-// SetInstances sets the IDs of all instances and that of this one. The slack is divided among them in whole requests, because
+// SetInstances sets the IDs of all instances and that of this one. Until then there is no slack, no stage but the first and no
+// decision other than a rollback for bad answers, as an instance that knows no other would take itself for the only one. The slack is divided among them in whole requests, because
 // parts of a request would let none of many instances send any.
 func (r *Rollout) SetInstances(self string, ids []string) {
 	r.instances = max(len(ids), 1)
@@ -186,13 +194,14 @@
 // Update sets the capacity, and moves on to the stage that is due.
 func (r *Rollout) Update(now time.Duration, c Capacity) {
 	r.capacity = c
+	r.hasSeenOthers = r.hasSeenOthers || c.OtherSlots > 0
 	if r.state.Final() {
 		return
 	}
 	if r.condemned == "" {
 		r.condemned = r.evidence.verdict()
 	}
-	if r.condemned == "" && r.isStarted && r.hasContact(now) && r.hasCapacity() {
+	if r.condemned == "" && r.isStarted && r.instances > 0 && r.hasContact(now) && r.hasCapacity() {
 		r.stage = max(r.stage, r.stageAt(r.Age(now)))
 	}
 }
@@ -256,6 +265,8 @@
 		return 1
 	case r.state == wigeonshift.RolloutRolledBack, r.condemned != "":
 		return 0
+	case r.isOnlyVersion():
+		return 1
 	case !r.isStarted:
 		if r.capacity.OtherSlots == 0 {
 			// The state isn't known yet, and no other version is left.
@@ -273,6 +284,12 @@
 	}
 }
 
+// isOnlyVersion reports whether no version but the target could be used since the instance knows of the order. A share of the
+// requests would stop the service then.
+func (r *Rollout) isOnlyVersion() bool {
+	return r.capacity.OtherSlots == 0 && r.capacity.TargetSlots > 0 && !r.hasSeenOthers
+}
+
 // MayUseOthers reports whether other versions than the target may get requests.
 func (r *Rollout) MayUseOthers(now time.Duration) bool {
 	if r.state == wigeonshift.RolloutCompleted {
@@ -293,7 +310,11 @@
 	}
 	next := float64(r.sentToTarget + 1)
 	share = min(share, budgetShare*r.settings.ExposeShare)
-	return next <= share*float64(r.sent+1)+r.offset+float64(r.slack)
+	bound := share*float64(r.sent+1) + r.offset
+	if !r.hasNoSlack {
+		bound += float64(r.slack)
+	}
+	return next <= bound
 }
 
 // Sent counts a request that this instance sends.
@@ -311,9 +332,9 @@
 		return r.state, ""
 	case r.condemned != "":
 		return wigeonshift.RolloutRolledBack, r.condemned
-	case !r.isStarted:
+	case !r.isStarted, r.instances == 0:
 		return wigeonshift.RolloutRunning, ""
-	case r.capacity.OtherSlots == 0 && r.capacity.TargetSlots > 0 && r.stage != wigeonshift.RolloutFull:
+	case r.isOnlyVersion() && r.stage != wigeonshift.RolloutFull:
 		return wigeonshift.RolloutCompleted, "no other version runs"
 	case r.stage == wigeonshift.RolloutFull && r.othersEnded(now):
 		return wigeonshift.RolloutCompleted, "no request runs on another version"
