--- a/internal/services/wigeondispatch/zone_test.go
+++ b/internal/services/wigeondispatch/zone_test.go
@@ -43,7 +43,7 @@
 		h := newZoneHarness(2*time.Millisecond, "z", "x", "y", "z", "x", "y")
 		markOtherGroup(h, 1)
 		for range 50 {
-			Expect(h.state.chooseOtherGroupEndpoint(h.state.pool("model"), h.newJob()).record.ID).To(Equal("3"))
+			Expect(h.state.chooseOtherGroupEndpoint(h.state.pool("model"), h.newJob(), placementRound{}).record.ID).To(Equal("3"))
 		}
 	})
 
@@ -53,9 +53,9 @@
 		markOtherGroup(h, 1)
 		p := h.state.pool("model")
 		p.meanSlotTime = 10 * time.Millisecond
-		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob())).To(BeNil())
+		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob(), placementRound{})).To(BeNil())
 		p.meanSlotTime = 30 * time.Millisecond
-		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob()).record.ID).To(Equal("1"))
+		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob(), placementRound{}).record.ID).To(Equal("1"))
 	})
 
 	It("crosses zones if the own group has no endpoint that is available", func() {
@@ -63,6 +63,6 @@
 		markOtherGroup(h, 1)
 		p := h.state.pool("model")
 		h.state.endpoints["0"].record.Leaving = true
-		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob()).record.ID).To(Equal("1"))
+		Expect(h.state.chooseOtherGroupEndpoint(p, h.newJob(), placementRound{}).record.ID).To(Equal("1"))
 	})
 })
