--- a/internal/services/wigeonrelay/processend_test.go
+++ b/internal/services/wigeonrelay/processend_test.go
@@ -135,9 +135,13 @@
 		It(fmt.Sprintf("breaks off if the endpoint %s and its process ends with several streams", d), func() {
 			var r *testRelay
 			const streams = 3
-			var began, ended sync.WaitGroup
+			var arrived, began, ended sync.WaitGroup
+			arrived.Add(streams)
 			began.Add(streams)
 			e := newEndingEndpoint(func(_ *endingEndpoint, c net.Conn, q *http.Request) {
+				// An endpoint that says in its first response that it leaves gets no further request.
+				arrived.Done()
+				arrived.Wait()
 				writeText(c, signedHead(q)+d.header()+contentType(eventStreamType)+"\r\n"+eventText(1, 1, "\n"))
 				began.Done()
 				began.Wait()
