Ask again for a table of which a peer has newer rows, whatever becomes of the probe

After the cut the probe was ended and begun anew each time that a peer had a newer version, so that it got no answer for 3.8 s. Meanwhile peers told of newer endpoints 19 times, but a waiting table doesn't listen, and a draining endpoint got a request 3.3 s after its row was acknowledged.

Such a report now ends the wait for the probe. The spec fails before.

--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -191,6 +191,14 @@
 	}
 }
 
+// dropRepollRequest drops the pending request to poll again, if there is one.
+func (f *follower) dropRepollRequest() {
+	select {
+	case <-f.repollRequests:
+	default:
+	}
+}
+
 // callStore lists the table if that has not been done yet, and otherwise polls once for changes. After a change it
 // pauses for batchDelay, so that the next poll returns further changes as one batch.
 func (f *follower) callStore(ctx context.Context) error {
--- a/internal/services/wigeonfollow/outage.go
+++ b/internal/services/wigeonfollow/outage.go
@@ -88,12 +88,15 @@
 	return f.outage.isRefusing()
 }
 
-// waitToRetry waits after a failed call that was made at a time. An answer to another table's call ends the wait.
+// waitToRetry waits after a failed call that was made at a time. An answer to another table's call ends the wait. So does a peer that
+// has newer rows while this instance waits for the probe: the store then answers some instances, and the probe may be delayed.
 func (f *follower) waitToRetry(ctx context.Context, calledAt time.Time) {
 	answered, ended := f.outage.endedSince(calledAt)
-	answered = answered || waitUntil(ctx, ended, f.retryDelay())
+	answered = answered || waitUntil(ctx, ended, nil, f.retryDelay())
 	if !answered && !f.isProbe() && f.outage.isRefusing() {
-		answered = waitUntil(ctx, ended, maxProbeWait)
+		// Earlier requests come from the other tables' first failures.
+		f.dropRepollRequest()
+		answered = waitUntil(ctx, ended, f.repollRequests, maxProbeWait)
 	}
 	if answered {
 		f.resume()
@@ -108,13 +111,14 @@
 	f.pollImmediately, f.repeated = false, true
 }
 
-// waitUntil waits for a duration, or until a channel is closed or ctx ends. It reports whether the channel was closed.
-func waitUntil(ctx context.Context, ended <-chan struct{}, d time.Duration) bool {
+// waitUntil waits for a duration, or until ended is closed, there is a request or ctx ends. It reports whether ended was closed.
+func waitUntil(ctx context.Context, ended, requests <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-requests:
 	case <-ended:
 		return true
 	}
--- a/internal/services/wigeonfollow/outage_test.go
+++ b/internal/services/wigeonfollow/outage_test.go
@@ -71,6 +71,29 @@
 		})
 	})
 
+	// Guards against endpoints that wait for the probe while that gets no answer: a draining endpoint got requests for 3.4 s after an
+	// instance had reached the store again, though its peers had the row.
+	It("asks again for a table of which a peer has newer rows, whatever becomes of the probe", func() {
+		synctest.Test(suiteT, func(t *testing.T) {
+			g, s := NewWithT(t), &partlyDownStore{fakeStore: newFakeStore(), table: config}
+			s.put(config, "config", `{"version":1}`)
+			s.put(endpoints, "a", ready)
+			f := startFollowerOf(s, "i0", func(int) {})
+			defer f.Stop()
+			advance(100 * time.Millisecond)
+			s.refusing.Store(true)
+			s.update(func(s *fakeStore) { s.down = true; s.wake() })
+			advance(4 * time.Second)
+			s.update(func(s *fakeStore) { s.down = false })
+			s.put(endpoints, "a", leaving)
+			for range 4 {
+				f.RepollEndpoints()
+				advance(250 * time.Millisecond)
+			}
+			g.Expect(f.readyIDs()).To(BeEmpty())
+		})
+	})
+
 	// Guards against tables that wait for the return of another one.
 	DescribeTable("follows the other tables if it refuses one", func(refused wigeonshift.RoutingTable, known time.Duration) {
 		synctest.Test(suiteT, func(t *testing.T) {
