Tell other instances of endpoints that are listed as leaving

Load notices list the incarnations that are listed as leaving, at most 64, and whoever hears of one sends it nothing. The field of the notice stood empty before.

--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -52,6 +52,7 @@
 	s.handlePeerLimits(name, p, notice.Limits)
 	s.mergeRollouts(name, notice.Rollouts)
 	s.handlePeerMisplaced(notice.Misplaced)
+	s.handlePeerLeaving(notice.Leaving)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
@@ -223,6 +224,7 @@
 	out.Limits = s.limitReports()
 	out.Rollouts = s.rolloutReports()
 	out.Misplaced = s.misplacedReports()
+	out.Leaving = s.leavingReports()
 	slices.SortFunc(out.Services, func(a, b wigeonshift.ServiceWait) int { return strings.Compare(a.Service, b.Service) })
 	slices.SortFunc(out.Endpoints, func(a, b wigeonshift.EndpointLoad) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
--- a/peer.go
+++ b/peer.go
@@ -156,7 +156,7 @@
 		Organisations []OrganisationUse
 		// Services lists every service with queued requests.
 		Services []ServiceWait
-		// Leaving lists the endpoints that the sender knows to be leaving or removed.
+		// Leaving lists the incarnations of endpoints that the sender has seen listed as leaving, as in Crash.Endpoint.
 		Leaving []string
 		// Limits lists endpoints that name limits, or did so until a short while ago.
 		Limits []EndpointLimitUse
