--- a/internal/services/wigeondispatch/placement.go
+++ b/internal/services/wigeondispatch/placement.go
@@ -318,7 +318,7 @@
 	mayCross := s.slotInterval(p) > s.settings.CrossZonePrice
 	key := s.settings.Instance + "/" + strconv.FormatUint(uint64(j.ID), 10)
 	for _, e := range p.endpoints {
-		if !e.otherGroup || !round.includes(e) || !s.mayLend(e) || !s.canAccept(e, j, 0) {
+		if !e.otherGroup || !round.includes(e) || !s.mayBorrow(e) || !s.canAccept(e, j, 0) {
 			continue
 		}
 		crosses := s.crossesZones(e)
--- a/internal/services/wigeondispatch/shared.go
+++ b/internal/services/wigeondispatch/shared.go
@@ -42,10 +42,10 @@
 	return e.slots()
 }
 
-// mayLend reports whether this instance may send a request to an endpoint of another group. All other groups together may use what
+// mayBorrow reports whether this instance may send a request to an endpoint of another group. All other groups together may use what
 // the latest reports leave free of otherGroupMaxLoadShare of its slots, each of them its part: they learn of each other's requests
 // only after seconds, and what was free then would be taken by all of them.
-func (s *State) mayLend(e *endpoint) bool {
+func (s *State) mayBorrow(e *endpoint) bool {
 	own := s.groups.groupByInstance[s.settings.Instance]
 	free := int(math.Ceil(otherGroupMaxLoadShare*float64(e.slots()))) - (e.running() - e.groupRunning())
 	return free > 0 && e.groupRunning() < s.groups.part(e.record.ID, own, free)
