Take no response without a valid status line for an answer

Callers got an endpoint's answer with status 000 as an answer with status 200, signed and whole. The HTTP library keeps the digits of a status line as a number, and reports 0 as 200; statuses below 100 and above 599, 101, other versions of HTTP, two blanks before the status, control characters in the reason phrase and bytes before the status line passed as well.

wigeonhead checks the head before the library reads it, in the buffer of the connection, and skips informational responses itself, as a final one may follow them. A response that fails is lost like one that breaks off: its request may have run. Lines end with CR LF only, as the library and others differ in what they make of a bare line feed.

--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonhead"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
@@ -163,6 +164,9 @@
 		r.HTTP = fasthttp.AcquireResponse()
 		r.HTTP.StreamBody = true
 		r.HTTP.SkipBody = skipBody
+		if err := wigeonhead.Check(r.conn.reader); err != nil {
+			return err
+		}
 		if err := r.HTTP.ReadLimitBody(r.conn.reader, 0); err != nil {
 			return err
 		}
