Take no response with an invalid header line for an answer

Callers got answers in whose head the name of a field held a blank or a control character. The HTTP library passes a name with a blank on, takes "Content-Length : 2" for a length, joins a line that begins with a blank or a tab to the one before, and ends the head at a line feed that begins a name, so that the rest of the head became the body.

wigeonhead checks each header line: the name is a token, the value has no control characters. A head with both a length and a transfer encoding, and a transfer encoding in HTTP/1.0, fail too, as readers differ in where such a body ends. A refusal in such a head proves nothing. Fields of a trailer stay out of the header of a buffered answer, where the library puts them; streams never passed them on.

--- a/internal/modules/wigeonhead/head.go
+++ b/internal/modules/wigeonhead/head.go
@@ -1,5 +1,5 @@
 // Package wigeonhead checks the heads of HTTP responses before the HTTP library reads them. The library is lenient: it takes status 000
-// for 200, for example.
+// for 200, and "Content-Length : 2" for a length.
 package wigeonhead
 
 import (
@@ -7,8 +7,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed reports a head that isn't that of an HTTP/1 response. What follows it can't be trusted.
@@ -56,6 +58,10 @@
 	// size is the number of bytes that have been read.
 	size   int
 	status int
+	// isHTTP10 is set if the minor version is 0.
+	isHTTP10 bool
+	// hasLength and hasEncoding are set if the head has a Content-Length and a Transfer-Encoding.
+	hasLength, hasEncoding bool
 }
 
 // read reads the head to its end.
@@ -69,7 +75,13 @@
 	}
 	for {
 		line, err := h.readLine()
-		if err != nil || len(line) == 0 {
+		if err != nil {
+			return err
+		}
+		if len(line) == 0 {
+			return h.checkFraming()
+		}
+		if err := h.readField(line); err != nil {
 			return err
 		}
 	}
@@ -104,6 +116,7 @@
 	if !found || len(rest) < len("1 ")+statusDigits || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' {
 		return malformed("no status line in %.40q", line)
 	}
+	h.isHTTP10 = rest[0] == '0'
 	code, reason := rest[2:2+statusDigits], rest[2+statusDigits:]
 	for _, digit := range code {
 		if digit < '0' || digit > '9' {
@@ -120,6 +133,35 @@
 	return nil
 }
 
+// readField checks a header line. A line that continues the one before begins with a blank and isn't valid either.
+func (h *head) readField(line []byte) error {
+	field, value, found := bytes.Cut(line, []byte{':'})
+	name := string(field)
+	switch {
+	case !found || !httpguts.ValidHeaderFieldName(name):
+		return malformed("invalid name in header line %.40q", line)
+	case !isText(value):
+		return malformed("invalid value of header %.40q", name)
+	case strings.EqualFold(name, fasthttp.HeaderContentLength):
+		h.hasLength = true
+	case strings.EqualFold(name, fasthttp.HeaderTransferEncoding):
+		h.hasEncoding = true
+	}
+	return nil
+}
+
+// checkFraming fails if readers may differ in where the body ends.
+func (h *head) checkFraming() error {
+	switch {
+	case h.hasEncoding && h.hasLength:
+		return malformed("both a length and a transfer encoding")
+	case h.hasEncoding && h.isHTTP10:
+		return malformed("transfer encoding in HTTP/1.0")
+	default:
+		return nil
+	}
+}
+
 // isText reports whether text has no control character but tabs.
 func isText(text []byte) bool {
 	const deleteChar = 0x7f
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -257,12 +257,14 @@
 // reports whether the response is complete, as readBody does.
 func (c *call) takeResponse(r *wigeonupstream.Response) (*wholeResponse, bool) {
 	defer r.Close()
-	body, complete := c.readBody(r)
+	whole := &wholeResponse{framing: wigeonframing.FramingOf(r.HTTP)}
+	// The HTTP library adds the fields of a trailer to the header once it has read the body.
+	r.HTTP.Header.CopyTo(&whole.header)
+	var complete bool
+	whole.body, complete = c.readBody(r)
 	if !complete {
 		return nil, false
 	}
-	whole := &wholeResponse{body: body, framing: wigeonframing.FramingOf(r.HTTP)}
-	r.HTTP.Header.CopyTo(&whole.header)
 	return whole, true
 }
 
--- a/internal/services/wigeonrelay/malformed_test.go
+++ b/internal/services/wigeonrelay/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -70,3 +71,72 @@
 		expectNoAnswer(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000) + answerWith("HTTP/1.1 200 OK", ""))
 	})
 })
+
+// Guards against header lines that the HTTP library accepts though their names are invalid: it passed them on, took a name for another
+// one, joined the line to the one before, or ended the head there, so that the body wasn't the endpoint's.
+var _ = Describe("An answer with an invalid header line", func() {
+	for _, line := range []string{
+		"X Y: z", "X : z", " X: z", "\tX: z", "X\tY: z", "X\t: z", "\nX: z", "X\nY: z", "X: a\nY: b", "\rX: z", "X\rY: z", "X\r: z", "X\x00Y: z", "\x01X: z",
+		"X\x01: z", "X\x7fY: z", "X\x0bY: z", "X(Y: z", "X\xe9Y: z", ": z", "X", "X: a\x00b", "X: a\x01b", "X: a\x7fb", "X: a\r\n folded", "X: a\r\n\tfolded",
+		"Content-Length : 2", " Content-Length: 2", "\tContent-Length: 2", "Content Length: 2", "\nContent-Length: 2", "Content-Length\x01: 2", "Content-Length: 2",
+		"Transfer-Encoding : chunked", "Transfer-Encoding: chunked", "Transfer-Encoding\t: chunked", "Content-Encoding : identity",
+		"Server-Signature : other", "Request-Id : r0",
+	} {
+		It(fmt.Sprintf("doesn't reach the caller: %q", line), func() { expectNoAnswer(answerWith("HTTP/1.1 200 OK", line+"\r\n")) })
+	}
+
+	It("doesn't reach the caller: failures", func() {
+		for _, status := range []string{"404 Not Found", "500 Oops"} {
+			expectNoAnswer(answerWith("HTTP/1.1 "+status, "X Y: z\r\n"))
+		}
+	})
+
+	It("doesn't reach the caller: a length only, under an invalid name", func() {
+		for _, line := range []string{"Content-Length : 2", "Content Length: 2", "\nContent-Length: 2", "Transfer-Encoding : chunked"} {
+			expectNoAnswer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: sig\r\n" + line + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+		}
+	})
+
+	It("doesn't reach the caller: chunks with a length", func() {
+		for _, lines := range []string{"Content-Length: 2\r\nTransfer-Encoding: chunked", "transfer-encoding: chunked\r\ncontent-length: 14"} {
+			expectNoAnswer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: sig\r\n" + lines + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+		}
+	})
+
+	It("doesn't reach the caller: chunks of HTTP/1.0", func() {
+		expectNoAnswer("HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nServer-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	})
+
+	It("promises nothing", func() {
+		for _, line := range []string{"Not-Executed : 1", "X Y: z\r\nNot-Executed: 1", "\nNot-Executed: 1"} {
+			expectNoAnswer("HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+
+	It("is told from one with unusual valid lines", func() {
+		text := answerWith("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09aZ: a\tb\xe9\r\nX:\r\nY:z\r\nZ: \t z \t\r\n")
+		respond := func(c net.Conn, _ *http.Request, _ []byte) { writeText(c, text) }
+		got := newTestRelay(newFakeEndpoint(respond)).readAnswer(requestText("POST", "/unsafe/", "", "x"))
+		Expect(got).To(Equal(answer{status: http.StatusOK, body: "body", complete: true}))
+	})
+
+	// A trailer's fields became those of the head, where they could pass for the endpoint's signature.
+	It("doesn't come from a trailer", func() {
+		for _, line := range []string{"X Y: z", "Server-Signature: other", "Request-Id: r0"} {
+			respond := func(c net.Conn, r *http.Request, _ []byte) {
+				writeChunks(c, signedHead(r), "body")
+				writeText(c, "0\r\n"+line+"\r\n\r\n")
+			}
+			for _, path := range []string{"/unsafe/", "/stream/"} {
+				c, reader := newTestRelay(newFakeEndpoint(respond)).dial()
+				writeText(c, requestText("POST", path, "", "x"))
+				response, err := http.ReadResponse(reader, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.Header.Values("Server-Signature")).To(Equal([]string{"sig"}), "%s %q", path, line)
+				Expect(response.Header.Values("Request-Id")).To(Equal([]string{"r1"}), "%s %q", path, line)
+				Expect(io.ReadAll(response.Body)).To(BeEquivalentTo("body"))
+				Expect(response.Trailer).To(BeEmpty())
+			}
+		}
+	})
+})
