Take no body for whole whose connection fails during the upload

An endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole answer.

The system reports a reset to one call only. Here the write of the request got it, as the log of the new specs shows ("write: connection reset by peer"); its error was dropped, since the read was to report the failure, and the read saw the end of the connection, like after a whole body.

A body that ends with its connection is now whole only if the write has not failed. Answers with a length or chunks show their end themselves and stay as they were. One place in wigeonupstream covers buffered answers, streams, resumed streams, hedges and answers of peers.

--- a/internal/services/wigeonrelay/fake_endpoint_test.go
+++ b/internal/services/wigeonrelay/fake_endpoint_test.go
@@ -15,6 +15,8 @@
 type fakeEndpoint struct {
 	listener net.Listener
 	respond  func(c net.Conn, r *http.Request, body []byte)
+	// respondsEarly makes it respond before it reads a body; set before the first request.
+	respondsEarly bool
 
 	mu          sync.Mutex
 	requests    []*http.Request
@@ -56,6 +58,9 @@
 		if err != nil {
 			return
 		}
+		if e.respondsEarly {
+			e.respond(c, request, nil)
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -64,7 +69,9 @@
 		e.requests = append(e.requests, request)
 		e.bodies = append(e.bodies, string(body))
 		e.mu.Unlock()
-		e.respond(c, request, body)
+		if !e.respondsEarly {
+			e.respond(c, request, body)
+		}
 	}
 }
 
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -1,7 +1,7 @@
 package wigeonupstream
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +9,7 @@
 	"time"
 
 	"wigeonshift"
+	"wigeonshift/internal/modules/wigeonframing"
 	"wigeonshift/internal/modules/wigeonhead"
 
 	"github.com/samber/oops"
@@ -51,10 +52,11 @@
 	HTTP   *fasthttp.Response
 	Header wigeonshift.ResponseHeader
 
-	pool *Pool
-	conn *connection
-	// writeResult receives whether the whole request was written.
-	writeResult chan bool
+	pool   *Pool
+	conn   *connection
+	writer *requestWriter
+	// body is the body of HTTP.
+	body io.Reader
 	// stopAfterFunc detaches the connection from the context of the request.
 	stopAfterFunc func() bool
 	// onHeader is called for each header that is read; nil if nobody wants it.
@@ -99,13 +101,12 @@
 		return nil, wrapError(ErrNotSent, t, err)
 	}
 	conn.sendCheck = options.check
-	r := &Response{pool: p, conn: conn, writeResult: make(chan bool, 1), onHeader: options.onHeader}
+	r := &Response{pool: p, conn: conn, writer: newRequestWriter(conn, request), onHeader: options.onHeader}
 	r.stopAfterFunc = context.AfterFunc(ctx, conn.close)
 	if len(request.Body()) > maxSyncBodyBytes {
-		w := &requestWriter{response: r, request: request}
-		p.writers.Go(w.run)
+		p.writers.Go(r.writer.run)
 	} else {
-		r.writeResult <- writeRequest(conn, request)
+		r.writer.run()
 	}
 	if err := r.readHeader(requestID, request.Header.IsHead()); err != nil {
 		// Close waits for the writer, which may still write until then.
@@ -122,40 +123,11 @@
 	return r, nil
 }
 
-// finishWrite reports whether the whole request has been written. If the write is still running, finishWrite closes the
-// connection to stop it and waits for its end, so that the caller may reuse the request's memory after Close.
-func (r *Response) finishWrite() bool {
-	select {
-	case complete := <-r.writeResult:
-		return complete
-	default:
-		r.conn.close()
-		<-r.writeResult
-		return false
-	}
-}
-
 // wrapError adds a sentinel error and the endpoint id to err.
 func wrapError(sentinel error, t Target, err error) error {
 	return oops.In("upstream").With("endpoint", t.ID).Wrap(errors.Join(sentinel, err))
 }
 
-// requestWriter writes a request while its response is being read, because an endpoint may respond before it has read a
-// large body.
-type requestWriter struct {
-	response *Response
-	request  *fasthttp.Request
-}
-
-func (w *requestWriter) run() { w.response.writeResult <- writeRequest(w.response.conn, w.request) }
-
-// writeRequest reports whether the whole request was written. It drops the write error because reading the response
-// reports the failure.
-func writeRequest(conn *connection, request *fasthttp.Request) bool {
-	w := bufio.NewWriterSize(conn, maxSyncBodyBytes)
-	return request.Write(w) == nil && w.Flush() == nil
-}
-
 // readHeader reads the header of the response to a request and discards late responses to earlier requests, which carry
 // another request id. It accepts a response without an id only as the first one on its connection, because an endpoint may write
 // an earlier one once more. After more than maxStrayResponses it gives up the connection.
@@ -180,6 +152,7 @@
 		if r.onHeader != nil {
 			r.onHeader(r.Header, r.conn.connectedAt)
 		}
+		r.body = r.newBody()
 		if r.Header.RequestID == "" || r.Header.RequestID == requestID {
 			return nil
 		}
@@ -229,11 +202,34 @@
 
 // Body returns the response body. Reads return io.EOF only after a complete body, so that a truncated response is
 // noticed.
-func (r *Response) Body() io.Reader {
-	if stream := r.HTTP.BodyStream(); stream != nil {
+func (r *Response) Body() io.Reader { return r.body }
+
+// newBody returns the body of HTTP.
+func (r *Response) newBody() io.Reader {
+	stream := r.HTTP.BodyStream()
+	switch {
+	case stream == nil:
+		return eofReader{}
+	case wigeonframing.FramingOf(r.HTTP) == wigeonframing.Connection:
+		return &connectionBody{stream: stream, writer: r.writer}
+	default:
 		return stream
 	}
-	return eofReader{}
+}
+
+// connectionBody is a body that ends with its connection. It fails if the connection is reset while the request is being written: the
+// system reports a reset to a single call, and a read after the write that got it sees only the end of the connection.
+type connectionBody struct {
+	stream io.Reader
+	writer *requestWriter
+}
+
+func (b *connectionBody) Read(p []byte) (int, error) {
+	n, err := b.stream.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(b.writer.stopAfterEnd(), err)
+	}
+	return n, err
 }
 
 type eofReader struct{}
@@ -252,7 +248,7 @@
 func (r *Response) Close() {
 	notCancelled := r.stopAfterFunc()
 	keep := r.bodyRead && notCancelled && r.HTTP != nil && !r.HTTP.ConnectionClose() && r.conn.reader.Buffered() == 0
-	if !r.finishWrite() {
+	if !r.writer.finish() {
 		keep = false
 	}
 	if !keep {
