Answer callers in HTTP/1.1 whatever version the endpoint speaks

Found while checking the places that read answers. A streamed answer of an endpoint that speaks HTTP/1.0 reached its caller with that version in its status line and in chunks, which HTTP/1.0 doesn't have: readers take the chunks for the body and wait for the end of the connection. The relay frames the answer itself, so the version is its own.

The specs of /stream/ and /resume/ failed before, with the chunks in the body after 5 s.

--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -20,6 +20,8 @@
 	maxBufferedBodyBytes = 256 << 10
 	// streamBufferBytes is the largest read from a stream, including the first one, which shows that the stream has begun.
 	streamBufferBytes = 2 << 10
+	// protocolHTTP11 is the version of HTTP of the responses to callers.
+	protocolHTTP11 = "HTTP/1.1"
 )
 
 // errUntrustedResponse reports a response that can't come from the endpoint itself.
@@ -302,11 +304,12 @@
 }
 
 // copyHeader copies the header of an endpoint's response to the caller's response, without the headers that concern
-// only the endpoint's connection. While the relay drains, it adds Connection: close, so that the caller reconnects to
+// only the endpoint's connection, and with the relay's version of HTTP, as it frames the body itself. While the relay drains, it adds Connection: close, so that the caller reconnects to
 // another instance.
 func (c *call) copyHeader(from *fasthttp.ResponseHeader) {
 	h := &c.httpCtx.Response.Header
 	from.CopyTo(h)
+	h.SetProtocol([]byte(protocolHTTP11))
 	c.service.dialect.RemoveHopByHopHeaders(h)
 	h.ResetConnectionClose()
 	if c.service.draining.Load() {
--- a/internal/services/wigeonrelay/malformed_test.go
+++ b/internal/services/wigeonrelay/malformed_test.go
@@ -140,3 +140,16 @@
 		}
 	})
 })
+
+// Guards against an answer in HTTP/1.0 whose version is passed on: readers take the chunks in which the relay frames it for its body.
+var _ = Describe("An answer in HTTP/1.0", func() {
+	for _, path := range []string{"/unsafe/", "/stream/", "/resume/"} {
+		It("reaches the caller as it is: "+path, func() {
+			respond := func(c net.Conn, r *http.Request, _ []byte) {
+				endsWithConnection.write(c, strings.Replace(signedHead(r), "HTTP/1.1", "HTTP/1.0", 1)+contentType(eventStreamType), eventText(1, 2, "\n"), 0)
+			}
+			got := newTestRelay(newFakeEndpoint(respond)).readAnswer(requestText("POST", path, "", "x"))
+			Expect(got).To(Equal(answer{status: http.StatusOK, body: eventText(1, 2, "\n"), complete: true}))
+		})
+	}
+})
