--- a/internal/services/wigeonrelay/malformed_test.go
+++ b/internal/services/wigeonrelay/malformed_test.go
@@ -153,3 +153,14 @@
 		})
 	}
 })
+
+// Guards against a head that is that of two answers.
+var _ = Describe("An answer with two request ids or signatures", func() {
+	for _, ids := range []string{"Request-Id: r1\r\nRequest-Id: r2", "Request-Id: r2\r\nRequest-Id: r1", "Request-Id: r1\r\nrequest-id: r1"} {
+		It(fmt.Sprintf("doesn't reach the caller: %q", ids), func() {
+			expectNoAnswer("HTTP/1.1 200 OK\r\n" + ids + "\r\nServer-Signature: sig\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+
+	It("doesn't reach the caller: signatures", func() { expectNoAnswer(answerWith("HTTP/1.1 200 OK", "Server-Signature: other\r\n")) })
+})
