Check the heads of the answers of model engines and of the stores

The same heads passed in the other places that read answers of other programs with the HTTP library: the client of model engines and plain services, and the clients of both stores. A refusal in a malformed head proved that a request had not run; a write passed for acknowledged with status 000; a recorded answer was read as an object with the length of "Content-Length : 2", cut.

The engines' client checks the head in its buffer, like wigeonupstream. The stores' clients read from their connections themselves, so wigeonhead.Conn checks what comes after each request. Their request is written before they read, so a reset can't be taken by a write that runs beside the read.

--- a/internal/models/wigeonstore/dial.go
+++ b/internal/models/wigeonstore/dial.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"wigeonshift/internal/modules/wigeonhead"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -52,13 +54,13 @@
 // errDial marks a connection that was never established, which proves that nothing was sent.
 var errDial = errors.New("dial failed")
 
-// wrapDialError returns a dial function whose errors wrap errDial.
-func wrapDialError(dial fasthttp.DialFunc) fasthttp.DialFunc {
+// wrapDial returns a dial function whose connections check the heads of responses and whose errors wrap errDial.
+func wrapDial(dial fasthttp.DialFunc) fasthttp.DialFunc {
 	return func(address string) (net.Conn, error) {
 		c, err := dial(address)
 		if err != nil {
 			return nil, errors.Join(errDial, err)
 		}
-		return c, nil
+		return wigeonhead.NewConn(c), nil
 	}
 }
--- a/internal/models/wigeonstore/framing_test.go
+++ b/internal/models/wigeonstore/framing_test.go
@@ -39,6 +39,10 @@
 		Entry("is shorter than its length", head+"Content-Length: 6\r\n\r\nobj"),
 		Entry("has no last chunk", head+"Transfer-Encoding: chunked\r\n\r\n3\r\nobj\r\n"),
 		Entry("ends inside a chunk", head+"Transfer-Encoding: chunked\r\n\r\n6\r\nobj"),
+		Entry("has an invalid status", "HTTP/1.1 000 Zero\r\nContent-Length: 3\r\n\r\nobj"),
+		Entry("has an invalid length", head+"Content-Length : 2\r\n\r\nobj"),
+		Entry("has an invalid header line", head+"\nContent-Length: 2\r\n\r\nobj"),
+		Entry("has both a length and chunks", head+"Content-Length: 13\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nobj\r\n0\r\n\r\n"),
 		Entry("has no end", head+"\r\n"+strings.Repeat("x", wigeonstore.MaxResponseBytes+4096)),
 		Entry("has chunks without end", head+"Transfer-Encoding: chunked\r\n\r\n"+
 			strings.Repeat("100000\r\n"+strings.Repeat("x", 1<<20)+"\r\n", wigeonstore.MaxResponseBytes>>20+1)),
--- a/internal/models/wigeonstore/transport.go
+++ b/internal/models/wigeonstore/transport.go
@@ -79,7 +79,7 @@
 		t.dial = dialTLS(t.dial, t.tls)
 	}
 	t.base = base
-	t.client.Dial = wrapDialError(t.dial)
+	t.client.Dial = wrapDial(t.dial)
 	return t
 }
 
--- a/internal/services/wigeonendpoint/exchange.go
+++ b/internal/services/wigeonendpoint/exchange.go
@@ -10,6 +10,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonframing"
+	"wigeonshift/internal/modules/wigeonhead"
 	"wigeonshift/internal/modules/wigeonstream"
 
 	"github.com/samber/oops"
@@ -58,6 +59,9 @@
 	x.response = fasthttp.AcquireResponse()
 	x.response.StreamBody = true
 	x.response.SkipBody = request.Header.IsHead()
+	if err := wigeonhead.Check(x.reader); err != nil {
+		return nil, x.fail(ctx, err)
+	}
 	if err := x.response.ReadLimitBody(x.reader, c.options.maxBodyBytes); err != nil {
 		return nil, x.fail(ctx, err)
 	}
--- a/internal/services/wigeonendpoint/framing_test.go
+++ b/internal/services/wigeonendpoint/framing_test.go
@@ -41,6 +41,24 @@
 		Entry("ends inside an event", head+"Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\ndata: a", false),
 	)
 
+	// The HTTP library takes status 000 for 200, for example.
+	DescribeTable("whose head is malformed is lost", func(line, lines string) {
+		answer := line + "\r\nWigeon-Attempt: a\r\n" + lines + "\r\n"
+		_, err := wigeonendpoint.New().Endpoint(startScripted(answer+"whole", false)).Call(context.Background(), call, func() {})
+		Expect(err).To(MatchError(wigeonshift.ErrEndpointLost))
+		_, err = wigeonendpoint.New().Endpoint(startScripted(answer+`{"result":{"token":"a"}}`+"\n", false)).
+			Resume(context.Background(), "a", 0, func(wigeonshift.Chunk) error { return nil })
+		Expect(err).To(MatchError(wigeonshift.ErrEndpointLost))
+	},
+		Entry("status 000", "HTTP/1.1 000 Zero", ""),
+		Entry("status 101", "HTTP/1.1 101 Switching Protocols", ""),
+		Entry("another version", "HTTP/2.0 200 OK", ""),
+		Entry("blank in a name", "HTTP/1.1 200 OK", "X Y: z\r\n"),
+		Entry("blank after a name", "HTTP/1.1 200 OK", "Content-Length : 2\r\n"),
+		Entry("line feed before a name", "HTTP/1.1 200 OK", "\nX: z\r\n"),
+		Entry("refusal", "HTTP/1.1 503 Busy", "Wigeon-Run-State : notRun\r\n"),
+	)
+
 	DescribeTable("that is whole is returned",
 		func(answer string) {
 			endpoint := wigeonendpoint.New().Endpoint(startScripted(answer, false))
