Let endpoints of the soak send malformed heads

A quarter of the responses that the soak's endpoints cut with an end that shows it begin with a malformed head instead, and bear a body that no caller may get.

--- a/internal/soak/wigeonsoak/truncation_test.go
+++ b/internal/soak/wigeonsoak/truncation_test.go
@@ -15,8 +15,9 @@
 
 // truncationLog counts the responses of endpoints that truncate, by the kind of their end.
 type truncationLog struct {
-	mu                   sync.Mutex
-	whole, shown, hidden int
+	mu sync.Mutex
+	// malformed counts those with a malformed head, which are among shown.
+	whole, shown, hidden, malformed int
 }
 
 // record counts a response: whole, cut with an end that shows it, or cut with a proper end of its framing.
@@ -31,6 +32,9 @@
 	default:
 		l.shown++
 	}
+	if e.malformedHead != "" {
+		l.malformed++
+	}
 }
 
 // responseFraming is how an engine marks the end of a response.
@@ -53,8 +57,22 @@
 	proper bool
 	// reset is set if the connection is reset. It is valid if proper isn't set.
 	reset bool
+	// malformedHead begins the response in place of a valid head if it isn't empty. The body is malformedBody then.
+	malformedHead string
+}
+
+// malformedHeads are heads without their last lines that are no answers whatever follows.
+var malformedHeads = []string{
+	"HTTP/1.1 000 Zero\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\nX : z\r\n", "HTTP/1.1 200 OK\r\n\tX: z\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\nZ: z\r\n",
 }
 
+// malformedBody is the body of responses with malformed heads, which no caller may get.
+const malformedBody = "malformed"
+
+// malformedEvery is the share of cut responses with an end that shows it that get a malformed head instead, as one in so many.
+const malformedEvery = 4
+
 // randomEnd returns the end of a response to a streaming or plain request. Streams may be cut at any byte with a proper end of
 // their framing; plain bodies only with an end that shows it.
 func randomEnd(random *rand.Rand, bodyBytes int, isStream, mayCut bool) responseEnd {
@@ -65,6 +83,9 @@
 	e.sentBytes = random.IntN(bodyBytes)
 	e.proper = isStream && random.IntN(2) == 0
 	e.reset = random.IntN(2) == 0 || !isStream && e.framing == framingConnection
+	if !e.proper && e.sentBytes%malformedEvery == 0 {
+		e.malformedHead = malformedHeads[e.sentBytes/malformedEvery%len(malformedHeads)]
+	}
 	return e
 }
 
@@ -95,8 +116,13 @@
 	if end.sentBytes >= 0 {
 		sent = body[:end.sentBytes]
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nContent-Type: %s\r\nConnection: close\r\n",
+	lines := fmt.Sprintf("Request-Id: %s\r\nServer-Signature: %s\r\nContent-Type: %s\r\nConnection: close\r\n",
 		w.Header().Get("Request-Id"), e.identity(), contentType)
+	if end.malformedHead != "" {
+		fmt.Fprintf(c, "%s%sContent-Length: %d\r\n\r\n%s", end.malformedHead, lines, len(malformedBody), malformedBody)
+		return
+	}
+	head := "HTTP/1.1 200 OK\r\n" + lines
 	switch end.framing {
 	case framingLength:
 		length := len(body)
@@ -128,7 +154,7 @@
 }
 
 // TestTruncatedResponses guards against a response that broke off and reaches its caller framed as complete. All endpoints
-// truncate responses during the whole run.
+// truncate responses during the whole run, or send malformed ones.
 func TestTruncatedResponses(t *testing.T) {
 	skipIfKnownRed(t)
 	s := newSoakRun(t, truncationSeed, buildRelay(t))
@@ -144,10 +170,11 @@
 	time.Sleep(truncationDuration)
 	close(stop)
 	callers.Wait()
-	t.Logf("responses by status %v; %d whole, %d cut with an end that shows it, %d with one that doesn't",
-		s.outcomes, s.truncations.whole, s.truncations.shown, s.truncations.hidden)
+	t.Logf("responses by status %v; %d whole, %d cut with an end that shows it, %d with one that doesn't, %d malformed",
+		s.outcomes, s.truncations.whole, s.truncations.shown, s.truncations.hidden, s.truncations.malformed)
 	s.g.Expect(s.violations).To(BeEmpty())
 	s.g.Expect(s.truncations.hidden).To(BeNumerically(">", 50))
+	s.g.Expect(s.truncations.malformed).To(BeNumerically(">", len(malformedHeads)))
 	s.g.Expect(s.outcomes[http.StatusOK]).To(BeNumerically(">", 100))
 }
 
