Fail at once for a response with two request ids or signatures

Found in the review of: two joined ids made a late response to an earlier request, so on a connection that stays open the relay waited for the next one until the deadline, where the caller got 504. Such a head now fails like one that contains another status line, for failures as well, and nothing that it says of its endpoint counts.

--- a/internal/modules/wigeonhead/head.go
+++ b/internal/modules/wigeonhead/head.go
@@ -141,7 +141,7 @@
 	case !found || !httpguts.ValidHeaderFieldName(name):
 		return malformed("invalid name in header line %.40q", line)
 	case !isText(value):
-		return malformed("invalid value of header %.40q", name)
+		return malformed("invalid value of header %.40q", field)
 	case strings.EqualFold(name, fasthttp.HeaderContentLength):
 		h.hasLength = true
 	case strings.EqualFold(name, fasthttp.HeaderTransferEncoding):
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -304,8 +304,8 @@
 }
 
 // copyHeader copies the header of an endpoint's response to the caller's response, without the headers that concern
-// only the endpoint's connection, and with the relay's version of HTTP, as it frames the body itself. While the relay drains, it adds Connection: close, so that the caller reconnects to
-// another instance.
+// only the endpoint's connection, and with the relay's version of HTTP, because the relay frames the body itself. While
+// the relay drains, it adds Connection: close, so that the caller reconnects to another instance.
 func (c *call) copyHeader(from *fasthttp.ResponseHeader) {
 	h := &c.httpCtx.Response.Header
 	from.CopyTo(h)
--- a/internal/services/wigeonrelay/malformed_test.go
+++ b/internal/services/wigeonrelay/malformed_test.go
@@ -157,10 +157,19 @@
 // Guards against a head that is that of two answers.
 var _ = Describe("An answer with two request ids or signatures", func() {
 	for _, ids := range []string{"Request-Id: r1\r\nRequest-Id: r2", "Request-Id: r2\r\nRequest-Id: r1", "Request-Id: r1\r\nrequest-id: r1"} {
-		It(fmt.Sprintf("doesn't reach the caller: %q", ids), func() {
-			expectNoAnswer("HTTP/1.1 200 OK\r\n" + ids + "\r\nServer-Signature: sig\r\nContent-Length: 4\r\n\r\nbody")
+		text := "HTTP/1.1 200 OK\r\n" + ids + "\r\nServer-Signature: sig\r\nContent-Length: 4\r\n\r\nbody"
+		It(fmt.Sprintf("doesn't reach the caller: %q", ids), func() { expectNoAnswer(text) })
+
+		It(fmt.Sprintf("fails at once on a connection that stays open: %q", ids), func() {
+			respond := func(c net.Conn, _ *http.Request, _ []byte) { writeText(c, text) }
+			got := newTestRelay(newFakeEndpoint(respond)).readAnswer(requestText("POST", "/unsafe/", "", "x"))
+			Expect(got.status).To(Equal(http.StatusBadGateway), "%+v", got)
 		})
 	}
 
-	It("doesn't reach the caller: signatures", func() { expectNoAnswer(answerWith("HTTP/1.1 200 OK", "Server-Signature: other\r\n")) })
+	It("doesn't reach the caller: signatures", func() {
+		for _, status := range []string{"200 OK", "500 Oops"} {
+			expectNoAnswer(answerWith("HTTP/1.1 "+status, "Server-Signature: other\r\n"))
+		}
+	})
 })
--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -40,8 +40,8 @@
 	errStrayResponse = errors.New("response belongs to another request")
 	// errUnidentifiedResponse reports a response without an id on a connection that has carried other requests.
 	errUnidentifiedResponse = errors.New("response doesn't say to which request it belongs")
-	// errMergedHeaders reports a header inside which another one begins.
-	errMergedHeaders = errors.New("header contains the beginning of another response")
+	// errMergedHeaders reports a header that contains parts of two.
+	errMergedHeaders = errors.New("header contains a part of another response")
 )
 
 // statusLineStart matches the beginning of a response.
@@ -146,6 +146,9 @@
 			return errMergedHeaders
 		}
 		r.Header = r.pool.dialect.ReadResponse(&r.HTTP.Header)
+		if r.Header.Merged {
+			return errMergedHeaders
+		}
 		if r.Header.RequestID == "" && requestID != "" && (i > 0 || r.conn.reused) {
 			return errUnidentifiedResponse
 		}
--- a/wire.go
+++ b/wire.go
@@ -46,6 +46,9 @@
 type ResponseHeader struct {
 	// RequestID is the ID of the request that the response belongs to; empty if the response has none.
 	RequestID string
+	// Merged is set if the headers come from more than one response, because the endpoint broke off inside the first. The other
+	// fields may then come from any of them.
+	Merged bool
 	// Signed is set if the response carries the signature of the endpoint that processed the request.
 	Signed bool
 	// NotRun is set if the response proves that the request did not begin.
