--- a/internal/services/wigeonupstream/exchange.go
+++ b/internal/services/wigeonupstream/exchange.go
@@ -220,8 +220,8 @@
 	}
 }
 
-// connectionBody is a body that ends with its connection. It fails if the connection is reset while the request is being written: the
-// system reports a reset to a single call, and a read after the write that got it sees only the end of the connection.
+// connectionBody is a body that ends with its connection. It fails if the request could not be written: the kernel reports a
+// reset to a single call, and a read after the write that got it sees only the end of the connection.
 type connectionBody struct {
 	stream io.Reader
 	writer *requestWriter
--- a/internal/services/wigeonupstream/writer.go
+++ b/internal/services/wigeonupstream/writer.go
@@ -9,18 +9,18 @@
 	"github.com/valyala/fasthttp"
 )
 
-// resetDelay is the time within which an endpoint that has closed its connection with the request unread resets it.
+// resetDelay is the time within which an endpoint that has closed its connection with the request unread usually resets it.
 const resetDelay = 20 * time.Millisecond
 
-// errReset reports that a body ended with its connection while the request could not be written.
-var errReset = errors.New("connection failed while the request was being written, so the body may be truncated")
+// errWriteFailed reports that a body ended with its connection while the request could not be written.
+var errWriteFailed = errors.New("connection failed while the request was being written, so the body may be truncated")
 
 // requestWriter writes a request. A large one is written while its response is being read, because an endpoint may respond before it has
 // read a large body.
 type requestWriter struct {
 	conn    *connection
 	request *fasthttp.Request
-	// done is closed when the write has ended. Before, err is set to its error.
+	// done is closed when the write has ended. From then on err is valid; nil if the whole request was written.
 	done chan struct{}
 	err  error
 }
@@ -67,5 +67,5 @@
 	if w.err == nil || errors.Is(w.err, os.ErrDeadlineExceeded) {
 		return nil
 	}
-	return errors.Join(errReset, w.err)
+	return errors.Join(errWriteFailed, w.err)
 }
--- a/internal/soak/wigeonsoak/truncation_test.go
+++ b/internal/soak/wigeonsoak/truncation_test.go
@@ -70,7 +70,7 @@
 // malformedBody is the body of responses with malformed heads, which no caller may get.
 const malformedBody = "malformed"
 
-// malformedEvery is the share of cut responses with an end that shows it that get a malformed head instead, as one in so many.
+// malformedEvery is the number of cut responses with an end that shows it of which about one gets a malformed head instead.
 const malformedEvery = 4
 
 // randomEnd returns the end of a response to a streaming or plain request. Streams may be cut at any byte with a proper end of
