Log how late a request is sent after its decision, and what peers tell of leaving endpoints

The logs couldn't tell a request that was decided for an endpoint before its row came in and waited for a connection from one that was decided by an old table, and nothing said when a peer's word kept an endpoint out. 'request ended' has sendDelayMs, a repeated poll the age of the one that it replaces, and a peer's word has a line.

--- a/internal/services/wigeondispatch/effect.go
+++ b/internal/services/wigeondispatch/effect.go
@@ -177,6 +177,12 @@
 		// no others.
 		Others []ProbeEndpoint
 	}
+	// LeavingReported reports that a peer knows an endpoint to be leaving of which the list of this instance doesn't tell.
+	LeavingReported struct {
+		EndpointID      string
+		StartedAtMillis int64
+		Peer            string
+	}
 	// SignalRecorded reports that an endpoint has said something new of itself.
 	SignalRecorded struct {
 		EndpointID      string
@@ -295,6 +301,7 @@
 func (ProbeEndpoint) effect()   {}
 func (CutOffRecorded) effect()  {}
 func (CheckEndpoint) effect()   {}
+func (LeavingReported) effect() {}
 func (SignalRecorded) effect()  {}
 func (LimitRecorded) effect()   {}
 func (BrittleRecorded) effect() {}
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -143,7 +143,7 @@
 		return
 	}
 	f.log.WithFields(logrus.Fields{
-		"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(),
+		"table": f.table, "answerAgeMs": time.Since(f.answeredAt).Milliseconds(), "pollAgeMs": time.Since(calledAt).Milliseconds(),
 	}).Info("polling the store again")
 	f.pollImmediately = true
 	f.store.Reconnect()
--- a/internal/services/wigeonrelay/attempt.go
+++ b/internal/services/wigeonrelay/attempt.go
@@ -92,6 +92,7 @@
 func (c *call) sendOptions(d wigeondispatch.Dispatch) []wigeonupstream.SendOption {
 	check := func() error {
 		age := c.service.dispatcher.MeasureNow() - d.DecidedAt
+		c.recordSendDelay(age)
 		if d.MaxSendDelay > 0 && age > d.MaxSendDelay {
 			return errSendDelayed
 		}
@@ -114,6 +115,12 @@
 	return []wigeonupstream.SendOption{wigeonupstream.WithSendCheck(check), wigeonupstream.WithHeaderObserver(observe)}
 }
 
+// recordSendDelay records the time from the decision to send the running attempt to its first byte.
+func (c *call) recordSendDelay(delay time.Duration) {
+	c.sendDelay.Store(int64(delay))
+	c.service.scope.Histogram("sendDelaySeconds", latencyBuckets).RecordDuration(delay)
+}
+
 // reportSignal reports what an endpoint says of itself to the reducer.
 func (c *call) reportSignal(d wigeondispatch.Dispatch, h wigeonshift.ResponseHeader, connectedAt time.Time) {
 	now := c.service.dispatcher.MeasureNow()
--- a/internal/services/wigeonrelay/call.go
+++ b/internal/services/wigeonrelay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonshift"
@@ -87,6 +88,8 @@
 	resend *wigeonbudget.Decision
 	// queueTime is the time from the arrival of the request to its first dispatch.
 	queueTime time.Duration
+	// sendDelay is the time from the latest decision to send the request to its first byte, in nanoseconds.
+	sendDelay atomic.Int64
 	// firstByteLatency is the time from the arrival of the request to the first byte of a stream or to the end of a
 	// buffered response; zero until then.
 	firstByteLatency time.Duration
@@ -347,6 +350,7 @@
 		"passedTo":     c.latestPeer,
 		"passedOn":     c.passedOn,
 		"waitedMs":     c.queueTime.Milliseconds(),
+		"sendDelayMs":  time.Duration(c.sendDelay.Load()).Milliseconds(),
 		"firstMs":      c.firstByteLatency.Milliseconds(),
 		"tookMs":       (c.service.dispatcher.Now() - c.job.Arrived).Milliseconds(),
 	})
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -246,6 +246,8 @@
 			d.startCheck(x)
 		case wigeondispatch.SignalRecorded:
 			d.logSignal(x)
+		case wigeondispatch.LeavingReported:
+			d.logLeavingReported(x)
 		case wigeondispatch.LimitRecorded:
 			d.logLimit(x)
 		case wigeondispatch.BrittleRecorded:
@@ -324,6 +326,13 @@
 	}
 }
 
+// logLeavingReported logs and counts that this instance has learned from a peer, before the store told it, that an endpoint leaves.
+func (d *Dispatcher) logLeavingReported(x wigeondispatch.LeavingReported) {
+	d.scope.Counter("leavingReported").Inc(1)
+	d.log.WithFields(logrus.Fields{"endpoint": x.EndpointID, "startedAt": x.StartedAtMillis, "from": x.Peer}).
+		Info("endpoint is leaving, as a peer knows")
+}
+
 // deliver passes a decision to its call and drops it if the call has ended. It doesn't block while mu is held, because
 // the channel has room for all decisions that a call can have pending.
 func (d *Dispatcher) deliver(id wigeondispatch.JobID, x decision) {
