Let what peers have seen of leaving and gone endpoints outlast the own, older list

Peers told it of endpoints that say that they leave, but not of those whose rows are gone, and what they told stood in the endpoint's record, which the next list of the own, older table replaced.

Load notices now name both, for 10 s after a row is gone; a report counts while it comes from a newer revision than the own list's, and ends 5 s after its last repetition. So a row that comes back lets requests in again, and a list from the store decides as soon as it is as new.

--- a/internal/routers/wigeongateway/gateway.go
+++ b/internal/routers/wigeongateway/gateway.go
@@ -253,9 +253,10 @@
 	g.hasConfiguration.Store(true)
 }
 
-// setEndpoints replaces all endpoints and closes idle connections to those that are gone or leaving.
-func (g *Gateway) setEndpoints(records []wigeonshift.EndpointRecord) {
-	g.dispatcher.SetEndpoints(records)
+// setEndpoints replaces all endpoints by a list that has all changes up to a revision, and closes idle connections to those that are
+// gone or leaving.
+func (g *Gateway) setEndpoints(records []wigeonshift.EndpointRecord, revision uint64) {
+	g.dispatcher.SetEndpoints(records, revision)
 	targets := map[wigeonupstream.Target]bool{}
 	for _, r := range records {
 		if !r.Leaving {
--- a/internal/services/wigeondispatch/endpoint.go
+++ b/internal/services/wigeondispatch/endpoint.go
@@ -100,6 +100,8 @@
 	dispatchedAt, rejectedAt time.Duration
 	// rejections is the number of this instance's requests that the endpoint has rejected while it was brittle.
 	rejections int
+	// reportedLeaving is set while other instances report the endpoint as leaving or gone, and the own list is older than theirs.
+	reportedLeaving bool
 	// barred is set while the endpoint gets no requests because of a rollout.
 	barred bool
 	// probing is set while a single request tests whether a suspect endpoint works again.
--- a/internal/services/wigeondispatch/event.go
+++ b/internal/services/wigeondispatch/event.go
@@ -62,6 +62,8 @@
 	EndpointsListed struct {
 		At      time.Duration
 		Records []wigeonshift.EndpointRecord
+		// Revision is the one up to which the list has all changes; zero if it isn't the store's.
+		Revision uint64
 	}
 	// RequestArrived adds a new request.
 	RequestArrived struct {
--- a/internal/services/wigeondispatch/peer.go
+++ b/internal/services/wigeondispatch/peer.go
@@ -52,7 +52,7 @@
 	s.handlePeerLimits(name, p, notice.Limits)
 	s.mergeRollouts(name, notice.Rollouts)
 	s.handlePeerMisplaced(notice.Misplaced)
-	s.handlePeerLeaving(name, notice.Leaving)
+	s.handlePeerLeaving(name, notice.Leaving, notice.EndpointsRevision)
 	p.waiting = make(map[string]waitingCounts, len(notice.Services))
 	for _, w := range notice.Services {
 		var counts waitingCounts
--- a/internal/services/wigeondispatch/reducer.go
+++ b/internal/services/wigeondispatch/reducer.go
@@ -56,6 +56,8 @@
 	instances int
 	groups    *Groups
 	rollouts  rollouts
+	// departures are the endpoints that leave or are gone.
+	departures departures
 	// reach is what the instance knows of its way to the endpoints.
 	reach reach
 	// hedging is what hedges are decided by; nil if they are off.
@@ -83,6 +85,7 @@
 		reach:        newReach(),
 		groups:       NewGroups(nil),
 		rollouts:     newRollouts(settings.Rollout),
+		departures:   newDepartures(),
 		hedging:      newHedging(settings),
 	}
 }
@@ -96,6 +99,7 @@
 	case ConfigurationChanged:
 		s.applyConfiguration(e.Configuration)
 	case EndpointsListed:
+		s.departures.revision = e.Revision
 		s.replaceEndpoints(e.Records)
 	case RequestArrived:
 		s.handleArrival(e.Job)
@@ -222,9 +226,11 @@
 	for id, e := range s.endpoints {
 		if !listed[id] {
 			s.recordRemoval(e)
+			s.recordDeparture(e)
 			s.removeEndpoint(e)
 		}
 	}
+	s.applyLeavingReports()
 	s.markOtherGroupEndpoints()
 	s.recomputePeerLoads()
 	s.updateRollouts()
@@ -254,6 +260,7 @@
 	s.expireBrittle()
 	s.expireKeptPrompts()
 	s.expireReach()
+	s.expireDepartures()
 	s.updateRollouts()
 	s.dispatchAllWaiting()
 }
--- a/internal/services/wigeondispatch/signal.go
+++ b/internal/services/wigeondispatch/signal.go
@@ -127,9 +127,9 @@
 	return p.signals
 }
 
-// isLeaving reports whether an endpoint takes no new requests, as the list or the endpoint itself says.
+// isLeaving reports whether an endpoint takes no new requests, as the list, the endpoint itself or another instance says.
 func (e *endpoint) isLeaving() bool {
-	return e.record.Leaving || e.signals != nil && e.signals.leaving
+	return e.record.Leaving || e.reportedLeaving || e.signals != nil && e.signals.leaving
 }
 
 // backoffLeft returns the time for which an endpoint wants no requests.
--- a/internal/services/wigeonfollow/endpoint.go
+++ b/internal/services/wigeonfollow/endpoint.go
@@ -24,11 +24,13 @@
 type endpointTable struct {
 	codec wigeonshift.RoutingCodec
 	// sink receives all known endpoints after each change.
-	sink    func([]wigeonshift.EndpointRecord)
+	sink    func(records []wigeonshift.EndpointRecord, revision uint64)
 	log     logrus.FieldLogger
 	refused *refusedRows
 
 	mu sync.Mutex
+	// revision is the one up to which the store has delivered all changes; zero until the store has listed the endpoints.
+	revision uint64
 	// endpoints maps row keys to endpoints.
 	endpoints map[string]knownEndpoint
 	// listedByStore is set once the store itself has listed the endpoints. Until then they may come from another instance.
@@ -44,7 +46,7 @@
 }
 
 func newEndpointTable(
-	codec wigeonshift.RoutingCodec, sink func([]wigeonshift.EndpointRecord), log logrus.FieldLogger, refused *refusedRows,
+	codec wigeonshift.RoutingCodec, sink func([]wigeonshift.EndpointRecord, uint64), log logrus.FieldLogger, refused *refusedRows,
 ) *endpointTable {
 	return &endpointTable{
 		codec:     codec,
@@ -59,11 +61,11 @@
 // replaceRows replaces all rows by those that the store has listed. Endpoints without a row are removed, except during
 // and shortly after an outage of the store: they are then only marked as missing, because they may still run and write
 // their rows again. From now on offer ignores the rows of other instances (listedByStore).
-func (t *endpointTable) replaceRows(rows []wigeonshift.TableRow) {
+func (t *endpointTable) replaceRows(page wigeonshift.TablePage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listedByStore = true
-	t.replaceAllLocked(rows)
+	t.listedByStore, t.revision = true, page.Revision
+	t.replaceAllLocked(page.Rows)
 }
 
 // offer uses the rows of another instance and reports whether it did, so that an instance that starts while the store
@@ -108,10 +110,11 @@
 }
 
 // applyChanges applies changed and deleted rows and publishes the endpoints once, after the last row.
-func (t *endpointTable) applyChanges(rows []wigeonshift.TableRow) {
+func (t *endpointTable) applyChanges(page wigeonshift.TablePage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, row := range rows {
+	t.revision = page.Revision
+	for _, row := range page.Rows {
 		if row.Deleted {
 			t.removeRow(row.Key)
 			continue
@@ -224,5 +227,5 @@
 		records = append(records, e.record)
 	}
 	sort.Slice(records, func(i, k int) bool { return records[i].ID < records[k].ID })
-	t.sink(records)
+	t.sink(records, t.revision)
 }
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -29,9 +29,9 @@
 // rowHandler processes the rows of one table.
 type rowHandler interface {
 	// replaceRows replaces the whole content of the table.
-	replaceRows(rows []wigeonshift.TableRow)
+	replaceRows(page wigeonshift.TablePage)
 	// applyChanges applies changed and deleted rows.
-	applyChanges(rows []wigeonshift.TableRow)
+	applyChanges(page wigeonshift.TablePage)
 	// handleStoreFailure is called at the first failed call to the store.
 	handleStoreFailure()
 	// handleStoreRecovery is called at the first successful call after a failure.
@@ -228,7 +228,7 @@
 		f.onMissed()
 	}
 	if f.changed {
-		f.handler.applyChanges(page.Rows)
+		f.handler.applyChanges(page)
 		f.pause(ctx)
 	}
 	return nil
@@ -267,7 +267,7 @@
 		f.newestRowRevision.Store(0)
 		f.handler.handleStoreRestored()
 	}
-	f.handler.replaceRows(page.Rows)
+	f.handler.replaceRows(page)
 	f.listed, f.everListed, f.era = true, true, page.Era
 	f.knownRevision.Store(page.Revision)
 	f.recordRevisions(page)
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -52,20 +52,20 @@
 
 // replaceRows forgets all instances and adds those of rows, because a new listing of the table shows deleted rows only
 // by their absence.
-func (t *instanceTable) replaceRows(rows []wigeonshift.TableRow) {
+func (t *instanceTable) replaceRows(page wigeonshift.TablePage) {
 	t.mu.Lock()
 	t.instances = map[string]wigeonshift.Instance{}
 	t.mu.Unlock()
-	t.applyChanges(rows)
+	t.applyChanges(page)
 }
 
 // applyChanges applies changed and deleted rows and passes all known instances to the sink. An instance whose row can't
 // be decoded is removed, because the row gives no usable ID and address. The instances are sorted by ID, so that their
 // order doesn't depend on the map.
-func (t *instanceTable) applyChanges(rows []wigeonshift.TableRow) {
+func (t *instanceTable) applyChanges(page wigeonshift.TablePage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, row := range rows {
+	for _, row := range page.Rows {
 		if row.Deleted {
 			t.refused.accept(row.Key)
 			delete(t.instances, row.Key)
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -17,8 +17,9 @@
 type Sinks struct {
 	// Configuration receives a newer version and the row that it was decoded from.
 	Configuration func(c *wigeonshift.RoutingConfiguration, document []byte)
-	// Endpoints receives all known endpoints.
-	Endpoints func(records []wigeonshift.EndpointRecord)
+	// Endpoints receives all known endpoints, and the revision up to which all changes are in them; zero if another instance has
+	// sent them.
+	Endpoints func(records []wigeonshift.EndpointRecord, revision uint64)
 	// Instances receives all known instances.
 	Instances func(instances []wigeonshift.Instance)
 	// Quarantine receives the rows of the quarantine table.
@@ -45,11 +46,11 @@
 // rowTable passes the rows of a table to a sink.
 type rowTable struct{ sink RowSink }
 
-func (t rowTable) replaceRows(rows []wigeonshift.TableRow)  { t.sink.ReplaceRows(rows) }
-func (t rowTable) applyChanges(rows []wigeonshift.TableRow) { t.sink.ApplyChanges(rows) }
-func (t rowTable) handleStoreFailure()                      {}
-func (t rowTable) handleStoreRecovery()                     {}
-func (t rowTable) handleStoreRestored()                     { t.sink.HandleStoreRestored() }
+func (t rowTable) replaceRows(page wigeonshift.TablePage)  { t.sink.ReplaceRows(page.Rows) }
+func (t rowTable) applyChanges(page wigeonshift.TablePage) { t.sink.ApplyChanges(page.Rows) }
+func (t rowTable) handleStoreFailure()                     {}
+func (t rowTable) handleStoreRecovery()                    {}
+func (t rowTable) handleStoreRestored()                    { t.sink.HandleStoreRestored() }
 
 // Service watches all tables.
 type Service struct {
@@ -259,14 +260,14 @@
 	currentVersion uint64
 }
 
-func (t *configurationTable) replaceRows(rows []wigeonshift.TableRow) {
-	t.applyConfigurations(rows)
-	t.rollouts.replaceRows(rows)
+func (t *configurationTable) replaceRows(page wigeonshift.TablePage) {
+	t.applyConfigurations(page.Rows)
+	t.rollouts.replaceRows(page.Rows)
 }
 
-func (t *configurationTable) applyChanges(rows []wigeonshift.TableRow) {
-	t.applyConfigurations(rows)
-	t.rollouts.applyChanges(rows)
+func (t *configurationTable) applyChanges(page wigeonshift.TablePage) {
+	t.applyConfigurations(page.Rows)
+	t.rollouts.applyChanges(page.Rows)
 }
 
 func (t *configurationTable) applyConfigurations(rows []wigeonshift.TableRow) {
--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -91,9 +91,9 @@
 	d.reduce(wigeondispatch.ConfigurationChanged{At: d.Now(), Configuration: c})
 }
 
-// SetEndpoints replaces the endpoints.
-func (d *Dispatcher) SetEndpoints(records []wigeonshift.EndpointRecord) {
-	d.reduce(wigeondispatch.EndpointsListed{At: d.Now(), Records: records})
+// SetEndpoints replaces the endpoints by a list that has all changes up to a revision.
+func (d *Dispatcher) SetEndpoints(records []wigeonshift.EndpointRecord, revision uint64) {
+	d.reduce(wigeondispatch.EndpointsListed{At: d.Now(), Records: records, Revision: revision})
 }
 
 // SetInstances replaces the instances, this one included. complete is set if these are all instances.
--- a/peer.go
+++ b/peer.go
@@ -156,7 +156,8 @@
 		Organisations []OrganisationUse
 		// Services lists every service with queued requests.
 		Services []ServiceWait
-		// Leaving lists the incarnations of endpoints that the sender has seen listed as leaving, as in Crash.Endpoint.
+		// Leaving lists the incarnations of endpoints that leave, or have gone a short while ago, in the sender's list of
+		// EndpointsRevision. They are written as in Crash.Endpoint.
 		Leaving []string
 		// Limits lists endpoints that name limits, or did so until a short while ago.
 		Limits []EndpointLimitUse
