Let a large answer of the store arrive, and end the calls that nobody waits for

Cause: a retry storm that feeds itself. A version of 400 KB takes a third of a second of such a link. While it arrived, peers told of it, so the poll was dropped, begun anew and a peer asked for the same version. The dropped calls ran on, as the HTTP library can't cancel them, held polls for up to 30 s: each took its part of the link, also for each later version. Answers had 0.8 s as a whole, so that in the end none arrived, of no table.

Now a call ends with its context: the store's client uses the pool of connections of the endpoints, which closes the connection. Time limits count from the latest part of an answer that arrived. No poll is repeated and no peer asked while an answer is arriving; a peer is asked only if the store fails or a repeated poll hasn't helped; at most three polls of a table run, and the first answer ends the others.

--- a/cmd/wigeonrelay/quarantine.go
+++ b/cmd/wigeonrelay/quarantine.go
@@ -11,6 +11,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/modules/wigeonsocket"
 	"wigeonshift/internal/services/wigeonquarantine"
 	"wigeonshift/platform"
 )
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	store := platform.NewStore(settings.Platform.Address, dialStore)
+	store := platform.NewStore(settings.Platform.Address, wigeonsocket.Dial)
 	page, err := store.List(ctx, wigeonshift.TableQuarantine)
 	if err != nil {
 		return nil, nil, err
--- a/cmd/wigeonrelay/rollout.go
+++ b/cmd/wigeonrelay/rollout.go
@@ -9,6 +9,7 @@
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonsetting"
+	"wigeonshift/internal/modules/wigeonsocket"
 	"wigeonshift/platform"
 )
 
@@ -25,7 +26,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
 	defer cancel()
-	store := platform.NewStore(settings.Platform.Address, dialStore)
+	store := platform.NewStore(settings.Platform.Address, wigeonsocket.Dial)
 	orders, err := store.List(ctx, wigeonshift.TableConfiguration)
 	if err != nil {
 		return err
--- a/cmd/wigeonrelay/serve.go
+++ b/cmd/wigeonrelay/serve.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"wigeonshift/internal/modules/wigeonlog"
 	"wigeonshift/internal/modules/wigeonsetting"
@@ -21,8 +20,6 @@
 )
 
 const (
-	// storeDialTimeout limits the time to connect to the store.
-	storeDialTimeout = time.Second
 	// gcMemoryShare is the share of the configured memory that is set as the Go runtime's memory limit.
 	gcMemoryShare = 0.6
 	// gcPercent is below Go's default of 100 because an instance has more processor time to spare than memory.
@@ -66,10 +63,6 @@
 	return gateway.Stop()
 }
 
-func dialStore(address string) (net.Conn, error) {
-	return wigeonsocket.DialTimeout(address, storeDialTimeout)
-}
-
 // storeDialer opens connections to the store and logs them.
 type storeDialer struct {
 	log logrus.FieldLogger
@@ -77,8 +70,8 @@
 	dials atomic.Int64
 }
 
-func (d *storeDialer) dial(address string) (net.Conn, error) {
-	c, err := dialStore(address)
+func (d *storeDialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := wigeonsocket.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/modules/wigeonsocket/dial.go
+++ b/internal/modules/wigeonsocket/dial.go
@@ -15,10 +15,3 @@
 	d := net.Dialer{KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, "tcp", address)
 }
-
-// DialTimeout is Dial with a timeout instead of a context.
-func DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	return Dial(ctx, address)
-}
--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -36,20 +36,24 @@
 }
 
 // fetchNewerConfiguration queries the store for the configuration again if a peer has a newer version that the store has not
-// delivered in time. It also requests that version from the peer, as the store may be out of reach. While changes are collected
-// the store is polled soon anyway.
+// delivered in time. If the store fails, or doesn't answer that either, it also requests the version from the peer. A version may be
+// large, so it is fetched only once at a time: not while the store's answer is arriving, nor while changes are collected, after which the
+// store is polled anyway.
 func (g *Gateway) fetchNewerConfiguration(from wigeonshift.Instance, peerVersion uint64) {
 	localVersion := uint64(0)
 	if table := g.relay.Table(); table != nil {
 		localVersion = table.Configuration.Version
 	}
-	if g.follower.BatchesConfiguration() {
+	if g.follower.BatchesConfiguration() || g.follower.ReceivesConfiguration() {
 		return
 	}
 	if !g.configurationRequests.shouldRequest(from.ID, peerVersion, localVersion, time.Now()) {
 		return
 	}
 	g.follower.RepollConfiguration()
+	if !g.follower.ConfigurationFails() && !g.configurationRequests.isRepeated() {
+		return
+	}
 	g.log.WithFields(logrus.Fields{"from": from.ID, "version": peerVersion, "own": localVersion}).
 		Info("requesting a newer configuration from a peer")
 	if err := g.network.Send(context.Background(), from, wigeonshift.ConfigurationAsk{Have: localVersion}); err != nil {
--- a/internal/routers/wigeongateway/peerrequest.go
+++ b/internal/routers/wigeongateway/peerrequest.go
@@ -25,6 +25,9 @@
 	newestVersion uint64
 	// behindSince is when a peer first reported a version newer than the local one.
 	behindSince time.Time
+	// localVersion is the latest local version, attempts the number of requests since it has changed.
+	localVersion uint64
+	attempts     int
 	// outstanding holds the latest requests, oldest first.
 	outstanding []peerRequest
 }
@@ -47,6 +50,9 @@
 		t.behindSince = at
 	}
 	t.newestVersion = max(t.newestVersion, peerVersion)
+	if localVersion != t.localVersion {
+		t.localVersion, t.attempts = localVersion, 0
+	}
 	t.outstanding = slices.DeleteFunc(t.outstanding, func(r peerRequest) bool {
 		return r.version <= localVersion || at.Sub(r.at) >= peerRequestTimeout
 	})
@@ -59,5 +65,13 @@
 		}
 	}
 	t.outstanding = append(t.outstanding, peerRequest{peer: peer, at: at, version: peerVersion})
+	t.attempts++
 	return true
 }
+
+// isRepeated reports whether the latest request was not the first one since the local version has changed.
+func (t *peerRequestThrottle) isRepeated() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attempts > 1
+}
--- a/internal/routers/wigeongateway/peerrequest_test.go
+++ b/internal/routers/wigeongateway/peerrequest_test.go
@@ -68,4 +68,13 @@
 		Expect(countRequests(5*time.Second, 5*time.Second+peerRequestDelay, 3, 2)).To(BeZero())
 		Expect(countRequests(5*time.Second+peerRequestDelay, 6*time.Second, 3, 2)).To(Equal(1))
 	})
+
+	It("is repeated until the local version changes", func() {
+		Expect(countRequests(0, peerRequestDelay+50*time.Millisecond, 2, 1)).To(Equal(1))
+		Expect(t.isRepeated()).To(BeFalse())
+		Expect(countRequests(5*time.Second, 5*time.Second+50*time.Millisecond, 2, 1)).To(Equal(1))
+		Expect(t.isRepeated()).To(BeTrue())
+		Expect(countRequests(10*time.Second, 10*time.Second+50*time.Millisecond, 3, 2)).To(BeZero())
+		Expect(t.isRepeated()).To(BeFalse())
+	})
 })
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,16 +14,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-const (
-	// responseTimeout limits the time for a response on top of the poll wait.
-	responseTimeout = 800 * time.Millisecond
-	// listTimeout limits the time for a response that contains a whole table.
-	listTimeout = 2 * time.Second
-	// timeoutStepPerFailure extends the timeout after each failure, so that calls to a slow store succeed eventually.
-	timeoutStepPerFailure = 200 * time.Millisecond
-	// relistDelay is the pause before a table is listed again. It bounds the calls to a store that drops its changes at once.
-	relistDelay = 30 * time.Millisecond
-)
+// relistDelay is the pause before a table is listed again. It bounds the calls to a store that drops its changes at once.
+const relistDelay = 30 * time.Millisecond
 
 // rowHandler processes the rows of one table.
 type rowHandler interface {
@@ -71,6 +62,8 @@
 	repollRequests chan struct{}
 	// results delivers the responses to all polls that run, also to those in whose place the follower has polled again.
 	results chan pollResult
+	// polls are the calls that run.
+	polls runningPolls
 	// news is a response to such a poll that came while none was made; nil if there is none.
 	news *pollResult
 
@@ -236,9 +229,7 @@
 
 // list lists the table. After the first listing it pauses for firstPollDelay.
 func (f *follower) list(ctx context.Context, timeout time.Duration) error {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	page, err := f.store.List(callCtx, f.table)
+	page, err := f.await(ctx, f.startListing(ctx, timeout), nil)
 	if err != nil {
 		return err
 	}
@@ -292,10 +283,9 @@
 	}
 }
 
-// poll waits for changes until its timeout or until a repoll is requested. The call to the store runs in its own goroutine, so that a
-// store that hangs can't delay the return. Earlier polls that still run may deliver the changes as well: a new poll is made because a
-// connection may have fallen silent, but it may also be that the store or this instance is slow, and then the earlier poll is answered
-// first.
+// poll waits for changes until its timeout or until a repoll is requested. Earlier polls that still run may deliver the changes as well:
+// a new poll is made because a connection may have fallen silent, but it may also be that the store or this instance is slow, and then
+// an earlier poll is answered first.
 func (f *follower) poll(ctx context.Context, wait, timeout time.Duration) (wigeonshift.TablePage, error) {
 	if r := f.takeNews(); r != nil {
 		return r.page, nil
@@ -307,85 +297,8 @@
 	default:
 	}
 	own := f.startPoll(ctx, wait, timeout)
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
-		select {
-		case r := <-f.results:
-			if r.request == own {
-				return f.unseen(r.page), r.err
-			}
-			if f.isNews(r) {
-				f.scope.Tagged(map[string]string{"table": f.table.String()}).Counter("lateAnswers").Inc(1)
-				return f.unseen(r.page), nil
-			}
-		case <-f.repollRequests:
-			return wigeonshift.TablePage{}, errRepoll
-		case <-timer.C:
-			return wigeonshift.TablePage{}, wigeonshift.ErrOutcomeUnknown
-		case <-ctx.Done():
-			return wigeonshift.TablePage{}, ctx.Err()
-		}
-	}
-}
-
-// startPoll starts a poll for changes after those that are known.
-func (f *follower) startPoll(ctx context.Context, wait, timeout time.Duration) *pollRequest {
-	r := &pollRequest{
-		store: f.store, table: f.table, afterRevision: f.knownRevision.Load(), wait: wait, timeout: timeout, results: f.results,
-	}
-	go r.run(ctx) // It ends with its timeout or with ctx, also if nobody waits for its result any more.
-	return r
-}
-
-// isNews reports whether the response to an earlier poll has changes that aren't known.
-func (f *follower) isNews(r pollResult) bool {
-	return r.err == nil && f.listed && r.page.Era == f.era && r.page.Revision > f.knownRevision.Load() && len(r.page.Rows) > 0
-}
-
-// takeNews returns the response to an earlier poll that came while none was made, if its changes aren't known yet.
-func (f *follower) takeNews() *pollResult {
-	r := f.news
-	f.news = nil
-	if r == nil || !f.isNews(*r) {
-		return nil
-	}
-	r.page = f.unseen(r.page)
-	return r
-}
-
-// unseen returns a page without the rows that are known: another poll, which may have been answered later, has delivered them.
-func (f *follower) unseen(page wigeonshift.TablePage) wigeonshift.TablePage {
-	known := f.knownRevision.Load()
-	page.Rows = slices.DeleteFunc(page.Rows, func(r wigeonshift.TableRow) bool { return r.Revision <= known })
-	return page
-}
-
-// pollRequest is one long poll for changes.
-type pollRequest struct {
-	store         wigeonshift.RoutingStore
-	table         wigeonshift.RoutingTable
-	afterRevision uint64
-	wait, timeout time.Duration
-	results       chan<- pollResult
-}
-
-// pollResult is the store's response to a poll.
-type pollResult struct {
-	request *pollRequest
-	page    wigeonshift.TablePage
-	err     error
-}
-
-// run sends the store's response to results. It waits until the follower takes it, which it does between any two polls.
-func (r *pollRequest) run(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	page, err := r.store.Follow(callCtx, r.table, r.afterRevision, r.wait)
-	select {
-	case r.results <- pollResult{request: r, page: page, err: err}:
-	case <-ctx.Done():
-	}
+	page, err := f.await(ctx, own, f.repollRequests)
+	return f.unseen(page), err
 }
 
 // recordSuccess ends the failure state after a successful call and tells the handler if the store had been failing.
--- a/internal/services/wigeonfollow/outage.go
+++ b/internal/services/wigeonfollow/outage.go
@@ -119,6 +119,7 @@
 	for {
 		select {
 		case r := <-f.results:
+			f.polls.end(r.request)
 			if f.isNews(r) {
 				f.news = &r
 				return false
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -222,7 +222,13 @@
 // has in the meantime.
 func (s *Service) BatchesConfiguration() bool { return s.configurationFollower.pausing.Load() }
 
-// RepollEndpoints cancels the running poll for endpoints and polls again. It is called when another instance knows of a
+// ReceivesConfiguration reports whether the store's answer for the configuration is arriving.
+func (s *Service) ReceivesConfiguration() bool { return s.configurationFollower.polls.isReceiving() }
+
+// ConfigurationFails reports whether the latest call for the configuration has failed.
+func (s *Service) ConfigurationFails() bool { return s.configurationFollower.failing.Load() }
+
+// RepollEndpoints polls for endpoints again, beside the running poll. It is called when another instance knows of a
 // change that the running poll has not delivered.
 func (s *Service) RepollEndpoints() { s.endpointsFollower.requestRepoll() }
 
