Count the pause after a change from the beginning of the answer, and leave young polls alone

The transfer now counts as a part of the pause, and a poll is repeated when it is a quarter of a second old. Of too many polls the latest but one ends, as the earlier ones are answered sooner; with the oldest ended, the spec of a slow store failed.

--- a/internal/modules/wigeonstorecall/arrival.go
+++ b/internal/modules/wigeonstorecall/arrival.go
@@ -7,10 +7,10 @@
 )
 
 // Arrival tells whether the response to a call is arriving, so that a call whose response takes long isn't taken for one on a silent
-// connection. Its methods may be called concurrently, and on nil.
+// connection. Its methods may be called concurrently, Record also on nil.
 type Arrival struct {
-	// latest is when a part of the response last arrived; nil if none has.
-	latest atomic.Pointer[time.Time]
+	// first and latest are when the first and the latest part of the response have arrived; nil if none has.
+	first, latest atomic.Pointer[time.Time]
 }
 
 type arrivalKey struct{}
@@ -31,17 +31,20 @@
 func (a *Arrival) Record() {
 	if a != nil {
 		now := time.Now()
+		a.first.CompareAndSwap(nil, &now)
 		a.latest.Store(&now)
 	}
 }
 
+// First returns when the first part of the response has arrived; the zero time if none has.
+func (a *Arrival) First() time.Time { return timeOf(&a.first) }
+
 // Latest returns when a part of the response last arrived; the zero time if none has.
-func (a *Arrival) Latest() time.Time {
-	if a == nil {
-		return time.Time{}
-	}
-	if latest := a.latest.Load(); latest != nil {
-		return *latest
+func (a *Arrival) Latest() time.Time { return timeOf(&a.latest) }
+
+func timeOf(p *atomic.Pointer[time.Time]) time.Time {
+	if at := p.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -79,6 +79,8 @@
 	pausing atomic.Bool
 	// pollImmediately makes the next poll return without waiting for changes.
 	pollImmediately bool
+	// transferTime is the time that the latest answer took to arrive.
+	transferTime time.Duration
 	// changed is set if the latest poll returned changes.
 	changed bool
 	// repeated is set if the next poll takes the place of a failed one.
@@ -242,10 +244,10 @@
 	return nil
 }
 
-// pause waits for further changes after a change.
+// pause waits for further changes after a change. A large answer has taken a part of the pause already.
 func (f *follower) pause(ctx context.Context) {
 	f.pausing.Store(true)
-	wigeonclock.Sleep(ctx, f.batchDelay())
+	wigeonclock.Sleep(ctx, f.batchDelay()-f.transferTime)
 	f.pausing.Store(false)
 }
 
--- a/internal/services/wigeonfollow/poll.go
+++ b/internal/services/wigeonfollow/poll.go
@@ -22,6 +22,8 @@
 	timeoutStepPerFailure = 200 * time.Millisecond
 	// arrivalGap is the time without a part of a response after which it doesn't count as arriving any more.
 	arrivalGap = 400 * time.Millisecond
+	// minPollAge is the age of a poll from which another one is made beside it. A younger one may just be on its way.
+	minPollAge = 250 * time.Millisecond
 	// maxRunningPolls bounds the calls of one table that run beside each other.
 	maxRunningPolls = 3
 )
@@ -37,8 +39,8 @@
 	call    storeCall
 	cancel  context.CancelFunc
 	results chan<- pollResult
-	// responseDue is the time by which the response has to begin.
-	responseDue time.Time
+	// startedAt is the start of the call, responseDue the time by which the response has to begin.
+	startedAt, responseDue time.Time
 	// arrival tells what has arrived of the response.
 	arrival *wigeonstorecall.Arrival
 }
@@ -60,6 +62,17 @@
 	return time.Until(due)
 }
 
+// nextCheck returns the time until which the call needn't be given up. requested is set if there is a request to poll again.
+func (r *pollRequest) nextCheck(requested bool) time.Duration {
+	if requested {
+		return min(r.silenceLeft(), time.Until(r.startedAt.Add(minPollAge)))
+	}
+	return r.silenceLeft()
+}
+
+// transferTime returns the time from the beginning to the end of the response.
+func (r *pollRequest) transferTime() time.Duration { return r.arrival.Latest().Sub(r.arrival.First()) }
+
 // isReceiving reports whether the response is arriving.
 func (r *pollRequest) isReceiving() bool { return time.Since(r.arrival.Latest()) < arrivalGap }
 
@@ -81,7 +94,7 @@
 	all []*pollRequest
 }
 
-// add adds a call. If there are too many, it ends the oldest one that isn't being answered.
+// add adds a call. If there are too many, it ends the latest of the others, as the earlier ones are likely to be answered sooner.
 func (p *runningPolls) add(r *pollRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,9 +102,8 @@
 	if len(p.all) <= maxRunningPolls {
 		return
 	}
-	i := max(slices.IndexFunc(p.all, func(r *pollRequest) bool { return !r.isReceiving() }), 0)
-	p.all[i].cancel()
-	p.all = slices.Delete(p.all, i, i+1)
+	p.all[maxRunningPolls-1].cancel()
+	p.all = slices.Delete(p.all, maxRunningPolls-1, maxRunningPolls)
 }
 
 // end removes a call that has ended.
@@ -120,12 +132,12 @@
 }
 
 // await waits for the response to a call, or to an earlier poll that has changes which aren't known. It gives the call up if its response
-// hasn't begun in time or stops arriving, or if there is a request to poll again and no response is arriving. Then the call runs on beside
-// the next one. A response ends all other polls.
+// hasn't begun in time or stops arriving, or if there is a request to poll again, the call is old enough and no response is arriving.
+// Then the call runs on beside the next one. A response ends all other polls.
 func (f *follower) await(ctx context.Context, own *pollRequest, requests <-chan struct{}) (wigeonshift.TablePage, error) {
-	timer := time.NewTimer(own.silenceLeft())
-	defer timer.Stop()
+	requested := false
 	for {
+		timer := time.NewTimer(own.nextCheck(requested))
 		select {
 		case r := <-f.results:
 			f.polls.end(r.request)
@@ -134,22 +146,23 @@
 			}
 			if r.request == own || f.isNews(r) {
 				f.countAnswer(r.request == own)
+				f.transferTime = r.request.transferTime()
 				f.polls.endAll()
 				return r.page, nil
 			}
 		case <-requests:
-			if !f.polls.isReceiving() {
-				return wigeonshift.TablePage{}, errRepoll
-			}
+			requested = !f.polls.isReceiving()
 		case <-timer.C:
-			left := own.silenceLeft()
-			if left <= 0 {
-				return wigeonshift.TablePage{}, errNoResponse
-			}
-			timer.Reset(left)
 		case <-ctx.Done():
 			return wigeonshift.TablePage{}, ctx.Err()
 		}
+		timer.Stop()
+		if requested && time.Since(own.startedAt) >= minPollAge {
+			return wigeonshift.TablePage{}, errRepoll
+		}
+		if own.silenceLeft() <= 0 {
+			return wigeonshift.TablePage{}, errNoResponse
+		}
 	}
 }
 
@@ -179,7 +192,8 @@
 // start starts a call whose response is to begin within a timeout. It runs in its own goroutine, so that a store that hangs can't hold up
 // the follower.
 func (f *follower) start(ctx context.Context, timeout time.Duration, call storeCall) *pollRequest {
-	r := &pollRequest{call: call, responseDue: time.Now().Add(timeout), results: f.results}
+	now := time.Now()
+	r := &pollRequest{call: call, startedAt: now, responseDue: now.Add(timeout), results: f.results}
 	ctx, r.cancel = context.WithTimeout(ctx, timeout+transferTimeout)
 	ctx, r.arrival = wigeonstorecall.WithArrival(ctx)
 	f.polls.add(r)
