Keep no endpoint without a row for a failure that was too short for rows to lapse

Rows lapse when several heartbeats are missed. If the store's last answer for the table is under two seconds old when it answers again, none has lapsed for that, and a row that is gone counts at once. An answer was also recorded twice, the second time after the pause, so that answerAgeMs was too low.

--- a/internal/services/wigeonfollow/endpoint.go
+++ b/internal/services/wigeonfollow/endpoint.go
@@ -10,6 +10,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// minLapseTime is the shortest time without the store after which rows may have disappeared for lack of a heartbeat. Endpoints miss
+// several before their rows go.
+const minLapseTime = 2 * time.Second
+
 // reregistrationGrace is how long an endpoint whose row disappeared may take to write it again after a store outage.
 const reregistrationGrace = 2 * time.Second
 
@@ -170,17 +174,30 @@
 	t.storeDown = true
 }
 
-// handleStoreRecovery starts the grace period, in which endpoints whose rows are missing can write them again.
-func (t *endpointTable) handleStoreRecovery() {
+// handleStoreRecovery starts the grace period, in which endpoints whose rows are missing can write them again. If the store was away for a
+// short time only, perhaps for this instance alone, no row has disappeared for that.
+func (t *endpointTable) handleStoreRecovery(away time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.storeDown = false
-	t.graceUntil = time.Now().Add(reregistrationGrace)
-	t.resetGraceTimer()
+	if away < minLapseTime {
+		return
+	}
+	t.startGrace()
 }
 
 // handleStoreRestored starts the grace period, too: endpoints whose rows are missing in the older copy write them again.
-func (t *endpointTable) handleStoreRestored() { t.handleStoreRecovery() }
+func (t *endpointTable) handleStoreRestored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startGrace()
+}
+
+// startGrace starts the grace period. The caller must hold mu.
+func (t *endpointTable) startGrace() {
+	t.graceUntil = time.Now().Add(reregistrationGrace)
+	t.resetGraceTimer()
+}
 
 // resetGraceTimer schedules the removal of missing endpoints at the end of the grace period. While the store is down it
 // schedules nothing, because the grace period starts only with the recovery.
--- a/internal/services/wigeonfollow/follow_test.go
+++ b/internal/services/wigeonfollow/follow_test.go
@@ -413,6 +413,21 @@
 		})
 	})
 
+	// Guards against requests to an endpoint for two seconds after its row has gone, because one call of this instance had failed.
+	It("removes at once an endpoint whose row disappears while calls fail for a moment", func() {
+		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
+			advance(5 * time.Second)
+			s.put(endpoints, "a", leaving)
+			advance(time.Second)
+			s.update(func(s *fakeStore) { s.down = true; s.wake() })
+			advance(300 * time.Millisecond)
+			s.put(endpoints, "b", "")
+			s.update(func(s *fakeStore) { s.down = false })
+			advance(500 * time.Millisecond)
+			g.Expect(f.readyIDs()).To(BeEmpty())
+		})
+	})
+
 	It("lists the tables again when the store has dropped the change history", func() {
 		runWithFakeClock(func(g Gomega, s *fakeStore, f *testFollower) {
 			s.update(func(s *fakeStore) {
--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -25,8 +25,8 @@
 	applyChanges(page wigeonshift.TablePage)
 	// handleStoreFailure is called at the first failed call to the store.
 	handleStoreFailure()
-	// handleStoreRecovery is called at the first successful call after a failure.
-	handleStoreRecovery()
+	// handleStoreRecovery is called at the first successful call after a failure. away is the time since the latest one before that.
+	handleStoreRecovery(away time.Duration)
 	// handleStoreRestored is called before replaceRows if the store has returned from an older copy, in which the latest
 	// rows are missing.
 	handleStoreRestored()
@@ -109,7 +109,6 @@
 		calledAt := time.Now()
 		err := f.callStore(ctx)
 		if err == nil {
-			f.recordSuccess()
 			continue
 		}
 		if ctx.Err() != nil {
@@ -306,11 +305,11 @@
 // recordSuccess ends the failure state after a successful call and tells the handler if the store had been failing.
 func (f *follower) recordSuccess() {
 	f.pollImmediately = false
+	recovered := f.failing.Load()
+	f.endFailure()
 	now := time.Now()
 	f.answerAge.Update(now.Sub(f.answeredAt).Seconds())
 	f.answeredAt = now
-	recovered := f.failing.Load()
-	f.endFailure()
 	f.failureCount = 0
 	if recovered {
 		f.outage.recordAnswer()
@@ -322,7 +321,7 @@
 func (f *follower) endFailure() {
 	if f.failing.Load() {
 		f.failing.Store(false)
-		f.handler.handleStoreRecovery()
+		f.handler.handleStoreRecovery(time.Since(f.answeredAt))
 		f.log.WithFields(logrus.Fields{"table": f.table, "failures": f.failureCount}).Info("store is reachable again")
 	}
 }
--- a/internal/services/wigeonfollow/instance.go
+++ b/internal/services/wigeonfollow/instance.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sort"
 	"sync"
+	"time"
 
 	"wigeonshift"
 	"wigeonshift/internal/modules/wigeonsocket"
@@ -90,8 +91,8 @@
 	t.sink(instances)
 }
 
-func (t *instanceTable) handleStoreFailure()  {}
-func (t *instanceTable) handleStoreRecovery() {}
+func (t *instanceTable) handleStoreFailure()               {}
+func (t *instanceTable) handleStoreRecovery(time.Duration) {}
 func (t *instanceTable) handleStoreRestored() {
 	if t.onRestored != nil {
 		t.onRestored()
--- a/internal/services/wigeonfollow/service.go
+++ b/internal/services/wigeonfollow/service.go
@@ -49,7 +49,7 @@
 func (t rowTable) replaceRows(page wigeonshift.TablePage)  { t.sink.ReplaceRows(page.Rows) }
 func (t rowTable) applyChanges(page wigeonshift.TablePage) { t.sink.ApplyChanges(page.Rows) }
 func (t rowTable) handleStoreFailure()                     {}
-func (t rowTable) handleStoreRecovery()                    {}
+func (t rowTable) handleStoreRecovery(time.Duration)       {}
 func (t rowTable) handleStoreRestored()                    { t.sink.HandleStoreRestored() }
 
 // Service watches all tables.
@@ -282,9 +282,9 @@
 	}
 }
 
-func (t *configurationTable) handleStoreFailure()  {}
-func (t *configurationTable) handleStoreRecovery() {}
-func (t *configurationTable) handleStoreRestored() {}
+func (t *configurationTable) handleStoreFailure()               {}
+func (t *configurationTable) handleStoreRecovery(time.Duration) {}
+func (t *configurationTable) handleStoreRestored()              {}
 
 func (t *configurationTable) offer(document []byte) {
 	t.apply(wigeonshift.TableRow{Key: ConfigurationRowKey, Value: document}, "peer")
