Refuse nothing for good by a configuration that is known to be outdated

What callers met: 404 for routes that had been there for three seconds; a caller doesn't repeat a request after that. The instance knew from its peers that a newer version was in force and couldn't fetch it in time (see the storm of large versions). A route or a key that isn't in an outdated version is now answered 503 with a Retry-After of 0.3 s, while a report of a newer version is under five seconds old. Requests that the outdated version allows are run as before: refusing them costs every caller of the instance more than the few get whose route has changed.

--- a/internal/routers/wigeongateway/peer.go
+++ b/internal/routers/wigeongateway/peer.go
@@ -17,6 +17,7 @@
 		g.dispatcher.SetPeerLoad(from.ID, m)
 		g.quarantine.Offer(m.CrashEvidence)
 		g.fetchNewerQuarantine(from, m.QuarantineRevision)
+		g.relay.ReportVersion(m.ConfigurationVersion)
 		g.fetchNewerConfiguration(from, m.ConfigurationVersion)
 		g.fetchNewerRollouts(from, m.Rollouts)
 		g.fetchNewerEndpoints(from, m.EndpointsRevision)
--- a/internal/services/wigeonrelay/service.go
+++ b/internal/services/wigeonrelay/service.go
@@ -29,6 +29,7 @@
 	log            logrus.FieldLogger
 	scope          tally.Scope
 	table          atomic.Pointer[wigeonroute.Table]
+	newestReport   atomic.Pointer[reportedVersion]
 	draining       atomic.Bool
 	refusing       atomic.Bool
 	callerTimeouts callerTimeouts
@@ -134,14 +135,14 @@
 	path, _, _ := strings.Cut(string(ctx.Request.Header.RequestURI()), "?")
 	route := table.Route(string(ctx.Request.Header.Host()), path)
 	if route == nil {
-		s.rejectUnrouted(ctx, h, fasthttp.StatusNotFound, "noRoute", 0)
+		s.rejectUnknown(ctx, h, table, fasthttp.StatusNotFound, "noRoute")
 		return
 	}
 	var organisation *wigeonshift.RoutedOrganisation
 	if table.NeedsKey(route) {
 		organisation = table.Organisation(h.Key)
 		if organisation == nil {
-			s.rejectUnrouted(ctx, h, fasthttp.StatusUnauthorized, "unknownKey", 0)
+			s.rejectUnknown(ctx, h, table, fasthttp.StatusUnauthorized, "unknownKey")
 			return
 		}
 	}
@@ -157,6 +158,18 @@
 // noConfigurationRetryAfter is the Retry-After while the instance has no configuration.
 const noConfigurationRetryAfter = 300 * time.Millisecond
 
+// rejectUnknown rejects a request whose route or API key isn't in a table. Callers don't repeat a request after that, so while another
+// instance has a newer table they are told to come back instead.
+func (s *Service) rejectUnknown(
+	ctx *fasthttp.RequestCtx, h wigeonshift.RequestHeader, t *wigeonroute.Table, status int, reason string,
+) {
+	if s.isOutdated(t) {
+		s.rejectUnrouted(ctx, h, fasthttp.StatusServiceUnavailable, "outdatedConfiguration", outdatedRetryAfter)
+		return
+	}
+	s.rejectUnrouted(ctx, h, status, reason, 0)
+}
+
 // rejectUnrouted rejects a request before it is routed: the instance can't take it, or its route or API key is unknown.
 func (s *Service) rejectUnrouted(
 	ctx *fasthttp.RequestCtx, h wigeonshift.RequestHeader, status int, reason string, retryAfter time.Duration,
