Tell only the own group of leaving endpoints in a large fleet; capacity and decision of late changes

Reports of endpoints that are gone would go to each of 1,500 instances each two seconds; the members of a group hear the same from each other. Up to 128 instances all are told, as before.

--- a/internal/routers/wigeongateway/loop.go
+++ b/internal/routers/wigeongateway/loop.go
@@ -87,7 +87,8 @@
 			rolloutChanged = true
 		}
 		changed := rolloutChanged || g.dispatcher.LoadChanges() != reportedChanges || g.knownVersions() != reported
-		if !isNoticeDue(time.Since(sameGroupSentAt), changed, 1+len(sameGroup)+len(otherGroups)) {
+		instances := 1 + len(sameGroup) + len(otherGroups)
+		if !isNoticeDue(time.Since(sameGroupSentAt), changed, instances) {
 			continue
 		}
 		reported = g.knownVersions()
@@ -102,10 +103,10 @@
 		case time.Since(otherGroupsSentAt) >= otherGroupNoticeInterval,
 			time.Since(otherGroupsSentAt) >= announceInterval && g.announcing.Swap(false):
 			otherGroupsSentAt, newInstancesSentAt = sameGroupSentAt, sameGroupSentAt
-			g.sendLoadNotice(ctx, otherGroups, loadNotice)
+			g.sendLoadNotice(ctx, otherGroups, noticeToOtherGroups(loadNotice, instances))
 		case time.Since(newInstancesSentAt) >= newInstanceNoticeInterval:
 			newInstancesSentAt = sameGroupSentAt
-			g.sendLoadNotice(ctx, g.membership.newInstances(sameGroupSentAt), loadNotice)
+			g.sendLoadNotice(ctx, g.membership.newInstances(sameGroupSentAt), noticeToOtherGroups(loadNotice, instances))
 		}
 	}
 }
@@ -119,6 +120,15 @@
 	return instances <= maxFastNoticeInstances || sinceLatest >= minLargeFleetNoticeInterval-minNoticeInterval/2
 }
 
+// noticeToOtherGroups returns a load notice without what only the own group is told in a large fleet: endpoints that leave together may be
+// many, and each instance hears of them from the members of its own group.
+func noticeToOtherGroups(notice wigeonshift.LoadNotice, instances int) wigeonshift.LoadNotice {
+	if instances > maxFastNoticeInstances {
+		notice.Leaving = nil
+	}
+	return notice
+}
+
 // knownVersions is what this instance knows of the tables that instances report to each other.
 type knownVersions struct {
 	// configuration is the version in force, endpoints and quarantine are the highest revisions of any row.
--- a/internal/routers/wigeongateway/loop_test.go
+++ b/internal/routers/wigeongateway/loop_test.go
@@ -3,8 +3,21 @@
 import (
 	"testing"
 	"time"
+
+	"wigeonshift"
 )
 
+func TestNoticeToOtherGroups(t *testing.T) {
+	notice := wigeonshift.LoadNotice{ConfigurationVersion: 3, Leaving: []string{"a@1"}}
+	if got := noticeToOtherGroups(notice, maxFastNoticeInstances); len(got.Leaving) != 1 {
+		t.Errorf("up to %d instances, other groups hear of leaving endpoints", maxFastNoticeInstances)
+	}
+	got := noticeToOtherGroups(notice, maxFastNoticeInstances+1)
+	if len(got.Leaving) != 0 || got.ConfigurationVersion != 3 {
+		t.Errorf("beyond, they hear of all but these: %+v", got)
+	}
+}
+
 func TestIsNoticeDue(t *testing.T) {
 	for _, c := range []struct {
 		name        string
