--- a/internal/services/wigeonrelay/dispatcher.go
+++ b/internal/services/wigeonrelay/dispatcher.go
@@ -244,14 +244,6 @@
 			d.logCutOff(x)
 		case wigeondispatch.CheckEndpoint:
 			d.startCheck(x)
-		case wigeondispatch.SignalRecorded:
-			d.logSignal(x)
-		case wigeondispatch.LeavingReported:
-			d.logLeavingReported(x)
-		case wigeondispatch.LimitRecorded:
-			d.logLimit(x)
-		case wigeondispatch.BrittleRecorded:
-			d.logBrittle(x)
 		case wigeondispatch.LossRecorded:
 			d.logLoss(x)
 		case wigeondispatch.StartTrial:
@@ -264,12 +256,28 @@
 			d.clearCrashes(x)
 		case wigeondispatch.RolloutRecorded, wigeondispatch.RolloutAttempt:
 			d.recordRollout(x)
-		case wigeondispatch.Suspect:
-			d.logSuspect(x)
+		default:
+			d.logEndpointEffect(x)
 		}
 	}
 }
 
+// logEndpointEffect logs and counts what an effect tells of an endpoint.
+func (d *Dispatcher) logEndpointEffect(e wigeondispatch.Effect) {
+	switch x := e.(type) {
+	case wigeondispatch.SignalRecorded:
+		d.logSignal(x)
+	case wigeondispatch.LeavingReported:
+		d.logLeavingReported(x)
+	case wigeondispatch.LimitRecorded:
+		d.logLimit(x)
+	case wigeondispatch.BrittleRecorded:
+		d.logBrittle(x)
+	case wigeondispatch.Suspect:
+		d.logSuspect(x)
+	}
+}
+
 // logLoss logs that an attempt counts as lost.
 func (d *Dispatcher) logLoss(x wigeondispatch.LossRecorded) {
 	d.log.WithFields(logrus.Fields{
--- a/internal/services/wigeonrelay/leaving_test.go
+++ b/internal/services/wigeonrelay/leaving_test.go
@@ -50,9 +50,7 @@
 		change(r, records[0], records[1])
 		time.Sleep(decisionAge)
 	}()
-	response, _, err := r.send(requestText("POST", "/unsafe/x", "", "b"))
-	Expect(err).NotTo(HaveOccurred())
-	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	Expect(r.statusOf(requestText("POST", "/unsafe/x", "", "b"))).To(Equal(http.StatusOK))
 	return len(endpoints[0].receivedRequests()), len(endpoints[1].receivedRequests())
 }
 
--- a/internal/services/wigeonrelay/outdated_test.go
+++ b/internal/services/wigeonrelay/outdated_test.go
@@ -12,19 +12,15 @@
 var _ = DescribeTable("A request for what an outdated configuration lacks may come back", func(path, key string, status int) {
 	r := newTestRelay(newFakeEndpoint(respondOK))
 	text := strings.Replace(requestText("POST", path, "", "b"), "Api-Key: key", "Api-Key: "+key, 1)
-	statusOf := func() int {
-		response, _, err := r.send(text)
-		Expect(err).NotTo(HaveOccurred())
-		if response.StatusCode == http.StatusServiceUnavailable {
-			Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
-		}
-		return response.StatusCode
-	}
-	Expect(statusOf()).To(Equal(status))
+	Expect(r.statusOf(text)).To(Equal(status))
 	r.service.ReportVersion(2)
-	Expect(statusOf()).To(Equal(http.StatusServiceUnavailable))
+	response, _, err := r.send(text)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
 	r.configure(2)
-	Expect(statusOf()).To(Equal(status))
+	Expect(r.statusOf(text)).To(Equal(status))
 },
 	Entry("its route", "/none/x", "key", http.StatusNotFound),
 	Entry("its key", "/safe/x", "other", http.StatusUnauthorized),
--- a/internal/services/wigeonrelay/relay_test.go
+++ b/internal/services/wigeonrelay/relay_test.go
@@ -118,6 +118,15 @@
 		"Content-Length: %d\r\n\r\n%s", method, path, extra, len(body), body)
 }
 
+// statusOf sends one request and returns the status of its answer.
+func (r *testRelay) statusOf(text string) int {
+	GinkgoHelper()
+	response, _, err := r.send(text)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
 // send sends one request and reads the response. The returned error is that of reading the body.
 func (r *testRelay) send(text string) (*http.Response, string, error) {
 	GinkgoHelper()
