--- a/internal/services/wigeondispatch/leaving.go
+++ b/internal/services/wigeondispatch/leaving.go
@@ -11,8 +11,9 @@
 	maxLeavingReports = 64
 	// maxPeerLeaving bounds what is kept of the reports of others.
 	maxPeerLeaving = 512
-	// departureMemory is how long an instance reports an endpoint that was listed and is gone. The others have the change by then.
-	departureMemory = 10 * time.Second
+	// departureMemory is how long an instance reports an endpoint that was listed and is gone: in one notice to each instance of another
+	// group at least.
+	departureMemory = 3 * time.Second
 	// peerLeavingTime is how long a report counts after it was last repeated: over twice the time between two notices of an instance of
 	// another group.
 	peerLeavingTime = 5 * time.Second
