--- a/internal/services/wigeonfollow/follower.go
+++ b/internal/services/wigeonfollow/follower.go
@@ -58,13 +58,13 @@
 	schedule *schedule
 	// outage is shared by the followers of all tables.
 	outage *outage
-	// repollRequests holds a pending request to poll again in place of the running poll.
+	// repollRequests holds a pending request to poll again beside the running poll.
 	repollRequests chan struct{}
-	// results delivers the responses to all polls that run, also to those in whose place the follower has polled again.
+	// results delivers the responses to all calls in polls.
 	results chan pollResult
-	// polls are the calls that run.
+	// polls are the calls that run: the latest one, and earlier ones that have had no response yet.
 	polls runningPolls
-	// news is a response to such a poll that came while none was made; nil if there is none.
+	// news is the response to an earlier poll that came while the follower waited to call again; nil if there is none.
 	news *pollResult
 
 	// listed is set while the table needs no new listing.
@@ -285,8 +285,7 @@
 }
 
 // poll waits for changes until its timeout or until a repoll is requested. Earlier polls that still run may deliver the changes as well:
-// a new poll is made because a connection may have fallen silent, but it may also be that the store or this instance is slow, and then
-// an earlier poll is answered first.
+// if no connection has fallen silent but the store or the link is slow, they are answered first.
 func (f *follower) poll(ctx context.Context, wait, timeout time.Duration) (wigeonshift.TablePage, error) {
 	if r := f.takeNews(); r != nil {
 		return r.page, nil
--- a/internal/services/wigeonfollow/poll.go
+++ b/internal/services/wigeonfollow/poll.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// runningPolls are the calls for one table that run. Most of the time it is one; others are those in whose place the store was polled
-// again, which may still be answered first. The zero value is ready for use.
+// runningPolls are the calls for one table that run: mostly one, and earlier ones that have had no response yet. The zero value is ready
+// for use.
 type runningPolls struct {
 	mu sync.Mutex
 	// all holds the latest call last.
