--- a/review/lab-2/engine.go
+++ b/review/lab-2/engine.go
@@ -11,12 +11,15 @@
 
 // engine is a stand-in for a sound model engine with a number of slots.
 type engine struct {
-	id, service, addr string
-	slots             int
-	firstEvent, gap   time.Duration
-	events            int
-	record            *record
+	// version is that of the engine's software.
+	id, service, addr, version string
+	slots                      int
+	firstEvent, gap            time.Duration
+	events                     int
+	record                     *record
 
+	// fails reports whether the engine fails the next request.
+	fails  func() bool
 	server *http.Server
 
 	mu               sync.Mutex
@@ -31,6 +34,9 @@
 		return nil, err
 	}
 	e.addr = l.Addr().String()
+	if e.version == "" {
+		e.version = "v1"
+	}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
@@ -69,7 +75,7 @@
 // row is the engine's entry in the store.
 func (e *engine) row(state string) map[string]any {
 	return map[string]any{
-		"service": e.service, "address": e.addr, "zone": "zone-a", "version": "v1", "slots": e.slots, "state": state,
+		"service": e.service, "address": e.addr, "zone": "zone-a", "version": e.version, "slots": e.slots, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1,
 	}
 }
@@ -128,6 +134,12 @@
 	defer e.leave()
 	e.record.add("runs", id, e.id)
 	w.Header().Set("Server-Signature", "sig-"+e.id+"-"+id)
+	if e.fails != nil && e.fails() {
+		time.Sleep(e.firstEvent)
+		w.WriteHeader(http.StatusInternalServerError)
+		e.record.add("failed", id, e.id)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	pause := e.firstEvent
@@ -144,3 +156,10 @@
 	}
 	e.record.add("ran", id, e.id)
 }
+
+// busy returns the number of requests that the engine runs.
+func (e *engine) busy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -28,8 +28,9 @@
 )
 
 var cases = map[string]func(*lab) (broken bool, err error){
-	"gone":   goneCase,
-	"memory": memoryCase,
+	"gone":    goneCase,
+	"memory":  memoryCase,
+	"rollout": rolloutCase,
 }
 
 func main() {
--- a/review/lab-2/relay.go
+++ b/review/lab-2/relay.go
@@ -29,6 +29,8 @@
 // machine describes what the platform fills into the settings of a process.
 type machine struct {
 	memoryMegabytes, files int
+	// hasRollouts is set if the deployment has bounds for rollouts.
+	hasRollouts bool
 }
 
 func freePort() (int, error) {
@@ -62,8 +64,13 @@
 		"platform.address": storeAddress, "limits.cores": "1", "limits.memory_mb": strconv.Itoa(m.memoryMegabytes),
 		"limits.max_fds": strconv.Itoa(m.files), "bounds.budget_ratio": "0.2", "bounds.budget_slack": "58", "bounds.budget_window_s": "10",
 		"bounds.quota_overage": "0.1", "bounds.quota_slack": "140000", "bounds.quota_window_s": "8", "bounds.grace_s": "8",
+		"bounds.expose_share": "0.1", "bounds.expose_slack": "50", "bounds.rollback_ms": "5000",
 	}
-	filled := regexp.MustCompile(`(?s)\{\{#[a-z_.]+\}\}.*?\{\{/[a-z_.]+\}\}\n`).ReplaceAllString(string(text), "")
+	sections := regexp.MustCompile(`(?s)\{\{#[a-z_.]+\}\}.*?\{\{/[a-z_.]+\}\}\n`)
+	if m.hasRollouts {
+		sections = regexp.MustCompile(`\{\{[#/][a-z_.]+\}\}\n`)
+	}
+	filled := sections.ReplaceAllString(string(text), "")
 	for key, value := range values {
 		filled = strings.ReplaceAll(filled, "{{"+key+"}}", value)
 	}
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -26,7 +26,9 @@
 	addr   string
 	start  time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// down is set while the store refuses all calls.
+	down    bool
 	version uint64
 	era     uint64
 	rows    map[string]storeRow
@@ -43,9 +45,9 @@
 	}
 	s := &store{addr: l.Addr().String(), start: time.Now(), rows: map[string]storeRow{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/-/rows-get", s.get)
-	mux.HandleFunc("/-/rows-feed", s.feed)
-	mux.HandleFunc("/-/rows-tx", s.transact)
+	mux.HandleFunc("/-/rows-get", s.serve(s.get))
+	mux.HandleFunc("/-/rows-feed", s.serve(s.feed))
+	mux.HandleFunc("/-/rows-tx", s.serve(s.transact))
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -79,6 +81,35 @@
 	s.changed = make(chan struct{})
 }
 
+// setDown makes the store refuse all calls, also those that it holds, or serve them again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.notifyLocked()
+}
+
+// value returns the value of a row; nil if there is none.
+func (s *store) value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowID(table, "", key)].Value
+}
+
+// serve calls a handler unless the store is down.
+func (s *store) serve(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handle(w, r)
+	}
+}
+
 func (s *store) now() int64 { return time.Since(s.start).Milliseconds() + 1 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
@@ -116,6 +147,11 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if after > s.version {
 			s.answer(w, http.StatusGone, nil)
 			return
