--- a/review/6/run.sh
+++ b/review/10/run.sh
@@ -6,7 +6,7 @@
 [ -x "$lab" ] && [ -x "$relay" ] || { echo "build first: the build of the deploy file, then review/build-2.sh"; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout 110 "$lab" -trouble="$trouble" -relay "$relay" -template ../../deploy/relay.toml.tmpl -record record.txt rollout
+timeout 100 "$lab" -trouble="$trouble" -relay "$relay" -template ../../deploy/relay.toml.tmpl -record record.txt gone
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
