--- a/review/lab-2/engine.go
+++ b/review/lab-2/engine.go
@@ -16,8 +16,13 @@
 	slots                      int
 	firstEvent, gap            time.Duration
 	events                     int
-	record                     *record
+	// work is the time of a request at an engine that answers with one body instead of a stream; zero for one that streams. Such an engine
+	// ends what it has begun.
+	work   time.Duration
+	record *record
 
+	// gapOf returns the pause between the events of the next stream; nil for gap.
+	gapOf func() time.Duration
 	// fails reports whether the engine fails the next request.
 	fails  func() bool
 	server *http.Server
@@ -140,9 +145,18 @@
 		e.record.add("failed", id, e.id)
 		return
 	}
+	if e.work > 0 {
+		time.Sleep(e.work)
+		fmt.Fprintf(w, "entry of %s", id)
+		e.record.add("ran", id, e.id)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	pause := e.firstEvent
+	pause, gap := e.firstEvent, e.gap
+	if e.gapOf != nil {
+		gap = e.gapOf()
+	}
 	for k := after + 1; k <= e.events; k++ {
 		select {
 		case <-r.Context().Done():
@@ -150,7 +164,7 @@
 			return
 		case <-time.After(pause):
 		}
-		pause = e.gap
+		pause = gap
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", k, id)
 		w.(http.Flusher).Flush()
 	}
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*lab) (broken bool, err error){
 	"gone":    goneCase,
 	"memory":  memoryCase,
+	"pace":    paceCase,
 	"rollout": rolloutCase,
 }
 
