--- a/review/lab-2/client.go
+++ b/review/lab-2/client.go
@@ -43,6 +43,11 @@
 
 // send sends a request and reads the whole answer.
 func (c *client) send(id, method, path string, headers []string, body []byte, deadline time.Duration) answer {
+	return c.sendUntil(id, method, path, headers, body, deadline, time.Now().Add(deadline))
+}
+
+// sendUntil sends a request with a deadline and reads the whole answer. The client leaves at a time that may be earlier.
+func (c *client) sendUntil(id, method, path string, headers []string, body []byte, deadline time.Duration, leavesAt time.Time) answer {
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
@@ -51,7 +56,7 @@
 		c.conn, c.reader, c.used = conn, bufio.NewReader(conn), 0
 	}
 	c.used++
-	_ = c.conn.SetDeadline(time.Now().Add(deadline))
+	_ = c.conn.SetDeadline(leavesAt)
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", method, path, id, deadline.Milliseconds())
 	for _, h := range headers {
 		head += h + "\r\n"
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -32,6 +32,7 @@
 	"memory":  memoryCase,
 	"pace":    paceCase,
 	"rollout": rolloutCase,
+	"slots":   slotsCase,
 }
 
 func main() {
--- a/review/lab-2/relay.go
+++ b/review/lab-2/relay.go
@@ -29,6 +29,8 @@
 // machine describes what the platform fills into the settings of a process.
 type machine struct {
 	memoryMegabytes, files int
+	// cores is the number of cores that the machine exposes; one if zero.
+	cores int
 	// hasRollouts is set if the deployment has bounds for rollouts.
 	hasRollouts bool
 }
@@ -61,7 +63,7 @@
 		"node": name, "zone": "zone-a", "region": "region-a", "ip": "127.0.0.1",
 		"listen.front": fmt.Sprintf("127.0.0.1:%d", ports["front"]), "listen.ready": fmt.Sprintf("127.0.0.1:%d", ports["ready"]),
 		"internal_ports.0": strconv.Itoa(ports["peer"]), "internal_ports.1": strconv.Itoa(ports["metrics"]),
-		"platform.address": storeAddress, "limits.cores": "1", "limits.memory_mb": strconv.Itoa(m.memoryMegabytes),
+		"platform.address": storeAddress, "limits.cores": strconv.Itoa(max(1, m.cores)), "limits.memory_mb": strconv.Itoa(m.memoryMegabytes),
 		"limits.max_fds": strconv.Itoa(m.files), "bounds.budget_ratio": "0.2", "bounds.budget_slack": "58", "bounds.budget_window_s": "10",
 		"bounds.quota_overage": "0.1", "bounds.quota_slack": "140000", "bounds.quota_window_s": "8", "bounds.grace_s": "8",
 		"bounds.expose_share": "0.1", "bounds.expose_slack": "50", "bounds.rollback_ms": "5000",
