--- a/review/lab-2/relay_test.go
+++ b/review/lab-2/relay_test.go
@@ -36,7 +36,8 @@
 	hasRollouts bool
 }
 
-// freePort returns a free port below those that the system gives to outgoing connections, so that none of these takes it before the relay does.
+// freePort returns a free port below those that the system gives to outgoing connections, so that none of these takes it before the
+// relay does.
 func freePort() (int, error) {
 	var err error
 	for range 100 {
--- a/review/lab-2/slots_test.go
+++ b/review/lab-2/slots_test.go
@@ -27,8 +27,8 @@
 	batchRequests = 24
 )
 
-// The disruption of the case: the client of the batches leaves within half of the latency objective. In any 5 s these are 24 of 84 requests to the
-// service, where the site file lets three tenths leave.
+// The disruption of the case: the client of the batches leaves within half of the latency objective. In any 5 s these are 24 of 84
+// requests to the service, where the site file lets three tenths leave.
 const (
 	leavesAfter = 60 * time.Millisecond
 	lastLeaves  = batches * batchInterval
