--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases 11 to 15 start, into target/.
+# Builds the stand-ins that the scripts of the third review start. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin-3"
-go build -o ../../target/standin-3 .
+mkdir -p ../../target
+GOFLAGS=-mod=mod go test -c -o ../../target/standin-3 .
--- a/review/standin-3/client.go
+++ b/review/standin-3/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bufio"
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine_test.go
@@ -1,10 +1,11 @@
-package main
+package standin
 
 import (
 	"bufio"
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +28,9 @@
 	preemptTime  time.Duration
 	// keeps is set for an engine that goes on with a request whose connection has been closed.
 	keeps bool
+	// From slowFrom on, half of the plain answers take slowFactor times as long.
+	slowFrom   time.Time
+	slowFactor int
 	// slowdown is the number of running requests with which the time between two events doubles; zero for none.
 	slowdown int
 	// closeEvery is the number of answers of which one says Connection: close; zero for none.
@@ -61,7 +65,10 @@
 	f.DurationVar(&o.work, "work", 30*time.Millisecond, "time of a plain answer")
 	f.StringVar(&o.crash, "crash", "", "text in the body of requests that crash the engine")
 	f.IntVar(&o.closeEvery, "close-every", 0, "")
+	slowFrom := f.Int64("slow-from", 0, "Unix millisecond")
+	f.IntVar(&o.slowFactor, "slow-factor", 1, "")
 	must(f.Parse(args))
+	o.slowFrom = time.UnixMilli(*slowFrom)
 	e := &engine{engineOptions: o, slotsFree: make(chan struct{}, o.slots)}
 	l, err := net.Listen("tcp", o.address)
 	must(err)
@@ -129,7 +136,7 @@
 	signature := "Server-Signature: " + e.id + "." + id + "\r\n"
 	events, _ := strconv.Atoi(r.Header.Get("Events"))
 	if events == 0 {
-		time.Sleep(e.work)
+		time.Sleep(e.workTime())
 		text := "answer to " + id + " by " + e.id + strings.Repeat(".", 700)
 		end := ""
 		if closes {
@@ -143,6 +150,15 @@
 	return e.stream(c, head(200, signature+"Content-Type: text/event-stream\r\n"), id, after, events, closes) == nil && !closes
 }
 
+// workTime returns the time of a plain answer, which varies by a fifth.
+func (e *engine) workTime() time.Duration {
+	work := time.Duration(float64(e.work) * (0.8 + 0.4*rand.Float64()))
+	if e.slowFactor > 1 && time.Now().After(e.slowFrom) && rand.IntN(2) == 0 {
+		work *= time.Duration(e.slowFactor)
+	}
+	return work
+}
+
 // eventGap returns the time between two events, which grows with the number of running requests.
 func (e *engine) eventGap() time.Duration {
 	if e.slowdown == 0 {
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bufio"
@@ -19,10 +19,10 @@
 
 // server is an engine process with its entry in the store. The driver writes the entry, as the engine would.
 type server struct {
-	id, service, address, zone string
-	born                       int64
-	slots                      int
-	process                    *exec.Cmd
+	id, service, address, zone, version string
+	born                                int64
+	slots                               int
+	process                             *exec.Cmd
 
 	mu       sync.Mutex
 	state    string
@@ -30,10 +30,15 @@
 	isGone   bool
 }
 
-// startServer starts an engine and enters it in the store. Its heartbeats change nothing but a number, so that the entry needn't change.
+// startServer starts an engine of version v1 and enters it in the store. Its heartbeats change nothing but a number, so that the entry needn't change.
 func (c *run) startServer(id, service, zone string, arguments ...string) *server {
+	return c.startServerOf("v1", id, service, zone, arguments...)
+}
+
+// startServerOf starts an engine of a version.
+func (c *run) startServerOf(version, id, service, zone string, arguments ...string) *server {
 	s := &server{
-		id: id, service: service, zone: zone, address: freeAddress(), born: time.Now().UnixMilli(), slots: slotsOf(arguments), state: "ready",
+		id: id, service: service, zone: zone, version: version, address: freeAddress(), born: time.Now().UnixMilli(), slots: slotsOf(arguments), state: "ready",
 	}
 	own, err := os.Executable()
 	must(err)
@@ -84,7 +89,7 @@
 	}
 	s.sequence++
 	value, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": s.state,
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": s.state,
 		"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
 	})
 	must(err)
@@ -183,10 +188,15 @@
 	zones           []string
 	memoryMegabytes int
 	budgetSlack     string
+	// hasRollouts is set if the bounds of rollouts apply.
+	hasRollouts bool
 }
 
-// The small deployments.
+// The small deployments, and a small form of a grown one.
 var (
+	mwakilema = site{
+		region: "dar-coast", zones: []string{"kurasini", "ubungo", "mbezi"}, memoryMegabytes: 184, budgetSlack: "164", hasRollouts: true,
+	}
 	inrapLofts = site{
 		region: "costa-sur", zones: []string{"champerico", "sipacate", "iztapa", "monterrico"}, memoryMegabytes: 284, budgetSlack: "52",
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main_test.go
@@ -1,6 +1,6 @@
-// Command standin-3 holds the stand-ins of the review: the platform's store, engines, clients and proxies, and the cases that start the
-// project's relays as processes.
-package main
+// Package standin holds the stand-ins of the third review (the platform's store, engines and clients) and the cases that start the
+// project's relays as processes. It is built as a test program, since the words of the users' protocol stand in no other code.
+package standin
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -17,7 +18,8 @@
 
 var cases = map[string]func(c *run){}
 
-func main() {
+// TestMain runs an engine or a case in place of tests: "engine" with its flags, or the name of a case and the file of its record.
+func TestMain(*testing.M) {
 	if len(os.Args) > 2 && os.Args[1] == "engine" {
 		runEngine(os.Args[2:])
 		return
--- a/review/standin-3/relay.go
+++ b/review/standin-3/relay_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"fmt"
@@ -39,6 +39,9 @@
 		"bounds.budget_ratio": "0.2", "bounds.budget_slack": s.budgetSlack, "bounds.budget_window_s": "10",
 		"bounds.quota_overage": "0.1", "bounds.quota_slack": "140000", "bounds.quota_window_s": "8", "bounds.grace_s": "8",
 	}
+	if s.hasRollouts {
+		values["bounds.expose_share"], values["bounds.expose_slack"], values["bounds.rollback_ms"] = "0.1", "50", "5000"
+	}
 	template, err := os.ReadFile(filepath.Join(repository, "deploy", "relay.toml.tmpl"))
 	must(err)
 	text := section.ReplaceAllStringFunc(string(template), func(part string) string {
